--- /dev/null
+++ b/packages/common/src/goldcrestvane_common/messages.py
@@ -0,0 +1,370 @@
+"""Messages between entries, owners and the sidecars beside targets."""
+
+from enum import Enum
+from typing import Any
+
+import msgspec
+
+from goldcrestvane_common.errors import ErrorBody
+from goldcrestvane_common.ids import (
+    CallId,
+    DomainId,
+    Epoch,
+    Fingerprint,
+    InstanceId,
+    ProgramId,
+    ServiceId,
+    ShardId,
+    TeamId,
+    Version,
+)
+from goldcrestvane_common.settings import Budget, Priority, ServiceKind
+
+CALL_PATH = "/internal/call"
+STREAM_PATH = "/internal/stream"
+PROGRAM_BEGIN_PATH = "/internal/programs/begin"
+PROGRAM_END_PATH = "/internal/programs/end"
+PROGRAM_SHOW_PATH = "/internal/programs/show"
+DISPATCH_PATH = "/internal/dispatch"
+DISPATCH_STREAM_PATH = "/internal/dispatch-stream"
+FENCE_PATH = "/internal/fence"
+RELEASE_PATH = "/internal/release"
+OUTCOME_PATH = "/internal/outcome"
+QUARANTINE_PATH = "/internal/quarantine"
+STATUS_PATH = "/internal/status"
+PEER_STATE_PATH = "/internal/peers"
+CONTROL_PATH = "/internal/control"
+SHARD_MAP_KEY = "control/shards"
+
+
+class Role(Enum):
+    """What a process does."""
+
+    ENTRY = "entry"
+    SIDECAR = "sidecar"
+
+
+class InstanceState(Enum):
+    """Whether an instance takes new work."""
+
+    LIVE = "live"
+    LEAVING = "leaving"
+
+
+class Instance(msgspec.Struct, frozen=True, omit_defaults=True):
+    """One process of the system, as the platform's instance list gives it.
+
+    Attributes:
+        instance: Unique id of this process.
+        role: Entry or sidecar.
+        address: ``host:port`` of the process.
+        domain: Failure domain.
+        state: Live or leaving.
+        service: Service of the target beside a sidecar.
+    """
+
+    instance: InstanceId
+    role: Role
+    address: str
+    domain: DomainId
+    state: InstanceState = InstanceState.LIVE
+    service: ServiceId | None = None
+
+
+class InstanceList(msgspec.Struct, frozen=True):
+    """Answer of the platform's instance list."""
+
+    instances: list[Instance]
+
+
+class Usage(msgspec.Struct, frozen=True, omit_defaults=True):
+    """Tokens that a model call took; zero for a tool call."""
+
+    prompt_tokens: int = 0
+    cached_tokens: int = 0
+    completion_tokens: int = 0
+
+    @property
+    def total(self) -> int:
+        """Tokens charged to budgets."""
+        return self.prompt_tokens + self.completion_tokens
+
+
+class Message(msgspec.Struct, frozen=True):
+    """One chat message."""
+
+    role: str
+    content: str
+
+
+class ModelBody(msgspec.Struct, frozen=True, omit_defaults=True):
+    """What a model call asks for."""
+
+    messages: list[Message]
+    max_tokens: int = 256
+
+
+class StreamPoint(msgspec.Struct, frozen=True):
+    """Where a broken stream is taken up again.
+
+    Attributes:
+        target: Instance beside the engine that runs the stream.
+        stream_id: The stream's id at the engine.
+        offset: Tokens that the caller has already.
+    """
+
+    target: InstanceId
+    stream_id: str
+    offset: int
+
+
+class CallRequest(msgspec.Struct, frozen=True, omit_defaults=True):
+    """A call that an entry passes to the owner of the program's shard.
+
+    Attributes:
+        team: Team of the program.
+        program: Program that issues the call.
+        sequence: Position among the program's calls, from 1.
+        service: Service to call.
+        kind: Model or tool.
+        deadline_seconds: Time left for the whole call when the message was sent.
+        operation: Operation of a tool; empty for a model.
+        model: Body of a model call.
+        tool: Body of a tool call, undecoded JSON.
+        resume: Where to take up a stream that broke between owner and entry.
+    """
+
+    team: TeamId
+    program: ProgramId
+    sequence: int
+    service: ServiceId
+    kind: ServiceKind
+    deadline_seconds: float
+    operation: str = ""
+    model: ModelBody | None = None
+    tool: msgspec.Raw = msgspec.Raw(b"null")
+    resume: StreamPoint | None = None
+
+
+class CallAnswer(msgspec.Struct, frozen=True, omit_defaults=True):
+    """A whole answer.
+
+    Attributes:
+        value: The answer text of a model (a JSON string) or the tool's JSON.
+        target: Instance beside the target that ran the call.
+        owner: Instance that owns the program.
+        usage: Tokens taken.
+        replayed: Whether the answer comes from the record of an earlier attempt.
+    """
+
+    value: msgspec.Raw
+    target: InstanceId
+    owner: InstanceId
+    usage: Usage = Usage()
+    replayed: bool = False
+
+
+class StreamHead(msgspec.Struct, frozen=True, tag="head"):
+    """First frame of a streamed answer."""
+
+    target: InstanceId
+    owner: InstanceId
+    stream_id: str
+    replayed: bool = False
+
+
+class StreamDelta(msgspec.Struct, frozen=True, tag="delta"):
+    """Further tokens of a streamed answer.
+
+    Attributes:
+        offset: Tokens before this frame.
+        tokens: Texts of the tokens, each as the engine sent it.
+    """
+
+    offset: int
+    tokens: list[str]
+
+
+class StreamEnd(msgspec.Struct, frozen=True, tag="end"):
+    """Last frame of a whole answer; a stream without it is incomplete."""
+
+    usage: Usage
+    finish_reason: str = "stop"
+
+
+class StreamFailure(msgspec.Struct, frozen=True, tag="failure"):
+    """Last frame of an answer that failed."""
+
+    error: ErrorBody
+
+
+StreamFrame = StreamHead | StreamDelta | StreamEnd | StreamFailure
+"""Frames travel as JSON lines."""
+
+
+class DispatchRequest(msgspec.Struct, frozen=True, omit_defaults=True):
+    """A call that an owner sends to the sidecar beside the chosen target.
+
+    Attributes:
+        call: Unique id of this attempt.
+        shard: Shard of the program.
+        epoch: Epoch of the owner; an older one than the gate has seen is refused.
+        team: Team of the program.
+        program: Program that issued the call.
+        service: Service to call.
+        kind: Model or tool.
+        deadline_seconds: Time left when the message was sent.
+        priority: Scheduling class.
+        attained_tokens: Service the whole program has had; less goes first.
+        fingerprint: Hash of team and content; equal for a request sent again.
+        idempotent: Whether the call may be sent to the target twice.
+        alone: Whether the call must be the only one on its target.
+        operation: Operation of a tool.
+        model: Body of a model call.
+        tool: Body of a tool call.
+        resume_offset: Tokens of the stream `call` that were passed on already; None
+            starts a new stream.
+    """
+
+    call: CallId
+    shard: ShardId
+    epoch: Epoch
+    team: TeamId
+    program: ProgramId
+    service: ServiceId
+    kind: ServiceKind
+    deadline_seconds: float
+    priority: Priority = Priority.STANDARD
+    attained_tokens: int = 0
+    fingerprint: Fingerprint = Fingerprint("")
+    idempotent: bool = True
+    alone: bool = False
+    operation: str = ""
+    model: ModelBody | None = None
+    tool: msgspec.Raw = msgspec.Raw(b"null")
+    resume_offset: int | None = None
+
+
+class DispatchAnswer(msgspec.Struct, frozen=True, omit_defaults=True):
+    """A whole answer of a target, with the target's load at that time."""
+
+    value: msgspec.Raw
+    usage: Usage = Usage()
+    load: "TargetLoad | None" = None
+
+
+class TargetLoad(msgspec.Struct, frozen=True, omit_defaults=True):
+    """Load of one target, as its sidecar reports it.
+
+    Attributes:
+        running: Calls at the target.
+        queued: Calls waiting at the sidecar.
+        slots: Calls the target runs at a time.
+        cached_tokens: Tokens in the engine's prefix cache.
+        cache_capacity_tokens: Size of that cache.
+    """
+
+    running: int = 0
+    queued: int = 0
+    slots: int = 1
+    cached_tokens: int = 0
+    cache_capacity_tokens: int = 0
+
+
+class ProgramBegin(msgspec.Struct, frozen=True, omit_defaults=True):
+    """Begins a program; the team's declared kind gives priority and budget.
+
+    Attributes:
+        team: Team of the program.
+        program: Path id; the part before the last ``/`` is the parent.
+        kind: Name of a program kind in the team's settings.
+        budget: Tighter limits than the kind's, if any.
+    """
+
+    team: TeamId
+    program: ProgramId
+    kind: str
+    budget: Budget = Budget()
+
+
+class ProgramEnd(msgspec.Struct, frozen=True):
+    """Ends a program and its sub-agents."""
+
+    team: TeamId
+    program: ProgramId
+
+
+class ProgramQuery(msgspec.Struct, frozen=True):
+    """Asks for the state of one program."""
+
+    team: TeamId
+    program: ProgramId
+
+
+class ProgramState(Enum):
+    """Whether a program takes calls."""
+
+    OPEN = "open"
+    ENDED = "ended"
+
+
+class ProgramView(msgspec.Struct, frozen=True, omit_defaults=True):
+    """State of one program, for callers and operators."""
+
+    team: TeamId
+    program: ProgramId
+    kind: str
+    state: ProgramState
+    owner: InstanceId
+    shard: ShardId
+    epoch: Epoch
+    next_sequence: int
+    budget: Budget = Budget()
+    spent_tokens: int = 0
+    spent_calls: int = 0
+    turns: int = 0
+    history: list[Message] = []
+
+
+class ShardOwner(msgspec.Struct, frozen=True, array_like=True):
+    """Owner of one shard; the journal's head decides, this is for routing."""
+
+    owner: InstanceId
+    address: str
+    epoch: Epoch
+
+
+class ShardMap(msgspec.Struct, frozen=True):
+    """Value of the object `SHARD_MAP_KEY`: the owner of each shard, None if none."""
+
+    shards: list[ShardOwner | None]
+
+
+class ProcessStatus(msgspec.Struct, frozen=True, omit_defaults=True):
+    """Answer of `STATUS_PATH`: one process as it sees itself.
+
+    Attributes:
+        instance: This process.
+        shards: Shards it owns.
+        open_programs: Programs under way in those shards.
+        load: Load of the target beside a sidecar.
+        settings_versions: Version in force of each team's settings.
+        in_flight: Requests being served.
+    """
+
+    instance: Instance
+    shards: list[ShardId] = []
+    open_programs: int = 0
+    load: TargetLoad | None = None
+    settings_versions: dict[TeamId, Version] = {}
+    in_flight: int = 0
+
+
+def encode(value: Any) -> bytes:
+    """Returns a message as JSON."""
+    return msgspec.json.encode(value)
+
+
+def encode_line(value: Any) -> bytes:
+    """Returns a message as one JSON line."""
+    return msgspec.json.encode(value) + b"\n"
