Put a bounded, ordered queue in front of each target

Ruled out: a heap (keys change with time through slack and aging; the queue is bounded, so one pass over it a start is enough); strict priority without aging (a flood of a higher class starves the others); exact attained tokens as the key (programs of about equal length would take turns and all end late, so levels double).

--- /dev/null
+++ b/packages/daemon/src/goldcrestvane_daemon/gate/__init__.py
@@ -0,0 +1,6 @@
+"""The queue in front of one target, used in the sidecar beside it."""
+
+from goldcrestvane_daemon.gate.gate import Gate, Permit
+from goldcrestvane_daemon.gate.options import GateOptions
+
+__all__ = ["Gate", "GateOptions", "Permit"]
--- /dev/null
+++ b/packages/daemon/src/goldcrestvane_daemon/gate/options.py
@@ -0,0 +1,39 @@
+"""Options of a gate, set by the operator's settings or the process's flags."""
+
+import msgspec
+
+
+class GateOptions(msgspec.Struct, frozen=True, kw_only=True):
+    """Limits of one target's queue.
+
+    Attributes:
+        slots: Calls that the target runs at a time.
+        queue_limit: Calls that wait at most.
+        aging_seconds: Waiting time after which a call rises by one priority class.
+        class_share: Part of the queue that each priority class keeps for itself, so
+            that a flood of one class cannot refuse all calls of another; 0 to 1/3.
+        first_service_seconds: Expected duration of a call before any was measured.
+    """
+
+    slots: int = 8
+    queue_limit: int = 128
+    aging_seconds: float = 10.0
+    class_share: float = 0.125
+    first_service_seconds: float = 1.0
+
+    def __post_init__(self) -> None:
+        if self.slots < 1 or self.queue_limit < 0:
+            raise ValueError(
+                f"got slots={self.slots} and queue_limit={self.queue_limit}, expected "
+                "at least 1 and 0; correct the service's settings"
+            )
+        if self.aging_seconds <= 0 or self.first_service_seconds <= 0:
+            raise ValueError(
+                f"got aging_seconds={self.aging_seconds} and first_service_seconds="
+                f"{self.first_service_seconds}, expected positive seconds"
+            )
+        if not 0 <= self.class_share <= 1 / 3:
+            raise ValueError(
+                f"got class_share={self.class_share}, expected 0 to 1/3, since there "
+                "are three priority classes"
+            )
