--- /dev/null
+++ b/standins/src/goldcrestvane_standins/programs.py
@@ -0,0 +1,74 @@
+"""Start-up and the faults that all stand-ins share."""
+
+from collections.abc import AsyncIterator, Callable
+from typing import final
+
+import trio
+from absl import app, flags
+
+from goldcrestvane_common.logs import configure_logs
+from goldcrestvane_common.server import Application, Router, StreamResponse, serve_http
+
+_LISTEN = flags.DEFINE_string(
+    "listen", "127.0.0.1:0", "host:port to listen on; port 0 picks a free one."
+)
+
+RouterBuilder = Callable[[trio.Nursery], Router]
+
+
+@final
+class AnswerLost(Exception):
+    """Ends a connection on purpose, without an answer."""
+
+
+async def serve_router(
+    build_router: RouterBuilder,
+    address: str,
+    *,
+    task_status: trio.TaskStatus[str] = trio.TASK_STATUS_IGNORED,
+) -> None:
+    """Serves a stand-in until cancelled.
+
+    Args:
+        build_router: Makes the routes; the nursery is for the stand-in's own tasks.
+        address: ``host:port`` to listen on.
+        task_status: Receives the ``host:port`` that is listened on.
+    """
+    async with trio.open_nursery() as nursery:
+        router = build_router(nursery)
+        bound = await nursery.start(serve_http, Application(router), address)
+        task_status.started(bound)
+
+
+def run_program(name: str, build_router: RouterBuilder) -> None:
+    """Parses the flags, serves a stand-in and announces its address.
+
+    SIGTERM keeps its default action, so that it ends the process at once.
+
+    Args:
+        name: Name of the process in its logs.
+        build_router: Makes the routes, once the flags are parsed.
+    """
+
+    async def serve() -> None:
+        async with trio.open_nursery() as nursery:
+            bound = await nursery.start(serve_router, build_router, _LISTEN.value)
+            print(f"listening {bound}", flush=True)
+
+    def main(arguments: list[str]) -> None:
+        if len(arguments) > 1:
+            raise app.UsageError(f"Got {arguments[1:]}; expected flags only.")
+        configure_logs(level="WARNING", process=name)
+        trio.run(serve)
+
+    app.run(main)
+
+
+def close_without_answer() -> StreamResponse:
+    """Returns a response that closes the connection before its first byte."""
+    return StreamResponse(chunks=_lose_answer())
+
+
+async def _lose_answer() -> AsyncIterator[bytes]:
+    raise AnswerLost("The answer is lost on purpose.")
+    yield b""
