Choose a target by expected time, cached prefix and health

Ruled out: a score of unitless weights (the spill threshold would need tuning for each engine; expected seconds follow the measured rates); scanning all targets for the least loaded (owners with the same lagged report would all pick one target). Change: Placement with choose, start and record_ methods; choose_target as a pure function over TargetViews; load estimates from own counts and aged reports; affinity in bounded memory; back-off with one probe; slowness; RetryBudget; choose_pause_action.

--- /dev/null
+++ b/packages/daemon/src/goldcrestvane_daemon/placement/__init__.py
@@ -0,0 +1,25 @@
+"""The choice of a target for each call, made by the owner of the program."""
+
+from goldcrestvane_daemon.placement.budget import RetryBudget
+from goldcrestvane_daemon.placement.choice import Choice, TargetView, choose_target
+from goldcrestvane_daemon.placement.facts import (
+    CallFacts,
+    Candidate,
+    PlacementOptions,
+)
+from goldcrestvane_daemon.placement.pauses import PauseAction, choose_pause_action
+from goldcrestvane_daemon.placement.placement import Attempt, Placement
+
+__all__ = [
+    "Attempt",
+    "CallFacts",
+    "Candidate",
+    "Choice",
+    "PauseAction",
+    "Placement",
+    "PlacementOptions",
+    "RetryBudget",
+    "TargetView",
+    "choose_pause_action",
+    "choose_target",
+]
--- /dev/null
+++ b/packages/daemon/src/goldcrestvane_daemon/placement/placement.py
@@ -0,0 +1,257 @@
+"""State of one owner's placement, and its use for each call."""
+
+import random
+from collections.abc import Sequence
+from typing import final
+
+import msgspec
+import trio
+
+from goldcrestvane_common.errors import Unavailable
+from goldcrestvane_common.ids import DomainId, InstanceId, ProgramId, ServiceId, TeamId
+from goldcrestvane_common.messages import TargetLoad, Usage
+from goldcrestvane_daemon.placement.affinity import AffinityMap
+from goldcrestvane_daemon.placement.choice import Choice, TargetView, choose_target
+from goldcrestvane_daemon.placement.facts import (
+    CallFacts,
+    Candidate,
+    PlacementOptions,
+)
+from goldcrestvane_daemon.placement.health import HealthView
+from goldcrestvane_daemon.placement.loads import LoadView
+from goldcrestvane_daemon.placement.rates import RateModel
+
+MIN_RETRY_SECONDS = 0.05
+
+
+class Attempt(msgspec.Struct, frozen=True):
+    """One call under way to one target.
+
+    Attributes:
+        instance: The sidecar beside the target.
+        facts: The call.
+        started: Time on trio's clock at which it was sent.
+    """
+
+    instance: InstanceId
+    facts: CallFacts
+    started: float
+
+
+@final
+class Placement:
+    """Chooses targets for the calls of one owner and learns from their ends.
+
+    Every `start` is followed by exactly one of the `record_` methods.
+    """
+
+    def __init__(
+        self,
+        *,
+        domain: DomainId,
+        seed: int,
+        options: PlacementOptions = PlacementOptions(),
+    ) -> None:
+        self._domain = domain
+        self._options = options
+        self._random = random.Random(seed)
+        self._affinity = AffinityMap(max_programs=options.max_programs)
+        self._loads = LoadView(report_seconds=options.report_seconds)
+        self._health = HealthView(options)
+        self._rates: dict[ServiceId, RateModel] = {}
+
+    def choose(
+        self, candidates: Sequence[Candidate], facts: CallFacts, *, cache_weight: float
+    ) -> Choice:
+        """Returns the target for a call.
+
+        Args:
+            candidates: All live targets of the service.
+            facts: The call.
+            cache_weight: 0 favours latency alone, 1 reuse of cached prefixes alone.
+
+        Raises:
+            Unavailable: No target is left that may be tried now.
+        """
+        now = trio.current_time()
+        usable = [
+            candidate
+            for candidate in candidates
+            if candidate.instance not in facts.excluded
+            and self._health.is_usable(candidate.instance, now=now)
+        ]
+        if not usable:
+            raise self._build_unavailable(candidates, facts, now=now)
+        sample = usable if facts.alone else self._draw_sample(usable, facts)
+        views = [self._build_view(each, facts, now=now) for each in sample]
+        return choose_target(views, facts, cache_weight)
+
+    def start(self, choice: Choice, facts: CallFacts) -> Attempt:
+        """Notes that a call is sent to its target."""
+        now = trio.current_time()
+        self._loads.add(choice.instance)
+        self._health.note_start(choice.instance, now=now)
+        return Attempt(choice.instance, facts, now)
+
+    def record_success(
+        self,
+        attempt: Attempt,
+        *,
+        usage: Usage = Usage(),
+        waited_seconds: float | None = None,
+        load: TargetLoad | None = None,
+    ) -> None:
+        """Notes a whole answer.
+
+        Args:
+            attempt: The call.
+            usage: Tokens taken.
+            waited_seconds: Time that the call waited for a slot, as its gate says;
+                None if unknown, and then nothing is learned about run times.
+            load: The target's load, the call itself included.
+        """
+        if load is not None:
+            self.report_load(attempt.instance, load)
+        self._loads.remove(attempt.instance)
+        self._health.note_success(
+            attempt.instance, slowness=self._learn_rate(attempt, usage, waited_seconds)
+        )
+        if usage.prompt_tokens:
+            self._affinity.store(
+                attempt.facts.team,
+                attempt.facts.program,
+                attempt.instance,
+                usage.total,
+            )
+
+    def record_failure(self, attempt: Attempt, *, dead: bool = False) -> None:
+        """Notes a call that its target failed or let time out.
+
+        Args:
+            attempt: The call.
+            dead: Whether the target refused the connection or closed it early; it is
+                left out at once and its cache is taken for lost.
+        """
+        self._loads.remove(attempt.instance)
+        now = trio.current_time()
+        self._health.note_failure(attempt.instance, now=now, dead=dead)
+        if dead:
+            self._affinity.forget_target(attempt.instance)
+
+    def record_refusal(
+        self, attempt: Attempt, *, load: TargetLoad | None = None
+    ) -> None:
+        """Notes that a gate refused the call for its load, its order or its leaving."""
+        if load is not None:
+            self.report_load(attempt.instance, load)
+        self.record_cancelled(attempt)
+
+    def record_cancelled(self, attempt: Attempt) -> None:
+        """Notes that a call was given up on the caller's side."""
+        self._loads.remove(attempt.instance)
+        self._health.note_cancelled(attempt.instance, now=trio.current_time())
+
+    def report_load(self, instance: InstanceId, load: TargetLoad) -> None:
+        """Takes in a load report of a target."""
+        self._loads.report(instance, load, now=trio.current_time())
+
+    def note_evicted(
+        self, team: TeamId, program: ProgramId, instance: InstanceId, *, tokens: int
+    ) -> None:
+        """Takes in that an engine has only `tokens` of a program's prefix left."""
+        self._affinity.cut(team, program, instance, tokens)
+
+    def forget_program(self, team: TeamId, program: ProgramId) -> list[InstanceId]:
+        """Drops an ended program; returns the targets to release its prefixes at."""
+        return self._affinity.forget_program(team, program)
+
+    def forget_cache(self, instance: InstanceId) -> None:
+        """Drops what is believed cached at a target that started anew."""
+        self._affinity.forget_target(instance)
+
+    def forget_target(self, instance: InstanceId) -> None:
+        """Drops a target that left for good."""
+        self._affinity.forget_target(instance)
+        self._loads.forget(instance)
+        self._health.forget(instance)
+
+    def _draw_sample(
+        self, usable: Sequence[Candidate], facts: CallFacts
+    ) -> list[Candidate]:
+        """Returns the holders of the prefix, random targets and a near one."""
+        sample = dict.fromkeys(self._find_holders(usable, facts))
+        count = min(self._options.random_choices, len(usable))
+        sample.update(dict.fromkeys(self._random.sample(usable, count)))
+        near = [each for each in usable if each.domain == self._domain]
+        if near:
+            sample[self._random.choice(near)] = None
+        return list(sample)
+
+    def _find_holders(
+        self, usable: Sequence[Candidate], facts: CallFacts
+    ) -> list[Candidate]:
+        held = self._affinity.get(facts.team, facts.program)
+        if not held:
+            return []
+        return [each for each in usable if each.instance in held]
+
+    def _build_view(
+        self, candidate: Candidate, facts: CallFacts, *, now: float
+    ) -> TargetView:
+        instance = candidate.instance
+        rates = self._get_rates(facts.service)
+        counts = self._loads.get(instance)
+        load = counts.load
+        reported = counts.reported is not None
+        free = None
+        if load.cache_capacity_tokens:
+            free = load.cache_capacity_tokens - load.cached_tokens
+        near = candidate.domain == self._domain
+        held = self._affinity.get(facts.team, facts.program)
+        return TargetView(
+            instance=instance,
+            calls=self._loads.estimate(instance, now=now),
+            slots=load.slots if reported else self._options.first_slots,
+            call_seconds=rates.call_seconds,
+            seconds_per_token=rates.seconds_per_token,
+            cached_tokens=held.get(instance, 0),
+            free_tokens=free,
+            domain_seconds=0.0 if near else self._options.domain_seconds,
+            slowness=self._health.get(instance).slowness,
+        )
+
+    def _learn_rate(
+        self, attempt: Attempt, usage: Usage, waited_seconds: float | None
+    ) -> float | None:
+        """Learns from a run time; returns it against the expectation."""
+        if waited_seconds is None:
+            return None
+        seconds = trio.current_time() - attempt.started - waited_seconds
+        uncached = usage.prompt_tokens - usage.cached_tokens
+        rates = self._get_rates(attempt.facts.service)
+        expected = rates.predict(uncached)
+        rates.record(uncached_tokens=uncached, seconds=seconds)
+        return seconds / expected if expected > 0 else None
+
+    def _get_rates(self, service: ServiceId) -> RateModel:
+        rates = self._rates.get(service)
+        if rates is None:
+            rates = self._rates[service] = RateModel()
+        return rates
+
+    def _build_unavailable(
+        self, candidates: Sequence[Candidate], facts: CallFacts, *, now: float
+    ) -> Unavailable:
+        times = [
+            self._health.get_probe_time(each.instance)
+            for each in candidates
+            if each.instance not in facts.excluded
+        ]
+        wait = min(times) - now if times else self._options.eject_seconds
+        retry_after = max(MIN_RETRY_SECONDS, round(wait, 3))
+        return Unavailable(
+            f"got {len(candidates)} targets of service {facts.service}, expected one "
+            "that was not tried and does not fail; send the call again after "
+            f"{retry_after} s",
+            retry_after=retry_after,
+        )
