Hash the UTF-8 bytes of a text

Every use of `hash_text` and `locate_shard` failed.

Ruled out: pinning an older xxhash, since the bytes should be explicit anyway.

Conclusion: mended.

--- a/packages/common/src/goldcrestvane_common/ids.py
+++ b/packages/common/src/goldcrestvane_common/ids.py
@@ -39,7 +39,7 @@
 
 def hash_text(text: str) -> int:
     """Returns a 64-bit hash that is the same in every process."""
-    return xxhash.xxh3_64_intdigest(text)
+    return xxhash.xxh3_64_intdigest(text.encode())
 
 
 def locate_shard(team: TeamId, program: ProgramId, *, shard_count: int) -> ShardId:
