Add the stand-in of a model engine

Cause: routing, resuming streams and moving caches need an engine whose load, cache and faults a test can set.

Ruled out: refusing a second run of one stream_id, which would hide a call that was run twice; both are recorded and the later one is read.

Change: batch with slots and a priority queue, prefix cache with LRU eviction and lagged events, streams read by offset, cancel, export and import, fenced orders, crash message.

--- /dev/null
+++ b/standins/tests/test_engine.py
@@ -0,0 +1,149 @@
+import unittest
+
+import msgspec
+import trio
+from serving import run_against, wait_until
+
+from goldcrestvane_common.transport import ExchangeBroken
+from goldcrestvane_standins.batch import BatchSettings
+from goldcrestvane_standins.engine import Engine, EngineSettings
+from goldcrestvane_standins.runs import Message, build_answer
+
+COMPLETIONS = "/v1/chat/completions"
+END = "[DONE]"
+
+
+def build_settings(*, token_seconds=0.0005, **settings):
+    batch = BatchSettings(
+        slots=2,
+        token_seconds=token_seconds,
+        prefill_token_seconds=0.0,
+        stream_keep_seconds=3600.0,
+    )
+    return EngineSettings(batch=batch, **settings)
+
+
+def build_body(content, **fields):
+    return {"messages": [{"role": "user", "content": content}], **fields}
+
+
+def get_answer(content):
+    return " ".join(build_answer((Message("user", content),)))
+
+
+def read_events(body):
+    lines = body.decode().split("\n\n")
+    return [line.removeprefix("data: ") for line in lines if line]
+
+
+def join_tokens(events):
+    chunks = [msgspec.json.decode(event) for event in events if event != END]
+    return "".join(chunk["choices"][0]["delta"].get("content", "") for chunk in chunks)
+
+
+class EngineTests(unittest.TestCase):
+    def serve(self, check, **settings):
+        async def check_engine(transport, peer):
+            async def send(method, path, value=None):
+                return await transport.send(method, peer, path, value=value)
+
+            self.open_stream = lambda *arguments, **fields: transport.stream(
+                arguments[0], peer, *arguments[1:], **fields
+            )
+            await check(send)
+
+        run_against(
+            lambda nursery: Engine(build_settings(**settings), nursery).build_router(),
+            check_engine,
+        )
+
+    def test_whole_and_streamed_answers_are_the_same_text(self):
+        async def check(send):
+            whole = (await send("POST", COMPLETIONS, build_body("hi you"))).decode(dict)
+            choice = whole["choices"][0]
+            self.assertEqual(choice["message"]["content"], get_answer("hi you"))
+            self.assertEqual(choice["finish_reason"], "stop")
+            reply = await send("POST", COMPLETIONS, build_body("hi you", stream=True))
+            events = read_events(reply.body)
+            self.assertEqual(join_tokens(events), get_answer("hi you"))
+            self.assertEqual(events[-1], END)
+            self.assertEqual(msgspec.json.decode(events[-2])["usage"], whole["usage"])
+
+        self.serve(check)
+
+    def test_cut_stream_goes_on_and_is_resumed_at_an_offset(self):
+        async def check(send):
+            await send("PUT", "/control/faults", {"cut_streams_after": 3})
+            body = build_body("hi", stream=True, stream_id="x")
+            parts = []
+            with self.assertRaises(ExchangeBroken):
+                async with self.open_stream("POST", COMPLETIONS, value=body) as reply:
+                    async for part in reply.iterate():
+                        parts.append(part)
+            received = read_events(b"".join(parts))
+            await send("PUT", "/control/faults", {})
+            reply = await send("GET", f"/v1/streams/x?offset={len(received)}")
+            rest = read_events(reply.body)
+            self.assertEqual(join_tokens(received + rest), get_answer("hi"))
+            record = (await send("GET", "/control/record")).decode(list)
+            self.assertEqual(len(record), 1)
+            self.assertEqual((await send("GET", "/v1/streams/y?offset=0")).status, 404)
+
+        self.serve(check)
+
+    def test_cancelled_stream_frees_its_slot(self):
+        async def check(send):
+            async with trio.open_nursery() as nursery:
+                body = build_body("hi", stream_id="x")
+                nursery.start_soon(send, "POST", COMPLETIONS, body)
+
+                async def is_running():
+                    load = (await send("GET", "/v1/load")).decode(dict)
+                    return load["running"] == 1
+
+                await wait_until(is_running)
+                reply = await send("DELETE", "/v1/streams/x")
+                self.assertEqual(reply.decode(dict)["state"], "cancelled")
+            load = (await send("GET", "/v1/load")).decode(dict)
+            self.assertEqual((load["running"], load["queued"]), (0, 0))
+
+        self.serve(check, token_seconds=3600.0)
+
+    def test_load_lags(self):
+        async def check(send):
+            await send("POST", COMPLETIONS, build_body("hi", session="s"))
+            load = (await send("GET", "/v1/load")).decode(dict)
+            self.assertEqual(load["cached_tokens"], 0)
+
+        self.serve(check, load_lag=3600.0)
+
+    def test_prefixes_move_between_sessions_and_are_released(self):
+        async def check(send):
+            await send("POST", COMPLETIONS, build_body("hi you", session="s"))
+            content = (await send("GET", "/v1/cache/export/s")).decode(dict)
+            held = len(content["words"])
+            await send("POST", "/v1/cache/import", {**content, "session": "t"})
+            cache = (await send("GET", "/v1/cache")).decode(dict)
+            self.assertEqual(cache["sessions"], {"s": held, "t": held})
+            await send("POST", "/v1/cache/release", {"session": "s", "fence": 1})
+            events = (await send("GET", "/v1/cache/events?since=3")).decode(dict)
+            self.assertEqual(events["events"][0]["kind"], "evicted")
+            self.assertEqual(events["next"], 4)
+
+        self.serve(check)
+
+    def test_old_fence_is_refused_only_when_fenced(self):
+        for fenced, status in ((True, 409), (False, 200)):
+
+            async def check(send, status=status):
+                order = {"kind": "load_model", "name": "m", "fence": 2}
+                await send("POST", "/v1/orders", order)
+                reply = await send("POST", "/v1/orders", {**order, "fence": 1})
+                self.assertEqual(reply.status, status)
+                release = {"session": "s", "fence": 2}
+                await send("POST", "/v1/cache/release", release)
+                reply = await send("POST", "/v1/cache/release", {**release, "fence": 1})
+                self.assertEqual(reply.status, status)
+
+            with self.subTest(fenced=fenced):
+                self.serve(check, fenced=fenced)
--- a/standins/tests/test_programs.py
+++ b/standins/tests/test_programs.py
@@ -3,18 +3,36 @@
 import subprocess
 import sys
 import unittest
+from contextlib import asynccontextmanager
 
 import trio
 
-from goldcrestvane_common.transport import Transport
+from goldcrestvane_common.transport import ExchangeBroken, Transport
 
 PROBES = {
     "objectapi": "/v1/objects?prefix=",
+    "engine": "/v1/load",
     "instances": "/v1/instances",
     "tool": "/control/record",
 }
 
 
+@asynccontextmanager
+async def start_program(name, *flags):
+    """Gives the process of a stand-in and the address that it announced."""
+    command = [sys.executable, "-m", f"goldcrestvane_standins.{name}"]
+    process = await trio.lowlevel.open_process(
+        [*command, "--listen=127.0.0.1:0", *flags], stdout=subprocess.PIPE
+    )
+    try:
+        line = await process.stdout.receive_some()
+        peer = re.fullmatch(rb"listening (127\.0\.0\.1:\d+)\n", line)[1].decode()
+        yield process, peer
+    finally:
+        process.kill()
+        await process.wait()
+
+
 class ProgramTests(unittest.TestCase):
     def test_each_program_announces_its_address_and_ends_on_sigterm(self):
         async def main():
@@ -25,17 +43,31 @@
         trio.run(main)
 
     async def check_program(self, name, path):
-        command = [sys.executable, "-m", f"goldcrestvane_standins.{name}"]
-        process = await trio.lowlevel.open_process(
-            [*command, "--listen=127.0.0.1:0"], stdout=subprocess.PIPE
-        )
-        try:
-            line = await process.stdout.receive_some()
-            peer = re.fullmatch(rb"listening (127\.0\.0\.1:\d+)\n", line)[1].decode()
+        async with start_program(name) as (process, peer):
             async with Transport() as transport:
                 reply = await transport.send("GET", peer, path)
             self.assertEqual(reply.status, 200)
-        finally:
             process.terminate()
             await process.wait()
         self.assertEqual(process.returncode, -signal.SIGTERM)
+
+    def test_crash_message_ends_the_engine_and_its_neighbours(self):
+        async def main():
+            async with start_program("engine", "--token-seconds=3600") as (
+                process,
+                peer,
+            ):
+                async with Transport() as transport, trio.open_nursery() as nursery:
+                    for content in ("neighbour", "CRASH-ENGINE"):
+                        nursery.start_soon(self.check_crash, transport, peer, content)
+                await process.wait()
+            self.assertEqual(process.returncode, 1)
+
+        trio.run(main)
+
+    async def check_crash(self, transport, peer, content):
+        body = {"messages": [{"role": "user", "content": content}]}
+        with self.assertRaises(ExchangeBroken):
+            await transport.send(
+                "POST", peer, "/v1/chat/completions", value=body, timeout=None
+            )
