Choose targets by the placement of the policy work

Cause: the first chooser counted only its own calls in flight. Ruled out: passing placement into the call runner itself; a chooser keeps the runner free of health, affinity and retry budgets.

--- a/packages/daemon/src/goldcrestvane_daemon/chooser.py
+++ b/packages/daemon/src/goldcrestvane_daemon/chooser.py
@@ -1,58 +1,98 @@
-"""Chooses the least loaded target, by this owner's own calls in flight."""
+"""Chooses the target of each call: placement over the live targets of the service."""
 
-from collections import Counter
 from typing import final
 
-from goldcrestvane_common.errors import Unavailable
-from goldcrestvane_common.ids import InstanceId
-from goldcrestvane_common.messages import (
-    DispatchRequest,
-    Instance,
-    TargetLoad,
-    Usage,
-)
+import trio
+
+from goldcrestvane_common.errors import Outcome, ServiceError, Unavailable
+from goldcrestvane_common.ids import InstanceId, ServiceId
+from goldcrestvane_common.messages import DispatchAnswer, DispatchRequest, Instance
 from goldcrestvane_daemon.owner.targets import TargetDirectory
+from goldcrestvane_daemon.placement import (
+    Attempt,
+    CallFacts,
+    Candidate,
+    Placement,
+    RetryBudget,
+)
+
+CHARACTERS_PER_TOKEN = 4
 
 
 @final
-class LeastLoadedChooser:
-    """Chooses the target with the fewest calls in flight."""
+class TargetChooser:
+    """Chooses targets and learns from what became of the calls sent there."""
 
-    def __init__(self, directory: TargetDirectory) -> None:
+    def __init__(self, *, directory: TargetDirectory, placement: Placement) -> None:
         self._directory = directory
-        self._in_flight: Counter[InstanceId] = Counter()
+        self._placement = placement
+        self._retries: dict[ServiceId, RetryBudget] = {}
 
     def choose(
-        self, request: DispatchRequest, *, excluded: set[InstanceId]
-    ) -> Instance:
-        """Returns the target for a call; raises Unavailable when there is none."""
+        self,
+        request: DispatchRequest,
+        *,
+        excluded: set[InstanceId],
+        cache_weight: float,
+    ) -> tuple[Instance, Attempt]:
+        """Returns the target for a call, and the attempt to report its end with.
+
+        Targets that were tried already are taken again when no other is left.
+
+        Raises:
+            Unavailable: No target can be tried now.
+        """
         targets = self._directory.list_targets(request.service)
-        fresh = [item for item in targets if item.instance not in excluded]
-        if not fresh and not targets:
+        if not targets:
             raise Unavailable(
                 f"Service {request.service} has no live target. Send it again later.",
                 retry_after=1.0,
             )
-        return min(
-            fresh or targets,
-            key=lambda item: (self._in_flight[item.instance], item.instance),
+        if all(item.instance in excluded for item in targets):
+            excluded = set()
+        facts = CallFacts(
+            team=request.team,
+            program=request.program,
+            service=request.service,
+            prompt_tokens=_estimate_prompt(request),
+            alone=request.alone,
+            excluded=frozenset(excluded),
         )
+        candidates = [Candidate(item.instance, item.domain) for item in targets]
+        choice = self._placement.choose(candidates, facts, cache_weight=cache_weight)
+        attempt = self._placement.start(choice, facts)
+        chosen = {item.instance: item for item in targets}[choice.instance]
+        return chosen, attempt
 
-    def record_start(self, target: InstanceId, request: DispatchRequest) -> None:
-        """Notes that a call was sent to a target."""
-        self._in_flight[target] += 1
+    def record_answer(self, attempt: Attempt, answer: DispatchAnswer) -> None:
+        """Notes a whole answer."""
+        self._placement.record_success(attempt, usage=answer.usage, load=answer.load)
 
-    def record_end(
-        self,
-        target: InstanceId,
-        request: DispatchRequest,
-        *,
-        usage: Usage | None,
-        load: TargetLoad | None,
-    ) -> None:
-        """Notes the end of a call; no usage means that it failed."""
-        self._in_flight[target] -= 1
-
-    def allow_retry(self, request: DispatchRequest) -> bool:
-        """Returns whether one more attempt is allowed."""
-        return True
+    def record_error(self, attempt: Attempt, error: BaseException) -> None:
+        """Notes a call that ended without an answer."""
+        if not isinstance(error, ServiceError):
+            self._placement.record_cancelled(attempt)
+        elif isinstance(error, Unavailable):
+            self._placement.record_failure(attempt, dead=True)
+        elif error.call_outcome in (Outcome.NOT_RUN, Outcome.REFUSED_FINAL):
+            self._placement.record_refusal(attempt)
+        else:
+            self._placement.record_failure(attempt)
+
+    def count_call(self, service: ServiceId) -> None:
+        """Counts a first attempt, of which retries may be a share."""
+        self._get_retries(service).record_attempt(now=trio.current_time())
+
+    def allow_retry(self, service: ServiceId) -> bool:
+        """Takes one retry from the service's budget; returns False if none is left."""
+        return self._get_retries(service).take_retry(now=trio.current_time())
+
+    def _get_retries(self, service: ServiceId) -> RetryBudget:
+        return self._retries.setdefault(service, RetryBudget())
+
+
+def _estimate_prompt(request: DispatchRequest) -> int:
+    if request.model is None:
+        return 0
+    characters = sum(len(message.content) for message in request.model.messages)
+    return characters // CHARACTERS_PER_TOKEN
--- a/packages/daemon/src/goldcrestvane_daemon/owner/calls.py
+++ b/packages/daemon/src/goldcrestvane_daemon/owner/calls.py
@@ -23,6 +23,7 @@
     CallId,
     Fingerprint,
     InstanceId,
+    ServiceId,
     TeamId,
     hash_text,
 )
@@ -34,8 +35,6 @@
     Instance,
     Message,
     ModelBody,
-    TargetLoad,
-    Usage,
 )
 from goldcrestvane_common.settings import (
     HistoryMode,
@@ -59,6 +58,7 @@
 )
 from goldcrestvane_daemon.owner.state import Program
 from goldcrestvane_daemon.owner.targets import TargetConnector, TargetDirectory
+from goldcrestvane_daemon.placement import Attempt
 
 RESERVE_WAIT_SECONDS = 0.05
 CLAIM_WAIT_SECONDS = 2.0
@@ -72,27 +72,28 @@
     """Chooses targets and learns from what became of the calls sent there."""
 
     def choose(
-        self, request: DispatchRequest, *, excluded: set[InstanceId]
-    ) -> Instance:
+        self,
+        request: DispatchRequest,
+        *,
+        excluded: set[InstanceId],
+        cache_weight: float,
+    ) -> tuple[Instance, Attempt]:
         """Returns the target for a call; raises Unavailable when there is none."""
         ...
 
-    def record_start(self, target: InstanceId, request: DispatchRequest) -> None:
-        """Notes that a call was sent to a target."""
+    def record_answer(self, attempt: Attempt, answer: DispatchAnswer) -> None:
+        """Notes a whole answer."""
         ...
 
-    def record_end(
-        self,
-        target: InstanceId,
-        request: DispatchRequest,
-        *,
-        usage: Usage | None,
-        load: TargetLoad | None,
-    ) -> None:
-        """Notes the end of a call; no usage means that it failed."""
+    def record_error(self, attempt: Attempt, error: BaseException) -> None:
+        """Notes a call that ended without an answer."""
         ...
 
-    def allow_retry(self, request: DispatchRequest) -> bool:
+    def count_call(self, service: ServiceId) -> None:
+        """Counts a first attempt."""
+        ...
+
+    def allow_retry(self, service: ServiceId) -> bool:
         """Returns whether the retry budget allows one more attempt."""
         ...
 
@@ -225,6 +226,7 @@
     ) -> None:
         if await self._join_attempt(shard, call, execution):
             return
+        self._chooser.count_call(call.request.service)
         tried: set[InstanceId] = set()
         for attempt in range(1, MAX_ATTEMPTS + 1):
             try:
@@ -250,7 +252,7 @@
         in_time = trio.current_time() < call.ends_at
         if execution.streamed or not (repeatable and alive and in_time):
             return False
-        return self._chooser.allow_retry(self._build_dispatch(shard, call, CallId("")))
+        return self._chooser.allow_retry(call.request.service)
 
     async def _run_attempt(
         self,
@@ -267,19 +269,54 @@
         if dispatch.model is not None:
             model = ModelBody(call.messages, reservation.max_tokens)
             dispatch = msgspec.structs.replace(dispatch, model=model)
-        target = self._chooser.choose(dispatch, excluded=tried)
+        target, attempt = self._chooser.choose(
+            dispatch, excluded=tried, cache_weight=call.cache_weight
+        )
         tried.add(target.instance)
         execution.call = dispatch.call
         execution.target = target.instance
+        try:
+            dispatch = await self._prepare(shard, call, dispatch, target, reservation)
+            answer = await self._send(shard, call, dispatch, target, execution)
+        except BaseException as error:
+            self._chooser.record_error(attempt, error)
+            raise
+        self._chooser.record_answer(attempt, answer)
+        await self._finish(shard, call, execution, answer)
+
+    async def _prepare(
+        self,
+        shard: OwnedShard,
+        call: Call,
+        dispatch: DispatchRequest,
+        target: Instance,
+        reservation: Reservation,
+    ) -> DispatchRequest:
+        """Makes the start durable and returns the dispatch for this incarnation."""
         incarnation = await self._connector.get_incarnation(target)
-        dispatch = msgspec.structs.replace(dispatch, incarnation=incarnation)
-        await self._claim(shard, call, dispatch, target, reservation)
+        prepared = msgspec.structs.replace(dispatch, incarnation=incarnation)
+        await self._claim(shard, call, prepared, target, reservation)
+        left = max(0.0, call.ends_at - trio.current_time())
+        return msgspec.structs.replace(prepared, deadline_seconds=left)
+
+    async def _send(
+        self,
+        shard: OwnedShard,
+        call: Call,
+        dispatch: DispatchRequest,
+        target: Instance,
+        execution: Execution,
+    ) -> DispatchAnswer:
+        """Sends a started call and records its failure, if it fails."""
         try:
-            answer = await self._dispatch(call, dispatch, target, execution)
+            return await self._connector.send_call(
+                target, dispatch, execution, stream=call.stream
+            )
         except ServiceError as error:
-            await self._record_failure(shard, call, reservation, execution, error)
+            if isinstance(error, Unavailable):
+                self._connector.forget_incarnation(target.instance)
+            await self._record_failure(shard, call, execution, error)
             raise
-        await self._finish(shard, call, execution, answer)
 
     async def _finish(
         self,
@@ -315,7 +352,9 @@
         execution.call = started.call
         execution.target = started.target
         try:
-            answer = await self._dispatch(call, dispatch, target, execution)
+            answer = await self._connector.send_call(
+                target, dispatch, execution, stream=call.stream
+            )
         except ServiceError:
             self._release(shard, call, spent_tokens=started.reserved_tokens)
             if execution.streamed:
@@ -410,36 +449,10 @@
         )
         shard.append(record)
 
-    async def _dispatch(
-        self,
-        call: Call,
-        dispatch: DispatchRequest,
-        target: Instance,
-        execution: Execution,
-    ) -> DispatchAnswer:
-        self._chooser.record_start(target.instance, dispatch)
-        answer: DispatchAnswer | None = None
-        try:
-            answer = await self._connector.send_call(
-                target, dispatch, execution, stream=call.stream
-            )
-            return answer
-        except Unavailable:
-            self._connector.forget_incarnation(target.instance)
-            raise
-        finally:
-            self._chooser.record_end(
-                target.instance,
-                dispatch,
-                usage=answer.usage if answer else None,
-                load=answer.load if answer else None,
-            )
-
     async def _record_failure(
         self,
         shard: OwnedShard,
         call: Call,
-        reservation: Reservation,
         execution: Execution,
         error: ServiceError,
     ) -> None:
@@ -458,9 +471,9 @@
             await shard.commit(record)
             return
         spent = 0
-        if error.call_outcome is not Outcome.NOT_RUN and reservation.total:
-            spent = reservation.prompt_tokens
-            spent += min(reservation.max_tokens, execution.length)
+        started = call.program.started.get(call.request.sequence)
+        if error.call_outcome is not Outcome.NOT_RUN and started is not None:
+            spent = started.reserved_tokens
         self._release(shard, call, spent_tokens=spent)
 
     async def _record_answer(
--- a/packages/daemon/src/goldcrestvane_daemon/sidecar_process.py
+++ b/packages/daemon/src/goldcrestvane_daemon/sidecar_process.py
@@ -18,7 +18,7 @@
     Router,
 )
 from goldcrestvane_common.settings import ServiceKind
-from goldcrestvane_daemon.chooser import LeastLoadedChooser
+from goldcrestvane_daemon.chooser import TargetChooser
 from goldcrestvane_daemon.gate import Gate, GateOptions
 from goldcrestvane_daemon.owner.calls import CallRunner
 from goldcrestvane_daemon.owner.manager import ShardManager
@@ -26,6 +26,7 @@
 from goldcrestvane_daemon.owner.service import OwnerService
 from goldcrestvane_daemon.owner.targets import TargetConnector
 from goldcrestvane_daemon.parts import Parts
+from goldcrestvane_daemon.placement import Placement
 from goldcrestvane_daemon.probes import Probes
 from goldcrestvane_daemon.target.dispatcher import Dispatcher
 from goldcrestvane_daemon.target.engine import EngineClient
@@ -62,10 +63,13 @@
             shard_count=settings.shard_count,
             generator=parts.generator,
         )
+        placement = Placement(
+            domain=settings.domain, seed=parts.generator.randrange(2**32)
+        )
         runner = CallRunner(
             connector=connector,
             directory=membership,
-            chooser=LeastLoadedChooser(membership),
+            chooser=TargetChooser(directory=membership, placement=placement),
         )
         self._service = OwnerService(
             manager=self._manager,
