--- a/packages/common/src/goldcrestvane_common/messages.py
+++ b/packages/common/src/goldcrestvane_common/messages.py
@@ -27,6 +27,7 @@
 PROGRAM_SHOW_PATH = "/internal/programs/show"
 DISPATCH_PATH = "/internal/dispatch"
 DISPATCH_CLOSE_PATH = "/internal/dispatch-close"
+DISPATCH_CANCEL_PATH = "/internal/dispatch-cancel"
 PING_PATH = "/internal/ping"
 DRAIN_PATH = "/internal/drain"
 DISPATCH_STREAM_PATH = "/internal/dispatch-stream"
@@ -283,6 +284,28 @@
     error: ErrorBody | None = None
 
 
+class CancelRequest(msgspec.Struct, frozen=True):
+    """Stops a repeatable call whose program has ended."""
+
+    call: CallId
+
+
+class ReleaseRequest(msgspec.Struct, frozen=True):
+    """Frees what the engine keeps for an ended program.
+
+    Attributes:
+        team: Team of the program.
+        program: The ended program.
+        shard: Shard of the program.
+        epoch: Epoch of the owner; the fencing number of the order.
+    """
+
+    team: TeamId
+    program: ProgramId
+    shard: ShardId
+    epoch: Epoch
+
+
 class Fence(msgspec.Struct, frozen=True):
     """A shard's new epoch; calls of earlier owners are refused from now on."""
 
--- a/packages/daemon/src/goldcrestvane_daemon/execution.py
+++ b/packages/daemon/src/goldcrestvane_daemon/execution.py
@@ -38,6 +38,7 @@
         usage: Tokens taken.
         error: Why there is no answer.
         done: Set when the call has ended.
+        scope: Cancels the task that runs the call.
     """
 
     def __init__(self, request_hash: str) -> None:
@@ -50,6 +51,7 @@
         self.usage = Usage()
         self.error: ServiceError | None = None
         self.done = trio.Event()
+        self.scope = trio.CancelScope()
         self._parts: list[str] = []
         self._length = 0
         self._changed = trio.Event()
--- a/packages/daemon/src/goldcrestvane_daemon/owner/calls.py
+++ b/packages/daemon/src/goldcrestvane_daemon/owner/calls.py
@@ -29,7 +29,9 @@
 )
 from goldcrestvane_common.logs import get_logger
 from goldcrestvane_common.messages import (
+    DISPATCH_CANCEL_PATH,
     CallRequest,
+    CancelRequest,
     DispatchAnswer,
     DispatchRequest,
     Instance,
@@ -54,6 +56,7 @@
 from goldcrestvane_daemon.owner.shard import (
     COMMIT_WAIT_SECONDS,
     OwnedShard,
+    build_ended,
     build_wrong_owner,
 )
 from goldcrestvane_daemon.owner.state import Program
@@ -211,7 +214,10 @@
         """Runs a call to its end and records it; errors go to the execution."""
         key = (call.program.key, call.request.sequence)
         try:
-            await self._run_attempts(shard, call, execution)
+            with execution.scope:
+                await self._run_attempts(shard, call, execution)
+            if execution.scope.cancelled_caught:
+                await self._cancel(shard, call, execution)
         except ServiceError as error:
             execution.fail(error)
         except Exception:
@@ -221,6 +227,20 @@
             shard.executions.pop(key, None)
             shard.notify(call.program.key)
 
+    async def _cancel(
+        self, shard: OwnedShard, call: Call, execution: Execution
+    ) -> None:
+        """Ends a repeatable call whose program has ended, here and at the target."""
+        started = call.program.started.get(call.request.sequence)
+        if started is not None:
+            self._release(shard, call, spent_tokens=started.reserved_tokens)
+        execution.fail(build_ended(call.program.key))
+        target = self._directory.find_instance(execution.target)
+        if target is not None:
+            await self._connector.send_order(
+                target, DISPATCH_CANCEL_PATH, CancelRequest(execution.call)
+            )
+
     async def _run_attempts(
         self, shard: OwnedShard, call: Call, execution: Execution
     ) -> None:
@@ -484,7 +504,7 @@
         answer: DispatchAnswer,
     ) -> None:
         """Records the answer; one that may run again needs the record first."""
-        record = _build_ended(call, execution, answer)
+        record = _build_call_ended(call, execution, answer)
         try:
             await shard.commit(record, wait=COMMIT_WAIT_SECONDS)
         except ServiceError as error:
@@ -493,7 +513,7 @@
             raise build_wrong_owner(shard.shard, outcome=Outcome.INCOMPLETE) from error
 
 
-def _build_ended(
+def _build_call_ended(
     call: Call, execution: Execution, answer: DispatchAnswer
 ) -> records.CallEnded:
     record = records.CallEnded(
--- a/packages/daemon/src/goldcrestvane_daemon/owner/journal.py
+++ b/packages/daemon/src/goldcrestvane_daemon/owner/journal.py
@@ -3,12 +3,15 @@
 The head is the fence. A new owner raises the epoch in the head by a conditional
 update before it reads the journal; every later commit of the former owner then meets
 a conflict. A lost answer is settled by reading the head back and comparing tokens.
-Records beyond `TAIL_BYTES` move into sealed segment objects that the head lists.
+Records beyond `TAIL_BYTES` move into sealed segment objects that the head lists, and
+a compaction replaces all segments by a snapshot of the state.
 """
 
-from collections.abc import Sequence
+import uuid
+from collections import deque
+from collections.abc import Callable, Iterator, Sequence
 from dataclasses import dataclass, field
-from typing import final
+from typing import Any, final
 
 import msgspec
 import trio
@@ -18,12 +21,17 @@
 from goldcrestvane_common.objects import (
     ObjectClient,
     ObjectConflict,
+    ObjectError,
     ObjectsUnavailable,
+    StoredObject,
     WriteUncertain,
 )
 from goldcrestvane_daemon.owner.records import Record
 
 TAIL_BYTES = 32 * 1024
+BATCH_BYTES = 512 * 1024
+MIN_COMPACTION_BYTES = 256 * 1024
+COMPACTION_FACTOR = 2
 FIRST_RETRY_SECONDS = 0.05
 LAST_RETRY_SECONDS = 2.0
 MAX_PENDING_RECORDS = 20_000
@@ -38,7 +46,6 @@
         epoch: Epoch of the owner.
         owner: Instance that may commit.
         token: Unique id of this update.
-        count: Records committed since the journal began.
         segments: Keys of the sealed segments, oldest first.
         records: Records that no segment holds yet.
     """
@@ -46,7 +53,6 @@
     epoch: Epoch
     owner: InstanceId
     token: str
-    count: int = 0
     segments: list[str] = []
     records: list[Record] = []
 
@@ -73,6 +79,7 @@
     """Records committed together, and the event set when they are durable."""
 
     records: list[Record] = field(default_factory=list)
+    size: int = 0
     durable: trio.Event = field(default_factory=trio.Event)
 
 
@@ -99,17 +106,25 @@
         self._objects = objects
         self._shard = shard
         self._owner = owner
+        self._id = uuid.uuid4().hex
         self._version = Version(0)
         self._head = JournalHead(epoch=Epoch(0), owner=owner, token="")
         self._tail_bytes = 0
-        self._commits = 0
-        self._pending = _Batch()
-        self._writing: _Batch | None = None
+        self._segment_bytes = 0
+        self._snapshot_bytes = 0
+        self._writes = 0
+        self._batches: deque[_Batch] = deque()
+        self._pending_records = 0
         self._wakeup = trio.Event()
+        self._take_snapshot: Callable[[], list[Record]] | None = None
         self.epoch = Epoch(0)
         self.deposed = trio.Event()
         self.down = False
 
+    def set_snapshot(self, take_snapshot: Callable[[], list[Record]]) -> None:
+        """Sets the function that returns the state as records, for compactions."""
+        self._take_snapshot = take_snapshot
+
     async def open(self) -> list[Record]:
         """Takes the shard over and returns all records, oldest first.
 
@@ -118,31 +133,27 @@
             ObjectsUnavailable: The platform does not answer; nothing was taken.
         """
         stored = await self._objects.read(build_head_key(self._shard))
-        former = None
+        former = JournalHead(epoch=Epoch(0), owner=self._owner, token="")
         if stored is not None:
             former = stored.decode(JournalHead)
             self._version = stored.version
-        self.epoch = Epoch((former.epoch if former else 0) + 1)
-        head = JournalHead(
-            epoch=self.epoch,
-            owner=self._owner,
-            token=self._build_token(),
-            count=former.count if former else 0,
-            segments=former.segments if former else [],
-            records=former.records if former else [],
+        self.epoch = Epoch(former.epoch + 1)
+        head = msgspec.structs.replace(
+            former, epoch=self.epoch, owner=self._owner, token=self._build_token()
         )
         await self._write_head(head)
-        self._tail_bytes = sum(len(msgspec.json.encode(r)) for r in head.records)
+        self._tail_bytes = _measure(head.records)
         records: list[Record] = []
         for key in head.segments:
-            records.extend((await self._read_segment(key)).records)
+            records.extend(await self._read_segment(key))
         return records + head.records
 
-    async def _read_segment(self, key: str) -> JournalSegment:
+    async def _read_segment(self, key: str) -> list[Record]:
         stored = await self._objects.read(key)
         if stored is None:
             raise ObjectsUnavailable(f"Segment {key} is missing; restore it first.")
-        return stored.decode(JournalSegment)
+        self._segment_bytes += len(bytes(stored.value))
+        return stored.decode(JournalSegment).records
 
     def append(self, records: Sequence[Record]) -> trio.Event:
         """Queues records for the next commit; the event is set when they are durable.
@@ -153,11 +164,17 @@
         """
         if self.deposed.is_set():
             raise Deposed(f"Shard {self._shard} has another owner.")
-        if len(self._pending.records) + len(records) > MAX_PENDING_RECORDS:
+        if self._pending_records + len(records) > MAX_PENDING_RECORDS:
             raise JournalFull(f"Over {MAX_PENDING_RECORDS} records wait.")
-        self._pending.records.extend(records)
+        size = _measure(records)
+        if not self._batches or self._batches[-1].size + size > BATCH_BYTES:
+            self._batches.append(_Batch())
+        batch = self._batches[-1]
+        batch.records.extend(records)
+        batch.size += size
+        self._pending_records += len(records)
         self._wakeup.set()
-        return self._pending.durable
+        return batch.durable
 
     async def wait(self, durable: trio.Event) -> None:
         """Waits for the event that `append` returned.
@@ -176,24 +193,6 @@
         if not durable.is_set():
             raise Deposed(f"Shard {self._shard} has another owner.")
 
-    def withdraw(self, record: Record) -> bool:
-        """Takes back a queued record; returns False when it may become durable."""
-        if record not in self._pending.records:
-            return False
-        self._pending.records.remove(record)
-        return True
-
-    async def flush(self) -> None:
-        """Waits until all queued records are durable.
-
-        Raises:
-            Deposed: The shard has another owner.
-        """
-        if self._pending.records:
-            await self.wait(self._pending.durable)
-        elif self._writing is not None:
-            await self.wait(self._writing.durable)
-
     def depose(self) -> None:
         """Ends this owner's part; queued records are not written any more."""
         self.deposed.set()
@@ -201,64 +200,111 @@
 
     async def run(self) -> None:
         """Commits queued records, one batch at a time, until deposed."""
-        while not self.deposed.is_set():
+        while True:
             await self._wakeup.wait()
             self._wakeup = trio.Event()
-            if not self._pending.records:
-                continue
-            self._writing, self._pending = self._pending, _Batch()
             try:
-                await self._commit(self._writing)
+                await self._commit_queued()
             except Deposed:
                 logger.info("shard %s has another owner", self._shard)
                 return
-            self._writing.durable.set()
-            self._writing = None
+
+    async def _commit_queued(self) -> None:
+        while self._batches or self.deposed.is_set():
+            if self.deposed.is_set():
+                raise Deposed(f"Shard {self._shard} has another owner.")
+            if self._needs_compaction():
+                await self._compact()
+                continue
+            batch = self._batches.popleft()
+            await self._commit(batch)
+            self._finish([batch])
+
+    def _finish(self, batches: Sequence[_Batch]) -> None:
+        for batch in batches:
+            self._pending_records -= len(batch.records)
+            batch.durable.set()
 
     async def _commit(self, batch: _Batch) -> None:
-        await self._seal_tail()
+        if self._tail_bytes > TAIL_BYTES:
+            await self._seal_tail()
         head = msgspec.structs.replace(
             self._head,
             token=self._build_token(),
-            count=self._head.count + len(batch.records),
             records=self._head.records + batch.records,
         )
-        await self._retry_write(head)
-        self._tail_bytes += sum(len(msgspec.json.encode(r)) for r in batch.records)
+        await self._retry(self._write_head, head)
+        self._tail_bytes += batch.size
 
     async def _seal_tail(self) -> None:
         """Moves the tail into a segment object; the next commit lists it."""
-        if self._tail_bytes <= TAIL_BYTES:
-            return
-        key = f"journal/{self._shard}/segment-{self.epoch}-{self._commits}"
-        segment = JournalSegment(self._head.records)
-        delay = FIRST_RETRY_SECONDS
-        while True:
-            try:
-                await self._objects.write(key, segment, expected_version=Version(0))
-                break
-            except ObjectConflict:
-                break  # An earlier attempt took effect; the key is this owner's own.
-            except (ObjectsUnavailable, WriteUncertain):
-                self.down = True
-                await trio.sleep(delay)
-                delay = min(LAST_RETRY_SECONDS, delay * 2)
+        key = await self._write_segment(self._head.records)
         self._head = msgspec.structs.replace(
             self._head, segments=[*self._head.segments, key], records=[]
         )
+        self._segment_bytes += self._tail_bytes
         self._tail_bytes = 0
 
-    async def _retry_write(self, head: JournalHead) -> None:
+    async def _write_segment(self, records: list[Record]) -> str:
+        self._writes += 1
+        key = f"journal/{self._shard}/segment-{self.epoch}-{self._writes}"
+
+        async def write(segment: JournalSegment) -> None:
+            try:
+                await self._objects.write(key, segment, expected_version=Version(0))
+            except ObjectConflict:
+                return  # An earlier attempt took effect; the key is this owner's own.
+
+        await self._retry(write, JournalSegment(records))
+        return key
+
+    def _needs_compaction(self) -> bool:
+        limit = self._snapshot_bytes * COMPACTION_FACTOR + MIN_COMPACTION_BYTES
+        return self._take_snapshot is not None and self._segment_bytes > limit
+
+    async def _compact(self) -> None:
+        """Replaces all segments by a snapshot, which covers the queued records too."""
+        assert self._take_snapshot is not None
+        covered = list(self._batches)
+        self._batches.clear()
+        parts = list(_split_records(self._take_snapshot()))
+        former = self._head.segments
+        segments = [await self._write_segment(part) for part in parts]
+        head = msgspec.structs.replace(
+            self._head, token=self._build_token(), segments=segments, records=[]
+        )
+        await self._retry(self._write_head, head)
+        self._tail_bytes = 0
+        self._snapshot_bytes = sum(_measure(part) for part in parts)
+        self._segment_bytes = self._snapshot_bytes
+        self._finish(covered)
+        logger.info("shard %s was compacted to %s segments", self._shard, len(parts))
+        await self._delete_segments(former)
+
+    async def _delete_segments(self, keys: Sequence[str]) -> None:
+        for key in keys:
+            try:
+                stored = await self._objects.read(key)
+                if stored is not None:
+                    await self._objects.delete(key, expected_version=stored.version)
+            except ObjectError as error:
+                logger.warning("segment %s stays behind: %s", key, error)
+
+    async def _retry(self, write: Callable[[Any], Any], value: Any) -> None:
+        """Repeats a write until it took effect or this owner is deposed."""
         delay = FIRST_RETRY_SECONDS
         while True:
             try:
-                await self._write_head(head)
+                await write(value)
                 self.down = False
                 return
-            except ObjectsUnavailable as error:
+            except (ObjectsUnavailable, WriteUncertain) as error:
                 self.down = True
-                await trio.sleep(max(delay, error.retry_after or 0.0))
-                delay = min(LAST_RETRY_SECONDS, delay * 2)
+                pause = max(delay, getattr(error, "retry_after", None) or 0.0)
+            with trio.move_on_after(pause):
+                await self.deposed.wait()
+                raise Deposed(f"Shard {self._shard} has another owner.")
+            delay = min(LAST_RETRY_SECONDS, delay * 2)
 
     async def _write_head(self, head: JournalHead) -> None:
         """Writes the head once, settling a lost answer by reading it back.
@@ -274,19 +320,38 @@
                 key, head, expected_version=self._version
             )
         except (ObjectConflict, WriteUncertain):
-            version = await self._settle_write(key, head)
+            stored = await self._objects.read(key)
+            version = self._settle_write(stored, head)
         self._version = version
         self._head = head
 
-    async def _settle_write(self, key: str, head: JournalHead) -> Version:
-        stored = await self._objects.read(key)
+    def _settle_write(self, stored: StoredObject | None, head: JournalHead) -> Version:
         if stored is not None and stored.decode(JournalHead).token == head.token:
             return stored.version
         if (stored.version if stored else Version(0)) == self._version:
             raise ObjectsUnavailable("The write did not take effect; write it again.")
-        self.deposed.set()
+        self.depose()
         raise Deposed(f"Shard {self._shard} was taken over by another instance.")
 
     def _build_token(self) -> str:
-        self._commits += 1
-        return f"{self._owner}:{self.epoch}:{self._commits}"
+        self._writes += 1
+        return f"{self._owner}:{self._id}:{self.epoch}:{self._writes}"
+
+
+def _measure(records: Sequence[Record]) -> int:
+    return sum(len(msgspec.json.encode(record)) for record in records)
+
+
+def _split_records(records: Sequence[Record]) -> Iterator[list[Record]]:
+    """Yields parts of at most `BATCH_BYTES`, in order."""
+    part: list[Record] = []
+    size = 0
+    for record in records:
+        length = _measure([record])
+        if part and size + length > BATCH_BYTES:
+            yield part
+            part, size = [], 0
+        part.append(record)
+        size += length
+    if part:
+        yield part
--- a/packages/daemon/src/goldcrestvane_daemon/owner/records.py
+++ b/packages/daemon/src/goldcrestvane_daemon/owner/records.py
@@ -108,10 +108,18 @@
 
 
 class ProgramEnded(msgspec.Struct, frozen=True, omit_defaults=True, tag="closed"):
-    """A program and its sub-agents take no more calls."""
+    """A program and its sub-agents take no more calls.
+
+    Attributes:
+        team: Team of the program.
+        program: The program.
+        time: Seconds since the epoch, UTC.
+        reason: ``caller``, or the budget that ended it.
+    """
 
     team: TeamId
     program: ProgramId
+    time: float
     reason: str = ""
 
 
@@ -130,6 +138,56 @@
     calls: int = 0
 
 
+class ProgramSnapshot(msgspec.Struct, frozen=True, omit_defaults=True, tag="program"):
+    """All of a program but its history and its calls; written by a compaction.
+
+    Attributes:
+        begun: How the program began.
+        ended: When it ended; None while it is open.
+        next_sequence: The only call that may start.
+        spent_tokens: Tokens taken by the program and its sub-agents.
+        spent_calls: Calls ended by the program and its sub-agents.
+        sessions: Instances beside engines that may hold its prefixes.
+        prompt_tokens: Tokens of the latest prompt with its answer.
+        prompt_messages: Number of messages that these tokens cover.
+        prompt_hash: Hash of these messages.
+    """
+
+    begun: ProgramBegun
+    ended: float | None = None
+    next_sequence: int = 1
+    spent_tokens: int = 0
+    spent_calls: int = 0
+    sessions: list[InstanceId] = []
+    prompt_tokens: int = 0
+    prompt_messages: int = 0
+    prompt_hash: str = ""
+
+
+class HistoryPart(msgspec.Struct, frozen=True, tag="history"):
+    """Some messages of a program's history, in order; written by a compaction."""
+
+    team: TeamId
+    program: ProgramId
+    messages: list[Message]
+
+
+class AnswerKept(msgspec.Struct, frozen=True, tag="answer"):
+    """The end of a call that may be asked for again; written by a compaction."""
+
+    ended: CallEnded
+
+
+class AccountSnapshot(msgspec.Struct, frozen=True, omit_defaults=True, tag="account"):
+    """A team's account in the shard; written by a compaction."""
+
+    team: TeamId
+    allotted_tokens: int = 0
+    allotted_calls: int = 0
+    spent_tokens: int = 0
+    spent_calls: int = 0
+
+
 Record = (
     ProgramBegun
     | CallStarted
@@ -138,4 +196,8 @@
     | ProgramEnded
     | SessionsReleased
     | TeamAllotted
+    | ProgramSnapshot
+    | HistoryPart
+    | AnswerKept
+    | AccountSnapshot
 )
--- /dev/null
+++ b/packages/daemon/src/goldcrestvane_daemon/owner/release.py
@@ -0,0 +1,87 @@
+"""Frees engine memory of ended programs, and ends programs whose time is over."""
+
+import time
+from collections.abc import Callable, Iterable
+from typing import final
+
+import trio
+
+from goldcrestvane_common.errors import BudgetExceeded, ServiceError
+from goldcrestvane_common.ids import InstanceId
+from goldcrestvane_common.logs import get_logger
+from goldcrestvane_common.messages import (
+    RELEASE_PATH,
+    ProgramEnd,
+    ReleaseRequest,
+)
+from goldcrestvane_daemon.owner import records
+from goldcrestvane_daemon.owner.budgets import count_seconds_left
+from goldcrestvane_daemon.owner.shard import OwnedShard
+from goldcrestvane_daemon.owner.state import Program
+from goldcrestvane_daemon.owner.targets import TargetConnector, TargetDirectory
+
+RELEASE_INTERVAL_SECONDS = 0.5
+
+logger = get_logger("release")
+
+
+@final
+class SessionReleaser:
+    """Orders engines to free what they keep for ended programs.
+
+    The order is repeated until each engine has carried it out or left the list, also
+    by the next owner, since the journal keeps the targets of each program.
+    """
+
+    def __init__(
+        self,
+        *,
+        connector: TargetConnector,
+        directory: TargetDirectory,
+        list_shards: Callable[[], Iterable[OwnedShard]],
+    ) -> None:
+        self._connector = connector
+        self._directory = directory
+        self._list_shards = list_shards
+
+    async def run(self) -> None:
+        """Releases and ends programs until cancelled."""
+        while True:
+            for shard in list(self._list_shards()):
+                try:
+                    await self._serve_shard(shard)
+                except ServiceError as error:
+                    logger.info("shard %s cannot be served: %s", shard.shard, error)
+            await trio.sleep(RELEASE_INTERVAL_SECONDS)
+
+    async def _serve_shard(self, shard: OwnedShard) -> None:
+        for program in list(shard.state.programs.values()):
+            if program.is_open:
+                await self._end_overdue(shard, program)
+            elif program.sessions and not self._has_calls(shard, program):
+                await self._release(shard, program)
+
+    def _has_calls(self, shard: OwnedShard, program: Program) -> bool:
+        return any(key == program.key for key, _ in shard.executions)
+
+    async def _end_overdue(self, shard: OwnedShard, program: Program) -> None:
+        try:
+            count_seconds_left(shard.state, program, now=time.time())
+        except BudgetExceeded:
+            logger.info("program %s has used its time", program.key[1])
+            await shard.end_program(ProgramEnd(*program.key), reason="budget.seconds")
+
+    async def _release(self, shard: OwnedShard, program: Program) -> None:
+        order = ReleaseRequest(*program.key, shard.shard, shard.journal.epoch)
+        freed = [
+            await self._release_at(instance, order)
+            for instance in sorted(program.sessions)
+        ]
+        if all(freed):
+            shard.append(records.SessionsReleased(*program.key))
+
+    async def _release_at(self, instance: InstanceId, order: ReleaseRequest) -> bool:
+        target = self._directory.find_instance(instance)
+        if target is None:
+            return True
+        return await self._connector.send_order(target, RELEASE_PATH, order)
--- a/packages/daemon/src/goldcrestvane_daemon/owner/shard.py
+++ b/packages/daemon/src/goldcrestvane_daemon/owner/shard.py
@@ -30,6 +30,7 @@
 from goldcrestvane_daemon.owner import records
 from goldcrestvane_daemon.owner.budgets import check_depth
 from goldcrestvane_daemon.owner.journal import Deposed, Journal, JournalFull
+from goldcrestvane_daemon.owner.snapshot import build_snapshot, forget_ended
 from goldcrestvane_daemon.owner.state import (
     Program,
     ProgramKey,
@@ -40,6 +41,7 @@
 MAX_EARLY_CALLS = 8
 OUTAGE_RETRY_SECONDS = 2.0
 COMMIT_WAIT_SECONDS = 0.5
+RETENTION_SECONDS = 600.0
 
 Limit = TypeVar("Limit", int, float)
 
@@ -76,6 +78,11 @@
         """
         for record in await self.journal.open():
             apply_record(record, self.state)
+        self.journal.set_snapshot(self._build_snapshot)
+
+    def _build_snapshot(self) -> list[records.Record]:
+        forget_ended(self.state, before=time.time() - RETENTION_SECONDS)
+        return build_snapshot(self.state)
 
     def stop_admitting(self) -> None:
         """Sends new and waiting calls to the next owner; running ones go on."""
@@ -170,7 +177,7 @@
             await self.commit(record)
             return self.show_program(ProgramQuery(*key))
         if not known.is_open:
-            raise _build_ended(key)
+            raise build_ended(key)
         if known.kind != request.kind:
             raise InvalidRequest(
                 f"Program {key[1]} runs as {known.kind!r}, not {request.kind!r}. "
@@ -185,7 +192,7 @@
             return
         program = self.get_program((key[0], parent))
         if not program.is_open:
-            raise _build_ended(program.key)
+            raise build_ended(program.key)
         check_depth(self.state, program)
 
     async def end_program(self, request: ProgramEnd, *, reason: str) -> ProgramView:
@@ -193,8 +200,11 @@
         key = (request.team, request.program)
         program = self.get_program(key)
         if program.is_open:
-            record = records.ProgramEnded(request.team, request.program, reason)
+            record = records.ProgramEnded(
+                request.team, request.program, time.time(), reason
+            )
             durable = self.append(record)
+            self.cancel_calls(key)
             self.notify_tree(key)
             await self.wait_durable(durable, wait=COMMIT_WAIT_SECONDS)
         return self.show_program(ProgramQuery(*key))
@@ -242,7 +252,7 @@
                     return found
                 program = self.get_program(key)
                 if not program.is_open:
-                    raise _build_ended(key)
+                    raise build_ended(key)
                 if request.sequence == program.next_sequence:
                     return None
                 _check_early(program, request)
@@ -275,6 +285,14 @@
             )
         return found
 
+    def cancel_calls(self, key: ProgramKey) -> None:
+        """Cancels the repeatable calls of a program and of its sub-agents."""
+        for program in self.state.list_tree(key):
+            for sequence, started in program.started.items():
+                execution = self.executions.get((program.key, sequence))
+                if execution is not None and not started.once:
+                    execution.scope.cancel()
+
     def notify(self, key: ProgramKey) -> None:
         """Wakes the calls that wait for their turn in a program."""
         event = self._progress.pop(key, None)
@@ -314,7 +332,8 @@
     )
 
 
-def _build_ended(key: ProgramKey) -> ProgramEnded:
+def build_ended(key: ProgramKey) -> ProgramEnded:
+    """Returns the error of a call that comes after its program's end."""
     return ProgramEnded(
         f"Program {key[1]} has ended. Begin a new one under another id.",
         field="program",
--- /dev/null
+++ b/packages/daemon/src/goldcrestvane_daemon/owner/snapshot.py
@@ -0,0 +1,102 @@
+"""Snapshot of a shard's state as records, for the compaction of its journal."""
+
+from collections.abc import Iterator
+
+import msgspec
+
+from goldcrestvane_common.ids import get_depth
+from goldcrestvane_common.messages import Message
+from goldcrestvane_daemon.owner.records import (
+    AccountSnapshot,
+    AnswerKept,
+    HistoryPart,
+    ProgramBegun,
+    ProgramSnapshot,
+    Record,
+)
+from goldcrestvane_daemon.owner.state import Program, ShardState
+
+HISTORY_PART_BYTES = 128 * 1024
+
+
+def forget_ended(state: ShardState, *, before: float) -> None:
+    """Drops trees that ended before a time and whose engine memory is free.
+
+    Args:
+        state: State to change.
+        before: Seconds since the epoch, UTC.
+    """
+    for key in list(state.programs):
+        if get_depth(key[1]) > 0 or key not in state.programs:
+            continue
+        tree = state.list_tree(key)
+        if all(_is_forgettable(item, before) for item in tree):
+            for item in tree:
+                del state.programs[item.key]
+
+
+def _is_forgettable(program: Program, before: float) -> bool:
+    return (
+        program.ended is not None
+        and program.ended < before
+        and not program.sessions
+        and not program.started
+    )
+
+
+def build_snapshot(state: ShardState) -> list[Record]:
+    """Returns records whose replay gives the same state, parents first."""
+    found: list[Record] = []
+    for program in sorted(state.programs.values(), key=lambda item: item.key):
+        found.append(_build_program(program))
+        found.extend(_split_history(program))
+        found.extend(AnswerKept(ended) for ended in program.answers.values())
+        found.extend(program.started.values())
+    for team, account in state.accounts.items():
+        found.append(
+            AccountSnapshot(
+                team=team,
+                allotted_tokens=account.allotted_tokens,
+                allotted_calls=account.allotted_calls,
+                spent_tokens=account.spent_tokens,
+                spent_calls=account.spent_calls,
+            )
+        )
+    return found
+
+
+def _build_program(program: Program) -> ProgramSnapshot:
+    team, program_id = program.key
+    return ProgramSnapshot(
+        begun=ProgramBegun(
+            team=team,
+            program=program_id,
+            kind=program.kind,
+            time=program.begun,
+            budget=program.budget,
+            priority=program.priority,
+            history=program.history_mode,
+        ),
+        ended=program.ended,
+        next_sequence=program.next_sequence,
+        spent_tokens=program.spent_tokens,
+        spent_calls=program.spent_calls,
+        sessions=sorted(program.sessions),
+        prompt_tokens=program.prompt_tokens,
+        prompt_messages=program.prompt_messages,
+        prompt_hash=program.prompt_hash,
+    )
+
+
+def _split_history(program: Program) -> Iterator[HistoryPart]:
+    part: list[Message] = []
+    size = 0
+    for message in program.history:
+        length = len(msgspec.json.encode(message))
+        if part and size + length > HISTORY_PART_BYTES:
+            yield HistoryPart(*program.key, part)
+            part, size = [], 0
+        part.append(message)
+        size += length
+    if part:
+        yield HistoryPart(*program.key, part)
--- a/packages/daemon/src/goldcrestvane_daemon/owner/state.py
+++ b/packages/daemon/src/goldcrestvane_daemon/owner/state.py
@@ -9,11 +9,15 @@
 from goldcrestvane_common.messages import Message, ProgramState
 from goldcrestvane_common.settings import Budget, HistoryMode, Priority
 from goldcrestvane_daemon.owner.records import (
+    AccountSnapshot,
+    AnswerKept,
     CallEnded,
     CallReleased,
     CallStarted,
+    HistoryPart,
     ProgramBegun,
     ProgramEnded,
+    ProgramSnapshot,
     Record,
     SessionsReleased,
     TeamAllotted,
@@ -37,6 +41,7 @@
         priority: Scheduling class.
         history_mode: Who sends the earlier turns.
         state: Open or ended.
+        ended: Time of the end, in seconds since the epoch, UTC.
         next_sequence: The only call that may start now.
         started: Calls started and not ended, by sequence.
         answers: Latest ended calls, by sequence.
@@ -59,6 +64,7 @@
     priority: Priority = Priority.STANDARD
     history_mode: HistoryMode = HistoryMode.CALLER
     state: ProgramState = ProgramState.OPEN
+    ended: float | None = None
     next_sequence: int = 1
     started: dict[int, CallStarted] = field(default_factory=dict)
     answers: OrderedDict[int, CallEnded] = field(default_factory=OrderedDict)
@@ -152,7 +158,8 @@
     program = state.programs[record.team, record.program]
     _release_hold(state, program, record.sequence)
     program.started[record.sequence] = record
-    program.sessions.add(record.target)
+    if record.reserved_tokens:
+        program.sessions.add(record.target)
     _hold(state, program, tokens=record.reserved_tokens, calls=1)
 
 
@@ -212,6 +219,7 @@
 def _(record: ProgramEnded, state: ShardState) -> None:
     for program in state.list_tree((record.team, record.program)):
         program.state = ProgramState.ENDED
+        program.ended = record.time if program.ended is None else program.ended
 
 
 @apply_record.register
@@ -225,3 +233,40 @@
     account = state.get_account(record.team)
     account.allotted_tokens += record.tokens
     account.allotted_calls += record.calls
+
+
+@apply_record.register
+def _(record: ProgramSnapshot, state: ShardState) -> None:
+    apply_record(record.begun, state)
+    program = state.programs[record.begun.team, record.begun.program]
+    program.ended = record.ended
+    if record.ended is not None:
+        program.state = ProgramState.ENDED
+    program.next_sequence = record.next_sequence
+    program.spent_tokens = record.spent_tokens
+    program.spent_calls = record.spent_calls
+    program.sessions = set(record.sessions)
+    program.prompt_tokens = record.prompt_tokens
+    program.prompt_messages = record.prompt_messages
+    program.prompt_hash = record.prompt_hash
+
+
+@apply_record.register
+def _(record: HistoryPart, state: ShardState) -> None:
+    state.programs[record.team, record.program].history.extend(record.messages)
+
+
+@apply_record.register
+def _(record: AnswerKept, state: ShardState) -> None:
+    ended = record.ended
+    program = state.programs[ended.team, ended.program]
+    program.answers[ended.sequence] = ended
+
+
+@apply_record.register
+def _(record: AccountSnapshot, state: ShardState) -> None:
+    account = state.get_account(record.team)
+    account.allotted_tokens = record.allotted_tokens
+    account.allotted_calls = record.allotted_calls
+    account.spent_tokens = record.spent_tokens
+    account.spent_calls = record.spent_calls
--- a/packages/daemon/src/goldcrestvane_daemon/owner/targets.py
+++ b/packages/daemon/src/goldcrestvane_daemon/owner/targets.py
@@ -1,6 +1,6 @@
 """Sends a call to the sidecar beside a target and follows its answer."""
 
-from typing import Protocol, final
+from typing import Any, Protocol, final
 
 import msgspec
 import trio
@@ -44,6 +44,7 @@
 RESEND_DELAY_SECONDS = 0.1
 READ_MARGIN_SECONDS = 1.0
 PING_TIMEOUT_SECONDS = 0.5
+ORDER_TIMEOUT_SECONDS = 2.0
 
 
 class TargetDirectory(Protocol):
@@ -162,6 +163,16 @@
         text = msgspec.json.encode(execution.get_text())
         return DispatchAnswer(msgspec.Raw(text), end.usage)
 
+    async def send_order(self, target: Instance, path: str, order: Any) -> bool:
+        """Sends an order to a sidecar; returns whether it was carried out."""
+        try:
+            reply = await self._transport.send(
+                "POST", target.address, path, value=order, timeout=ORDER_TIMEOUT_SECONDS
+            )
+        except (ConnectFailed, ExchangeBroken):
+            return False
+        return reply.status == 200
+
     async def close_call(self, target: Instance, request: CloseRequest) -> CloseResult:
         """Returns the end of a former owner's call, or forbids it.
 
--- a/packages/daemon/src/goldcrestvane_daemon/sidecar_process.py
+++ b/packages/daemon/src/goldcrestvane_daemon/sidecar_process.py
@@ -23,13 +23,15 @@
 from goldcrestvane_daemon.owner.calls import CallRunner
 from goldcrestvane_daemon.owner.manager import ShardManager
 from goldcrestvane_daemon.owner.recovery import CallRecovery
+from goldcrestvane_daemon.owner.release import SessionReleaser
 from goldcrestvane_daemon.owner.service import OwnerService
 from goldcrestvane_daemon.owner.targets import TargetConnector
 from goldcrestvane_daemon.parts import Parts
 from goldcrestvane_daemon.placement import Placement
-from goldcrestvane_daemon.probes import Probes
-from goldcrestvane_daemon.target.dispatcher import Dispatcher
+from goldcrestvane_daemon.probes import RequestMetrics, add_probe_routes
+from goldcrestvane_daemon.target.dispatcher import Dispatcher, TargetClient
 from goldcrestvane_daemon.target.engine import EngineClient
+from goldcrestvane_daemon.target.sessions import SessionKeeper
 from goldcrestvane_daemon.target.tool import ToolClient
 
 CLIENT_TYPES = {ServiceKind.MODEL: EngineClient, ServiceKind.TOOL: ToolClient}
@@ -47,12 +49,14 @@
         self._gate = Gate(GateOptions(slots=settings.target_slots))
         assert settings.target_kind is not None
         client_type = CLIENT_TYPES[settings.target_kind]
+        client = client_type(parts.transport, settings.target_address)
         self._dispatcher = Dispatcher(
             instance=settings.instance,
             incarnation=membership.incarnation,
             gate=self._gate,
-            client=client_type(parts.transport, settings.target_address),
+            client=client,
         )
+        self._sessions = self._build_sessions(client)
         connector = TargetConnector(parts.transport)
         self._manager = ShardManager(
             objects=parts.objects,
@@ -77,7 +81,24 @@
             get_team=parts.feed.get_team,
             owner=settings.instance,
         )
-        self._probes = Probes(is_ready=self._is_ready)
+        self._releaser = SessionReleaser(
+            connector=connector,
+            directory=membership,
+            list_shards=self._manager.owned.values,
+        )
+        self._metrics = RequestMetrics()
+
+    def _build_sessions(self, client: TargetClient) -> SessionKeeper | None:
+        """Returns the keeper of an engine's sessions; tools have none."""
+        if not isinstance(client, EngineClient):
+            return None
+        return SessionKeeper(
+            engine=client,
+            gate=self._gate,
+            transport=self._parts.transport,
+            read_map=self._read_map,
+            shard_count=self._parts.settings.shard_count,
+        )
 
     def _read_map(self) -> ShardMap:
         stored = self._parts.feed.get_object(SHARD_MAP_KEY)
@@ -96,7 +117,11 @@
         self._dispatcher.add_routes(router)
         self._service.add_routes(router)
         self._manager.add_routes(router)
-        self._probes.add_routes(router)
+        if self._sessions is not None:
+            self._sessions.add_routes(router)
+        add_probe_routes(
+            router, registry=self._metrics.registry, is_ready=self._is_ready
+        )
         router.add("GET", STATUS_PATH, self._serve_status)
 
     async def run(
@@ -108,6 +133,9 @@
             await nursery.start(self._service.run)
             nursery.start_soon(self._run_manager)
             nursery.start_soon(self._wake_manager)
+            nursery.start_soon(self._releaser.run)
+            if self._sessions is not None:
+                nursery.start_soon(self._sessions.run)
             task_status.started()
 
     async def _run_manager(self) -> None:
--- a/packages/daemon/src/goldcrestvane_daemon/target/dispatcher.py
+++ b/packages/daemon/src/goldcrestvane_daemon/target/dispatcher.py
@@ -20,11 +20,13 @@
 from goldcrestvane_common.ids import CallId, InstanceId
 from goldcrestvane_common.logs import get_logger
 from goldcrestvane_common.messages import (
+    DISPATCH_CANCEL_PATH,
     DISPATCH_CLOSE_PATH,
     DISPATCH_PATH,
     DISPATCH_STREAM_PATH,
     FENCE_PATH,
     Accepted,
+    CancelRequest,
     CloseRequest,
     CloseResult,
     DispatchAnswer,
@@ -96,6 +98,7 @@
         router.add("POST", DISPATCH_PATH, self._serve_whole)
         router.add("POST", DISPATCH_STREAM_PATH, self._serve_stream)
         router.add("POST", DISPATCH_CLOSE_PATH, self._serve_close)
+        router.add("POST", DISPATCH_CANCEL_PATH, self._serve_cancel)
         router.add("POST", FENCE_PATH, self._serve_fence)
 
     async def run(
@@ -145,9 +148,12 @@
     async def _run_call(self, request: DispatchRequest, execution: Execution) -> None:
         sent = False
         try:
-            async with self._gate.admit(request):
-                sent = True
-                await self._client.run_call(request, execution)
+            with execution.scope:
+                async with self._gate.admit(request):
+                    sent = True
+                    await self._client.run_call(request, execution)
+            if execution.scope.cancelled_caught:
+                raise AnswerIncomplete("The call was cancelled; its program has ended.")
         except ServiceError as error:
             execution.fail(error)
             if sent:
@@ -183,6 +189,12 @@
         result = await self.close(request.decode(CloseRequest))
         return JsonResponse(value=result)
 
+    async def _serve_cancel(self, request: Request) -> Response:
+        execution = self._calls.get(request.decode(CancelRequest).call)
+        if execution is not None:
+            execution.scope.cancel()
+        return JsonResponse(value=Accepted())
+
     async def _serve_fence(self, request: Request) -> Response:
         fence = request.decode(Fence)
         self._gate.fence(fence.shard, fence.epoch)
