--- a/packages/common/src/goldcrestvane_common/server.py
+++ b/packages/common/src/goldcrestvane_common/server.py
@@ -2,7 +2,8 @@
 
 import logging
 import math
-from collections.abc import AsyncIterator, Awaitable, Callable, Mapping
+from collections.abc import AsyncGenerator, Awaitable, Callable, Mapping
+from contextlib import aclosing
 from dataclasses import dataclass, field
 from functools import singledispatch
 from typing import Any, final
@@ -106,10 +107,12 @@
     """A response sent chunk by chunk.
 
     An iterator that raises ends the connection without the last chunk, so that the
-    receiver never takes the body for a whole one.
+    receiver never takes the body for a whole one. The iterator is
+    started before the head is sent, and closed when the receiver leaves, so that what
+    it holds is freed in any case.
     """
 
-    chunks: AsyncIterator[bytes]
+    chunks: AsyncGenerator[bytes, None]
     content_type: str = "text/event-stream"
     status: int = 200
     headers: Mapping[str, str] = field(default_factory=dict)
@@ -322,9 +325,12 @@
 @_send_response.register
 async def _(response: StreamResponse, send: Callable) -> None:
     headers = {"content-type": response.content_type, **response.headers}
-    await send(_build_start(response.status, headers))
-    async for chunk in response.chunks:
-        await send({"type": "http.response.body", "body": chunk, "more_body": True})
+    async with aclosing(response.chunks) as chunks:
+        first = await anext(chunks, b"")
+        await send(_build_start(response.status, headers))
+        await send({"type": "http.response.body", "body": first, "more_body": True})
+        async for chunk in chunks:
+            await send({"type": "http.response.body", "body": chunk, "more_body": True})
     await send({"type": "http.response.body", "body": b""})
 
 
--- /dev/null
+++ b/packages/daemon/src/goldcrestvane_daemon/entry/__init__.py
@@ -0,0 +1,7 @@
+"""The entry: takes requests of callers and passes them to the owners of shards."""
+
+from goldcrestvane_daemon.entry._directories import OwnerDirectory, TeamDirectory
+from goldcrestvane_daemon.entry._limits import EntryLimits
+from goldcrestvane_daemon.entry._service import EntryService
+
+__all__ = ["EntryLimits", "EntryService", "OwnerDirectory", "TeamDirectory"]
--- /dev/null
+++ b/packages/daemon/src/goldcrestvane_daemon/entry/_attempts.py
@@ -0,0 +1,145 @@
+"""The attempts of one call: pauses between them, and what a final error says."""
+
+import random
+from enum import Enum
+from typing import final
+
+import trio
+
+from goldcrestvane_common.errors import (
+    AnswerIncomplete,
+    DeadlineExceeded,
+    Outcome,
+    OutcomeUnknown,
+    ServiceError,
+    Unavailable,
+)
+from goldcrestvane_daemon.entry._directories import OwnerDirectory
+from goldcrestvane_daemon.entry._limits import EntryLimits
+
+RETRY_AFTER_SECONDS = 2.0
+
+
+class RetryReason(Enum):
+    """Why an attempt is followed by another."""
+
+    NO_OWNER = "no_owner"
+    CONNECT_FAILED = "connect_failed"
+    EXCHANGE_BROKEN = "exchange_broken"
+    OWNER_MOVED = "owner_moved"
+    WRONG_OWNER = "wrong_owner"
+
+
+MAY_HAVE_REACHED = {RetryReason.EXCHANGE_BROKEN, RetryReason.OWNER_MOVED}
+
+
+@final
+class Attempts:
+    """What the attempts of one call have come to.
+
+    Attributes:
+        deadline: Time on trio's clock at which the call is given up.
+        may_have_reached: Whether an attempt may have reached an owner.
+    """
+
+    def __init__(
+        self,
+        *,
+        deadline: float,
+        repeatable: bool,
+        owners: OwnerDirectory,
+        limits: EntryLimits,
+        randomness: random.Random,
+    ) -> None:
+        self.deadline = deadline
+        self.may_have_reached = False
+        self._repeatable = repeatable
+        self._owners = owners
+        self._limits = limits
+        self._random = randomness
+        self._failures = 0
+        self._give_up_at = deadline
+
+    def note_progress(self) -> None:
+        """Starts the count of failures anew after an owner has answered in part."""
+        self._failures = 0
+        self.may_have_reached = True
+
+    async def pause(self, reason: RetryReason, detail: str) -> None:
+        """Waits before the next attempt, while asking for a newer shard map.
+
+        Args:
+            reason: Why the last attempt failed.
+            detail: The failure in words, for a final error.
+
+        Raises:
+            ServiceError: The call is given up.
+        """
+        now = trio.current_time()
+        if reason in MAY_HAVE_REACHED:
+            self.may_have_reached = True
+        if self._failures == 0:
+            self._give_up_at = now + self._limits.takeover_seconds
+        self._failures += 1
+        wake_at = now + self._choose_pause()
+        if wake_at >= self.deadline:
+            raise self.expire(detail)
+        if wake_at >= self._give_up_at:
+            raise self._give_up(detail)
+        with trio.move_on_at(min(now + self._limits.refresh_seconds, self.deadline)):
+            await self._owners.refresh()
+        await trio.sleep_until(wake_at)
+
+    def expire(self, detail: str) -> ServiceError:
+        """Returns the error of a call whose deadline has passed."""
+        if self.may_have_reached:
+            return self._build_uncertain(f"The deadline passed: {detail}")
+        return DeadlineExceeded(
+            f"The deadline passed before an owner took the call: {detail} Send it "
+            "again with more time.",
+            retry_after=RETRY_AFTER_SECONDS,
+        )
+
+    def settle(self, error: ServiceError) -> ServiceError:
+        """Returns what an owner's error means after the attempts so far.
+
+        An owner that refuses the last attempt does not speak for an earlier one,
+        which may have reached another owner.
+        """
+        if not self.may_have_reached:
+            return error
+        if error.call_outcome is Outcome.NOT_RUN:
+            return self._build_uncertain(error.message)
+        if error.call_outcome is Outcome.REFUSED_FINAL and not self._repeatable:
+            return type(error)(
+                error.message, field=error.field, outcome=Outcome.UNKNOWN
+            )
+        return error
+
+    def _choose_pause(self) -> float:
+        longest = min(
+            self._limits.first_pause_seconds * 2 ** min(self._failures - 1, 16),
+            self._limits.longest_pause_seconds,
+        )
+        return longest * self._random.uniform(0.5, 1.0)
+
+    def _give_up(self, detail: str) -> ServiceError:
+        if self.may_have_reached:
+            return self._build_uncertain(detail)
+        return Unavailable(
+            f"No owner took the call within {self._limits.takeover_seconds:g} s: "
+            f"{detail} Send it again later.",
+            retry_after=RETRY_AFTER_SECONDS,
+        )
+
+    def _build_uncertain(self, detail: str) -> ServiceError:
+        if self._repeatable:
+            return AnswerIncomplete(
+                f"The answer was lost: {detail} Send the call again with the same "
+                "sequence.",
+                retry_after=RETRY_AFTER_SECONDS,
+            )
+        return OutcomeUnknown(
+            f"The call may have run and its answer was lost: {detail} Look at the "
+            "tool's records before any new call."
+        )
--- /dev/null
+++ b/packages/daemon/src/goldcrestvane_daemon/entry/_fields.py
@@ -0,0 +1,130 @@
+"""Checks of the ids, numbers and bodies that callers send."""
+
+import math
+import re
+from typing import Any
+
+import msgspec
+
+from goldcrestvane_common.errors import InvalidRequest
+from goldcrestvane_common.ids import ProgramId, TeamId
+from goldcrestvane_common.server import Request
+
+MAX_SEQUENCE = 2**31 - 1
+MAX_PROGRAM_PARTS = 8
+NAME_RULE = "1 to 64 of the characters A-Z a-z 0-9 . _ -"
+
+_NAME = re.compile(r"[A-Za-z0-9._-]{1,64}", re.ASCII)
+_SEQUENCE = re.compile(r"[1-9][0-9]{0,9}", re.ASCII)
+_DECIMAL = re.compile(r"[+-]?[0-9]{1,15}(\.[0-9]{1,15})?", re.ASCII)
+_ERROR_PATH = re.compile(r" - at `\$\.?(?P<path>[^`]*)`")
+_ERROR_FIELD = re.compile(r"field `(?P<field>[^`]*)`")
+_SHOWN_CHARACTERS = 80
+
+
+def require_header(request: Request, name: str) -> str:
+    """Returns the value of a header that must stand exactly once."""
+    value = request.get_header(name)
+    if value is None:
+        raise InvalidRequest(
+            f"Header {name} is missing; send it with every request.", field=name
+        )
+    return value
+
+
+def parse_team(text: str, *, field: str) -> TeamId:
+    """Returns a team id."""
+    return TeamId(parse_name(text, field=field))
+
+
+def parse_name(text: str, *, field: str) -> str:
+    """Returns the name of a team, service, operation or program kind."""
+    if _NAME.fullmatch(text) is None:
+        raise InvalidRequest(
+            f"Got {show_text(text)} as {field}; send {NAME_RULE}.", field=field
+        )
+    return text
+
+
+def parse_program(text: str, *, field: str) -> ProgramId:
+    """Returns a program's path id."""
+    parts = text.split("/")
+    if len(parts) > MAX_PROGRAM_PARTS:
+        raise InvalidRequest(
+            f"Got a program path of {len(parts)} parts as {field}; "
+            f"send at most {MAX_PROGRAM_PARTS}.",
+            field=field,
+        )
+    if any(_NAME.fullmatch(part) is None for part in parts):
+        raise InvalidRequest(
+            f"Got {show_text(text)} as {field}; send parts joined by '/', each of "
+            f"{NAME_RULE}.",
+            field=field,
+        )
+    return ProgramId(text)
+
+
+def parse_sequence(text: str, *, field: str) -> int:
+    """Returns a call's position among the calls of its program."""
+    number = int(text) if _SEQUENCE.fullmatch(text) else 0
+    if not 1 <= number <= MAX_SEQUENCE:
+        raise InvalidRequest(
+            f"Got {show_text(text)} as {field}; send a whole number from 1 to "
+            f"{MAX_SEQUENCE} without leading zeros.",
+            field=field,
+        )
+    return number
+
+
+def parse_decimal(text: str, *, field: str) -> float:
+    """Returns a number given in plain decimals."""
+    if _DECIMAL.fullmatch(text) is None:
+        raise InvalidRequest(
+            f"Got {show_text(text)} as {field}; send plain decimals such as 2.5.",
+            field=field,
+        )
+    return float(text)
+
+
+def check_limit(value: float | None, *, field: str) -> None:
+    """Refuses a budget limit that is negative or no number."""
+    if value is None or (math.isfinite(value) and value >= 0):
+        return
+    raise InvalidRequest(
+        f"Got {value} as {field}; send a number from 0 on, or leave it out.",
+        field=field,
+    )
+
+
+def decode_body(body: bytes, body_type: Any) -> Any:
+    """Returns a JSON body as a typed value.
+
+    Raises:
+        InvalidRequest: It is not JSON, or does not fit; names the faulty field.
+    """
+    try:
+        return msgspec.json.decode(body, type=body_type)
+    except msgspec.ValidationError as error:
+        raise InvalidRequest(
+            f"{error}; see docs/reference/http.md for the fields.",
+            field=_name_field(str(error)),
+        ) from error
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+        raise InvalidRequest(
+            f"The body is not JSON in UTF-8 ({error}); send one JSON value.",
+            field="body",
+        ) from error
+
+
+def show_text(text: str) -> str:
+    """Returns text from a caller, quoted and shortened for a message."""
+    if len(text) <= _SHOWN_CHARACTERS:
+        return ascii(text)
+    return f"{text[:_SHOWN_CHARACTERS]!a} and {len(text) - _SHOWN_CHARACTERS} more"
+
+
+def _name_field(message: str) -> str:
+    path = _ERROR_PATH.search(message)
+    field = _ERROR_FIELD.search(message)
+    names = [path["path"] if path else "", field["field"] if field else ""]
+    return ".".join(name for name in names if name) or "body"
--- /dev/null
+++ b/packages/daemon/tests/entry/support.py
@@ -0,0 +1,282 @@
+"""A fake owner, fake directories and a caller, served in one process."""
+
+import hashlib
+import random
+from contextlib import asynccontextmanager
+
+import msgspec
+import trio
+
+from goldcrestvane_common.ids import Epoch, InstanceId, ServiceId, ShardId, TeamId
+from goldcrestvane_common.messages import (
+    CALL_PATH,
+    STREAM_PATH,
+    CallAnswer,
+    CallRequest,
+    ProgramState,
+    ProgramView,
+    ShardOwner,
+    StreamDelta,
+    StreamEnd,
+    StreamHead,
+    Usage,
+    encode_line,
+)
+from goldcrestvane_common.server import (
+    Application,
+    JsonResponse,
+    Router,
+    StreamResponse,
+    serve_http,
+)
+from goldcrestvane_common.settings import (
+    OperationSettings,
+    ProgramSettings,
+    ServiceKind,
+    ServiceSettings,
+    TeamSettings,
+)
+from goldcrestvane_common.transport import Transport
+from goldcrestvane_daemon.entry import EntryLimits, EntryService
+from goldcrestvane_daemon.probes import RequestMetrics, add_probe_routes
+
+TOKEN = "secret-of-lyra"
+SERVICES = {
+    ServiceId("small"): ServiceSettings(kind=ServiceKind.MODEL),
+    ServiceId("vouchers"): ServiceSettings(
+        kind=ServiceKind.TOOL,
+        operations={
+            "issue": OperationSettings(),
+            "look_up": OperationSettings(idempotent=True),
+        },
+    ),
+}
+TEAMS = {
+    "lyra": TeamSettings(
+        programs={"fitting": ProgramSettings()},
+        services=SERVICES,
+        token_sha256=hashlib.sha256(TOKEN.encode()).hexdigest(),
+    ),
+    "open": TeamSettings(programs={"fitting": ProgramSettings()}, services=SERVICES),
+}
+HEADERS = {
+    "goldcrestvane-team": "open",
+    "goldcrestvane-program": "p1",
+    "goldcrestvane-sequence": "1",
+    "goldcrestvane-timeout": "20",
+}
+CHAT = {"model": "small", "messages": [{"role": "user", "content": "hello"}]}
+QUICK = EntryLimits(
+    takeover_seconds=0.4,
+    first_pause_seconds=0.01,
+    longest_pause_seconds=0.05,
+    moved_grace_seconds=0.0,
+)
+GIVE_UP_SECONDS = 30.0
+
+
+class FakeTeams:
+    def get_team(self, team: TeamId):
+        return TEAMS.get(team)
+
+
+class FakeOwners:
+    """One owner for all shards; `later` become the owner one a refresh."""
+
+    def __init__(self, *addresses):
+        self.shard_count = 4
+        self.refreshes = 0
+        self._addresses = list(addresses)
+        self._current = 0
+
+    def find_owner(self, shard: ShardId):
+        address = self._addresses[self._current]
+        if address is None:
+            return None
+        name = InstanceId(f"owner-{self._current}")
+        return ShardOwner(name, address, Epoch(self._current + 1))
+
+    async def refresh(self):
+        self.refreshes += 1
+        self.move()
+        await trio.lowlevel.checkpoint()
+
+    def move(self):
+        self._current = min(self._current + 1, len(self._addresses) - 1)
+
+
+class FakeOwner:
+    """Answers calls, unless a fault is queued for the next ones."""
+
+    def __init__(self, name="owner"):
+        self.name = InstanceId(name)
+        self.calls = []
+        self.tokens = ["one ", "two ", "three ", "four"]
+        self.faults = []
+        self.router = Router()
+        self.application = Application(self.router)
+        self.router.add("POST", CALL_PATH, self.call)
+        self.router.add("POST", STREAM_PATH, self.stream)
+        for name in ("begin", "end", "show"):
+            self.router.add("POST", f"/internal/programs/{name}", self.show)
+
+    async def meet_fault(self, request):
+        self.calls.append(msgspec.json.decode(request.body, type=CallRequest))
+        if self.faults:
+            return await self.faults.pop(0)()
+        return None
+
+    async def call(self, request):
+        fault = await self.meet_fault(request)
+        return fault or JsonResponse(value=build_answer(self.name))
+
+    async def stream(self, request):
+        fault = await self.meet_fault(request)
+        if fault is not None:
+            return fault
+        resume = self.calls[-1].resume
+        return stream_frames(self.list_frames(resume.offset if resume else 0))
+
+    def list_frames(self, offset=0, *, end=True):
+        frames = [StreamHead(InstanceId("target"), self.name, "stream-1")]
+        for number in range(offset, len(self.tokens)):
+            frames.append(StreamDelta(number, [self.tokens[number]]))
+        if end:
+            frames.append(StreamEnd(Usage(5, 2, len(self.tokens))))
+        return frames
+
+    async def show(self, request):
+        self.calls.append(msgspec.json.decode(request.body))
+        if self.faults:
+            return await self.faults.pop(0)()
+        view = ProgramView(
+            team=TeamId("open"),
+            program=self.calls[-1]["program"],
+            kind="fitting",
+            state=ProgramState.OPEN,
+            owner=self.name,
+            shard=ShardId(1),
+            epoch=Epoch(1),
+            next_sequence=1,
+        )
+        return JsonResponse(value=view)
+
+
+def build_answer(owner, *, replayed=False):
+    return CallAnswer(
+        value=msgspec.Raw(b'"well met"'),
+        target=InstanceId("target"),
+        owner=owner,
+        usage=Usage(5, 2, 2),
+        replayed=replayed,
+    )
+
+
+def stream_frames(frames, *, cut=False):
+    """A streamed answer; `cut` breaks the connection after the frames."""
+
+    async def write():
+        for frame in frames:
+            yield encode_line(frame)
+        if cut:
+            raise ConnectionError("the fake owner cuts the stream")
+
+    return StreamResponse(chunks=write())
+
+
+def raise_later(error):
+    async def fail():
+        raise error
+
+    return fail
+
+
+async def break_exchange():
+    """Breaks the connection after the request was received, without an answer."""
+
+    async def write():
+        raise ConnectionError("the fake owner breaks the exchange")
+        yield b""
+
+    return StreamResponse(chunks=write())
+
+
+async def hang():
+    await trio.sleep_forever()
+
+
+class Entry:
+    """A served entry with its caller."""
+
+    def __init__(self, peer, transport, application, metrics):
+        self.peer = peer
+        self.transport = transport
+        self.application = application
+        self.metrics = metrics
+
+    async def post(self, path, value=None, *, headers=HEADERS, content=None):
+        return await self.transport.send(
+            "POST", self.peer, path, value=value, content=content, headers=headers
+        )
+
+    async def get(self, path, *, headers=HEADERS):
+        return await self.transport.send("GET", self.peer, path, headers=headers)
+
+    async def chat(self, *, headers=HEADERS, **fields):
+        body = {**CHAT, **fields}
+        return await self.post("/v1/chat/completions", body, headers=headers)
+
+    async def count(self, name, **labels):
+        return self.metrics.registry.get_sample_value(name, labels) or 0.0
+
+
+@asynccontextmanager
+async def serve_owner(owner):
+    async with trio.open_nursery() as nursery:
+        yield await nursery.start(serve_http, owner.application, "127.0.0.1:0")
+        nursery.cancel_scope.cancel()
+
+
+@asynccontextmanager
+async def serve_entry(owners, *, limits=QUICK, is_ready=lambda: True):
+    metrics = RequestMetrics()
+    router = Router()
+    async with Transport() as upstream, Transport() as caller:
+        service = EntryService(
+            transport=upstream,
+            teams=FakeTeams(),
+            owners=owners,
+            metrics=metrics,
+            limits=limits,
+            randomness=random.Random(1),
+        )
+        service.add_routes(router)
+        add_probe_routes(router, registry=metrics.registry, is_ready=is_ready)
+        application = Application(router)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(service.run)
+            peer = await nursery.start(serve_http, application, "127.0.0.1:0")
+            yield Entry(peer, caller, application, metrics)
+            nursery.cancel_scope.cancel()
+
+
+def run_with_owner(check, *, limits=QUICK):
+    """Runs ``check(entry, owner, owners)`` with one owner, bounded by a give-up."""
+
+    async def main():
+        with trio.fail_after(GIVE_UP_SECONDS):
+            owner = FakeOwner()
+            async with serve_owner(owner) as address:
+                owners = FakeOwners(address)
+                async with serve_entry(owners, limits=limits) as entry:
+                    await check(entry, owner, owners)
+
+    trio.run(main)
+
+
+async def wait_until(condition):
+    with trio.fail_after(GIVE_UP_SECONDS):
+        while True:
+            if condition():
+                return
+            await trio.sleep(0.01)
--- /dev/null
+++ b/packages/daemon/tests/entry/test_streams.py
@@ -0,0 +1,201 @@
+import unittest
+
+import msgspec
+import trio
+
+from entry.support import (
+    CHAT,
+    GIVE_UP_SECONDS,
+    HEADERS,
+    break_exchange,
+    hang,
+    raise_later,
+    run_with_owner,
+    stream_frames,
+    wait_until,
+)
+from goldcrestvane_common.errors import Outcome, Overloaded, Unavailable
+from goldcrestvane_common.ids import InstanceId
+from goldcrestvane_common.messages import (
+    StreamDelta,
+    StreamEnd,
+    StreamFailure,
+    StreamHead,
+    Usage,
+)
+
+
+def read_events(body):
+    """Returns the joined text, the last event's name and whether it is whole."""
+    text, error = "", None
+    for event in body.decode().strip().split("\n\n"):
+        if event == "data: [DONE]":
+            return text, error, True
+        lines = dict(line.split(": ", 1) for line in event.split("\n"))
+        data = msgspec.json.decode(lines["data"])
+        if lines.get("event") == "error":
+            error = data["error"]
+            continue
+        text += data["choices"][0]["delta"].get("content", "")
+    return text, error, False
+
+
+def later(response):
+    async def give():
+        return response
+
+    return give
+
+
+class StreamTests(unittest.TestCase):
+    async def check_whole(self, entry):
+        reply = await entry.chat(stream=True)
+        self.assertEqual(reply.status, 200)
+        text, error, whole = read_events(reply.body)
+        self.assertEqual((text, error, whole), ("one two three four", None, True))
+        return reply
+
+    def test_stream_ends_with_usage_and_done(self):
+        async def check(entry, owner, owners):
+            reply = await self.check_whole(entry)
+            last = reply.body.decode().split("\n\n")[-3]
+            self.assertEqual(
+                msgspec.json.decode(last[6:])["usage"]["total_tokens"], 5 + 4
+            )
+            self.assertEqual(reply.headers["goldcrestvane-target"], "target")
+
+        run_with_owner(check)
+
+    def test_error_before_the_stream_is_a_normal_response(self):
+        async def check(entry, owner, owners):
+            owner.faults = [raise_later(Overloaded("full", retry_after=3.0))]
+            reply = await entry.chat(stream=True)
+            self.assertEqual(reply.status, 429)
+            self.assertEqual(reply.headers["retry-after"], "3")
+
+        run_with_owner(check)
+
+    def test_stream_broken_before_its_head_starts_over(self):
+        async def check(entry, owner, owners):
+            owner.faults = [break_exchange]
+            await self.check_whole(entry)
+            self.assertIsNone(owner.calls[1].resume)
+
+        run_with_owner(check)
+
+    def test_cut_stream_goes_on_without_a_lost_or_doubled_token(self):
+        async def check(entry, owner, owners):
+            for frames in (1, 2, 4):
+                owner.calls.clear()
+                begun = owner.list_frames(end=False)[:frames]
+                owner.faults = [later(stream_frames(begun, cut=True))]
+                await self.check_whole(entry)
+                self.assertEqual(owner.calls[1].resume.offset, frames - 1)
+                self.assertEqual(owner.calls[1].resume.stream_id, "stream-1")
+
+        run_with_owner(check)
+
+    def test_body_that_ends_early_or_skips_tokens_is_taken_up_again(self):
+        async def check(entry, owner, owners):
+            frames = owner.list_frames()
+            for faulty in (frames[:3], [frames[0], *frames[2:]], frames[1:]):
+                owner.faults = [later(stream_frames(faulty))]
+                await self.check_whole(entry)
+
+        run_with_owner(check)
+
+    def test_repeated_tokens_are_dropped(self):
+        async def check(entry, owner, owners):
+            head, *deltas = owner.list_frames(end=False)
+            again = StreamDelta(1, owner.tokens[1:4])
+            end = StreamEnd(Usage())
+            owner.faults = [later(stream_frames([head, *deltas[:2], again, end]))]
+            await self.check_whole(entry)
+
+        run_with_owner(check)
+
+    async def check_error(self, entry, text, kind):
+        reply = await entry.chat(stream=True)
+        got, error, whole = read_events(reply.body)
+        self.assertEqual((got, whole), (text, False))
+        self.assertEqual(error["kind"], kind)
+        self.assertEqual(error["outcome"], "incomplete")
+
+    def test_failure_frame_ends_the_stream_without_done(self):
+        async def check(entry, owner, owners):
+            frames = owner.list_frames(end=False)[:2]
+            failure = StreamFailure(Unavailable("target died").to_body())
+            self.assertEqual(failure.error.outcome, Outcome.NOT_RUN)
+            owner.faults = [later(stream_frames([*frames, failure]))]
+            await self.check_error(entry, "one ", "answer_incomplete")
+            count = await entry.count(
+                "goldcrestvane_requests_total",
+                kind="chat_stream",
+                status="answer_incomplete",
+            )
+            self.assertEqual(count, 1.0)
+
+        run_with_owner(check)
+
+    def test_stream_begun_anew_is_never_joined_to_the_old_one(self):
+        async def check(entry, owner, owners):
+            begun = owner.list_frames(end=False)[:3]
+            other = StreamHead(InstanceId("target"), owner.name, "stream-2")
+            owner.faults = [
+                later(stream_frames(begun, cut=True)),
+                later(stream_frames([other, *owner.list_frames()[1:]])),
+            ]
+            await self.check_error(entry, "one two ", "answer_incomplete")
+
+        run_with_owner(check)
+
+    def test_stream_that_stays_cut_is_given_up(self):
+        async def check(entry, owner, owners):
+            begun = owner.list_frames(end=False)[:3]
+            owner.faults = [later(stream_frames(begun, cut=True))]
+            owner.faults += [break_exchange] * 1000
+            await self.check_error(entry, "one two ", "answer_incomplete")
+
+        run_with_owner(check)
+
+    def test_caller_that_leaves_frees_its_slots(self):
+        async def check(entry, owner, owners):
+            async def write():
+                for frame in owner.list_frames(end=False):
+                    yield msgspec.json.encode(frame) + b"\n"
+                await trio.sleep_forever()
+
+            response = stream_frames([])
+            object.__setattr__(response, "chunks", write())
+            owner.faults = [later(response), hang]
+            for _ in range(2):
+                with trio.move_on_after(0.3):
+                    await entry.chat(stream=True)
+            await wait_until(lambda: entry.application.in_flight == 0)
+            await wait_until(lambda: owner.application.in_flight == 0)
+            count = await entry.count(
+                "goldcrestvane_requests_total", kind="chat_stream", status="left"
+            )
+            self.assertEqual(count, 2.0)
+
+        run_with_owner(check)
+
+    def test_deadline_ends_a_silent_stream(self):
+        async def check(entry, owner, owners):
+            async def write():
+                yield msgspec.json.encode(owner.list_frames()[0]) + b"\n"
+                await trio.sleep_forever()
+
+            response = stream_frames([])
+            object.__setattr__(response, "chunks", write())
+            owner.faults = [later(response)]
+            headers = {**HEADERS, "goldcrestvane-timeout": "0.3"}
+            with trio.fail_after(GIVE_UP_SECONDS):
+                reply = await entry.post(
+                    "/v1/chat/completions", {**CHAT, "stream": True}, headers=headers
+                )
+            text, error, whole = read_events(reply.body)
+            self.assertEqual((text, whole), ("", False))
+            self.assertEqual(error["outcome"], "incomplete")
+
+        run_with_owner(check)
