Wire the entry process and the shard directory

Cause: the daemon did not start: msgspec refuses a mutable struct as a default. Ruled out: a default factory for each field; the engine's events are values, so the structs are frozen. Change: frozen event structs, entry process, shard directory; the launcher reports a process that ends at its start at once instead of after a minute. Conclusion: the path can be run.

--- /dev/null
+++ b/packages/daemon/src/goldcrestvane_daemon/entry_process.py
@@ -0,0 +1,81 @@
+"""An entry: takes requests of callers; it keeps nothing."""
+
+from typing import final
+
+import trio
+
+from goldcrestvane_common.messages import STATUS_PATH, InstanceState, ProcessStatus
+from goldcrestvane_common.server import (
+    Application,
+    JsonResponse,
+    Request,
+    Response,
+    Router,
+)
+from goldcrestvane_daemon.entry import EntryService
+from goldcrestvane_daemon.parts import Parts
+from goldcrestvane_daemon.probes import RequestMetrics, add_probe_routes
+from goldcrestvane_daemon.shard_directory import ShardDirectory
+
+DRAIN_NOTICE_SECONDS = 2.0
+
+
+@final
+class EntryProcess:
+    """The parts of an entry and the tasks that run them."""
+
+    def __init__(self, parts: Parts, application: Application) -> None:
+        self._parts = parts
+        self._application = application
+        self._metrics = RequestMetrics()
+        self._shards = ShardDirectory(
+            parts.feed, shard_count=parts.settings.shard_count
+        )
+        self._service = EntryService(
+            transport=parts.transport,
+            teams=parts.feed,
+            owners=self._shards,
+            metrics=self._metrics,
+            randomness=parts.generator,
+        )
+        self._metrics.watch_in_flight(lambda: application.in_flight)
+
+    def add_routes(self, router: Router) -> None:
+        """Adds the callers' interface and the probes."""
+        self._service.add_routes(router)
+        add_probe_routes(
+            router, registry=self._metrics.registry, is_ready=self._is_ready
+        )
+        router.add("GET", STATUS_PATH, self._serve_status)
+
+    def _is_ready(self) -> bool:
+        live = self._parts.membership.own.state is InstanceState.LIVE
+        shards = self._shards.read_map().shards
+        owned = len(shards) == self._shards.shard_count and None not in shards
+        return live and owned and self._parts.feed.ready.is_set()
+
+    async def run(
+        self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Runs the parts until cancelled."""
+        task_status.started()
+        await self._service.run()
+
+    def refuse_work(self) -> None:
+        """Does nothing: readiness follows the state, and late requests are served."""
+
+    async def hand_over(self) -> None:
+        """Serves on until the balancer has seen that the entry is not ready."""
+        await trio.sleep(DRAIN_NOTICE_SECONDS)
+
+    def count_running(self) -> int:
+        """Returns the number of requests under way."""
+        return self._application.in_flight
+
+    async def _serve_status(self, request: Request) -> Response:
+        status = ProcessStatus(
+            instance=self._parts.membership.own,
+            settings_versions=self._parts.feed.get_versions(),
+            in_flight=self._application.in_flight - 1,
+        )
+        return JsonResponse(value=status)
--- /dev/null
+++ b/packages/daemon/src/goldcrestvane_daemon/shard_directory.py
@@ -0,0 +1,48 @@
+"""The shard map as the control feed holds it."""
+
+from typing import final
+
+import msgspec
+
+from goldcrestvane_common.feed import ControlFeed
+from goldcrestvane_common.ids import ShardId, Version
+from goldcrestvane_common.logs import get_logger
+from goldcrestvane_common.messages import SHARD_MAP_KEY, ShardMap, ShardOwner
+
+logger = get_logger("shards")
+
+
+@final
+class ShardDirectory:
+    """Finds the owners of shards.
+
+    Attributes:
+        shard_count: Number of shards.
+    """
+
+    def __init__(self, feed: ControlFeed, *, shard_count: int) -> None:
+        self._feed = feed
+        self._version = Version(0)
+        self._map = ShardMap([])
+        self.shard_count = shard_count
+
+    def read_map(self) -> ShardMap:
+        """Returns the newest map; an unreadable one leaves the former in force."""
+        stored = self._feed.get_object(SHARD_MAP_KEY)
+        if stored is None or stored.version == self._version:
+            return self._map
+        self._version = stored.version
+        try:
+            self._map = stored.decode(ShardMap)
+        except msgspec.DecodeError as error:
+            logger.error("the shard map is unreadable, keeping the former: %s", error)
+        return self._map
+
+    def find_owner(self, shard: ShardId) -> ShardOwner | None:
+        """Returns a shard's owner, or None while it has none."""
+        shards = self.read_map().shards
+        return shards[shard] if shard < len(shards) else None
+
+    async def refresh(self) -> None:
+        """Waits for the next change of the control objects."""
+        await self._feed.wait_for_change(self._feed.change_count)
--- a/packages/daemon/src/goldcrestvane_daemon/sidecar_process.py
+++ b/packages/daemon/src/goldcrestvane_daemon/sidecar_process.py
@@ -5,10 +5,9 @@
 import trio
 
 from goldcrestvane_common.messages import (
-    SHARD_MAP_KEY,
     STATUS_PATH,
+    InstanceState,
     ProcessStatus,
-    ShardMap,
 )
 from goldcrestvane_common.server import (
     Application,
@@ -29,6 +28,7 @@
 from goldcrestvane_daemon.parts import Parts
 from goldcrestvane_daemon.placement import Placement
 from goldcrestvane_daemon.probes import RequestMetrics, add_probe_routes
+from goldcrestvane_daemon.shard_directory import ShardDirectory
 from goldcrestvane_daemon.target.dispatcher import Dispatcher, TargetClient
 from goldcrestvane_daemon.target.engine import EngineClient
 from goldcrestvane_daemon.target.sessions import SessionKeeper
@@ -46,6 +46,7 @@
         membership = parts.membership
         self._parts = parts
         self._application = application
+        self._shards = ShardDirectory(parts.feed, shard_count=settings.shard_count)
         self._gate = Gate(GateOptions(slots=settings.target_slots))
         assert settings.target_kind is not None
         client_type = CLIENT_TYPES[settings.target_kind]
@@ -63,7 +64,7 @@
             transport=parts.transport,
             membership=membership,
             recovery=CallRecovery(connector=connector, directory=membership),
-            read_map=self._read_map,
+            read_map=self._shards.read_map,
             shard_count=settings.shard_count,
             generator=parts.generator,
         )
@@ -96,21 +97,13 @@
             engine=client,
             gate=self._gate,
             transport=self._parts.transport,
-            read_map=self._read_map,
+            read_map=self._shards.read_map,
             shard_count=self._parts.settings.shard_count,
         )
 
-    def _read_map(self) -> ShardMap:
-        stored = self._parts.feed.get_object(SHARD_MAP_KEY)
-        if stored is None:
-            return ShardMap([])
-        return stored.decode(ShardMap)
-
     def _is_ready(self) -> bool:
-        return self._parts.feed.ready.is_set() and not self._gate_is_closed()
-
-    def _gate_is_closed(self) -> bool:
-        return self._parts.membership.own.state.value == "leaving"
+        live = self._parts.membership.own.state is InstanceState.LIVE
+        return live and self._parts.feed.ready.is_set()
 
     def add_routes(self, router: Router) -> None:
         """Adds the routes of the target's gate and of the owner."""
--- a/packages/daemon/src/goldcrestvane_daemon/target/engine.py
+++ b/packages/daemon/src/goldcrestvane_daemon/target/engine.py
@@ -29,11 +29,11 @@
 }
 
 
-class _Delta(msgspec.Struct):
+class _Delta(msgspec.Struct, frozen=True):
     content: str = ""
 
 
-class _Choice(msgspec.Struct):
+class _Choice(msgspec.Struct, frozen=True):
     delta: _Delta = _Delta()
     message: Message | None = None
     finish_reason: str | None = None
--- a/standins/src/goldcrestvane_standins/deployment.py
+++ b/standins/src/goldcrestvane_standins/deployment.py
@@ -260,7 +260,17 @@
         process.start(f"--listen={process.address}")
         row = Instance(name, role, process.address, domain, service=service)
         await self.list_instance(row)
-        await self.wait_until(lambda: self._is_healthy(name), f"{name} is healthy")
+        await self._wait_healthy(name)
+
+    async def _wait_healthy(self, name: str) -> None:
+        process = self.processes[name]
+
+        async def is_healthy() -> bool:
+            if not process.is_running:
+                raise RuntimeError(f"{name} ended at its start; see {self._folder}.")
+            return await self._probe(name, "/healthz")
+
+        await self.wait_until(is_healthy, f"{name} is healthy")
 
     async def restart(self, name: str) -> None:
         """Starts a daemon or a stand-in that has ended once more."""
@@ -271,7 +281,7 @@
         process.start(f"--listen={process.address}")
         row = msgspec.structs.replace(self._rows[name], state=InstanceState.LIVE)
         await self.list_instance(row)
-        await self.wait_until(lambda: self._is_healthy(name), f"{name} is healthy")
+        await self._wait_healthy(name)
 
     async def list_instance(self, row: Instance) -> None:
         """Puts a row into the platform's instance list."""
@@ -316,9 +326,6 @@
         value = msgspec.json.decode(reply.body)
         return value if isinstance(value, list) else next(iter(value.values()))
 
-    async def _is_healthy(self, name: str) -> bool:
-        return await self._probe(name, "/healthz")
-
     async def _is_ready(self, name: str) -> bool:
         return await self._probe(name, "/readyz")
 
