Follow streams by characters, and mark deposed owners

Ruled out: joining text by token counts (an owner may join tokens), and reading the outcome only from transport errors. Change: StreamProgress keeps a length in characters; a repeated head replaces the point of resumption while no text was passed on; retry reason owner_deposed leaves the outcome open. The transport closes the body's generator as it leaves. Conclusion: cut streams go on without lost or doubled text against the fake owner.

--- a/packages/common/src/goldcrestvane_common/transport.py
+++ b/packages/common/src/goldcrestvane_common/transport.py
@@ -1,7 +1,7 @@
 """HTTP client of every process: one connection pool for each peer."""
 
 from collections.abc import AsyncIterator, Mapping
-from contextlib import asynccontextmanager
+from contextlib import aclosing, asynccontextmanager
 from dataclasses import dataclass
 from typing import Any, final
 
@@ -71,8 +71,9 @@
             ExchangeBroken: The body broke off before its end.
         """
         try:
-            async for chunk in self._response.aiter_stream():
-                yield chunk
+            async with aclosing(self._response.aiter_stream()) as chunks:
+                async for chunk in chunks:
+                    yield chunk
         except _BROKEN as error:
             raise ExchangeBroken(f"The response broke off: {error!r}.") from error
 
--- a/packages/daemon/src/goldcrestvane_daemon/entry/_attempts.py
+++ b/packages/daemon/src/goldcrestvane_daemon/entry/_attempts.py
@@ -28,9 +28,14 @@
     EXCHANGE_BROKEN = "exchange_broken"
     OWNER_MOVED = "owner_moved"
     WRONG_OWNER = "wrong_owner"
+    OWNER_DEPOSED = "owner_deposed"
 
 
-MAY_HAVE_REACHED = {RetryReason.EXCHANGE_BROKEN, RetryReason.OWNER_MOVED}
+MAY_HAVE_REACHED = {
+    RetryReason.EXCHANGE_BROKEN,
+    RetryReason.OWNER_MOVED,
+    RetryReason.OWNER_DEPOSED,
+}
 
 
 @final
@@ -70,7 +75,7 @@
 
         Args:
             reason: Why the last attempt failed.
-            detail: The failure in words, for a final error.
+            detail: That failure in words, for a final error.
 
         Raises:
             ServiceError: The call is given up.
--- a/packages/daemon/src/goldcrestvane_daemon/entry/_chat.py
+++ b/packages/daemon/src/goldcrestvane_daemon/entry/_chat.py
@@ -135,9 +135,8 @@
         """Returns the first event, which tells the role."""
         return self._write_chunk(ChunkChoice(Delta(role="assistant", content="")))
 
-    def write_text(self, tokens: list[str]) -> bytes:
+    def write_text(self, text: str) -> bytes:
         """Returns an event with further text."""
-        text = tokens[0] if len(tokens) == 1 else "".join(tokens)
         return self._before + msgspec.json.encode(text) + self._after
 
     def write_end(self, end: StreamEnd) -> bytes:
@@ -179,7 +178,7 @@
         try:
             async for frame in frames:
                 if isinstance(frame, StreamDelta):
-                    yield writer.write_text(frame.tokens)
+                    yield writer.write_text(frame.text)
                 elif isinstance(frame, StreamEnd):
                     yield writer.write_end(frame)
         except ServiceError as error:
--- a/packages/daemon/src/goldcrestvane_daemon/entry/_frames.py
+++ b/packages/daemon/src/goldcrestvane_daemon/entry/_frames.py
@@ -52,12 +52,12 @@
     """How far a streamed answer has come at the caller.
 
     Attributes:
-        head: First frame of the answer; None before it came.
-        tokens: Tokens passed on.
+        head: Latest head of the answer; None before the first.
+        length: Characters passed on.
     """
 
     head: StreamHead | None = None
-    tokens: int = 0
+    length: int = 0
 
     def find_resume_point(self) -> StreamPoint | None:
         """Returns where to take the stream up again; None starts it."""
@@ -66,12 +66,12 @@
         return StreamPoint(
             target=self.head.target,
             stream_id=self.head.stream_id,
-            offset=self.tokens,
+            offset=self.length,
         )
 
     def continues(self, head: StreamHead) -> bool:
-        """Returns whether the tokens under a new head belong to this answer."""
-        if self.head is None or self.tokens == 0:
+        """Returns whether the text under a new head belongs to this answer."""
+        if self.head is None or self.length == 0:
             return True
         return head.stream_id == self.head.stream_id
 
@@ -79,16 +79,16 @@
         """Returns the part of a delta that the caller has not had, if any.
 
         Raises:
-            ExchangeBroken: Tokens before the delta are missing.
+            ExchangeBroken: Text before the delta is missing.
         """
-        known = self.tokens - delta.offset
+        known = self.length - delta.offset
         if known < 0:
             raise ExchangeBroken(
-                f"Got a delta at token {delta.offset}; expected token {self.tokens}."
+                f"Got text from character {delta.offset} on; expected {self.length}."
             )
-        new = delta.tokens[known:] if known else delta.tokens
-        if not new:
+        text = delta.text[known:] if known else delta.text
+        if not text:
             return None
-        taken = StreamDelta(offset=self.tokens, tokens=new)
-        self.tokens += len(new)
+        taken = StreamDelta(offset=self.length, text=text)
+        self.length += len(text)
         return taken
--- a/packages/daemon/src/goldcrestvane_daemon/entry/_owners.py
+++ b/packages/daemon/src/goldcrestvane_daemon/entry/_owners.py
@@ -15,6 +15,7 @@
 
 from goldcrestvane_common.errors import (
     AnswerIncomplete,
+    Outcome,
     ServiceError,
     WrongOwner,
     build_error,
@@ -63,13 +64,6 @@
         self.detail = detail
 
 
-_REASONS: dict[type[Exception], RetryReason] = {
-    ConnectFailed: RetryReason.CONNECT_FAILED,
-    ExchangeBroken: RetryReason.EXCHANGE_BROKEN,
-    WrongOwner: RetryReason.WRONG_OWNER,
-}
-
-
 @final
 class OwnerClient:
     """Passes messages to the owners of shards."""
@@ -128,7 +122,7 @@
     async def stream(
         self, call: CallRequest
     ) -> AsyncIterator[StreamHead | StreamDelta | StreamEnd]:
-        """Yields the frames of a streamed answer, each token once.
+        """Yields the frames of a streamed answer, each character once.
 
         A stream that breaks between owner and entry is taken up where it broke.
 
@@ -248,7 +242,7 @@
                 return await exchange()
         except (TransportError, WrongOwner) as error:
             raise _AttemptFailed(
-                _REASONS[type(error)], f"{owner.owner}: {error}"
+                _find_reason(error), f"{owner.owner}: {error}"
             ) from error
         if wait.moved:
             raise _AttemptFailed(
@@ -262,6 +256,30 @@
         return left - min(self._limits.hop_margin_seconds, left / 10)
 
 
+@singledispatch
+def _find_reason(error: Exception) -> RetryReason:
+    """Returns why a failed attempt may be followed by another."""
+    raise TypeError(f"Got {type(error).__name__}; expected a failure of an attempt.")
+
+
+@_find_reason.register
+def _(error: ConnectFailed) -> RetryReason:
+    return RetryReason.CONNECT_FAILED
+
+
+@_find_reason.register
+def _(error: ExchangeBroken) -> RetryReason:
+    return RetryReason.EXCHANGE_BROKEN
+
+
+@_find_reason.register
+def _(error: WrongOwner) -> RetryReason:
+    """Tells an owner that never took the call from one that lost it under way."""
+    if error.call_outcome is Outcome.NOT_RUN:
+        return RetryReason.WRONG_OWNER
+    return RetryReason.OWNER_DEPOSED
+
+
 @singledispatch
 def restate_deadline(message: OwnerMessage, seconds: float) -> OwnerMessage:
     """Returns a message that tells the time left, if its kind does."""
@@ -329,19 +347,18 @@
 def _accept_head(head: StreamHead, progress: StreamProgress) -> StreamHead | None:
     if not progress.continues(head):
         raise AnswerIncomplete(
-            f"The answer was begun anew after {progress.tokens} tokens were passed "
-            "on; send the call again with the same sequence."
+            f"The answer was begun anew after {progress.length} characters were "
+            "passed on; send the call again with the same sequence."
         )
-    if progress.head is not None:
-        return None
+    first = progress.head is None
     progress.head = head
-    return head
+    return head if first else None
 
 
 def _build_failure(frame: StreamFailure) -> Exception:
     error = build_error(frame.error)
     if isinstance(error, WrongOwner):
-        return _AttemptFailed(RetryReason.WRONG_OWNER, error.message)
+        return _AttemptFailed(_find_reason(error), error.message)
     return error
 
 
--- a/packages/daemon/tests/entry/support.py
+++ b/packages/daemon/tests/entry/support.py
@@ -139,8 +139,11 @@
 
     def list_frames(self, offset=0, *, end=True):
         frames = [StreamHead(InstanceId("target"), self.name, "stream-1")]
-        for number in range(offset, len(self.tokens)):
-            frames.append(StreamDelta(number, [self.tokens[number]]))
+        start = 0
+        for token in self.tokens:
+            if start + len(token) > offset:
+                frames.append(StreamDelta(start, token))
+            start += len(token)
         if end:
             frames.append(StreamEnd(Usage(5, 2, len(self.tokens))))
         return frames
--- a/packages/daemon/tests/entry/test_calls.py
+++ b/packages/daemon/tests/entry/test_calls.py
@@ -19,6 +19,7 @@
     wait_until,
 )
 from goldcrestvane_common.errors import (
+    Outcome,
     Overloaded,
     ProgramEnded,
     Unavailable,
@@ -152,6 +153,15 @@
 
         run_with_owner(check)
 
+    def test_owner_deposed_under_way_leaves_the_outcome_open(self):
+        async def check(entry, owner, owners):
+            deposed = WrongOwner("deposed", outcome=Outcome.UNKNOWN)
+            owner.faults = [raise_later(deposed), raise_later(Overloaded("full"))]
+            reply = await entry.post(ISSUE, {})
+            self.assertEqual(read_error(reply)["outcome"], "unknown")
+
+        run_with_owner(check)
+
     def test_other_errors_are_passed_on_at_once(self):
         async def check(entry, owner, owners):
             owner.faults = [raise_later(Unavailable("no target", retry_after=7.0))]
--- a/packages/daemon/tests/entry/test_streams.py
+++ b/packages/daemon/tests/entry/test_streams.py
@@ -83,19 +83,20 @@
 
         run_with_owner(check)
 
-    def test_cut_stream_goes_on_without_a_lost_or_doubled_token(self):
+    def test_cut_stream_goes_on_without_lost_or_doubled_text(self):
         async def check(entry, owner, owners):
             for frames in (1, 2, 4):
                 owner.calls.clear()
                 begun = owner.list_frames(end=False)[:frames]
                 owner.faults = [later(stream_frames(begun, cut=True))]
                 await self.check_whole(entry)
-                self.assertEqual(owner.calls[1].resume.offset, frames - 1)
+                passed = len("".join(owner.tokens[: frames - 1]))
+                self.assertEqual(owner.calls[1].resume.offset, passed)
                 self.assertEqual(owner.calls[1].resume.stream_id, "stream-1")
 
         run_with_owner(check)
 
-    def test_body_that_ends_early_or_skips_tokens_is_taken_up_again(self):
+    def test_body_that_ends_early_or_skips_text_is_taken_up_again(self):
         async def check(entry, owner, owners):
             frames = owner.list_frames()
             for faulty in (frames[:3], [frames[0], *frames[2:]], frames[1:]):
@@ -104,10 +105,10 @@
 
         run_with_owner(check)
 
-    def test_repeated_tokens_are_dropped(self):
+    def test_repeated_text_is_dropped(self):
         async def check(entry, owner, owners):
             head, *deltas = owner.list_frames(end=False)
-            again = StreamDelta(1, owner.tokens[1:4])
+            again = StreamDelta(4, "two three four")
             end = StreamEnd(Usage())
             owner.faults = [later(stream_frames([head, *deltas[:2], again, end]))]
             await self.check_whole(entry)
