Give the gate's tests the incarnation that a dispatch now carries

Ruled out: a default in the struct (a dispatch without it must not be accepted). Change: the tests' request builder sets it. Conclusion: the tests check what they checked before.

--- a/packages/daemon/tests/gate/test_gate.py
+++ b/packages/daemon/tests/gate/test_gate.py
@@ -23,6 +23,7 @@
 def build_request(call, **changes):
     fields = {
         "call": call,
+        "incarnation": "i1",
         "shard": 1,
         "epoch": 1,
         "team": "shop",
