--- a/standins/src/goldcrestvane_standins/caller.py
+++ b/standins/src/goldcrestvane_standins/caller.py
@@ -44,7 +44,7 @@
 
     sequence: int
     text: str = ""
-    usage: dict[str, int] = field(default_factory=dict)
+    usage: dict[str, Any] = field(default_factory=dict)
     headers: dict[str, str] = field(default_factory=dict)
     seconds: float = 0.0
     sends: int = 1
@@ -203,7 +203,7 @@
         ExchangeBroken: The stream has no end mark.
     """
     parts: list[str] = []
-    usage: dict[str, int] = {}
+    usage: dict[str, Any] = {}
     for line in data.split(b"\n"):
         if not line.startswith(EVENT_PREFIX):
             continue
--- a/standins/src/goldcrestvane_standins/programs.py
+++ b/standins/src/goldcrestvane_standins/programs.py
@@ -65,10 +65,10 @@
 
 
 def close_without_answer() -> StreamResponse:
-    """Returns a response that closes the connection before its first byte."""
+    """Returns a response that closes the connection after its head."""
     return StreamResponse(chunks=_lose_answer())
 
 
 async def _lose_answer() -> AsyncIterator[bytes]:
-    raise AnswerLost("The answer is lost on purpose.")
     yield b""
+    raise AnswerLost("The answer is lost on purpose.")
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -81,7 +81,7 @@
         print(f"  {result.sequence}  {name:<22} FAILED: {result.error}")
         return
     headers = result.headers
-    cached = result.usage.get("cached_tokens", 0)
+    cached = result.usage.get("prompt_tokens_details", {}).get("cached_tokens", 0)
     prompt = result.usage.get("prompt_tokens", 0)
     print(
         f"  {result.sequence}  {name:<22} {result.seconds * 1000:7.0f} ms"
