Quarantine requests with which targets died

Cause: a request that crashes its target was sent to the next one again and again, by the owner's retries and by its caller under new ids. Ruled out: counting lost sidecars as deaths (a killed sidecar would condemn its calls); one object a request (32 neighbours, 32 writes): the object of a service lists all. Change: the sidecar beside a dead target records all calls that stood there before it answers their owners; a suspect runs alone, one run at a time under a claim; survivors are cleared, a second death refuses for good. Peers are told directly while the platform is down. Conclusion: two targets at most for a request sent one at a time; copies already running when the first target dies are not bounded.

--- a/packages/daemon/src/goldcrestvane_daemon/chooser.py
+++ b/packages/daemon/src/goldcrestvane_daemon/chooser.py
@@ -7,6 +7,7 @@
 from goldcrestvane_common.errors import Outcome, ServiceError, Unavailable
 from goldcrestvane_common.ids import InstanceId, ServiceId
 from goldcrestvane_common.messages import DispatchAnswer, DispatchRequest, Instance
+from goldcrestvane_daemon.owner.state import CachedPrefix
 from goldcrestvane_daemon.owner.targets import TargetDirectory
 from goldcrestvane_daemon.placement import (
     Attempt,
@@ -34,11 +35,18 @@
         *,
         excluded: set[InstanceId],
         cache_weight: float,
+        cached: CachedPrefix | None,
     ) -> tuple[Instance, Attempt]:
         """Returns the target for a call, and the attempt to report its end with.
 
         Targets that were tried already are taken again when no other is left.
 
+        Args:
+            request: The call.
+            excluded: Targets that were tried already.
+            cache_weight: The team's weight of cache reuse against latency.
+            cached: Where the journal says that the program's prefix was computed.
+
         Raises:
             Unavailable: No target can be tried now.
         """
@@ -50,6 +58,10 @@
             )
         if all(item.instance in excluded for item in targets):
             excluded = set()
+        if cached is not None:
+            self._placement.note_cached(
+                request.team, request.program, cached.instance, tokens=cached.tokens
+            )
         facts = CallFacts(
             team=request.team,
             program=request.program,
--- a/packages/daemon/src/goldcrestvane_daemon/owner/calls.py
+++ b/packages/daemon/src/goldcrestvane_daemon/owner/calls.py
@@ -59,9 +59,10 @@
     build_ended,
     build_wrong_owner,
 )
-from goldcrestvane_daemon.owner.state import Program
+from goldcrestvane_daemon.owner.state import CachedPrefix, Program
 from goldcrestvane_daemon.owner.targets import TargetConnector, TargetDirectory
 from goldcrestvane_daemon.placement import Attempt
+from goldcrestvane_daemon.quarantine import Quarantine, Verdict, build_refusal
 
 RESERVE_WAIT_SECONDS = 0.05
 CLAIM_WAIT_SECONDS = 2.0
@@ -80,6 +81,7 @@
         *,
         excluded: set[InstanceId],
         cache_weight: float,
+        cached: CachedPrefix | None,
     ) -> tuple[Instance, Attempt]:
         """Returns the target for a call; raises Unavailable when there is none."""
         ...
@@ -204,7 +206,9 @@
         connector: TargetConnector,
         directory: TargetDirectory,
         chooser: Chooser,
+        quarantine: Quarantine,
     ) -> None:
+        self._quarantine = quarantine
         self._connector = connector
         self._directory = directory
         self._chooser = chooser
@@ -289,8 +293,56 @@
         if dispatch.model is not None:
             model = ModelBody(call.messages, reservation.max_tokens)
             dispatch = msgspec.structs.replace(dispatch, model=model)
+        dispatch = await self._check_suspect(call, dispatch)
+        try:
+            answer = await self._try_target(
+                shard, call, dispatch, execution, tried, reservation
+            )
+        except BaseException:
+            await self._settle_suspect(dispatch, survived=False)
+            raise
+        await self._settle_suspect(dispatch, survived=True)
+        await self._finish(shard, call, execution, answer)
+
+    async def _check_suspect(
+        self, call: Call, dispatch: DispatchRequest
+    ) -> DispatchRequest:
+        """Claims a request with which a target died, to run it alone."""
+        verdict = self._quarantine.get_verdict(dispatch.service, dispatch.fingerprint)
+        if verdict is Verdict.FREE:
+            return dispatch
+        if verdict is Verdict.REFUSED:
+            raise build_refusal()
+        left = max(0.0, call.ends_at - trio.current_time())
+        await self._quarantine.claim_alone(
+            dispatch.service, dispatch.fingerprint, seconds=left
+        )
+        return msgspec.structs.replace(dispatch, alone=True)
+
+    async def _settle_suspect(
+        self, dispatch: DispatchRequest, *, survived: bool
+    ) -> None:
+        if not dispatch.alone:
+            return
+        with trio.CancelScope(shield=True):
+            await self._quarantine.settle(
+                dispatch.service, dispatch.fingerprint, survived=survived
+            )
+
+    async def _try_target(
+        self,
+        shard: OwnedShard,
+        call: Call,
+        dispatch: DispatchRequest,
+        execution: Execution,
+        tried: set[InstanceId],
+        reservation: Reservation,
+    ) -> DispatchAnswer:
         target, attempt = self._chooser.choose(
-            dispatch, excluded=tried, cache_weight=call.cache_weight
+            dispatch,
+            excluded=tried,
+            cache_weight=call.cache_weight,
+            cached=call.program.cached_prefix,
         )
         tried.add(target.instance)
         execution.call = dispatch.call
@@ -302,7 +354,7 @@
             self._chooser.record_error(attempt, error)
             raise
         self._chooser.record_answer(attempt, answer)
-        await self._finish(shard, call, execution, answer)
+        return answer
 
     async def _prepare(
         self,
--- a/packages/daemon/src/goldcrestvane_daemon/owner/state.py
+++ b/packages/daemon/src/goldcrestvane_daemon/owner/state.py
@@ -3,7 +3,7 @@
 from collections import OrderedDict
 from dataclasses import dataclass, field
 from functools import singledispatch
-from typing import final
+from typing import NamedTuple, final
 
 from goldcrestvane_common.ids import InstanceId, ProgramId, TeamId, get_parent
 from goldcrestvane_common.messages import Message, ProgramState
@@ -28,6 +28,18 @@
 ProgramKey = tuple[TeamId, ProgramId]
 
 
+class CachedPrefix(NamedTuple):
+    """Where the latest prompt of a program was computed.
+
+    Attributes:
+        instance: Instance beside the engine.
+        tokens: Tokens of the prompt with its answer.
+    """
+
+    instance: InstanceId
+    tokens: int
+
+
 @final
 @dataclass
 class Program:
@@ -55,6 +67,7 @@
         prompt_tokens: Tokens of the latest prompt with its answer.
         prompt_messages: Number of messages that these tokens cover.
         prompt_hash: Hash of these messages.
+        cached_prefix: Where they were computed; None after a compaction.
     """
 
     key: ProgramKey
@@ -78,6 +91,7 @@
     prompt_tokens: int = 0
     prompt_messages: int = 0
     prompt_hash: str = ""
+    cached_prefix: CachedPrefix | None = None
 
     @property
     def is_open(self) -> bool:
@@ -189,6 +203,7 @@
     program.prompt_tokens = record.usage.total
     program.prompt_messages = record.prompt_messages
     program.prompt_hash = record.prompt_hash
+    program.cached_prefix = CachedPrefix(record.target, record.usage.total)
 
 
 def _hold(state: ShardState, program: Program, *, tokens: int, calls: int) -> None:
--- a/packages/daemon/src/goldcrestvane_daemon/placement/placement.py
+++ b/packages/daemon/src/goldcrestvane_daemon/placement/placement.py
@@ -155,6 +155,13 @@
         """Takes in a load report of a target."""
         self._loads.report(instance, load, now=trio.current_time())
 
+    def note_cached(
+        self, team: TeamId, program: ProgramId, instance: InstanceId, *, tokens: int
+    ) -> None:
+        """Takes in where a program ran under a former owner, unless more is known."""
+        if not self._affinity.get(team, program):
+            self._affinity.store(team, program, instance, tokens)
+
     def note_evicted(
         self, team: TeamId, program: ProgramId, instance: InstanceId, *, tokens: int
     ) -> None:
--- a/packages/daemon/src/goldcrestvane_daemon/sidecar_process.py
+++ b/packages/daemon/src/goldcrestvane_daemon/sidecar_process.py
@@ -28,6 +28,7 @@
 from goldcrestvane_daemon.parts import Parts
 from goldcrestvane_daemon.placement import Placement
 from goldcrestvane_daemon.probes import RequestMetrics, add_probe_routes
+from goldcrestvane_daemon.quarantine import Quarantine
 from goldcrestvane_daemon.shard_directory import ShardDirectory
 from goldcrestvane_daemon.target.dispatcher import Dispatcher, TargetClient
 from goldcrestvane_daemon.target.engine import EngineClient
@@ -50,13 +51,22 @@
         self._gate = Gate(GateOptions(slots=settings.target_slots))
         assert settings.target_kind is not None
         client_type = CLIENT_TYPES[settings.target_kind]
+        self._quarantine = Quarantine(
+            objects=parts.objects,
+            feed=parts.feed,
+            membership=membership,
+            transport=parts.transport,
+        )
         client = client_type(parts.transport, settings.target_address)
         self._dispatcher = Dispatcher(
             instance=settings.instance,
             incarnation=membership.incarnation,
+            service=settings.service,
             gate=self._gate,
             client=client,
+            quarantine=self._quarantine,
         )
+        self._client = client
         self._sessions = self._build_sessions(client)
         connector = TargetConnector(parts.transport)
         self._manager = ShardManager(
@@ -75,6 +85,7 @@
             connector=connector,
             directory=membership,
             chooser=TargetChooser(directory=membership, placement=placement),
+            quarantine=self._quarantine,
         )
         self._service = OwnerService(
             manager=self._manager,
@@ -110,6 +121,7 @@
         self._dispatcher.add_routes(router)
         self._service.add_routes(router)
         self._manager.add_routes(router)
+        self._quarantine.add_routes(router)
         if self._sessions is not None:
             self._sessions.add_routes(router)
         add_probe_routes(
@@ -129,6 +141,8 @@
             nursery.start_soon(self._releaser.run)
             if self._sessions is not None:
                 nursery.start_soon(self._sessions.run)
+            if isinstance(self._client, EngineClient):
+                nursery.start_soon(self._client.follow_load)
             task_status.started()
 
     async def _run_manager(self) -> None:
@@ -163,7 +177,7 @@
                 for shard in owned.values()
                 for program in shard.state.programs.values()
             ),
-            load=self._gate.load(),
+            load=self._dispatcher.read_load(),
             settings_versions=self._parts.feed.get_versions(),
             in_flight=self._application.in_flight - 1,
         )
--- a/packages/daemon/src/goldcrestvane_daemon/target/dispatcher.py
+++ b/packages/daemon/src/goldcrestvane_daemon/target/dispatcher.py
@@ -4,20 +4,24 @@
 that an owner may repeat a dispatch whose connection broke.
 """
 
+import math
+import uuid
 from collections import OrderedDict
 from collections.abc import AsyncIterator
 from functools import singledispatch
 from typing import final
 
+import msgspec
 import trio
 
 from goldcrestvane_common.errors import (
     AnswerIncomplete,
     OutcomeUnknown,
     ServiceError,
+    TargetDied,
     Unavailable,
 )
-from goldcrestvane_common.ids import CallId, InstanceId
+from goldcrestvane_common.ids import CallId, Fingerprint, InstanceId, ServiceId
 from goldcrestvane_common.logs import get_logger
 from goldcrestvane_common.messages import (
     DISPATCH_CANCEL_PATH,
@@ -32,6 +36,7 @@
     DispatchAnswer,
     DispatchRequest,
     Fence,
+    TargetLoad,
     encode_line,
 )
 from goldcrestvane_common.server import (
@@ -43,10 +48,17 @@
 )
 from goldcrestvane_daemon.execution import Execution
 from goldcrestvane_daemon.gate import Gate
+from goldcrestvane_daemon.quarantine import (
+    DeathReport,
+    Quarantine,
+    Verdict,
+    build_refusal,
+)
 from goldcrestvane_daemon.target.engine import EngineClient
 from goldcrestvane_daemon.target.tool import ToolClient
 
 MAX_KEPT_CALLS = 4096
+SAME_DEATH_SECONDS = 1.0
 
 logger = get_logger("dispatch")
 
@@ -78,13 +90,20 @@
         *,
         instance: InstanceId,
         incarnation: str,
+        service: ServiceId,
         gate: Gate,
         client: TargetClient,
+        quarantine: Quarantine,
     ) -> None:
         self._instance = instance
         self._incarnation = incarnation
+        self._service = service
         self._gate = gate
         self._client = client
+        self._quarantine = quarantine
+        self._at_target: dict[CallId, Fingerprint] = {}
+        self._death = ""
+        self._death_at = -math.inf
         self._calls: OrderedDict[CallId, Execution] = OrderedDict()
         self._nursery: trio.Nursery | None = None
 
@@ -150,10 +169,15 @@
         try:
             with execution.scope:
                 async with self._gate.admit(request):
+                    self._check_suspect(request)
                     sent = True
+                    self._at_target[request.call] = request.fingerprint
                     await self._client.run_call(request, execution)
             if execution.scope.cancelled_caught:
                 raise AnswerIncomplete("The call was cancelled; its program has ended.")
+        except TargetDied as error:
+            await self._report_death()
+            execution.fail(error)
         except ServiceError as error:
             execution.fail(error)
             if sent:
@@ -163,6 +187,29 @@
             execution.fail(
                 OutcomeUnknown("The sidecar failed on the call; report it with its id.")
             )
+        finally:
+            self._at_target.pop(request.call, None)
+
+    def _check_suspect(self, request: DispatchRequest) -> None:
+        """Refuses a request that became a suspect after its owner had looked."""
+        verdict = self._quarantine.get_verdict(self._service, request.fingerprint)
+        if verdict is Verdict.REFUSED:
+            raise build_refusal()
+        if verdict is Verdict.ALONE and not request.alone:
+            raise Unavailable(
+                "A target died with this request; it must run alone. Send it again.",
+                retry_after=0.5,
+            )
+
+    async def _report_death(self) -> None:
+        """Reports all calls at the target; those of one death share its id."""
+        now = trio.current_time()
+        if now - self._death_at > SAME_DEATH_SECONDS:
+            self._death = f"{self._instance}:{uuid.uuid4().hex[:12]}"
+        self._death_at = now
+        fingerprints = sorted(set(self._at_target.values()))
+        report = DeathReport(self._service, self._death, fingerprints)
+        await self._quarantine.report_death(report)
 
     async def close(self, request: CloseRequest) -> CloseResult:
         """Returns the end of a call, or makes sure that it never runs here.
@@ -206,10 +253,21 @@
         await execution.wait()
         assert execution.answer is not None
         answer = DispatchAnswer(
-            execution.answer, execution.usage, load=self._gate.load()
+            execution.answer, execution.usage, load=self.read_load()
         )
         return JsonResponse(value=answer)
 
+    def read_load(self) -> TargetLoad:
+        """Returns the load of the target, its prefix cache included."""
+        load = self._gate.load()
+        if isinstance(self._client, EngineClient):
+            return msgspec.structs.replace(
+                load,
+                cached_tokens=self._client.cached_tokens,
+                cache_capacity_tokens=self._client.cache_capacity_tokens,
+            )
+        return load
+
     async def _serve_stream(self, request: Request) -> Response:
         dispatch = request.decode(DispatchRequest)
         execution = self.start(dispatch)
--- a/packages/daemon/src/goldcrestvane_daemon/target/engine.py
+++ b/packages/daemon/src/goldcrestvane_daemon/target/engine.py
@@ -6,8 +6,15 @@
 import msgspec
 import trio
 
-from goldcrestvane_common.errors import AnswerIncomplete, OutcomeUnknown, Unavailable
-from goldcrestvane_common.messages import DispatchRequest, Message, TargetLoad, Usage
+from goldcrestvane_common.errors import (
+    AnswerIncomplete,
+    OutcomeUnknown,
+    ServiceError,
+    TargetDied,
+    Unavailable,
+)
+from goldcrestvane_common.logs import get_logger
+from goldcrestvane_common.messages import DispatchRequest, Message, Usage
 from goldcrestvane_common.settings import Priority
 from goldcrestvane_common.transport import (
     ConnectFailed,
@@ -20,6 +27,7 @@
 
 MAX_STREAM_RESUMES = 3
 RESUME_DELAY_SECONDS = 0.1
+LOAD_INTERVAL_SECONDS = 1.0
 EVENT_PREFIX = b"data: "
 END_MARK = b"[DONE]"
 ENGINE_PRIORITIES = {
@@ -28,6 +36,8 @@
     Priority.BATCH: 2,
 }
 
+logger = get_logger("engine")
+
 
 class _Delta(msgspec.Struct, frozen=True):
     content: str = ""
@@ -77,6 +87,11 @@
     fence: int
 
 
+@final
+class _StreamLost(Exception):
+    """The engine does not have the stream that was to be taken up."""
+
+
 @final
 class _StreamProgress:
     """How far an engine stream has been read."""
@@ -85,15 +100,25 @@
         self.tokens = 0
         self.usage: Usage | None = None
         self.whole = False
+        self.broken = False
 
 
 @final
 class EngineClient:
-    """Client of the engine beside this sidecar."""
+    """Client of the engine beside this sidecar.
+
+    Attributes:
+        incarnation: Changes with each start of the engine; empty until it told.
+        cached_tokens: Tokens in its prefix cache, as last told.
+        cache_capacity_tokens: Size of that cache.
+    """
 
     def __init__(self, transport: Transport, peer: str) -> None:
         self._transport = transport
         self._peer = peer
+        self.incarnation = ""
+        self.cached_tokens = 0
+        self.cache_capacity_tokens = 0
 
     async def run_call(self, request: DispatchRequest, execution: Execution) -> None:
         """Runs a model call, passing its text on to the execution as it arrives.
@@ -101,8 +126,10 @@
         Raises:
             Unavailable: The engine cannot be reached; the call did not run.
             AnswerIncomplete: The answer broke off and cannot be taken up again.
+            TargetDied: The engine died while it ran the call.
         """
         progress = _StreamProgress()
+        incarnation = self.incarnation
         for attempt in range(MAX_STREAM_RESUMES + 1):
             try:
                 await self._read_stream(request, execution, progress)
@@ -112,31 +139,39 @@
                         f"The engine refused the connection: {error}. Send it again.",
                         retry_after=1.0,
                     ) from error
+                raise _build_death() from error
+            except _StreamLost as error:
+                raise await self._explain_loss(incarnation) from error
             except ExchangeBroken:
-                pass
+                progress.broken = True
             if progress.whole:
                 text = execution.get_text()
                 answer = msgspec.Raw(msgspec.json.encode(text))
                 execution.finish(answer, progress.usage or Usage())
                 return
             await trio.sleep(RESUME_DELAY_SECONDS * attempt)
-        raise AnswerIncomplete(
-            f"The engine's answer broke off after {progress.tokens} tokens. "
-            "Send the call again.",
-            retry_after=1.0,
-        )
+        raise _build_incomplete()
+
+    async def _explain_loss(self, incarnation: str) -> ServiceError:
+        """Returns why the engine no longer has a stream: it died, or dropped it."""
+        try:
+            await self.refresh_load()
+        except (ConnectFailed, ExchangeBroken):
+            return _build_death()
+        if incarnation and incarnation != self.incarnation:
+            return _build_death()
+        return _build_incomplete()
 
     async def _read_stream(
         self, request: DispatchRequest, execution: Execution, progress: _StreamProgress
     ) -> None:
         timeout = request.deadline_seconds
-        if progress.tokens == 0 and execution.length == 0:
-            body = _build_completion_request(request)
+        if not progress.broken:
             exchange = self._transport.stream(
                 "POST",
                 self._peer,
                 "/v1/chat/completions",
-                value=body,
+                value=_build_completion_request(request),
                 timeout=timeout,
             )
         else:
@@ -146,6 +181,7 @@
             await _check_status(reply)
             async for data in read_events(reply.iterate()):
                 _take_event(data, execution, progress)
+        progress.broken = not progress.whole
 
     async def cancel_stream(self, stream_id: str) -> None:
         """Cancels a stream and frees its slot; a failure is ignored."""
@@ -154,17 +190,22 @@
         except (ConnectFailed, ExchangeBroken):
             return
 
-    async def read_load(self) -> tuple[str, TargetLoad]:
-        """Returns the engine's incarnation and its load, which lags."""
+    async def refresh_load(self) -> None:
+        """Reads the engine's incarnation and its load, which lags."""
         reply = await self._transport.send("GET", self._peer, "/v1/load", timeout=1.0)
         load = reply.decode(_EngineLoad)
-        return load.incarnation, TargetLoad(
-            running=load.running,
-            queued=load.queued,
-            slots=load.slots,
-            cached_tokens=load.cached_tokens,
-            cache_capacity_tokens=load.cache_capacity_tokens,
-        )
+        self.incarnation = load.incarnation
+        self.cached_tokens = load.cached_tokens
+        self.cache_capacity_tokens = load.cache_capacity_tokens
+
+    async def follow_load(self) -> None:
+        """Refreshes the load until cancelled."""
+        while True:
+            try:
+                await self.refresh_load()
+            except (ConnectFailed, ExchangeBroken, msgspec.DecodeError) as error:
+                logger.debug("the engine does not tell its load: %s", error)
+            await trio.sleep(LOAD_INTERVAL_SECONDS)
 
     async def list_sessions(self) -> CacheListing:
         """Returns the sessions that hold memory of the engine."""
@@ -186,6 +227,18 @@
     return f"{request.team}/{request.program}"
 
 
+def _build_death() -> TargetDied:
+    return TargetDied(
+        "The engine died while it ran the call. Send it again.", retry_after=0.5
+    )
+
+
+def _build_incomplete() -> AnswerIncomplete:
+    return AnswerIncomplete(
+        "The engine's answer broke off. Send the call again.", retry_after=0.5
+    )
+
+
 def _build_completion_request(request: DispatchRequest) -> _CompletionRequest:
     assert request.model is not None
     return _CompletionRequest(
@@ -209,9 +262,7 @@
             retry_after=1.0,
         )
     if reply.status == 404:
-        raise AnswerIncomplete(
-            "The engine no longer has the stream. Send the call again.", retry_after=0.0
-        )
+        raise _StreamLost
     raise OutcomeUnknown(
         f"The engine answered {reply.status}: {body[:200]!r}. Check the request."
     )
--- a/packages/daemon/src/goldcrestvane_daemon/target/tool.py
+++ b/packages/daemon/src/goldcrestvane_daemon/target/tool.py
@@ -4,7 +4,12 @@
 
 import msgspec
 
-from goldcrestvane_common.errors import OutcomeUnknown, Unavailable
+from goldcrestvane_common.errors import (
+    Outcome,
+    OutcomeUnknown,
+    TargetDied,
+    Unavailable,
+)
 from goldcrestvane_common.messages import DispatchRequest, Usage
 from goldcrestvane_common.transport import ConnectFailed, ExchangeBroken, Transport
 from goldcrestvane_daemon.execution import Execution
@@ -26,6 +31,7 @@
         Raises:
             Unavailable: The tool cannot be reached; the call did not run.
             OutcomeUnknown: The call may have run.
+            TargetDied: The call may have run, and the tool died.
         """
         try:
             reply = await self._transport.send(
@@ -42,6 +48,12 @@
                 retry_after=1.0,
             ) from error
         except ExchangeBroken as error:
+            if await self._has_died():
+                raise TargetDied(
+                    f"The tool died during the call: {error} "
+                    "Look the result up in the tool.",
+                    outcome=Outcome.UNKNOWN,
+                ) from error
             raise OutcomeUnknown(
                 f"The tool's answer was lost: {error} Look the result up in the tool."
             ) from error
@@ -51,6 +63,16 @@
             )
         execution.finish(_check_json(reply.body), Usage())
 
+    async def _has_died(self) -> bool:
+        """Returns whether the tool refuses connections."""
+        try:
+            await self._transport.send("GET", self._peer, "/", timeout=1.0)
+        except ConnectFailed:
+            return True
+        except ExchangeBroken:
+            return False
+        return False
+
 
 def _check_json(body: bytes) -> msgspec.Raw:
     try:
--- a/standins/src/goldcrestvane_standins/caller.py
+++ b/standins/src/goldcrestvane_standins/caller.py
@@ -21,7 +21,7 @@
     Transport,
 )
 
-MAX_SENDS = 40
+MAX_SENDS = 12
 PAUSE_SECONDS = 0.2
 EVENT_PREFIX = b"data: "
 DONE_EVENT = b"[DONE]"
@@ -67,12 +67,14 @@
         team: str,
         program: str,
         timeout: float = 30.0,
+        max_sends: int = MAX_SENDS,
     ) -> None:
         self._transport = transport
         self._entries = itertools.cycle(entries)
         self._team = team
         self._program = program
         self._timeout = timeout
+        self._max_sends = max_sends
         self.sequence = 1
 
     async def begin(self, kind: str, **budget: float) -> None:
@@ -112,13 +114,13 @@
             try:
                 result = await self._send_call(path, body, sequence, stream=stream)
             except (ConnectFailed, ExchangeBroken) as failure:
-                if sends >= MAX_SENDS:
+                if sends >= self._max_sends:
                     raise failure
                 await trio.sleep(PAUSE_SECONDS)
                 continue
             except ServiceError as error:
                 repeat = error.call_outcome in (Outcome.NOT_RUN, Outcome.INCOMPLETE)
-                if repeat and sends < MAX_SENDS:
+                if repeat and sends < self._max_sends:
                     await trio.sleep(error.retry_after or PAUSE_SECONDS)
                     continue
                 result = CallResult(sequence=sequence, error=error)
