Check, compare and change a team's settings in one conditional update

Cause: operators must see all faults at once, and racing operators must not undo each other's changes. Ruled out: msgspec's decoder alone for the check (it stops at the first fault); trusting a lost answer either way (the record's token is looked up, and the same conditional write is sent again, which takes effect once at most). Conclusion: conflicts, lost answers and archives behave as written in the tests with a fake object API.

--- /dev/null
+++ b/packages/common/src/goldcrestvane_common/tree/check.py
@@ -0,0 +1,247 @@
+"""Check of a team's settings that finds all faults at once.
+
+The check walks the undecoded JSON along the types of `TeamSettings`, because a typed
+decoder stops at the first fault.
+"""
+
+import math
+import re
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+from functools import singledispatch
+from typing import Any, final
+
+import msgspec
+from msgspec import inspect
+
+from goldcrestvane_common.settings import (
+    Budget,
+    OperationSettings,
+    ServiceKind,
+    ServiceSettings,
+    TeamSettings,
+)
+from goldcrestvane_common.tree.paths import format_path
+
+NAME_PATTERN = re.compile(r"[A-Za-z0-9._-]{1,64}")
+DIGEST_PATTERN = re.compile(r"[0-9a-f]{64}")
+MAX_SHOWN_CHARACTERS = 80
+
+Path = tuple[str, ...]
+
+
+@final
+class Fault(msgspec.Struct, frozen=True, order=True):
+    """One fault of a subtree.
+
+    Attributes:
+        path: Where it is; empty for the subtree itself.
+        got: The faulty value as JSON, shortened.
+        expected: What would be valid.
+        remedy: What to do.
+    """
+
+    path: str
+    got: str
+    expected: str
+    remedy: str
+
+    def __str__(self) -> str:
+        place = self.path or "settings"
+        return f"{place}: got {self.got}, expected {self.expected}; {self.remedy}"
+
+
+@final
+class SettingsInvalid(Exception):
+    """The settings have faults; nothing was written.
+
+    Attributes:
+        faults: All faults, sorted by path.
+    """
+
+    def __init__(self, faults: list[Fault]) -> None:
+        self.faults = sorted(faults)
+        lines = "\n".join(f"  {fault}" for fault in self.faults)
+        super().__init__(f"The settings have {len(faults)} faults:\n{lines}")
+
+
+@final
+@dataclass(frozen=True, kw_only=True)
+class Rule:
+    """A limit on the value of one field."""
+
+    accepts: Callable[[Any], bool]
+    expected: str
+    remedy: str
+
+
+def check_settings(raw: Any) -> TeamSettings:
+    """Returns the settings that decoded JSON describes.
+
+    Raises:
+        SettingsInvalid: It has faults; the error lists all of them.
+    """
+    faults = list(_walk(_TEAM_TYPE, raw, ()))
+    if faults:
+        raise SettingsInvalid(faults)
+    return msgspec.convert(raw, type=TeamSettings)
+
+
+def check_name(name: str) -> bool:
+    """Returns whether a team, program, service or operation may have this name."""
+    return NAME_PATTERN.fullmatch(name) is not None
+
+
+_COUNT = Rule(
+    accepts=lambda value: value >= 0,
+    expected="a whole number of at least 0, or null for no limit",
+    remedy="raise it to 0 or more, or remove it",
+)
+_SECONDS = Rule(
+    accepts=lambda value: value > 0 and math.isfinite(value),
+    expected="a number of seconds above 0",
+    remedy="set the time in seconds",
+)
+_RULES: dict[tuple[type, str], Rule] = {
+    (Budget, "tokens"): _COUNT,
+    (Budget, "calls"): _COUNT,
+    (Budget, "depth"): _COUNT,
+    (Budget, "seconds"): _SECONDS,
+    (OperationSettings, "timeout_seconds"): _SECONDS,
+    (ServiceSettings, "timeout_seconds"): _SECONDS,
+    (ServiceSettings, "slots"): Rule(
+        accepts=lambda value: value >= 1,
+        expected="a whole number of at least 1",
+        remedy="set the number of calls that one target runs at a time",
+    ),
+    (TeamSettings, "cache_weight"): Rule(
+        accepts=lambda value: 0 <= value <= 1,
+        expected="a number from 0 to 1",
+        remedy="set 0 for latency alone, up to 1 for reuse of caches alone",
+    ),
+    (TeamSettings, "token_sha256"): Rule(
+        accepts=lambda value: DIGEST_PATTERN.fullmatch(value) is not None,
+        expected="64 hexadecimal digits in lower case",
+        remedy="set the SHA-256 digest of the token, not the token",
+    ),
+}
+
+
+def _build_fault(path: Path, value: Any, expected: str, remedy: str) -> Fault:
+    try:
+        shown = msgspec.json.encode(value).decode()
+    except UnicodeEncodeError:
+        shown = ascii(value)
+    if len(shown) > MAX_SHOWN_CHARACTERS:
+        shown = f"{shown[:MAX_SHOWN_CHARACTERS]}..."
+    return Fault(format_path(path), shown, expected, remedy)
+
+
+@singledispatch
+def _walk(kind: inspect.Type, value: Any, path: Path) -> Iterator[Fault]:
+    """Yields the faults of a value that should be of a kind."""
+    raise TypeError(f"Got {kind!r}; add a walk for this kind of field.")
+
+
+@_walk.register
+def _(kind: inspect.StructType, value: Any, path: Path) -> Iterator[Fault]:
+    if not isinstance(value, dict):
+        yield _build_fault(path, value, "an object", "write it as a JSON object")
+        return
+    fields = {field.name: field for field in kind.fields}
+    for name in value.keys() - fields.keys():
+        expected = f"one of the fields {', '.join(fields)}"
+        yield _build_fault(
+            (*path, name), value[name], expected, "correct the name or remove it"
+        )
+    for name, field in fields.items():
+        if name in value:
+            yield from _walk_field(kind.cls, field, value[name], (*path, name))
+        elif field.required:
+            yield Fault(
+                format_path((*path, name)), "nothing", "a value", "add the field"
+            )
+    if kind.cls is ServiceSettings:
+        yield from _check_service(value, path)
+
+
+def _walk_field(
+    owner: type, field: inspect.Field, value: Any, path: Path
+) -> Iterator[Fault]:
+    faults = list(_walk(field.type, value, path))
+    yield from faults
+    rule = _RULES.get((owner, field.name))
+    if faults or rule is None or value is None:
+        return
+    if not rule.accepts(value):
+        yield _build_fault(path, value, rule.expected, rule.remedy)
+
+
+def _check_service(value: dict[str, Any], path: Path) -> Iterator[Fault]:
+    if value.get("kind") == ServiceKind.MODEL.value and value.get("operations"):
+        yield _build_fault(
+            (*path, "operations"),
+            value["operations"],
+            "no operations for a model service",
+            "remove them, or set the kind to tool",
+        )
+
+
+@_walk.register
+def _(kind: inspect.DictType, value: Any, path: Path) -> Iterator[Fault]:
+    if not isinstance(value, dict):
+        yield _build_fault(path, value, "an object", "write names with their settings")
+        return
+    for name, item in value.items():
+        if not check_name(name):
+            yield _build_fault(
+                (*path, name),
+                name,
+                "a name of 1 to 64 letters, digits, dots, dashes or underscores",
+                "rename it",
+            )
+        yield from _walk(kind.value_type, item, (*path, name))
+
+
+@_walk.register
+def _(kind: inspect.EnumType, value: Any, path: Path) -> Iterator[Fault]:
+    choices = [member.value for member in kind.cls]
+    if value not in choices:
+        expected = f"one of {', '.join(choices)}"
+        yield _build_fault(path, value, expected, "choose one of them")
+
+
+@_walk.register
+def _(kind: inspect.UnionType, value: Any, path: Path) -> Iterator[Fault]:
+    """Settings use unions for optional fields only."""
+    if value is None:
+        return
+    (inner,) = (part for part in kind.types if not isinstance(part, inspect.NoneType))
+    yield from _walk(inner, value, path)
+
+
+@_walk.register
+def _(kind: inspect.IntType, value: Any, path: Path) -> Iterator[Fault]:
+    if not isinstance(value, int) or isinstance(value, bool):
+        yield _build_fault(path, value, "a whole number", "write digits alone")
+
+
+@_walk.register
+def _(kind: inspect.FloatType, value: Any, path: Path) -> Iterator[Fault]:
+    if not isinstance(value, int | float) or isinstance(value, bool):
+        yield _build_fault(path, value, "a number", "write a number without quotes")
+
+
+@_walk.register
+def _(kind: inspect.BoolType, value: Any, path: Path) -> Iterator[Fault]:
+    if not isinstance(value, bool):
+        yield _build_fault(path, value, "true or false", "write one of them")
+
+
+@_walk.register
+def _(kind: inspect.StrType, value: Any, path: Path) -> Iterator[Fault]:
+    if not isinstance(value, str):
+        yield _build_fault(path, value, "a text", "put it in double quotes")
+
+
+_TEAM_TYPE = inspect.type_info(TeamSettings)
--- /dev/null
+++ b/packages/common/src/goldcrestvane_common/tree/diff.py
@@ -0,0 +1,52 @@
+"""Differences of two subtrees as lines ``path: old -> new``."""
+
+from functools import singledispatch
+from typing import Any
+
+import msgspec
+
+from goldcrestvane_common.settings import TeamSettings
+from goldcrestvane_common.tree.paths import format_path
+
+ABSENT = "(absent)"
+
+
+def diff_settings(old: TeamSettings | None, new: TeamSettings | None) -> list[str]:
+    """Returns one line for each path that differs, sorted by path.
+
+    Fields left at their defaults count as set, so that the lines show what is in
+    force before and after.
+    """
+    old_values = flatten_settings(old)
+    new_values = flatten_settings(new)
+    return [
+        f"{path}: {old_values.get(path, ABSENT)} -> {new_values.get(path, ABSENT)}"
+        for path in sorted(old_values.keys() | new_values.keys())
+        if old_values.get(path) != new_values.get(path)
+    ]
+
+
+def flatten_settings(settings: TeamSettings | None) -> dict[str, str]:
+    """Returns the JSON text of every field by path, defaults included."""
+    if settings is None:
+        return {}
+    found: dict[str, str] = {}
+    _collect(settings, (), found)
+    return found
+
+
+@singledispatch
+def _collect(value: Any, path: tuple[str, ...], found: dict[str, str]) -> None:
+    found[format_path(path)] = msgspec.json.encode(value).decode()
+
+
+@_collect.register
+def _(value: msgspec.Struct, path: tuple[str, ...], found: dict[str, str]) -> None:
+    for name, item in msgspec.structs.asdict(value).items():
+        _collect(item, (*path, name), found)
+
+
+@_collect.register
+def _(value: dict, path: tuple[str, ...], found: dict[str, str]) -> None:
+    for name, item in value.items():
+        _collect(item, (*path, name), found)
--- /dev/null
+++ b/packages/common/src/goldcrestvane_common/tree/state.py
@@ -0,0 +1,93 @@
+"""A team's subtree as it is stored, with its history."""
+
+from dataclasses import dataclass, field
+from typing import final
+
+import msgspec
+
+from goldcrestvane_common.ids import TeamId, Version
+from goldcrestvane_common.objects import ObjectClient, StoredObject
+from goldcrestvane_common.settings import (
+    AuditRecord,
+    TeamSettings,
+    build_settings_key,
+)
+from goldcrestvane_common.tree.audit import Trail, list_archived
+
+NO_VERSION = Version(0)
+
+
+@final
+class SettingsUnreadable(Exception):
+    """The stored settings do not decode."""
+
+
+@final
+class StoredDocument(msgspec.Struct, frozen=True):
+    """A `TeamDocument` whose settings may be unreadable."""
+
+    settings: msgspec.Raw
+    audit: list[AuditRecord] = []
+    audit_start: int = 0
+
+
+@final
+@dataclass(frozen=True, kw_only=True)
+class TeamState:
+    """A team's subtree as stored.
+
+    Attributes:
+        version: Version of the object; 0 when there is none.
+        settings: Settings in force; None for an unknown or removed team, or when
+            they do not decode.
+        readable: Whether the stored settings decode.
+        trail: Audit records in the document.
+    """
+
+    version: Version = NO_VERSION
+    settings: TeamSettings | None = None
+    readable: bool = True
+    trail: Trail = field(default_factory=lambda: Trail(0, []))
+
+
+async def read_team(objects: ObjectClient, team: TeamId) -> TeamState:
+    """Returns a team's subtree.
+
+    Raises:
+        ObjectsUnavailable: The service does not answer.
+        SettingsUnreadable: The object is no team document at all.
+    """
+    stored = await objects.read(build_settings_key(team))
+    return TeamState() if stored is None else decode_state(stored)
+
+
+def decode_state(stored: StoredObject) -> TeamState:
+    """Returns the state that an object holds; raises `SettingsUnreadable`."""
+    try:
+        document = stored.decode(StoredDocument)
+    except msgspec.DecodeError as error:
+        raise SettingsUnreadable(
+            f"Object {stored.key} at version {stored.version} is no team document: "
+            f"{error}. Restore it with the object API, or update this program."
+        ) from error
+    settings, readable = _decode_settings(document.settings)
+    return TeamState(
+        version=stored.version,
+        settings=settings,
+        readable=readable,
+        trail=Trail(document.audit_start, document.audit),
+    )
+
+
+def _decode_settings(raw: msgspec.Raw) -> tuple[TeamSettings | None, bool]:
+    try:
+        return msgspec.json.decode(raw, type=TeamSettings | None), True
+    except msgspec.DecodeError:
+        return None, False
+
+
+async def read_history(objects: ObjectClient, team: TeamId) -> list[AuditRecord]:
+    """Returns all audit records of a team, oldest first; errors as `read_team`."""
+    state = await read_team(objects, team)
+    archived = await list_archived(objects, team, before=state.trail.start)
+    return archived + state.trail.records
--- /dev/null
+++ b/packages/common/src/goldcrestvane_common/tree/store.py
@@ -0,0 +1,250 @@
+"""Conditional changes of a team's subtree in the object API."""
+
+import time
+import uuid
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import final
+
+import msgspec
+import trio
+
+from goldcrestvane_common.errors import VersionConflict
+from goldcrestvane_common.ids import TeamId, Version
+from goldcrestvane_common.objects import (
+    MAX_VALUE_BYTES,
+    ObjectClient,
+    ObjectConflict,
+    ObjectsUnavailable,
+    StoredObject,
+    WriteUncertain,
+)
+from goldcrestvane_common.settings import (
+    AuditRecord,
+    TeamDocument,
+    TeamSettings,
+    build_settings_key,
+)
+from goldcrestvane_common.tree.audit import archive_records
+from goldcrestvane_common.tree.check import (
+    Fault,
+    SettingsInvalid,
+    check_name,
+    check_settings,
+)
+from goldcrestvane_common.tree.diff import diff_settings
+from goldcrestvane_common.tree.state import (
+    TeamState,
+    decode_state,
+    read_history,
+    read_team,
+)
+
+SETTLE_ATTEMPTS = 10
+SETTLE_PAUSE_SECONDS = 0.3
+UNREADABLE_LINE = "settings: (unreadable) -> replaced as a whole"
+
+
+@final
+class ChangeUncertain(Exception):
+    """The platform failed before the fate of a change could be settled."""
+
+
+@final
+@dataclass(frozen=True, kw_only=True)
+class ChangeOrder:
+    """Who changes a subtree, why, and on which condition.
+
+    Attributes:
+        operator: Name of the operator.
+        action: Subcommand.
+        reason: Free text.
+        expected_version: Version that the operator saw; None takes the current one.
+        token: Unique id of the change.
+    """
+
+    operator: str
+    action: str
+    reason: str = ""
+    expected_version: Version | None = None
+    token: str = field(default_factory=lambda: uuid.uuid4().hex)
+
+
+@final
+@dataclass(frozen=True, kw_only=True)
+class ChangeResult:
+    """An accepted change.
+
+    Attributes:
+        version: Version of the object that has the change.
+        changes: Lines ``path: old -> new``; empty when nothing was to be changed.
+        stored: The object to pass on to processes; None when nothing was written.
+    """
+
+    version: Version
+    changes: list[str]
+    stored: StoredObject | None
+
+
+Change = Callable[[TeamSettings | None], TeamSettings | None]
+
+
+async def change_team(
+    objects: ObjectClient, team: TeamId, change: Change, order: ChangeOrder
+) -> ChangeResult:
+    """Changes a team's subtree and its audit trail in one conditional update.
+
+    Args:
+        objects: Client of the object API.
+        team: Team to change.
+        change: Computes the new settings from the present ones.
+        order: Who, why and on which condition.
+
+    Raises:
+        VersionConflict: Somebody else changed the subtree; nothing was written.
+        SettingsInvalid: The new settings have faults; nothing was written.
+        ObjectsUnavailable: Nothing was written.
+        ChangeUncertain: The platform failed before the fate was known.
+        SettingsUnreadable: The stored object is no team document.
+        AuditDamaged: The audit archive contradicts the document.
+    """
+    _check_team(team)
+    state = await read_team(objects, team)
+    if order.expected_version not in (None, state.version):
+        raise _build_conflict(team, order.expected_version, state)
+    settings = change(state.settings)
+    if settings is not None:
+        check_settings(msgspec.to_builtins(settings))
+    changes = diff_settings(state.settings, settings)
+    if not state.readable:
+        changes.insert(0, UNREADABLE_LINE)
+    if not changes and (settings is None) == (state.settings is None):
+        return ChangeResult(version=state.version, changes=[], stored=None)
+    document = await _build_document(objects, team, state, settings, changes, order)
+    stored = await _write_document(objects, team, state, document, order.token)
+    return ChangeResult(version=stored.version, changes=changes, stored=stored)
+
+
+async def _build_document(
+    objects: ObjectClient,
+    team: TeamId,
+    state: TeamState,
+    settings: TeamSettings | None,
+    changes: list[str],
+    order: ChangeOrder,
+) -> TeamDocument:
+    record = AuditRecord(
+        time=time.time(),
+        operator=order.operator,
+        action=order.action,
+        token=order.token,
+        reason=order.reason,
+        changes=changes,
+    )
+    try:
+        trail = await archive_records(objects, team, state.trail)
+    except WriteUncertain as error:
+        raise ObjectsUnavailable(
+            f"The audit archive of team {team} could not be settled, and the settings "
+            f"were not changed: {error} Run the command again."
+        ) from error
+    document = TeamDocument(
+        settings=settings, audit=[*trail.records, record], audit_start=trail.start
+    )
+    _check_size(document)
+    return document
+
+
+def _check_team(team: TeamId) -> None:
+    if check_name(team):
+        return
+    fault = Fault(
+        path="team",
+        got=repr(team),
+        expected="a name of 1 to 64 letters, digits, dots, dashes or underscores",
+        remedy="choose such a name",
+    )
+    raise SettingsInvalid([fault])
+
+
+def _check_size(document: TeamDocument) -> None:
+    size = len(msgspec.json.encode(document))
+    if size <= MAX_VALUE_BYTES:
+        return
+    fault = Fault(
+        path="",
+        got=f"{size} bytes with the audit records",
+        expected=f"at most {MAX_VALUE_BYTES} bytes",
+        remedy="split the team, or apply the settings in smaller steps",
+    )
+    raise SettingsInvalid([fault])
+
+
+async def _write_document(
+    objects: ObjectClient,
+    team: TeamId,
+    state: TeamState,
+    document: TeamDocument,
+    token: str,
+) -> StoredObject:
+    """Writes a document; an update whose answer was lost is settled first.
+
+    Sending the same conditional update again is safe: it takes effect once at most.
+    """
+    key = build_settings_key(team)
+    unsettled = False
+    for _ in range(SETTLE_ATTEMPTS):
+        try:
+            found = None
+            if unsettled:
+                found = await _find_change(objects, team, state, token)
+            if found is not None:
+                return found
+            version = await objects.write(key, document, expected_version=state.version)
+        except (ObjectConflict, WriteUncertain):
+            unsettled = True
+        except ObjectsUnavailable:
+            if not unsettled:
+                raise
+            await trio.sleep(SETTLE_PAUSE_SECONDS)
+        else:
+            value = msgspec.Raw(msgspec.json.encode(document))
+            return StoredObject(key=key, version=version, value=value)
+    raise ChangeUncertain(
+        f"The platform failed before the change of team {team} was settled; when it "
+        f"answers again, look for token {token} with: goldcrestvane settings history "
+        f"{team} --output=json"
+    )
+
+
+async def _find_change(
+    objects: ObjectClient, team: TeamId, base: TeamState, token: str
+) -> StoredObject | None:
+    """Returns the stored object that has our change, or None when nothing changed.
+
+    Raises:
+        VersionConflict: Somebody else's change took its place.
+    """
+    stored = await objects.read(build_settings_key(team))
+    state = TeamState() if stored is None else decode_state(stored)
+    if state.version == base.version:
+        return None
+    records = state.trail.records
+    if state.trail.start > base.trail.start:
+        records = await read_history(objects, team)
+    if any(record.token == token for record in records):
+        return stored
+    raise _build_conflict(team, base.version, state)
+
+
+def _build_conflict(
+    team: TeamId, expected: Version | None, state: TeamState
+) -> VersionConflict:
+    last = state.trail.records[-1] if state.trail.records else None
+    who = f", last changed by {last.operator} ({last.action})" if last else ""
+    return VersionConflict(
+        f"Got version {state.version} of the settings of team {team}{who}, expected "
+        f"version {expected}; run goldcrestvane settings diff {team} again, then "
+        f"apply with --expected-version={state.version}.",
+        field="expected_version",
+    )
