Add the operators' program goldcrestvane

Cause: operators need settings, audit, status and drain on the command line, with conflicts and outages told apart by exit code. Ruled out: absl's global flags (they clash with the daemon's flags of the same names in one process) and app.run (it exits with 1 on usage faults). Change: one module for each group of subcommands, flags also from the environment, tables or JSON, push of an accepted object to three processes; edits refuse to replace settings that do not decode.

--- /dev/null
+++ b/packages/client/src/goldcrestvane_client/audit_commands.py
@@ -0,0 +1,55 @@
+"""``goldcrestvane audit``: who changed what, over one team or all."""
+
+import msgspec
+
+from goldcrestvane_client.context import Command, Context
+from goldcrestvane_client.output import Report, Table
+from goldcrestvane_client.settings_commands import HISTORY_COLUMNS, build_rows
+from goldcrestvane_common.errors import NotFound
+from goldcrestvane_common.ids import TeamId
+from goldcrestvane_common.settings import AuditRecord
+from goldcrestvane_common.tree.state import read_all_histories, read_history
+
+
+class TeamRecord(msgspec.Struct, frozen=True):
+    """One audit record with its team, for JSON."""
+
+    team: TeamId
+    record: AuditRecord
+
+
+async def show_audit(context: Context, arguments: list[str]) -> Report:
+    """Shows the accepted changes of one team, or of all, by time."""
+    found = await _read_records(context, arguments)
+    if not found:
+        raise NotFound("Got no audit records; check the team's name and --platform.")
+    found.sort(key=lambda entry: entry.record.time)
+    rows = [
+        (entry.team if row[0] else "", *row)
+        for entry in found
+        for row in build_rows(entry.record)
+    ]
+    table = Table(columns=("TEAM", *HISTORY_COLUMNS), rows=rows)
+    return Report(value=found, tables=[table])
+
+
+async def _read_records(context: Context, arguments: list[str]) -> list[TeamRecord]:
+    if arguments:
+        team = TeamId(arguments[0])
+        histories = {team: await read_history(context.objects, team)}
+    else:
+        histories = await read_all_histories(context.objects)
+    return [
+        TeamRecord(team, record)
+        for team, records in histories.items()
+        for record in records
+    ]
+
+
+COMMANDS = (
+    Command(
+        usage="audit [TEAM]",
+        summary="Shows who changed what, over one team or all.",
+        run=show_audit,
+    ),
+)
--- /dev/null
+++ b/packages/client/src/goldcrestvane_client/changes.py
@@ -0,0 +1,51 @@
+"""A change of a team's settings, as commands make it and report on it."""
+
+import msgspec
+
+from goldcrestvane_client.context import Context
+from goldcrestvane_client.output import Report
+from goldcrestvane_client.processes import push_change
+from goldcrestvane_common.ids import TeamId, Version
+from goldcrestvane_common.tree.store import Change, change_team
+
+
+class ChangeSummary(msgspec.Struct, frozen=True):
+    """Result of a change for JSON.
+
+    Attributes:
+        team: Team that was changed.
+        version: Version in force after the command.
+        changes: Lines ``path: old -> new``; empty when nothing had to be changed.
+        pushed: Processes that took the change at once.
+    """
+
+    team: TeamId
+    version: Version
+    changes: list[str]
+    pushed: int = 0
+
+
+async def make_change(
+    context: Context,
+    team: TeamId,
+    change: Change,
+    *,
+    action: str,
+    replaces_all: bool = False,
+) -> Report:
+    """Changes a team's settings, pushes it to a few processes, and reports.
+
+    The errors are those of `change_team`, and `UsageError` without an operator.
+    """
+    order = context.build_order(action, replaces_all=replaces_all)
+    result = await change_team(context.objects, team, change, order)
+    pushed = 0
+    if result.stored is not None:
+        pushed = await push_change(context, result.stored)
+    summary = ChangeSummary(
+        team=team, version=result.version, changes=result.changes, pushed=pushed
+    )
+    outcome = f"team {team} is at version {result.version}"
+    if result.stored is None:
+        return Report(value=summary, lines=[f"{outcome}; nothing to change"])
+    return Report(value=summary, lines=[*result.changes, outcome])
--- /dev/null
+++ b/packages/client/src/goldcrestvane_client/exits.py
@@ -0,0 +1,83 @@
+"""Exit codes, and which error leads to which."""
+
+from enum import Enum
+from functools import singledispatch
+from typing import final
+
+from goldcrestvane_common.errors import (
+    DeadlineExceeded,
+    NotFound,
+    Overloaded,
+    Unavailable,
+    VersionConflict,
+)
+from goldcrestvane_common.objects import ObjectsUnavailable
+from goldcrestvane_common.transport import TransportError
+from goldcrestvane_common.tree.check import SettingsInvalid
+from goldcrestvane_common.tree.paths import PathInvalid
+from goldcrestvane_common.tree.state import SettingsUnreadable
+
+
+class ExitCode(Enum):
+    """How the program ended."""
+
+    OK = 0
+    FAILURE = 1
+    """The command failed; the message says what became of it."""
+    USAGE = 2
+    """The command line is not valid; nothing was sent."""
+    CONFLICT = 3
+    """Somebody else changed the settings; nothing was written."""
+    NOT_FOUND = 4
+    UNAVAILABLE = 5
+    """The platform or the processes do not answer; nothing was written."""
+    INVALID_SETTINGS = 6
+    """The settings have faults; nothing was written."""
+
+
+@final
+class UsageError(Exception):
+    """The command line is not valid."""
+
+
+@singledispatch
+def find_exit_code(error: Exception) -> ExitCode:
+    """Returns the exit code of an error."""
+    return ExitCode.FAILURE
+
+
+@find_exit_code.register(UsageError)
+@find_exit_code.register(PathInvalid)
+def _(error: Exception) -> ExitCode:
+    return ExitCode.USAGE
+
+
+@find_exit_code.register
+def _(error: VersionConflict) -> ExitCode:
+    return ExitCode.CONFLICT
+
+
+@find_exit_code.register
+def _(error: NotFound) -> ExitCode:
+    return ExitCode.NOT_FOUND
+
+
+@find_exit_code.register(ObjectsUnavailable)
+@find_exit_code.register(TransportError)
+@find_exit_code.register(Unavailable)
+@find_exit_code.register(Overloaded)
+@find_exit_code.register(DeadlineExceeded)
+def _(error: Exception) -> ExitCode:
+    return ExitCode.UNAVAILABLE
+
+
+@find_exit_code.register(SettingsInvalid)
+@find_exit_code.register(SettingsUnreadable)
+def _(error: Exception) -> ExitCode:
+    return ExitCode.INVALID_SETTINGS
+
+
+REMEDIES = {
+    ExitCode.UNAVAILABLE: "Check --platform and --instances, and try again later.",
+}
+"""Added to the messages of errors that know nothing of the command line."""
--- /dev/null
+++ b/packages/client/src/goldcrestvane_client/main.py
@@ -0,0 +1,127 @@
+"""Entry point of ``goldcrestvane``, the operators' program."""
+
+import os
+import sys
+from collections.abc import Mapping, Sequence
+from typing import NoReturn, TextIO
+
+import trio
+
+from goldcrestvane_client import (
+    audit_commands,
+    edit_commands,
+    program_commands,
+    settings_commands,
+    status_commands,
+)
+from goldcrestvane_client.context import Command, Context
+from goldcrestvane_client.exits import (
+    REMEDIES,
+    ExitCode,
+    UsageError,
+    find_exit_code,
+)
+from goldcrestvane_client.options import build_flags, parse_command_line
+from goldcrestvane_client.output import print_report
+from goldcrestvane_common.transport import Transport
+
+COMMANDS: dict[tuple[str, ...], Command] = {
+    command.name: command
+    for group in (
+        settings_commands,
+        edit_commands,
+        program_commands,
+        audit_commands,
+        status_commands,
+    )
+    for command in group.COMMANDS
+}
+
+
+async def execute(
+    arguments: Sequence[str],
+    environment: Mapping[str, str],
+    *,
+    results: TextIO,
+    notes: TextIO,
+) -> ExitCode:
+    """Carries out one command line.
+
+    Args:
+        arguments: Command line with the program's name first.
+        environment: Environment variables.
+        results: Stream for the result.
+        notes: Stream for errors and remarks.
+    """
+    try:
+        await _execute(arguments, environment, results, notes)
+    except Exception as error:
+        code = find_exit_code(error)
+        message = f"goldcrestvane: {error}"
+        print(" ".join(filter(None, (message, REMEDIES.get(code)))), file=notes)
+        return code
+    return ExitCode.OK
+
+
+async def _execute(
+    arguments: Sequence[str],
+    environment: Mapping[str, str],
+    results: TextIO,
+    notes: TextIO,
+) -> None:
+    line = parse_command_line(arguments, environment)
+    if line.options.help:
+        print(build_help(), file=results)
+        return
+    command = find_command(line.words)
+    command_arguments = line.words[len(command.name) :]
+    command.check_arguments(command_arguments)
+    async with Transport() as transport:
+        context = Context(
+            options=line.options,
+            transport=transport,
+            notes=notes,
+        )
+        report = await command.run(context, command_arguments)
+    print_report(report, line.options.output, results)
+
+
+def find_command(words: Sequence[str]) -> Command:
+    """Returns the command that the first words name; raises `UsageError`."""
+    for length in (2, 1):
+        command = COMMANDS.get(tuple(words[:length]))
+        if command is not None:
+            return command
+    raise UsageError(
+        f"Got {' '.join(words[:2]) or 'no command'}, expected a command; see "
+        "goldcrestvane --help."
+    )
+
+
+def build_help() -> str:
+    """Returns the commands and flags as text."""
+    usages = {command.usage: command.summary for command in COMMANDS.values()}
+    width = max(len(usage) for usage in usages)
+    lines = ["goldcrestvane COMMAND [FLAGS]", ""]
+    lines += [f"  {usage:{width}}  {text}" for usage, text in usages.items()]
+    return "\n".join([*lines, build_flags().get_help()])
+
+
+def main(arguments: Sequence[str], environment: Mapping[str, str]) -> ExitCode:
+    """Runs one command line with the standard streams."""
+
+    async def call() -> ExitCode:
+        return await execute(
+            arguments, environment, results=sys.stdout, notes=sys.stderr
+        )
+
+    return trio.run(call)
+
+
+def run() -> NoReturn:
+    """Runs the program and exits."""
+    sys.exit(main(sys.argv, os.environ).value)
+
+
+if __name__ == "__main__":
+    run()
--- /dev/null
+++ b/packages/client/src/goldcrestvane_client/options.py
@@ -0,0 +1,133 @@
+"""Options of the command line, from flags and from environment variables.
+
+The flag ``--expected-version`` is also read from ``GOLDCRESTVANE_EXPECTED_VERSION``;
+the flag wins. Dashes and underscores in names of flags mean the same.
+"""
+
+from collections.abc import Mapping, Sequence
+from enum import Enum
+from typing import final
+
+import msgspec
+from absl import flags
+
+from goldcrestvane_client.exits import UsageError
+from goldcrestvane_common.ids import Version
+
+ENVIRONMENT_PREFIX = "GOLDCRESTVANE_"
+
+
+class OutputKind(Enum):
+    """Form of the output."""
+
+    TABLE = "table"
+    JSON = "json"
+
+
+@final
+class Options(msgspec.Struct, frozen=True, kw_only=True):
+    """Checked options; the flags' help describes each."""
+
+    platform: str = ""
+    instances: str = ""
+    operator: str = ""
+    reason: str = ""
+    expected_version: Version | None = None
+    output: OutputKind = OutputKind.TABLE
+    help: bool = False
+
+
+@final
+class CommandLine(msgspec.Struct, frozen=True, kw_only=True):
+    """A parsed command line: options, and the words besides them."""
+
+    options: Options
+    words: list[str]
+
+
+def build_flags() -> flags.FlagValues:
+    """Returns the flags of this program, apart from those of other modules."""
+    values = flags.FlagValues()
+    defaults = Options()
+    flags.DEFINE_string(
+        "platform", defaults.platform, "host:port of the object API.", values
+    )
+    flags.DEFINE_string(
+        "instances", defaults.instances, "host:port of the instance list.", values
+    )
+    flags.DEFINE_string(
+        "operator", "", "Your name, for the audit record of a change.", values
+    )
+    flags.DEFINE_string("reason", "", "Why the change is made.", values)
+    flags.DEFINE_integer(
+        "expected_version",
+        None,
+        "Version that the change is based on; any other is a conflict.",
+        lower_bound=0,
+        flag_values=values,
+    )
+    flags.DEFINE_enum(
+        "output",
+        defaults.output.value,
+        [kind.value for kind in OutputKind],
+        "Form of the output.",
+        flag_values=values,
+    )
+    flags.DEFINE_boolean(
+        "help", False, "Shows the commands and flags.", flag_values=values
+    )
+    values.set_gnu_getopt()
+    return values
+
+
+def parse_command_line(
+    arguments: Sequence[str], environment: Mapping[str, str]
+) -> CommandLine:
+    """Returns the parsed command line.
+
+    Args:
+        arguments: Command line with the program's name first.
+        environment: Environment variables.
+
+    Raises:
+        UsageError: A flag is unknown or its value is not valid.
+    """
+    values = build_flags()
+    try:
+        words = values(_unify_names(arguments))
+        _read_environment(values, environment)
+    except flags.Error as error:
+        raise UsageError(f"{error} See goldcrestvane --help.") from error
+    found = {name: getattr(values, name) for name in Options.__struct_fields__}
+    for name in filter(found.get, ("platform", "instances")):
+        _check_address(name, found[name])
+    return CommandLine(options=msgspec.convert(found, type=Options), words=words[1:])
+
+
+def _unify_names(arguments: Sequence[str]) -> list[str]:
+    """Writes the names of flags with underscores, as they are defined."""
+    unified = list(arguments)
+    for place, argument in enumerate(arguments):
+        if argument == "--":
+            break
+        if argument.startswith("--"):
+            name, separator, value = argument.partition("=")
+            name = f"--{name[2:].replace('-', '_')}"
+            unified[place] = f"{name}{separator}{value}"
+    return unified
+
+
+def _read_environment(values: flags.FlagValues, environment: Mapping[str, str]) -> None:
+    for name in Options.__struct_fields__:
+        value = environment.get(ENVIRONMENT_PREFIX + name.upper())
+        if value is not None and not values[name].present:
+            values[name].parse(value)
+
+
+def _check_address(name: str, value: str) -> None:
+    host, _, port = value.rpartition(":")
+    if not host or not port.isdigit():
+        raise UsageError(
+            f"Got --{name}={value}, expected host:port; correct the flag or the "
+            f"variable {ENVIRONMENT_PREFIX}{name.upper()}."
+        )
--- /dev/null
+++ b/packages/client/src/goldcrestvane_client/processes.py
@@ -0,0 +1,77 @@
+"""The processes of the system: their list, and requests to them."""
+
+import random
+from collections.abc import Sequence
+
+import msgspec
+import trio
+
+from goldcrestvane_client.context import Context
+from goldcrestvane_client.exits import UsageError
+from goldcrestvane_common.control_exchange import push_control
+from goldcrestvane_common.errors import ServiceError
+from goldcrestvane_common.messages import Instance, InstanceList, InstanceState
+from goldcrestvane_common.objects import StoredObject
+from goldcrestvane_common.transport import TransportError
+
+INSTANCES_PATH = "/v1/instances"
+PUSH_COUNT = 3
+
+
+async def list_instances(context: Context) -> list[Instance]:
+    """Returns the platform's list of instances.
+
+    Raises:
+        UsageError: The list's address is missing.
+        TransportError: The list does not answer.
+        ServiceError: The list refused.
+    """
+    if not context.options.instances:
+        raise UsageError(
+            "The instance list's address is missing; give --instances=HOST:PORT or "
+            "set GOLDCRESTVANE_INSTANCES."
+        )
+    reply = await context.transport.send(
+        "GET", context.options.instances, INSTANCES_PATH
+    )
+    return reply.decode(InstanceList).instances
+
+
+async def push_change(context: Context, stored: StoredObject) -> int:
+    """Hands an accepted object to a few processes, and returns to how many.
+
+    Processes pass it on among themselves, so that it takes hold even if the platform
+    fails right after it accepted the change. A failure here changes nothing about the
+    change itself.
+    """
+    try:
+        instances = await list_instances(context)
+    except (UsageError, TransportError, ServiceError) as error:
+        context.note(f"accepted, but pushed to no process: {error}")
+        return 0
+    chosen = _choose(instances, seed=stored.version)
+    reached: list[Instance] = []
+    async with trio.open_nursery() as nursery:
+        for instance in chosen:
+            nursery.start_soon(_push, context, instance, stored, reached)
+    if chosen and not reached:
+        context.note(
+            "accepted, but no process took the push; they read it at the platform"
+        )
+    return len(reached)
+
+
+def _choose(instances: Sequence[Instance], *, seed: int) -> list[Instance]:
+    live = [row for row in instances if row.state is InstanceState.LIVE]
+    return random.Random(seed).sample(live, min(PUSH_COUNT, len(live)))
+
+
+async def _push(
+    context: Context, instance: Instance, stored: StoredObject, reached: list[Instance]
+) -> None:
+    try:
+        await push_control(context.transport, instance.address, [stored])
+    except (TransportError, ServiceError, msgspec.DecodeError) as error:
+        context.note(f"{instance.instance} did not take the push: {error}")
+        return
+    reached.append(instance)
--- /dev/null
+++ b/packages/client/src/goldcrestvane_client/program_commands.py
@@ -0,0 +1,56 @@
+"""``goldcrestvane program show``: the state of one program."""
+
+import msgspec
+
+from goldcrestvane_client.context import Command, Context
+from goldcrestvane_client.output import Report, Table
+from goldcrestvane_client.processes import list_instances
+from goldcrestvane_common.errors import Unavailable
+from goldcrestvane_common.ids import ProgramId, TeamId
+from goldcrestvane_common.messages import (
+    PROGRAM_SHOW_PATH,
+    InstanceState,
+    ProgramQuery,
+    ProgramView,
+    Role,
+)
+from goldcrestvane_common.transport import TransportError
+
+
+async def show_program(context: Context, arguments: list[str]) -> Report:
+    """Shows a program; the first entry that answers finds its owner."""
+    query = ProgramQuery(team=TeamId(arguments[0]), program=ProgramId(arguments[1]))
+    view = await _ask_entries(context, query)
+    return Report(value=view, tables=[_build_table(view)])
+
+
+async def _ask_entries(context: Context, query: ProgramQuery) -> ProgramView:
+    for instance in await list_instances(context):
+        if instance.role is not Role.ENTRY or instance.state is InstanceState.LEAVING:
+            continue
+        try:
+            reply = await context.transport.send(
+                "POST", instance.address, PROGRAM_SHOW_PATH, value=query
+            )
+            return reply.decode(ProgramView)
+        except TransportError as error:
+            context.note(f"entry {instance.instance} does not answer: {error}")
+    raise Unavailable("No live entry answered; see goldcrestvane status.")
+
+
+def _build_table(view: ProgramView) -> Table:
+    fields = msgspec.to_builtins(view)
+    rows = [
+        (name.replace("_", " "), msgspec.json.encode(value).decode())
+        for name, value in fields.items()
+    ]
+    return Table(columns=("FIELD", "VALUE"), rows=rows)
+
+
+COMMANDS = (
+    Command(
+        usage="program show TEAM PROGRAM",
+        summary="Shows the state, budget and owner of a program.",
+        run=show_program,
+    ),
+)
--- /dev/null
+++ b/packages/client/src/goldcrestvane_client/settings_commands.py
@@ -0,0 +1,185 @@
+"""``goldcrestvane settings``: a team's subtree as a whole."""
+
+from datetime import UTC, datetime
+from typing import Any
+
+import msgspec
+import trio
+
+from goldcrestvane_client.changes import ChangeSummary, make_change
+from goldcrestvane_client.context import Command, Context
+from goldcrestvane_client.exits import UsageError
+from goldcrestvane_client.output import Report, Table
+from goldcrestvane_common.errors import NotFound
+from goldcrestvane_common.ids import TeamId, Version
+from goldcrestvane_common.settings import AuditRecord, TeamSettings
+from goldcrestvane_common.tree.check import Fault, SettingsInvalid, check_settings
+from goldcrestvane_common.tree.diff import diff_settings, flatten_settings
+from goldcrestvane_common.tree.state import (
+    TeamState,
+    check_readable,
+    read_history,
+    read_team,
+)
+from goldcrestvane_common.tree.store import UNREADABLE_LINE
+
+
+class TeamSummary(msgspec.Struct, frozen=True):
+    """A team's subtree for JSON."""
+
+    team: TeamId
+    version: Version
+    settings: TeamSettings
+
+
+async def show_settings(context: Context, arguments: list[str]) -> Report:
+    """Shows the settings in force, defaults included."""
+    team = TeamId(arguments[0])
+    state = await read_team(context.objects, team)
+    settings = get_settings(team, state)
+    return Report(
+        value=TeamSummary(team, state.version, settings),
+        lines=[f"team {team} is at version {state.version}"],
+        tables=[
+            Table(
+                columns=("PATH", "VALUE"),
+                rows=sorted(flatten_settings(settings).items()),
+            )
+        ],
+    )
+
+
+def get_settings(team: TeamId, state: TeamState) -> TeamSettings:
+    """Returns the settings of a stored subtree.
+
+    Raises:
+        NotFound: The team is unknown or was removed.
+        SettingsUnreadable: The settings do not decode.
+    """
+    check_readable(team, state)
+    if state.settings is None:
+        raise NotFound(
+            f"Got no settings for team {team}; create them with: goldcrestvane "
+            f"settings apply {team} FILE"
+        )
+    return state.settings
+
+
+async def diff_file(context: Context, arguments: list[str]) -> Report:
+    """Shows what applying a file would change."""
+    team = TeamId(arguments[0])
+    new = await read_settings_file(arguments[1])
+    state = await read_team(context.objects, team)
+    changes = diff_settings(state.settings, new)
+    if not state.readable:
+        changes.insert(0, UNREADABLE_LINE)
+    summary = ChangeSummary(team=team, version=state.version, changes=changes)
+    remark = f"based on version {state.version}; {len(changes)} paths differ"
+    return Report(value=summary, lines=[*changes, remark])
+
+
+async def apply_file(context: Context, arguments: list[str]) -> Report:
+    """Puts the settings of a file in force."""
+    new = await read_settings_file(arguments[1])
+    return await make_change(
+        context,
+        TeamId(arguments[0]),
+        lambda _: new,
+        action="settings apply",
+        replaces_all=True,
+    )
+
+
+async def remove_settings(context: Context, arguments: list[str]) -> Report:
+    """Removes a team; its history stays."""
+    team = TeamId(arguments[0])
+
+    def remove(old: TeamSettings | None) -> None:
+        if old is None:
+            raise NotFound(
+                f"Got no settings for team {team}; check the name with: goldcrestvane "
+                "audit"
+            )
+
+    return await make_change(context, team, remove, action="settings remove")
+
+
+async def show_history(context: Context, arguments: list[str]) -> Report:
+    """Shows every accepted change of a team, oldest first."""
+    team = TeamId(arguments[0])
+    records = await read_history(context.objects, team)
+    if not records:
+        raise NotFound(f"Got no history for team {team}; check the name.")
+    rows = [row for record in records for row in build_rows(record)]
+    table = Table(columns=HISTORY_COLUMNS, rows=rows)
+    return Report(value=records, tables=[table])
+
+
+HISTORY_COLUMNS = ("TIME", "OPERATOR", "ACTION", "REASON", "CHANGE")
+
+
+def build_rows(record: AuditRecord) -> list[tuple[str, ...]]:
+    """Returns one row for each change of a record, under `HISTORY_COLUMNS`."""
+    time = datetime.fromtimestamp(record.time, UTC).isoformat(timespec="seconds")
+    first, *others = record.changes or [""]
+    head = (time, record.operator, record.action, record.reason, first)
+    return [head, *(("", "", "", "", change) for change in others)]
+
+
+async def read_settings_file(name: str) -> TeamSettings:
+    """Returns the checked settings of a JSON file.
+
+    Raises:
+        UsageError: The file cannot be read.
+        SettingsInvalid: The file has faults; the error lists all of them.
+    """
+    try:
+        content = await trio.Path(name).read_bytes()
+    except OSError as error:
+        raise UsageError(
+            f"Got file {name}, which cannot be read: {error.strerror}; expected a "
+            "JSON file with a team's settings."
+        ) from error
+    return check_settings(_decode_json(name, content))
+
+
+def _decode_json(name: str, content: bytes) -> Any:
+    try:
+        return msgspec.json.decode(content)
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+        fault = Fault(
+            path="",
+            got=f"{name}: {error}",
+            expected="one JSON object",
+            remedy="correct the JSON",
+        )
+        raise SettingsInvalid([fault]) from error
+
+
+COMMANDS = (
+    Command(
+        usage="settings show TEAM",
+        summary="Shows a team's settings, defaults included.",
+        run=show_settings,
+    ),
+    Command(
+        usage="settings diff TEAM FILE",
+        summary="Shows what applying a JSON file would change.",
+        run=diff_file,
+    ),
+    Command(
+        usage="settings apply TEAM FILE",
+        summary="Puts the settings of a JSON file in force.",
+        run=apply_file,
+    ),
+    Command(
+        usage="settings remove TEAM",
+        summary="Removes a team; its history stays.",
+        run=remove_settings,
+    ),
+    Command(
+        usage="settings history TEAM",
+        summary="Shows every accepted change of a team.",
+        run=show_history,
+    ),
+)
--- /dev/null
+++ b/packages/client/src/goldcrestvane_client/status_commands.py
@@ -0,0 +1,193 @@
+"""``goldcrestvane status`` and ``goldcrestvane drain``: the processes."""
+
+from collections import Counter
+from collections.abc import Sequence
+from dataclasses import dataclass
+from typing import final
+
+import msgspec
+import trio
+
+from goldcrestvane_client.context import Command, Context
+from goldcrestvane_client.output import Report, Table
+from goldcrestvane_client.processes import list_instances
+from goldcrestvane_common.errors import NotFound, ServiceError
+from goldcrestvane_common.ids import TeamId, Version
+from goldcrestvane_common.messages import (
+    DRAIN_PATH,
+    SHARD_MAP_KEY,
+    STATUS_PATH,
+    Accepted,
+    Instance,
+    ProcessStatus,
+    ShardMap,
+)
+from goldcrestvane_common.objects import ObjectsUnavailable
+from goldcrestvane_common.transport import TransportError
+
+STATUS_TIMEOUT_SECONDS = 2.0
+MAX_CONCURRENT_REQUESTS = 32
+UNOWNED = "(none)"
+PROCESS_COLUMNS = (
+    "INSTANCE",
+    "ROLE",
+    "DOMAIN",
+    "SERVICE",
+    "STATE",
+    "SHARDS",
+    "PROGRAMS",
+    "IN FLIGHT",
+    "RUNNING",
+    "QUEUED",
+    "SLOTS",
+    "TEAMS BEHIND",
+)
+
+
+class ProcessReport(msgspec.Struct, frozen=True, omit_defaults=True):
+    """One process as listed and as it answered.
+
+    Attributes:
+        listed: Row of the platform's list.
+        status: Its own answer; None when it did not answer.
+        error: Why it did not answer.
+    """
+
+    listed: Instance
+    status: ProcessStatus | None = None
+    error: str = ""
+
+
+@final
+@dataclass(frozen=True, kw_only=True)
+class SystemReport:
+    """The whole system; `shard_map` is None when the platform does not give it."""
+
+    processes: list[ProcessReport]
+    shard_map: ShardMap | None
+
+
+async def show_status(context: Context, arguments: list[str]) -> Report:
+    """Shows every process, and how many shards each owns."""
+    instances = await list_instances(context)
+    reports = await _ask_processes(context, instances)
+    shard_map = await _read_shard_map(context)
+    tables = [_build_process_table(reports)]
+    if shard_map is not None:
+        tables.append(_build_shard_table(shard_map))
+    value = SystemReport(processes=reports, shard_map=shard_map)
+    return Report(value=value, tables=tables)
+
+
+async def _ask_processes(
+    context: Context, instances: Sequence[Instance]
+) -> list[ProcessReport]:
+    limiter = trio.CapacityLimiter(MAX_CONCURRENT_REQUESTS)
+    reports: dict[str, ProcessReport] = {}
+
+    async def ask(instance: Instance) -> None:
+        async with limiter:
+            reports[instance.instance] = await _ask_process(context, instance)
+
+    async with trio.open_nursery() as nursery:
+        for instance in instances:
+            nursery.start_soon(ask, instance)
+    return [reports[instance.instance] for instance in instances]
+
+
+async def _ask_process(context: Context, instance: Instance) -> ProcessReport:
+    try:
+        reply = await context.transport.send(
+            "GET", instance.address, STATUS_PATH, timeout=STATUS_TIMEOUT_SECONDS
+        )
+        status = reply.decode(ProcessStatus)
+    except (TransportError, ServiceError) as error:
+        return ProcessReport(listed=instance, error=str(error))
+    return ProcessReport(listed=instance, status=status)
+
+
+async def _read_shard_map(context: Context) -> ShardMap | None:
+    try:
+        stored = await context.objects.read(SHARD_MAP_KEY)
+    except ObjectsUnavailable as error:
+        context.note(f"the shard map is not there: {error}")
+        return None
+    return None if stored is None else stored.decode(ShardMap)
+
+
+def _build_process_table(reports: Sequence[ProcessReport]) -> Table:
+    newest = _find_newest(reports)
+    rows = [
+        (*_build_listed_cells(report.listed), *_build_status_cells(report, newest))
+        for report in reports
+    ]
+    return Table(columns=PROCESS_COLUMNS, rows=rows)
+
+
+def _find_newest(reports: Sequence[ProcessReport]) -> dict[TeamId, Version]:
+    newest: dict[TeamId, Version] = {}
+    for report in reports:
+        versions = report.status.settings_versions if report.status else {}
+        for team, version in versions.items():
+            newest[team] = max(version, newest.get(team, Version(0)))
+    return newest
+
+
+def _build_listed_cells(listed: Instance) -> tuple[object, ...]:
+    return listed.instance, listed.role.value, listed.domain, listed.service or "-"
+
+
+def _build_status_cells(
+    report: ProcessReport, newest: dict[TeamId, Version]
+) -> tuple[object, ...]:
+    status = report.status
+    if status is None:
+        return ("no answer", *["-"] * 7)
+    load = status.load
+    target = (load.running, load.queued, load.slots) if load else ("-", "-", "-")
+    behind = sum(
+        status.settings_versions.get(team, 0) < version
+        for team, version in newest.items()
+    )
+    return (
+        status.instance.state.value,
+        len(status.shards),
+        status.open_programs,
+        status.in_flight,
+        *target,
+        behind,
+    )
+
+
+def _build_shard_table(shard_map: ShardMap) -> Table:
+    counts = Counter(
+        entry.owner if entry is not None else UNOWNED for entry in shard_map.shards
+    )
+    return Table(columns=("OWNER", "SHARDS"), rows=sorted(counts.items()))
+
+
+async def drain_instance(context: Context, arguments: list[str]) -> Report:
+    """Orders a process to finish its work and leave."""
+    name = arguments[0]
+    for instance in await list_instances(context):
+        if instance.instance == name:
+            reply = await context.transport.send("POST", instance.address, DRAIN_PATH)
+            answer = reply.decode(Accepted)
+            return Report(value=answer, lines=[f"{name} is {answer.state}"])
+    raise NotFound(
+        f"Got instance {name}, which is not in the list; see: goldcrestvane status"
+    )
+
+
+COMMANDS = (
+    Command(
+        usage="status",
+        summary="Shows every process, and who owns the shards.",
+        run=show_status,
+    ),
+    Command(
+        usage="drain INSTANCE",
+        summary="Orders a process to finish its work and leave.",
+        run=drain_instance,
+    ),
+)
--- /dev/null
+++ b/packages/client/tests/system.py
@@ -0,0 +1,171 @@
+"""The object API, the instance list and processes, served for one test."""
+
+import contextlib
+import io
+import json
+import tempfile
+from pathlib import Path
+
+import trio
+
+from goldcrestvane_client.main import execute
+from goldcrestvane_common.control_exchange import ControlRoutes
+from goldcrestvane_common.control_replica import ControlReplica
+from goldcrestvane_common.errors import NotFound
+from goldcrestvane_common.messages import (
+    DRAIN_PATH,
+    PROGRAM_SHOW_PATH,
+    STATUS_PATH,
+    Accepted,
+    Instance,
+    InstanceState,
+    ProcessStatus,
+    ProgramQuery,
+    ProgramState,
+    ProgramView,
+    Role,
+    TargetLoad,
+)
+from goldcrestvane_common.server import Application, JsonResponse, Router, serve_http
+from goldcrestvane_common.transport import Transport
+from goldcrestvane_standins.instances import InstanceApi
+from goldcrestvane_standins.objectapi import ObjectApi
+from goldcrestvane_standins.objectstore import ObjectStore
+from goldcrestvane_standins.programs import serve_router
+
+CLOSED_ADDRESS = "127.0.0.1:1"
+
+
+class Result:
+    def __init__(self, code, results, notes):
+        self.code = code
+        self.results = results
+        self.notes = notes
+
+    @property
+    def json(self):
+        return json.loads(self.results)
+
+
+class FakeProcess:
+    """Answers as an entry or sidecar would, and keeps what was pushed to it."""
+
+    def __init__(self, instance, role, settings_versions):
+        self.row = Instance(instance=instance, role=role, address="", domain="d1")
+        self.settings_versions = settings_versions
+        self.replica = ControlReplica()
+        self.router = Router()
+        ControlRoutes(
+            self.replica, lambda found: len(self.replica.merge(found)), lambda: True
+        ).add_routes(self.router)
+        self.router.add("GET", STATUS_PATH, self.serve_status)
+        self.router.add("POST", DRAIN_PATH, self.serve_drain)
+        self.router.add("POST", PROGRAM_SHOW_PATH, self.serve_program)
+        self.state = InstanceState.LIVE
+
+    async def serve_status(self, request):
+        load = TargetLoad(running=2, queued=1, slots=8)
+        is_sidecar = self.row.role is Role.SIDECAR
+        return JsonResponse(
+            value=ProcessStatus(
+                instance=self.row,
+                shards=[0, 2],
+                load=load if is_sidecar else None,
+                settings_versions=self.settings_versions,
+            )
+        )
+
+    async def serve_drain(self, request):
+        self.state = InstanceState.LEAVING
+        return JsonResponse(value=Accepted("leaving"))
+
+    async def serve_program(self, request):
+        query = request.decode(ProgramQuery)
+        if query.program != "known":
+            raise NotFound(f"Program {query.program} does not exist.")
+        return JsonResponse(
+            value=ProgramView(
+                team=query.team,
+                program=query.program,
+                kind="fitting",
+                state=ProgramState.OPEN,
+                owner="s1",
+                shard=3,
+                epoch=4,
+                next_sequence=2,
+            )
+        )
+
+
+class System:
+    def __init__(self, transport, platform, instances, folder):
+        self.transport = transport
+        self.platform = platform
+        self.instances = instances
+        self.folder = Path(folder)
+
+    async def call(self, *words, environment=None):
+        results, notes = io.StringIO(), io.StringIO()
+        arguments = [
+            "goldcrestvane",
+            f"--platform={self.platform}",
+            f"--instances={self.instances}",
+            *words,
+        ]
+        if not any(word.startswith("--operator") for word in words):
+            arguments.append("--operator=ada")
+        code = await execute(arguments, environment or {}, results=results, notes=notes)
+        return Result(code, results.getvalue(), notes.getvalue())
+
+    async def control(self, method, path, value=None):
+        reply = await self.transport.send(method, self.platform, path, value=value)
+        return reply.decode(object)
+
+    async def list_instance(self, row):
+        path = f"/control/instances/{row.instance}"
+        reply = await self.transport.send("PUT", self.instances, path, value=row)
+        reply.decode(object)
+
+    def write_file(self, name, value):
+        path = self.folder / name
+        path.write_text(value if isinstance(value, str) else json.dumps(value))
+        return str(path)
+
+    async def start_process(self, nursery, instance, role, settings_versions=None):
+        process = FakeProcess(instance, role, settings_versions or {})
+        address = await nursery.start(
+            serve_http, Application(process.router), "127.0.0.1:0"
+        )
+        process.row = Instance(
+            instance=instance, role=role, address=address, domain="d1"
+        )
+        await self.list_instance(process.row)
+        return process
+
+
+def build_objects(nursery):
+    return ObjectApi(ObjectStore(watch_window=1000)).build_router()
+
+
+def build_instances(nursery):
+    return InstanceApi(lag=0.0).build_router()
+
+
+def run_system(check):
+    """Runs `check(system, nursery)` against stand-ins of the platform."""
+
+    async def main():
+        with contextlib.ExitStack() as stack:
+            folder = stack.enter_context(tempfile.TemporaryDirectory())
+            async with Transport() as transport, trio.open_nursery() as nursery:
+                platform = await nursery.start(
+                    serve_router, build_objects, "127.0.0.1:0"
+                )
+                instances = await nursery.start(
+                    serve_router, build_instances, "127.0.0.1:0"
+                )
+                system = System(transport, platform, instances, folder)
+                await check(system, nursery)
+                nursery.cancel_scope.cancel()
+
+    trio.run(main)
--- /dev/null
+++ b/packages/client/tests/test_processes.py
@@ -0,0 +1,48 @@
+import unittest
+
+from system import CLOSED_ADDRESS, run_system
+
+from goldcrestvane_client.exits import ExitCode
+from goldcrestvane_client.processes import PUSH_COUNT
+from goldcrestvane_common.messages import Instance, Role
+
+KEY = "control/settings/alpha"
+
+
+class PushTests(unittest.TestCase):
+    def test_accepted_change_is_pushed_to_a_few_processes(self):
+        async def check(system, nursery):
+            processes = [
+                await system.start_process(nursery, f"s{number}", Role.SIDECAR)
+                for number in range(PUSH_COUNT + 2)
+            ]
+            result = await system.call(
+                "set", "alpha", "cache_weight", "0.1", "--output=json"
+            )
+            self.assertEqual(result.json["pushed"], PUSH_COUNT)
+            held = [process.replica.get(KEY) for process in processes]
+            held = [stored for stored in held if stored is not None]
+            self.assertEqual(len(held), PUSH_COUNT)
+            stored = await system.control("GET", f"/v1/objects/{KEY}")
+            self.assertEqual(held[0].version, stored["version"])
+            self.assertEqual(held[0].decode(dict), stored["value"])
+
+        run_system(check)
+
+    def test_change_stands_when_no_process_can_be_reached(self):
+        async def check(system, nursery):
+            await system.list_instance(
+                Instance(
+                    instance="z", role=Role.ENTRY, address=CLOSED_ADDRESS, domain="d"
+                )
+            )
+            result = await system.call("set", "alpha", "cache_weight", "0.1")
+            self.assertEqual(result.code, ExitCode.OK)
+            self.assertIn("accepted", result.notes)
+            result = await system.call(
+                "set", "alpha", "cache_weight", "0.2", f"--instances={CLOSED_ADDRESS}"
+            )
+            self.assertEqual(result.code, ExitCode.OK)
+            self.assertIn("accepted", result.notes)
+
+        run_system(check)
--- /dev/null
+++ b/packages/client/tests/test_program_commands.py
@@ -0,0 +1,32 @@
+import unittest
+
+from system import CLOSED_ADDRESS, run_system
+
+from goldcrestvane_client.exits import ExitCode
+from goldcrestvane_common.messages import Instance, Role
+
+
+class ProgramCommandTests(unittest.TestCase):
+    def test_show_asks_the_next_entry_when_one_is_gone(self):
+        async def check(system, nursery):
+            await system.list_instance(
+                Instance(
+                    instance="a", role=Role.ENTRY, address=CLOSED_ADDRESS, domain="d"
+                )
+            )
+            await system.start_process(nursery, "e1", Role.ENTRY)
+            result = await system.call("program", "show", "alpha", "known")
+            self.assertEqual(result.code, ExitCode.OK, result.notes)
+            self.assertRegex(result.results, r'owner +"s1"')
+            unknown = await system.call("program", "show", "alpha", "other")
+            self.assertEqual(unknown.code, ExitCode.NOT_FOUND)
+
+        run_system(check)
+
+    def test_show_without_a_live_entry_is_unavailable(self):
+        async def check(system, nursery):
+            await system.start_process(nursery, "s1", Role.SIDECAR)
+            result = await system.call("program", "show", "alpha", "known")
+            self.assertEqual(result.code, ExitCode.UNAVAILABLE)
+
+        run_system(check)
--- /dev/null
+++ b/packages/client/tests/test_status_commands.py
@@ -0,0 +1,57 @@
+import unittest
+
+from system import CLOSED_ADDRESS, run_system
+
+from goldcrestvane_client.exits import ExitCode
+from goldcrestvane_common.messages import Instance, InstanceState, Role
+
+
+class StatusCommandTests(unittest.TestCase):
+    def test_status_shows_processes_and_shards(self):
+        async def check(system, nursery):
+            await system.start_process(nursery, "e1", Role.ENTRY, {"alpha": 5})
+            await system.start_process(nursery, "s1", Role.SIDECAR, {"alpha": 4})
+            await system.list_instance(
+                Instance(
+                    instance="z", role=Role.ENTRY, address=CLOSED_ADDRESS, domain="d"
+                )
+            )
+            shards = {"shards": [["s1", "s1:1", 1], None, ["s1", "s1:1", 1]]}
+            body = {"value": shards, "expected_version": 0}
+            await system.control("PUT", "/v1/objects/control/shards", body)
+            result = await system.call("status")
+            self.assertEqual(result.code, ExitCode.OK, result.notes)
+            lines = {
+                line.split()[0]: line for line in result.results.splitlines() if line
+            }
+            self.assertTrue(lines["e1"].endswith("0"))
+            self.assertIn("no answer", lines["z"])
+            self.assertRegex(lines["(none)"], r"\(none\) +1$")
+            whole = await system.call("status", "--output=json")
+            self.assertEqual(whole.json["shard_map"]["shards"][1], None)
+            sidecar = whole.json["processes"][1]["status"]
+            self.assertEqual(sidecar["load"]["running"], 2)
+
+        run_system(check)
+
+    def test_status_during_an_outage_leaves_out_the_shard_map(self):
+        async def check(system, nursery):
+            await system.start_process(nursery, "e1", Role.ENTRY)
+            await system.control("PUT", "/control/faults", {"outage": True})
+            result = await system.call("status", "--output=json")
+            self.assertEqual(result.code, ExitCode.OK)
+            self.assertIsNone(result.json["shard_map"])
+            self.assertIn("shard map", result.notes)
+
+        run_system(check)
+
+    def test_drain_orders_the_process_to_leave(self):
+        async def check(system, nursery):
+            process = await system.start_process(nursery, "e1", Role.ENTRY)
+            result = await system.call("drain", "e1")
+            self.assertEqual(result.results, "e1 is leaving\n")
+            self.assertIs(process.state, InstanceState.LEAVING)
+            unknown = await system.call("drain", "e2")
+            self.assertEqual(unknown.code, ExitCode.NOT_FOUND)
+
+        run_system(check)
--- a/packages/common/src/goldcrestvane_common/tree/audit.py
+++ b/packages/common/src/goldcrestvane_common/tree/audit.py
@@ -5,7 +5,7 @@
 so that a record is always in one place at least.
 """
 
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 from typing import final
 
 import msgspec
@@ -101,14 +101,21 @@
     objects: ObjectClient, team: TeamId, *, before: int
 ) -> list[AuditRecord]:
     """Returns the archived records with numbers below `before`, oldest first."""
-    listed = await objects.list(build_archive_key(team, 0).removesuffix("0"))
-    archives = {_read_start(stored): stored for stored in listed.objects}
+    listed = await objects.list(f"{AUDIT_PREFIX}{team}/")
+    return join_archives(listed.objects, before=before)
+
+
+def join_archives(
+    archives: Iterable[StoredObject], *, before: int
+) -> list[AuditRecord]:
+    """Returns the records of one team's archives with numbers below `before`.
+
+    An archive that begins at `before` or later was written for a change that did not
+    come to be; its records are in the document still.
+    """
+    starts = {int(stored.key.rpartition("/")[2]): stored for stored in archives}
     records: list[AuditRecord] = []
-    for start in sorted(archives):
+    for start in sorted(starts):
         if start < before:
-            records.extend(archives[start].decode(list[AuditRecord]))
+            records.extend(starts[start].decode(list[AuditRecord]))
     return records
-
-
-def _read_start(stored: StoredObject) -> int:
-    return int(stored.key.rpartition("/")[2])
--- a/packages/common/src/goldcrestvane_common/tree/state.py
+++ b/packages/common/src/goldcrestvane_common/tree/state.py
@@ -1,5 +1,6 @@
 """A team's subtree as it is stored, with its history."""
 
+from collections import defaultdict
 from dataclasses import dataclass, field
 from typing import final
 
@@ -8,11 +9,17 @@
 from goldcrestvane_common.ids import TeamId, Version
 from goldcrestvane_common.objects import ObjectClient, StoredObject
 from goldcrestvane_common.settings import (
+    SETTINGS_PREFIX,
     AuditRecord,
     TeamSettings,
     build_settings_key,
 )
-from goldcrestvane_common.tree.audit import Trail, list_archived
+from goldcrestvane_common.tree.audit import (
+    AUDIT_PREFIX,
+    Trail,
+    join_archives,
+    list_archived,
+)
 
 NO_VERSION = Version(0)
 
@@ -86,8 +93,38 @@
         return None, False
 
 
+def check_readable(team: TeamId, state: TeamState) -> None:
+    """Raises `SettingsUnreadable` when a team's settings do not decode."""
+    if not state.readable:
+        raise SettingsUnreadable(
+            f"The settings of team {team} at version {state.version} do not decode; "
+            f"apply valid ones with: goldcrestvane settings apply {team} FILE"
+        )
+
+
 async def read_history(objects: ObjectClient, team: TeamId) -> list[AuditRecord]:
     """Returns all audit records of a team, oldest first; errors as `read_team`."""
     state = await read_team(objects, team)
     archived = await list_archived(objects, team, before=state.trail.start)
     return archived + state.trail.records
+
+
+async def read_all_histories(
+    objects: ObjectClient,
+) -> dict[TeamId, list[AuditRecord]]:
+    """Returns the audit records of every team; errors as `read_team`.
+
+    The documents are listed before the archives, so that a record which is archived
+    meanwhile is found in one of them.
+    """
+    documents = await objects.list(SETTINGS_PREFIX)
+    archives = defaultdict(list)
+    for stored in (await objects.list(AUDIT_PREFIX)).objects:
+        archives[stored.key.split("/")[1]].append(stored)
+    histories = {}
+    for stored in documents.objects:
+        team = TeamId(stored.key.removeprefix(SETTINGS_PREFIX))
+        trail = decode_state(stored).trail
+        earlier = join_archives(archives[team], before=trail.start)
+        histories[team] = earlier + trail.records
+    return histories
--- a/packages/common/src/goldcrestvane_common/tree/store.py
+++ b/packages/common/src/goldcrestvane_common/tree/store.py
@@ -35,6 +35,7 @@
 from goldcrestvane_common.tree.diff import diff_settings
 from goldcrestvane_common.tree.state import (
     TeamState,
+    check_readable,
     decode_state,
     read_history,
     read_team,
@@ -60,6 +61,8 @@
         action: Subcommand.
         reason: Free text.
         expected_version: Version that the operator saw; None takes the current one.
+        replaces_all: Whether the change replaces the subtree whatever it was, so
+            that it may replace one that does not decode.
         token: Unique id of the change.
     """
 
@@ -67,6 +70,7 @@
     action: str
     reason: str = ""
     expected_version: Version | None = None
+    replaces_all: bool = False
     token: str = field(default_factory=lambda: uuid.uuid4().hex)
 
 
@@ -105,13 +109,15 @@
         SettingsInvalid: The new settings have faults; nothing was written.
         ObjectsUnavailable: Nothing was written.
         ChangeUncertain: The platform failed before the fate was known.
-        SettingsUnreadable: The stored object is no team document.
+        SettingsUnreadable: The stored object does not decode.
         AuditDamaged: The audit archive contradicts the document.
     """
     _check_team(team)
     state = await read_team(objects, team)
     if order.expected_version not in (None, state.version):
         raise _build_conflict(team, order.expected_version, state)
+    if not order.replaces_all:
+        check_readable(team, state)
     settings = change(state.settings)
     if settings is not None:
         check_settings(msgspec.to_builtins(settings))
--- a/packages/common/tests/tree/test_store.py
+++ b/packages/common/tests/tree/test_store.py
@@ -42,6 +42,7 @@
             operator=operator,
             action="apply",
             expected_version=expected,
+            replaces_all=True,
             token=token or f"token-{next(self.tokens)}",
         )
         return self.run_task(
@@ -165,6 +166,15 @@
         self.objects.put(KEY, {"settings": {"colour": "blue"}})
         self.assertIn(UNREADABLE_LINE, self.apply(0.1).changes)
 
+    def test_unreadable_settings_are_not_edited(self):
+        self.objects.put(KEY, {"settings": {"colour": "blue"}})
+        order = ChangeOrder(operator="ada", action="set")
+        with self.assertRaises(SettingsUnreadable):
+            self.run_task(
+                change_team, self.objects, "alpha", lambda _: TeamSettings(), order
+            )
+        self.assertEqual(self.objects.revision, 1)
+
     def test_object_that_is_no_document_is_left_alone(self):
         self.objects.put(KEY, [1])
         with self.assertRaises(SettingsUnreadable):
