--- a/packages/common/src/goldcrestvane_common/objects.py
+++ b/packages/common/src/goldcrestvane_common/objects.py
@@ -16,6 +16,8 @@
 REQUEST_TIMEOUT_SECONDS = 5.0
 WATCH_MARGIN_SECONDS = 5.0
 MAX_VALUE_BYTES = 1024 * 1024
+STATUSES_AFTER_A_START = (500, 502, 504)
+"""Answers to a write that the service, or one behind it, may have begun."""
 
 
 class StoredObject(msgspec.Struct, frozen=True, omit_defaults=True):
@@ -189,6 +191,8 @@
 
 
 def _check_write(key: str, reply: Reply) -> None:
+    if reply.status in STATUSES_AFTER_A_START:
+        raise WriteUncertain(f"The write of {key} got status {reply.status}.")
     _check_available(reply)
     if reply.status == 409:
         raise ObjectConflict(f"Object {key} has another version; read it again.")
--- /dev/null
+++ b/packages/common/tests/test_objects.py
@@ -0,0 +1,48 @@
+import unittest
+from functools import partial
+
+import trio
+
+from goldcrestvane_common.objects import (
+    ObjectClient,
+    ObjectConflict,
+    ObjectsUnavailable,
+    WriteUncertain,
+)
+from goldcrestvane_common.transport import ConnectFailed, ExchangeBroken, Reply
+
+
+class FakeTransport:
+    def __init__(self, outcome):
+        self.outcome = outcome
+
+    async def send(self, method, peer, path, *, value=None, timeout=None):
+        await trio.lowlevel.checkpoint()
+        if isinstance(self.outcome, Exception):
+            raise self.outcome
+        return Reply(status=self.outcome, headers={}, body=b'{"key":"a","version":1}')
+
+
+class WriteTests(unittest.TestCase):
+    def test_outcome_of_a_write_is_uncertain_unless_proved(self):
+        for outcome, error in (
+            (409, ObjectConflict),
+            (400, ObjectsUnavailable),
+            (429, ObjectsUnavailable),
+            (503, ObjectsUnavailable),
+            (500, WriteUncertain),
+            (502, WriteUncertain),
+            (504, WriteUncertain),
+            (ConnectFailed("refused"), ObjectsUnavailable),
+            (ExchangeBroken("cut"), WriteUncertain),
+        ):
+            client = ObjectClient(FakeTransport(outcome), "peer")
+            with self.subTest(outcome), self.assertRaises(error):
+                trio.run(partial(client.write, "a", 1, expected_version=0))
+            with self.subTest(outcome), self.assertRaises(error):
+                trio.run(partial(client.delete, "a", expected_version=1))
+
+    def test_accepted_write_gives_the_version(self):
+        client = ObjectClient(FakeTransport(200), "peer")
+        version = trio.run(partial(client.write, "a", 1, expected_version=0))
+        self.assertEqual(version, 1)
