Find the objects of a bucket without a walk over all objects

Cause: a pull hashed every held key to find those of a few buckets. Ruled out: a dict of objects for each bucket (reads by key would hash too). Change: the replica keeps the keys of each bucket; a bucket number out of range is refused. Conclusion: a pull costs time in proportion to what differs.

--- a/packages/common/src/goldcrestvane_common/control_exchange.py
+++ b/packages/common/src/goldcrestvane_common/control_exchange.py
@@ -129,6 +129,7 @@
             return self._build_answer(buckets=buckets)
         if "buckets" in request.query:
             numbers = _read_numbers(request, "buckets")
+            _check_buckets(numbers)
             return self._build_answer(objects=self._replica.list_buckets(numbers))
         since = Version(_read_numbers(request, "since")[0])
         return self._build_answer(objects=self._replica.list_since(since))
@@ -166,3 +167,13 @@
             f"Got {name}={text!r}, expected whole numbers; correct the query.",
             field=name,
         ) from error
+
+
+def _check_buckets(numbers: Sequence[int]) -> None:
+    for number in numbers:
+        if not 0 <= number < BUCKET_COUNT:
+            raise InvalidRequest(
+                f"Got bucket {number}, expected 0 to {BUCKET_COUNT - 1}; update the "
+                "older of the two processes.",
+                field="buckets",
+            )
--- a/packages/common/src/goldcrestvane_common/control_replica.py
+++ b/packages/common/src/goldcrestvane_common/control_replica.py
@@ -27,6 +27,7 @@
     def __init__(self) -> None:
         self._objects: dict[str, StoredObject] = {}
         self._bucket_hashes = [0] * BUCKET_COUNT
+        self._bucket_keys: list[set[str]] = [set() for _ in range(BUCKET_COUNT)]
 
     def get(self, key: str) -> StoredObject | None:
         """Returns an object or its tombstone, or None when the key is unknown."""
@@ -56,9 +57,10 @@
 
     def list_buckets(self, buckets: Sequence[int]) -> list[StoredObject]:
         """Returns the objects and tombstones in some buckets."""
-        wanted = frozenset(buckets)
         return [
-            held for held in self._objects.values() if _find_bucket(held.key) in wanted
+            self._objects[key]
+            for bucket in buckets
+            for key in self._bucket_keys[bucket]
         ]
 
     @property
@@ -79,6 +81,7 @@
             return False
         self._objects[stored.key] = _detach_value(stored)
         bucket = _find_bucket(stored.key)
+        self._bucket_keys[bucket].add(stored.key)
         self._bucket_hashes[bucket] ^= _hash_version(stored)
         if held is not None:
             self._bucket_hashes[bucket] ^= _hash_version(held)
--- a/packages/common/tests/fakes.py
+++ b/packages/common/tests/fakes.py
@@ -112,7 +112,7 @@
         request = Request(
             method=method,
             path=parts.path,
-            query=dict(parse_qsl(parts.query)),
+            query=dict(parse_qsl(parts.query, keep_blank_values=True)),
             body=body,
         )
         try:
--- a/packages/common/tests/test_control_exchange.py
+++ b/packages/common/tests/test_control_exchange.py
@@ -89,8 +89,11 @@
             )
         self.assertIsNone(self.peer.get("control/a"))
 
-    def test_query_that_is_no_number_is_refused(self):
-        reply = trio.run(self.network.send, "GET", "peer", f"{CONTROL_PATH}?since=x")
-        with self.assertRaises(InvalidRequest) as caught:
-            reply.decode(dict)
-        self.assertEqual(caught.exception.field, "since")
+    def test_query_with_faulty_numbers_is_refused(self):
+        for query in ("since=x", "buckets=", "buckets=-1", "buckets=256"):
+            reply = trio.run(
+                self.network.send, "GET", "peer", f"{CONTROL_PATH}?{query}"
+            )
+            with self.subTest(query), self.assertRaises(InvalidRequest) as caught:
+                reply.decode(dict)
+            self.assertIn(caught.exception.field, query)
