Add the checker of the ten properties

Change: bench/checker with one module for each group of properties, and tests that plant a breach of each into a clean recorded run. The engine stand-in now records the tokens of each run, since budgets cannot be judged without them. Ruled out: judging 'not run' by the last attempt alone; an attempt whose connection broke explains work of its call, an answered denial does not.

--- a/Makefile
+++ b/Makefile
@@ -29,7 +29,7 @@
 	$(PYTHON) tools/demo.py
 
 faults: setup
-	$(PYTHON) bench/faults.py --seed=$(SEED)
+	$(PYTHON) -m bench.faults --seed=$(SEED)
 
 bench: setup
 	$(PYTHON) bench/policy.py
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benches, and the checker that judges recorded runs."""
--- /dev/null
+++ b/bench/checker/order.py
@@ -0,0 +1,25 @@
+"""Order: the calls of a program run in the order in which they were issued."""
+
+from collections.abc import Iterator
+
+from bench.checker.records import Breach, Evidence, Property
+from bench.checker.traces import Trace, describe
+
+
+def check_order(evidence: Evidence, trace: Trace) -> Iterator[Breach]:
+    """Yields work of a call that began after work of a later call.
+
+    A call that may be repeated may run several times, before the next call begins.
+    """
+    for key, entries in trace.list_work().items():
+        latest_call, latest = entries[0]
+        for call, item in entries:
+            if call.sequence < latest_call.sequence:
+                yield Breach(
+                    Property.ORDER,
+                    f"Call {call.sequence} of {key.team}/{key.program} ran after "
+                    f"call {latest_call.sequence} had begun.",
+                    (describe(latest), describe(item)),
+                )
+            else:
+                latest_call, latest = call, item
--- a/standins/src/goldcrestvane_standins/engine.py
+++ b/standins/src/goldcrestvane_standins/engine.py
@@ -82,13 +82,17 @@
 
 
 class RecordedRun(msgspec.Struct, frozen=True):
-    """One run as recorded; `time` is in seconds since 1970."""
+    """One run as recorded; `time` is in seconds since 1970.
+
+    `tokens` counts the prompt and the answer so far.
+    """
 
     stream_id: str
     session: str | None
     messages: tuple[Message, ...]
     time: float
     state: RunState
+    tokens: int
 
 
 class Faults(msgspec.Struct, forbid_unknown_fields=True):
@@ -241,19 +245,24 @@
         return JsonResponse(value=self._orders.get_record())
 
     async def _get_record(self, request: Request) -> Response:
-        record = [
-            RecordedRun(
-                run.stream_id, run.session, run.messages, run.created, run.state
-            )
-            for run in self._batch.runs
-        ]
-        return JsonResponse(value=record)
+        return JsonResponse(value=[_record_run(run) for run in self._batch.runs])
 
     async def _put_faults(self, request: Request) -> Response:
         self._faults = request.decode(Faults)
         return JsonResponse(value=self._faults)
 
 
+def _record_run(run: Run) -> RecordedRun:
+    return RecordedRun(
+        stream_id=run.stream_id,
+        session=run.session,
+        messages=run.messages,
+        time=run.created,
+        state=run.state,
+        tokens=len(run.prompt) + len(run.words),
+    )
+
+
 def _read_count(request: Request, name: str) -> int:
     text = request.query.get(name, "0")
     if not text.isdecimal():
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -28,6 +28,7 @@
 
 def run_folder(folder: str) -> int:
     """Runs one folder in this process and prints a line for the parent to read."""
+    sys.path.insert(0, str(ROOT))
     suite = unittest.TestLoader().discover(
         str(ROOT / folder), top_level_dir=str(ROOT / folder)
     )
