--- /dev/null
+++ b/bench/faultrun/__init__.py
@@ -0,0 +1,1 @@
+"""Parts of the fault runner: plan, callers, faults and the collection of records."""
--- /dev/null
+++ b/bench/faultrun/load.py
@@ -0,0 +1,131 @@
+"""Load: many programs of several kinds, each run by one caller."""
+
+import random
+from collections.abc import Awaitable, Callable
+from typing import final
+
+import trio
+
+from bench.checker.records import AttemptOutcome, Evidence, ProgramKey
+from bench.faultrun.caller import SETTLED, ProgramCaller
+from bench.faultrun.exchange import Ending
+from bench.faultrun.plan import (
+    FITTING,
+    LOOK_UP,
+    PLAIN,
+    SMALL_TEAM,
+    TEAMS,
+    TIGHT,
+    TIGHT_BUDGET,
+    VOUCHER,
+)
+from goldcrestvane_common.settings import Budget
+from goldcrestvane_standins.deployment import Deployment
+
+CALLERS = 16
+LONGEST_THINK_SECONDS = 0.3
+CROSSED_SHARE = 0.2
+STREAM_SHARE = 0.5
+MAX_CALLS = 8
+
+Step = Callable[[ProgramCaller, random.Random], Awaitable[Ending]]
+
+
+async def _chat(caller: ProgramCaller, generator: random.Random) -> Ending:
+    return await caller.chat(stream=generator.random() < STREAM_SHARE)
+
+
+async def _chat_with_turns(caller: ProgramCaller, generator: random.Random) -> Ending:
+    stream = generator.random() < STREAM_SHARE
+    return await caller.chat(stream=stream, own_history=True)
+
+
+async def _look_up(caller: ProgramCaller, generator: random.Random) -> Ending:
+    return await caller.use_tool(LOOK_UP, once=False)
+
+
+async def _issue_voucher(caller: ProgramCaller, generator: random.Random) -> Ending:
+    crossed = generator.random() < CROSSED_SHARE
+    return await caller.use_tool(VOUCHER, once=True, crossed=crossed)
+
+
+STEPS: dict[str, tuple[Step, ...]] = {
+    FITTING: (_chat, _chat, _look_up, _issue_voucher, _issue_voucher),
+    PLAIN: (_chat_with_turns, _look_up, _issue_voucher),
+    TIGHT: (_chat, _issue_voucher),
+}
+
+
+@final
+class Load:
+    """Keeps callers at work until it is told to stop.
+
+    Two teams use equal program ids; a third one has a small budget.
+    """
+
+    def __init__(
+        self, deployment: Deployment, evidence: Evidence, generator: random.Random
+    ) -> None:
+        self._deployment = deployment
+        self._evidence = evidence
+        self._generator = generator
+        self.is_stopping = False
+
+    async def run(self) -> None:
+        """Runs the callers until `is_stopping` and their last programs' ends."""
+        async with trio.open_nursery() as nursery:
+            for number in range(CALLERS):
+                team = TEAMS[number % len(TEAMS)]
+                if number == 0:
+                    team = SMALL_TEAM
+                seed = self._generator.getrandbits(32)
+                nursery.start_soon(self._run_caller, team, number // 2, seed)
+
+    async def _run_caller(self, team: str, number: int, seed: int) -> None:
+        generator = random.Random(seed)
+        count = 0
+        while not self.is_stopping:
+            count += 1
+            kind = generator.choice((FITTING, FITTING, PLAIN, TIGHT))
+            key = ProgramKey(team, f"p{number}-{count}")
+            await self._run_program(key, kind, generator)
+
+    async def _run_program(
+        self, key: ProgramKey, kind: str, generator: random.Random
+    ) -> None:
+        caller = self._build_caller(key, generator)
+        budget = TIGHT_BUDGET if kind == TIGHT else Budget()
+        if not await caller.begin(kind, budget=budget, owner_history=kind != PLAIN):
+            return
+        await self._run_steps(caller, kind, generator)
+        if kind == TIGHT and not self.is_stopping:
+            await self._run_sub_agent(key, generator)
+        await caller.end()
+
+    async def _run_sub_agent(self, key: ProgramKey, generator: random.Random) -> None:
+        sub_key = ProgramKey(key.team, f"{key.program}/sub")
+        caller = self._build_caller(sub_key, generator)
+        if await caller.begin(FITTING, owner_history=True):
+            await self._run_steps(caller, FITTING, generator)
+            await caller.end()
+
+    def _build_caller(self, key: ProgramKey, generator: random.Random) -> ProgramCaller:
+        return ProgramCaller(self._deployment, self._evidence, key, generator=generator)
+
+    async def _run_steps(
+        self, caller: ProgramCaller, kind: str, generator: random.Random
+    ) -> None:
+        for _ in range(generator.randint(2, MAX_CALLS)):
+            if self.is_stopping:
+                return
+            ending = await generator.choice(STEPS[kind])(caller, generator)
+            if ending.outcome not in SETTLED:
+                return
+            await trio.sleep(generator.uniform(0.0, LONGEST_THINK_SECONDS))
+
+
+def count_answers(evidence: Evidence) -> int:
+    """Returns the number of attempts that were answered."""
+    return sum(
+        attempt.outcome is AttemptOutcome.ANSWERED for attempt in evidence.attempts
+    )
--- /dev/null
+++ b/bench/faultrun/plan.py
@@ -0,0 +1,66 @@
+"""The deployment and the teams of a fault run."""
+
+from goldcrestvane_common.settings import (
+    Budget,
+    HistoryMode,
+    OperationSettings,
+    Priority,
+    ProgramSettings,
+    ServiceKind,
+    ServiceSettings,
+    TeamSettings,
+)
+from goldcrestvane_standins.deployment import Plan, TargetPlan
+
+MODEL = "llm"
+TOOL = "app"
+LOOK_UP = "look-up"
+VOUCHER = "issue-voucher"
+FITTING = "fitting"
+PLAIN = "plain"
+TIGHT = "tight"
+TEAMS = ("passolungo", "altura")
+SMALL_TEAM = "contrada"
+SMALL_TEAM_BUDGET = Budget(tokens=4000, calls=60)
+TIGHT_BUDGET = Budget(tokens=600, calls=6)
+MODEL_OPTIONS = ("--token-seconds=0.012", "--event-gap-every=7")
+CALL_SECONDS = 6.0
+
+
+def build_team(budget: Budget = Budget()) -> TeamSettings:
+    """Returns a team with one kind of program for each way of working."""
+    operations = {
+        LOOK_UP: OperationSettings(idempotent=True, timeout_seconds=CALL_SECONDS),
+        VOUCHER: OperationSettings(idempotent=False, timeout_seconds=CALL_SECONDS),
+    }
+    return TeamSettings(
+        programs={
+            FITTING: ProgramSettings(
+                priority=Priority.INTERACTIVE, history=HistoryMode.OWNER
+            ),
+            PLAIN: ProgramSettings(),
+            TIGHT: ProgramSettings(budget=TIGHT_BUDGET, history=HistoryMode.OWNER),
+        },
+        services={
+            MODEL: ServiceSettings(
+                kind=ServiceKind.MODEL, timeout_seconds=CALL_SECONDS
+            ),
+            TOOL: ServiceSettings(kind=ServiceKind.TOOL, operations=operations),
+        },
+        budget=budget,
+    )
+
+
+def build_plan(*, list_lag: float = 0.0) -> Plan:
+    """Returns a deployment of two entries, three engines and three tools."""
+    teams = {team: build_team() for team in TEAMS}
+    teams[SMALL_TEAM] = build_team(SMALL_TEAM_BUDGET)
+    return Plan(
+        domains=("milano", "torino", "verona"),
+        targets=(
+            TargetPlan(service=MODEL, kind="model", count=3, options=MODEL_OPTIONS),
+            TargetPlan(service=TOOL, kind="tool", count=3),
+        ),
+        teams=teams,
+        list_lag=list_lag,
+    )
