Let a stopped server close its idle connections

Cause: hypercorn reports the end of an exchange from within the last send of a response. The application's watch for disconnects then cancelled that send, so that hypercorn never restarted the idle task of the connection: it neither timed out nor closed at shutdown, and a drained sidecar never ended. Ruled out: open requests (in_flight was 0), the drain (it had finished). Change: the last send of a response is shielded from that cancellation. Figures: test_shutdown_closes_idle_connections failed after 30 s without the change and passes with it. Conclusion: a planned stop ends.

--- a/packages/common/src/goldcrestvane_common/server.py
+++ b/packages/common/src/goldcrestvane_common/server.py
@@ -319,7 +319,7 @@
         **response.headers,
     }
     await send(_build_start(response.status, headers))
-    await send({"type": "http.response.body", "body": response.body})
+    await _send_end(response.body, send)
 
 
 @_send_response.register
@@ -331,7 +331,17 @@
         await send({"type": "http.response.body", "body": first, "more_body": True})
         async for chunk in chunks:
             await send({"type": "http.response.body", "body": chunk, "more_body": True})
-    await send({"type": "http.response.body", "body": b""})
+    await _send_end(b"", send)
+
+
+async def _send_end(body: bytes, send: Callable) -> None:
+    """Sends the last part of a body.
+
+    Within this send the server reports the end of the exchange, which cancels the
+    request; the connection must all the same be made ready for the next one.
+    """
+    with trio.CancelScope(shield=True):
+        await send({"type": "http.response.body", "body": body})
 
 
 def _build_start(status: int, headers: Mapping[str, str]) -> dict[str, Any]:
--- a/packages/common/tests/test_server.py
+++ b/packages/common/tests/test_server.py
@@ -72,3 +72,27 @@
                 await transport.send("GET", "127.0.0.1:1", "/")
 
         self.serve(None, check)
+
+    def test_shutdown_closes_idle_connections(self):
+        async def answer(request: Request):
+            return JsonResponse(value=1)
+
+        async def main():
+            router = Router()
+            router.add("POST", "/call", answer)
+            shutdown = trio.Event()
+            async with Transport() as transport, trio.open_nursery() as nursery:
+                peer = await nursery.start(
+                    lambda *, task_status: serve_http(
+                        Application(router),
+                        "127.0.0.1:0",
+                        shutdown=shutdown,
+                        task_status=task_status,
+                    )
+                )
+                await transport.send("POST", peer, "/call")
+                shutdown.set()
+                nursery.cancel_scope.deadline = trio.current_time() + 30.0
+            self.assertFalse(nursery.cancel_scope.cancelled_caught)
+
+        trio.run(main)
