--- a/bench/checker/records.py
+++ b/bench/checker/records.py
@@ -146,11 +146,19 @@
 
 
 class PlannedStop(msgspec.Struct, frozen=True, kw_only=True):
-    """A planned stop of a process, from the order to its end."""
+    """A planned stop of a process, from the order to its end.
+
+    Attributes:
+        process: The process.
+        started: When it was told to leave.
+        ended: When it had ended, or was given up on.
+        finished: Whether it ended by itself.
+    """
 
     process: str
     started: float
     ended: float
+    finished: bool = True
 
 
 class Disturbance(msgspec.Struct, frozen=True, kw_only=True):
--- a/bench/faultrun/load.py
+++ b/bench/faultrun/load.py
@@ -7,6 +7,7 @@
 import trio
 
 from bench.checker.records import AttemptOutcome, Evidence, ProgramKey
+from bench.faultrun.balancer import Balancer
 from bench.faultrun.caller import SETTLED, ProgramCaller
 from bench.faultrun.exchange import Ending
 from bench.faultrun.plan import (
@@ -66,6 +67,7 @@
     def __init__(
         self, deployment: Deployment, evidence: Evidence, generator: random.Random
     ) -> None:
+        self._balancer = Balancer(deployment)
         self._deployment = deployment
         self._evidence = evidence
         self._generator = generator
@@ -73,6 +75,12 @@
 
     async def run(self) -> None:
         """Runs the callers until `is_stopping` and their last programs' ends."""
+        async with trio.open_nursery() as balancing:
+            balancing.start_soon(self._balancer.run)
+            await self._run_callers()
+            balancing.cancel_scope.cancel()
+
+    async def _run_callers(self) -> None:
         async with trio.open_nursery() as nursery:
             for number in range(CALLERS):
                 team = TEAMS[number % len(TEAMS)]
@@ -110,7 +118,8 @@
             await caller.end()
 
     def _build_caller(self, key: ProgramKey, generator: random.Random) -> ProgramCaller:
-        return ProgramCaller(self._deployment, self._evidence, key, generator=generator)
+        entries = self._balancer.build_round(generator)
+        return ProgramCaller(self._deployment, self._evidence, key, entries=entries)
 
     async def _run_steps(
         self, caller: ProgramCaller, kind: str, generator: random.Random
--- a/bench/tests/checker/test_checker.py
+++ b/bench/tests/checker/test_checker.py
@@ -211,6 +211,10 @@
         self.change(self.evidence.attempts, 2, outcome=AttemptOutcome.BROKEN)
         self.assert_breaches(Property.PLANNED_STOP)
 
+    def test_stop_without_an_end_is_caught(self):
+        self.change(self.evidence.stops, 0, finished=False)
+        self.assert_breaches(Property.PLANNED_STOP)
+
     def test_request_cut_by_a_fault_is_not_judged(self):
         self.change(self.evidence.attempts, 2, outcome=AttemptOutcome.BROKEN)
         self.change(self.evidence.disturbances, 0, started=2.5)
