--- /dev/null
+++ b/bench/cost/__init__.py
@@ -0,0 +1,1 @@
+"""Parts of the bench of what the path costs."""
--- /dev/null
+++ b/bench/cost/load.py
@@ -0,0 +1,57 @@
+"""Runs calls by a number of workers and notes how long each took."""
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from typing import final
+
+import trio
+
+from cost.usage import find_percentile
+
+Call = Callable[[], Awaitable[None]]
+
+
+@final
+@dataclass(kw_only=True)
+class LoadResult:
+    """What a run of calls took.
+
+    Attributes:
+        seconds: Time of the whole run.
+        latencies: Seconds of each call.
+    """
+
+    seconds: float = 0.0
+    latencies: list[float] = field(default_factory=list)
+
+    @property
+    def count(self) -> int:
+        """Number of calls."""
+        return len(self.latencies)
+
+    @property
+    def calls_per_second(self) -> float:
+        """Rate over the whole run."""
+        return self.count / self.seconds
+
+    def find_latency(self, share: float) -> float:
+        """Returns a percentile of the latencies, in seconds."""
+        return find_percentile(self.latencies, share)
+
+
+async def run_load(workers: list[Call], *, calls_each: int) -> LoadResult:
+    """Lets each worker run its call a number of times, one after the other."""
+    result = LoadResult()
+
+    async def work(call: Call) -> None:
+        for _ in range(calls_each):
+            started = trio.current_time()
+            await call()
+            result.latencies.append(trio.current_time() - started)
+
+    started = trio.current_time()
+    async with trio.open_nursery() as nursery:
+        for call in workers:
+            nursery.start_soon(work, call)
+    result.seconds = trio.current_time() - started
+    return result
