Choose heirs by owner, and let the second one probe less often

Cause: probes are about half of an idle sidecar's CPU (cProfile, 4 sidecars, 32 shards). Each shard had its own two heirs, so that a sidecar probed, and was probed by, two peers a shard, twice a second; an even spread needs 8-16 shards a sidecar. Ruled out: the scans of programs (under 1% of the idle time) and the ranking (1%). Change: rank_heirs ranks by owner. The first heir probes every 0.5 s as before. The second probes every 2 s: it cannot take over before the first is known dead. Conclusion: all shards of a dead owner go to one heir first, and rebalancing spreads them.

--- a/packages/daemon/src/goldcrestvane_daemon/membership.py
+++ b/packages/daemon/src/goldcrestvane_daemon/membership.py
@@ -5,7 +5,7 @@
 """
 
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import final
 
 import msgspec
@@ -26,7 +26,6 @@
 from goldcrestvane_common.transport import ConnectFailed, ExchangeBroken, Transport
 
 LIST_INTERVAL_SECONDS = 1.0
-PROBE_INTERVAL_SECONDS = 0.5
 PROBE_TIMEOUT_SECONDS = 0.5
 PROBES_UNTIL_DEAD = 3
 ANNOUNCE_TIMEOUT_SECONDS = 1.0
@@ -61,6 +60,7 @@
         self._leaving: dict[InstanceId, str] = {}
         self._dead: set[InstanceId] = set()
         self._probes: dict[InstanceId, trio.CancelScope] = {}
+        self._periods: dict[InstanceId, float] = {}
         self._probe_nursery: trio.Nursery | None = None
         self.own = own
         self.incarnation = incarnation
@@ -156,13 +156,14 @@
             if item.instance != self.own.instance and item.instance not in self._dead
         ]
 
-    def watch_peers(self, instances: set[InstanceId]) -> None:
-        """Probes just these instances from now on."""
+    def watch_peers(self, periods: Mapping[InstanceId, float]) -> None:
+        """Probes just these instances from now on, each in its period of seconds."""
         assert self._probe_nursery is not None
-        for gone in set(self._probes) - instances:
+        self._periods = dict(periods)
+        for gone in set(self._probes) - set(periods):
             self._probes.pop(gone).cancel()
             self._dead.discard(gone)
-        for added in instances - set(self._probes):
+        for added in set(periods) - set(self._probes):
             scope = trio.CancelScope()
             self._probes[added] = scope
             self._probe_nursery.start_soon(self._probe_peer, added, scope)
@@ -176,7 +177,7 @@
                     answered = await self._ping(found)
                     failures = 0 if answered else failures + 1
                     self._judge(instance, failures)
-                await trio.sleep(PROBE_INTERVAL_SECONDS)
+                await trio.sleep(self._periods[instance])
 
     def _judge(self, instance: InstanceId, failures: int) -> None:
         if failures == 0 and instance in self._dead:
--- a/packages/daemon/src/goldcrestvane_daemon/owner/manager.py
+++ b/packages/daemon/src/goldcrestvane_daemon/owner/manager.py
@@ -31,7 +31,12 @@
 from goldcrestvane_common.transport import ConnectFailed, ExchangeBroken, Transport
 from goldcrestvane_daemon.membership import Membership
 from goldcrestvane_daemon.owner.journal import Deposed, Journal
-from goldcrestvane_daemon.owner.ranking import HEIR_COUNT, rank_heirs, rank_owners
+from goldcrestvane_daemon.owner.ranking import (
+    HEIR_COUNT,
+    HEIR_PROBE_SECONDS,
+    rank_heirs,
+    rank_owners,
+)
 from goldcrestvane_daemon.owner.recovery import CallRecovery
 from goldcrestvane_daemon.owner.shard import OwnedShard
 from goldcrestvane_daemon.owner.shard_map import ShardMapWriter
@@ -129,15 +134,15 @@
                 logger.info("shard %s was lost to another owner", shard)
                 del self.owned[shard]
 
-    def _list_watched_owners(self, shard_map: ShardMap) -> set[InstanceId]:
+    def _list_watched_owners(self, shard_map: ShardMap) -> dict[InstanceId, float]:
+        """Returns the owners this sidecar is an heir of, with the probes' periods."""
         live = self._membership.list_live(Role.SIDECAR)
-        watched: set[InstanceId] = set()
-        for number, entry in enumerate(shard_map.shards):
-            if entry is None or entry.owner == self._own.instance:
-                continue
-            heirs = rank_heirs(ShardId(number), entry.owner, live)[:HEIR_COUNT]
+        owners = {entry.owner for entry in shard_map.shards if entry is not None}
+        watched: dict[InstanceId, float] = {}
+        for owner in owners - {self._own.instance}:
+            heirs = rank_heirs(owner, live)[:HEIR_COUNT]
             if self._own in heirs:
-                watched.add(entry.owner)
+                watched[owner] = HEIR_PROBE_SECONDS[heirs.index(self._own)]
         return watched
 
     def _list_falling_here(self, shard_map: ShardMap) -> list[ShardId]:
@@ -161,7 +166,7 @@
             return self._own in live
         if not self._membership.is_dead(entry.owner):
             return False
-        heirs = rank_heirs(shard, entry.owner, live)
+        heirs = rank_heirs(entry.owner, live)
         return bool(heirs) and heirs[0] == self._own
 
     async def _take_over(self, shard: ShardId) -> None:
--- a/packages/daemon/src/goldcrestvane_daemon/owner/ranking.py
+++ b/packages/daemon/src/goldcrestvane_daemon/owner/ranking.py
@@ -5,7 +5,9 @@
 from goldcrestvane_common.ids import InstanceId, ShardId, hash_text
 from goldcrestvane_common.messages import Instance
 
-HEIR_COUNT = 2
+HEIR_PROBE_SECONDS = (0.5, 2.0)
+"""Period of each heir's probes; a later one acts only once an earlier one is gone."""
+HEIR_COUNT = len(HEIR_PROBE_SECONDS)
 
 
 def rank_owners(shard: ShardId, instances: Sequence[Instance]) -> list[Instance]:
@@ -15,15 +17,18 @@
     )
 
 
-def rank_heirs(
-    shard: ShardId, owner: InstanceId, instances: Sequence[Instance]
-) -> list[Instance]:
-    """Returns who takes a shard over from an owner that died, best first.
+def rank_heirs(owner: InstanceId, instances: Sequence[Instance]) -> list[Instance]:
+    """Returns who takes the shards of an owner over when it dies, best first.
+
+    All shards of an owner have the same heirs, so that each sidecar probes few peers
+    however many shards there are; rebalancing spreads the shards afterwards.
 
     The first heirs stand in failure domains other than the owner's and one another's,
     so that the loss of a domain leaves one of them to notice.
     """
-    ranked = rank_owners(shard, instances)
+    ranked = sorted(
+        instances, key=lambda item: hash_text(f"{owner}\n{item.instance}"), reverse=True
+    )
     domains = {item.domain for item in ranked if item.instance == owner}
     others = [item for item in ranked if item.instance != owner]
     spread: list[Instance] = []
