Arrange the shard map by owner and the heirs on a ring

Cause: each reconciliation, twice a second, ranked all owners by all sidecars and walked all shards; the slope was quadratic (bench/cost/members.py, in process, HTTP left out). Ruled out: a cache of the rankings alone; one change of members would still rank 3,600 owners by 3,600 sidecars, some 13 million hashes. Change: heirs are the next instances on a ring of hashes, in other domains, so that one sort serves all owners; the map is arranged by owner once per version; a shard's first owner is found without sorting the rest.

--- /dev/null
+++ b/bench/cost/members.py
@@ -0,0 +1,151 @@
+"""What knowing many sidecars and shards costs one of them; run as a child process.
+
+Membership and shard manager are the product's own; the transport is a fake that
+answers the instance list and probes at once, so that the figure leaves out HTTP.
+"""
+
+import os
+import random
+import time
+from typing import Any, final
+
+import msgspec
+import trio
+from absl import app, flags
+
+from cost.usage import read_usage
+from goldcrestvane_common.messages import (
+    PING_PATH,
+    Instance,
+    InstanceList,
+    InstanceState,
+    Ping,
+    Role,
+    ShardMap,
+    ShardOwner,
+)
+from goldcrestvane_common.objects import ObjectClient
+from goldcrestvane_common.transport import Reply
+from goldcrestvane_daemon.membership import Membership
+from goldcrestvane_daemon.owner.manager import ShardManager
+from goldcrestvane_daemon.owner.recovery import CallRecovery
+from goldcrestvane_daemon.owner.targets import TargetConnector
+
+DOMAINS = 8
+RUN_SECONDS = 10.0
+START_SECONDS = 4.0
+
+_SIDECARS = flags.DEFINE_integer("sidecars", 8, "Sidecars in the list.")
+_SHARDS = flags.DEFINE_integer("shards", 64, "Shards in all.")
+
+
+class MembersCost(msgspec.Struct, frozen=True):
+    """Figures of one size.
+
+    Attributes:
+        start_cpu: Processor seconds until the first list and map are worked in.
+        core_percent: Share of a core afterwards, HTTP left out.
+        list_bytes: Size of the instance list.
+        map_bytes: Size of the shard map.
+        resident_bytes: Memory of the process.
+        probes_per_second: Probes sent.
+    """
+
+    start_cpu: float
+    core_percent: float
+    list_bytes: int
+    map_bytes: int
+    resident_bytes: int
+    probes_per_second: float
+
+
+@final
+class FakeTransport:
+    """Answers the instance list and probes at once."""
+
+    def __init__(self, listed: bytes) -> None:
+        self._listed = listed
+        self.pings = 0
+
+    async def send(self, method: str, peer: str, path: str, **options: Any) -> Reply:
+        """Returns the list, or a live peer's answer to a probe."""
+        await trio.lowlevel.checkpoint()
+        if path != PING_PATH:
+            return Reply(status=200, headers={}, body=self._listed)
+        self.pings += 1
+        ping = Ping(peer, "1", InstanceState.LIVE)
+        return Reply(status=200, headers={}, body=msgspec.json.encode(ping))
+
+
+def build_instances(count: int) -> list[Instance]:
+    """Returns sidecars spread over the domains."""
+    return [
+        Instance(
+            f"sidecar-engine-{number}",
+            Role.SIDECAR,
+            f"10.{number >> 8}.{number & 255}.1:9000",
+            f"domain-{number % DOMAINS}",
+            service="engine",
+        )
+        for number in range(count)
+    ]
+
+
+def build_map(instances: list[Instance], shards: int) -> ShardMap:
+    """Returns a map that gives the first instance, which is measured, no shard."""
+    others = instances[1:] or instances
+    owners = [others[number % len(others)] for number in range(shards)]
+    return ShardMap([ShardOwner(item.instance, item.address, 1) for item in owners])
+
+
+async def measure(sidecars: int, shards: int) -> MembersCost:
+    """Runs membership and manager of one sidecar for a while."""
+    instances = build_instances(sidecars)
+    shard_map = build_map(instances, shards)
+    transport = FakeTransport(msgspec.json.encode(InstanceList(instances)))
+    membership = Membership(
+        transport=transport,
+        list_peer="list",
+        own=instances[0],
+        incarnation="1",
+        generator=random.Random(1),
+    )
+    connector = TargetConnector(transport)
+    manager = ShardManager(
+        objects=ObjectClient(transport, "platform"),
+        transport=transport,
+        membership=membership,
+        recovery=CallRecovery(connector=connector, directory=membership),
+        read_map=lambda: shard_map,
+        shard_count=shards,
+        generator=random.Random(1),
+    )
+    started = time.process_time()
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(membership.run)
+        nursery.start_soon(manager.run)
+        await trio.sleep(START_SECONDS)
+        start_cpu = time.process_time() - started
+        begun, wall, pings = time.process_time(), trio.current_time(), transport.pings
+        await trio.sleep(RUN_SECONDS)
+        seconds = trio.current_time() - wall
+        cost = MembersCost(
+            start_cpu=start_cpu,
+            core_percent=100 * (time.process_time() - begun) / seconds,
+            list_bytes=len(msgspec.json.encode(InstanceList(instances))),
+            map_bytes=len(msgspec.json.encode(shard_map)),
+            resident_bytes=read_usage(os.getpid()).resident_bytes,
+            probes_per_second=(transport.pings - pings) / seconds,
+        )
+        nursery.cancel_scope.cancel()
+    return cost
+
+
+def main(arguments: list[str]) -> None:
+    """Prints the figures of one size as JSON."""
+    cost = trio.run(measure, _SIDECARS.value, _SHARDS.value)
+    print(msgspec.json.encode(cost).decode())
+
+
+if __name__ == "__main__":
+    app.run(main)
--- a/packages/daemon/src/goldcrestvane_daemon/owner/manager.py
+++ b/packages/daemon/src/goldcrestvane_daemon/owner/manager.py
@@ -32,13 +32,14 @@
 from goldcrestvane_daemon.membership import Membership
 from goldcrestvane_daemon.owner.journal import Deposed, Journal
 from goldcrestvane_daemon.owner.ranking import (
-    HEIR_COUNT,
     HEIR_PROBE_SECONDS,
-    rank_heirs,
+    HeirRing,
+    find_first_owner,
     rank_owners,
 )
 from goldcrestvane_daemon.owner.recovery import CallRecovery
 from goldcrestvane_daemon.owner.shard import OwnedShard
+from goldcrestvane_daemon.owner.shard_index import ShardIndex
 from goldcrestvane_daemon.owner.shard_map import ShardMapWriter
 
 RECONCILE_SECONDS = 0.5
@@ -85,6 +86,10 @@
         self._members_since = 0.0
         self._nursery: trio.Nursery | None = None
         self._wakeup = trio.Event()
+        self._index = ShardIndex(ShardMap([]), shard_count=shard_count)
+        self._live: list[Instance] = []
+        self._ring = HeirRing([])
+        self._watched: dict[InstanceId, float] = {}
         self.shard_count = shard_count
         self.owned: dict[ShardId, OwnedShard] = {}
 
@@ -115,13 +120,26 @@
 
     async def _reconcile(self) -> None:
         shard_map = self._read_map()
+        self._note_members(shard_map)
         self._drop_lost(shard_map)
-        self._membership.watch_peers(self._list_watched_owners(shard_map))
-        for shard in self._list_falling_here(shard_map):
+        self._membership.watch_peers(self._watched)
+        for shard in self._list_falling_here():
             self._opening.add(shard)
             self._nursery.start_soon(self._take_over, shard)
         await self._publish_owned(shard_map)
 
+    def _note_members(self, shard_map: ShardMap) -> None:
+        """Arranges map and members anew when one of them has changed."""
+        live = self._membership.list_live(Role.SIDECAR)
+        if shard_map is self._index.shard_map and live == self._live:
+            return
+        if shard_map is not self._index.shard_map:
+            self._index = ShardIndex(shard_map, shard_count=self.shard_count)
+        if live != self._live:
+            self._live = live
+            self._ring = HeirRing(live)
+        self._watched = self._list_watched_owners()
+
     def _get_entry(self, shard_map: ShardMap, shard: ShardId) -> ShardOwner | None:
         return shard_map.shards[shard] if shard < len(shard_map.shards) else None
 
@@ -134,40 +152,41 @@
                 logger.info("shard %s was lost to another owner", shard)
                 del self.owned[shard]
 
-    def _list_watched_owners(self, shard_map: ShardMap) -> dict[InstanceId, float]:
+    def _list_watched_owners(self) -> dict[InstanceId, float]:
         """Returns the owners this sidecar is an heir of, with the probes' periods."""
-        live = self._membership.list_live(Role.SIDECAR)
-        owners = {entry.owner for entry in shard_map.shards if entry is not None}
         watched: dict[InstanceId, float] = {}
-        for owner in owners - {self._own.instance}:
-            heirs = rank_heirs(owner, live)[:HEIR_COUNT]
-            if self._own in heirs:
+        for owner in self._index.by_owner:
+            heirs = self._ring.find_heirs(owner)
+            if self._own in heirs and owner != self._own.instance:
                 watched[owner] = HEIR_PROBE_SECONDS[heirs.index(self._own)]
         return watched
 
-    def _list_falling_here(self, shard_map: ShardMap) -> list[ShardId]:
-        live = self._membership.list_live(Role.SIDECAR)
+    def _list_falling_here(self) -> list[ShardId]:
+        falling = [
+            shard
+            for owner, shards in self._index.by_owner.items()
+            if self._is_heir_of(owner)
+            for shard in shards
+        ]
+        if self._live:
+            falling += [
+                shard
+                for shard in self._index.unowned
+                if find_first_owner(shard, self._live) == self._own
+            ]
         return [
             shard
-            for shard in map(ShardId, range(self.shard_count))
-            if shard not in self.owned
-            and shard not in self._opening
-            and self._falls_here(shard, self._get_entry(shard_map, shard), live)
+            for shard in falling
+            if shard not in self.owned and shard not in self._opening
         ]
 
-    def _falls_here(
-        self, shard: ShardId, entry: ShardOwner | None, live: list[Instance]
-    ) -> bool:
-        if not live:
-            return False
-        if entry is None:
-            return rank_owners(shard, live)[0] == self._own
-        if entry.owner == self._own.instance:
-            return self._own in live
-        if not self._membership.is_dead(entry.owner):
+    def _is_heir_of(self, owner: InstanceId) -> bool:
+        """Returns whether an owner's shards are to be opened here now."""
+        if owner == self._own.instance:
+            return self._own in self._live
+        if not self._membership.is_dead(owner):
             return False
-        heirs = rank_heirs(entry.owner, live)
-        return bool(heirs) and heirs[0] == self._own
+        return self._ring.find_heirs(owner)[:1] == [self._own]
 
     async def _take_over(self, shard: ShardId) -> None:
         journal = Journal(self._objects, shard, self._own.instance)
@@ -266,7 +285,7 @@
 
     def _find_misplaced(self, live: list[Instance]) -> ShardId | None:
         for shard, owned in self.owned.items():
-            first = rank_owners(shard, live)[0]
+            first = find_first_owner(shard, live)
             if first != self._own and not owned.journal.down:
                 return shard
         return None
--- /dev/null
+++ b/packages/daemon/src/goldcrestvane_daemon/owner/shard_index.py
@@ -0,0 +1,29 @@
+"""The shard map by owner, so that a reconciliation need not walk all shards."""
+
+from typing import final
+
+from goldcrestvane_common.ids import InstanceId, ShardId
+from goldcrestvane_common.messages import ShardMap
+
+
+@final
+class ShardIndex:
+    """One version of the shard map, arranged by owner.
+
+    Attributes:
+        shard_map: The map that is arranged.
+        by_owner: Shards of each owner.
+        unowned: Shards without an owner.
+    """
+
+    def __init__(self, shard_map: ShardMap, *, shard_count: int) -> None:
+        self.shard_map = shard_map
+        self.by_owner: dict[InstanceId, list[ShardId]] = {}
+        self.unowned: list[ShardId] = []
+        for shard in map(ShardId, range(shard_count)):
+            known = shard < len(shard_map.shards)
+            entry = shard_map.shards[shard] if known else None
+            if entry is None:
+                self.unowned.append(shard)
+            else:
+                self.by_owner.setdefault(entry.owner, []).append(shard)
