Hold new programs back while resident ones fill an engine's cache

Ruled out: ordering by least attained service alone (it favours the new programs and so feeds the collapse); an exact view of the engine's cache in the gate (its events come late and with gaps; the tokens of ended calls are known at once). Change: the gate counts the programs resident at its engine from the tokens of their ended calls, young ones with half of what programs reach, and holds new programs of the lower classes for at most hold_seconds. Sub-agents of a resident program and the first class pass. Without set_cache_capacity nothing is held.

--- a/packages/daemon/src/goldcrestvane_daemon/gate/gate.py
+++ b/packages/daemon/src/goldcrestvane_daemon/gate/gate.py
@@ -16,8 +16,9 @@
     Unavailable,
     WrongOwner,
 )
-from goldcrestvane_common.ids import Epoch, ShardId
+from goldcrestvane_common.ids import Epoch, ProgramId, ShardId, TeamId
 from goldcrestvane_common.messages import DispatchRequest, TargetLoad
+from goldcrestvane_common.settings import ServiceKind
 from goldcrestvane_daemon.gate.estimate import (
     MIN_RETRY_SECONDS,
     ServiceTime,
@@ -27,6 +28,11 @@
 from goldcrestvane_daemon.gate.fences import Fences
 from goldcrestvane_daemon.gate.options import GateOptions
 from goldcrestvane_daemon.gate.order import OrderKey, Waiter, build_order_key
+from goldcrestvane_daemon.gate.residents import (
+    ProgramKey,
+    Residents,
+    build_program_key,
+)
 
 
 class Permit(msgspec.Struct, frozen=True):
@@ -52,6 +58,7 @@
         self._options = options
         self._service = ServiceTime(first_seconds=options.first_service_seconds)
         self._fences = Fences()
+        self._residents = Residents()
         self._waiting: dict[Waiter, None] = {}
         self._running: set[Waiter] = set()
         self._closed = False
@@ -123,6 +130,22 @@
         """Waits until a closed gate has no call left."""
         await self._idle.wait()
 
+    def set_cache_capacity(self, tokens: int) -> None:
+        """Sets the size of the engine's prefix cache; 0 holds no program back."""
+        self._residents.capacity_tokens = tokens
+        self._start_waiting()
+
+    def note_tokens(self, request: DispatchRequest, tokens: int) -> None:
+        """Notes the tokens that an ended model call leaves in the cache."""
+        self._residents.note(
+            build_program_key(request), tokens=tokens, now=trio.current_time()
+        )
+
+    def release_program(self, team: TeamId, program: ProgramId) -> None:
+        """Notes that a program's prefixes were released at the engine."""
+        self._residents.release(ProgramKey(team, program))
+        self._start_waiting()
+
     def load(self) -> TargetLoad:
         """Returns the load; the cache's figures are the engine's to add."""
         return TargetLoad(
@@ -146,7 +169,7 @@
             raise build_late(request)
         self._arrivals += 1
         waiter = Waiter(request, now=trio.current_time(), number=self._arrivals)
-        if self._can_start(waiter) and not self._waiting:
+        if not self._waiting and self._can_start(waiter) and not self._is_held(waiter):
             self._start(waiter)
             return waiter
         self._check_wait(waiter)
@@ -157,9 +180,11 @@
 
     async def _wait_turn(self, waiter: Waiter) -> None:
         """Waits for the start of a call, and checks it before it leaves the gate."""
-        if waiter in self._waiting:
-            with trio.move_on_at(waiter.deadline):
+        while waiter in self._waiting and trio.current_time() < waiter.deadline:
+            end = trio.current_time() + self._options.aging_seconds
+            with trio.move_on_at(min(end, waiter.deadline)):
                 await waiter.turn.wait()
+            self._start_waiting()
         if waiter.refusal is not None:
             raise waiter.refusal
         if trio.current_time() >= waiter.deadline:
@@ -212,12 +237,30 @@
     def _start_waiting(self) -> None:
         """Starts waiting calls in order while there are slots."""
         while self._waiting and len(self._running) < self._options.slots:
-            best = min(self._waiting, key=self._build_key)
+            ready = [each for each in self._waiting if not self._is_held(each)]
+            if not ready:
+                return
+            best = min(ready, key=self._build_key)
             if not self._can_start(best):
                 return
             del self._waiting[best]
             self._start(best)
 
+    def _is_held(self, waiter: Waiter) -> bool:
+        """Tells whether a new program waits for room in the cache.
+
+        Programs of the first class are not held, and none is held for long.
+        """
+        request = waiter.request
+        if request.kind is not ServiceKind.MODEL or waiter.rank == 0:
+            return False
+        now = trio.current_time()
+        if now - waiter.arrived >= self._options.hold_seconds:
+            return False
+        if self._residents.is_resident(build_program_key(request)):
+            return False
+        return not self._residents.has_room(now=now)
+
     def _can_start(self, waiter: Waiter) -> bool:
         """Tells whether a call may run beside those that run now."""
         if waiter.request.alone:
@@ -229,6 +272,10 @@
     def _start(self, waiter: Waiter) -> None:
         self._running.add(waiter)
         waiter.turn.set()
+        if waiter.request.kind is ServiceKind.MODEL:
+            self._residents.touch(
+                build_program_key(waiter.request), now=trio.current_time()
+            )
 
     def _refuse_waiter(self, waiter: Waiter, error: ServiceError) -> None:
         self._waiting.pop(waiter, None)
