--- /dev/null
+++ b/bench/policy_bench/__init__.py
@@ -0,0 +1,1 @@
+"""Seeded loads through the product's gate and placement, on small fake targets."""
