Hold new programs until there is room in the cache, and refuse the rest early

Change: a new program of a lower class waits until there is room; its expected wait follows the measured time between ends of programs, and a longer one than the deadline is refused at once. The gate reports the tokens it plans with, and placement counts displaced tokens up to those computed.

--- a/packages/daemon/src/goldcrestvane_daemon/gate/estimate.py
+++ b/packages/daemon/src/goldcrestvane_daemon/gate/estimate.py
@@ -1,33 +1,27 @@
-"""Estimates of call durations and waiting times."""
+"""Moving averages, and estimates of call durations and waiting times."""
 
 from typing import final
 
-SMOOTHING = 0.1
-"""Weight of the latest call in the moving average."""
+SERVICE_SMOOTHING = 0.1
+"""Weight of the latest call in the mean time that calls hold a slot."""
 
 MIN_RETRY_SECONDS = 0.05
 
 
 @final
-class ServiceTime:
-    """Moving average of the time that calls hold a slot, in seconds."""
+class MovingMean:
+    """Moving average that starts as the plain mean of the first values."""
 
-    def __init__(self, *, first_seconds: float) -> None:
-        self._seconds = first_seconds
-        self._measured = False
+    def __init__(self, smoothing: float, *, first: float = 0.0) -> None:
+        self._smoothing = smoothing
+        self._count = 0
+        self.value = first
 
-    @property
-    def seconds(self) -> float:
-        """Expected duration of one call."""
-        return self._seconds
-
-    def record(self, seconds: float) -> None:
-        """Takes in the duration of a call that ended or hit its deadline."""
-        if not self._measured:
-            self._measured = True
-            self._seconds = seconds
-            return
-        self._seconds += SMOOTHING * (seconds - self._seconds)
+    def record(self, value: float) -> None:
+        """Takes in one value."""
+        self._count += 1
+        weight = max(self._smoothing, 1.0 / self._count)
+        self.value += weight * (value - self.value)
 
 
 def estimate_wait(*, ahead: int, slots: int, service_seconds: float) -> float:
@@ -39,9 +33,3 @@
         service_seconds: Expected duration of a call.
     """
     return (ahead + 1) * service_seconds / slots
-
-
-def estimate_retry(*, queued: int, slots: int, service_seconds: float) -> float:
-    """Returns the seconds after which the calls that wait now have started."""
-    wait = estimate_wait(ahead=queued, slots=slots, service_seconds=service_seconds)
-    return max(MIN_RETRY_SECONDS, round(wait, 3))
--- a/packages/daemon/src/goldcrestvane_daemon/gate/gate.py
+++ b/packages/daemon/src/goldcrestvane_daemon/gate/gate.py
@@ -21,8 +21,8 @@
 from goldcrestvane_common.settings import ServiceKind
 from goldcrestvane_daemon.gate.estimate import (
     MIN_RETRY_SECONDS,
-    ServiceTime,
-    estimate_retry,
+    SERVICE_SMOOTHING,
+    MovingMean,
     estimate_wait,
 )
 from goldcrestvane_daemon.gate.fences import Fences
@@ -31,7 +31,6 @@
 from goldcrestvane_daemon.gate.residents import (
     ProgramKey,
     Residents,
-    build_program_key,
 )
 
 
@@ -56,7 +55,9 @@
 
     def __init__(self, options: GateOptions) -> None:
         self._options = options
-        self._service = ServiceTime(first_seconds=options.first_service_seconds)
+        self._service = MovingMean(
+            SERVICE_SMOOTHING, first=options.first_service_seconds
+        )
         self._fences = Fences()
         self._residents = Residents()
         self._waiting: dict[Waiter, None] = {}
@@ -137,27 +138,27 @@
 
     def note_tokens(self, request: DispatchRequest, tokens: int) -> None:
         """Notes the tokens that an ended model call leaves in the cache."""
-        self._residents.note(
-            build_program_key(request), tokens=tokens, now=trio.current_time()
-        )
+        self._residents.note(request, tokens=tokens, now=trio.current_time())
 
     def release_program(self, team: TeamId, program: ProgramId) -> None:
         """Notes that a program's prefixes were released at the engine."""
-        self._residents.release(ProgramKey(team, program))
+        self._residents.release(ProgramKey(team, program), now=trio.current_time())
         self._start_waiting()
 
     def load(self) -> TargetLoad:
-        """Returns the load; the cache's figures are the engine's to add."""
+        """Returns the load; the cache's figures are those that the gate plans with."""
         return TargetLoad(
             running=len(self._running),
             queued=len(self._waiting),
             slots=self._options.slots,
+            cached_tokens=self._residents.count_tokens(),
+            cache_capacity_tokens=self._residents.capacity_tokens,
         )
 
     @property
     def service_seconds(self) -> float:
         """Expected time that a call holds a slot."""
-        return self._service.seconds
+        return self._service.value
 
     def _enqueue(self, request: DispatchRequest) -> Waiter:
         """Takes a call in, or refuses it at once."""
@@ -193,18 +194,26 @@
 
     def _check_wait(self, waiter: Waiter) -> None:
         """Refuses a call whose expected wait exceeds its deadline."""
-        key = self._build_key(waiter)
-        ahead = sum(self._build_key(other) < key for other in self._waiting)
-        wait = estimate_wait(
-            ahead=ahead,
-            slots=self._options.slots,
-            service_seconds=self._service.seconds,
-        )
-        if wait <= waiter.request.deadline_seconds:
+        wait = self._estimate_wait(waiter)
+        deadline = waiter.request.deadline_seconds
+        if wait <= deadline:
             return
         raise self._build_overloaded(
-            f"expected wait is {wait:.2f} s, got a deadline of "
-            f"{waiter.request.deadline_seconds:.2f} s"
+            f"expected wait is {wait:.2f} s, got a deadline of {deadline:.2f} s",
+            retry_after=wait,
+        )
+
+    def _estimate_wait(self, waiter: Waiter) -> float:
+        """Returns the expected wait of a call that cannot start at once."""
+        key = self._build_key(waiter)
+        before = [each for each in self._waiting if self._build_key(each) < key]
+        if self._is_held(waiter):
+            held = sum(map(self._is_new, before))
+            return (held + 1) * self._residents.release_seconds
+        return estimate_wait(
+            ahead=len(before),
+            slots=self._options.slots,
+            service_seconds=self._service.value,
         )
 
     def _make_room(self, newcomer: Waiter) -> None:
@@ -218,7 +227,12 @@
         last = self._find_last(newcomer)
         error = self._build_overloaded(
             f"queue is full with {len(self._waiting)} calls, expected fewer than "
-            f"{self._options.queue_limit}"
+            f"{self._options.queue_limit}",
+            retry_after=estimate_wait(
+                ahead=len(self._waiting),
+                slots=self._options.slots,
+                service_seconds=self._service.value,
+            ),
         )
         if last is newcomer:
             raise error
@@ -237,7 +251,8 @@
     def _start_waiting(self) -> None:
         """Starts waiting calls in order while there are slots."""
         while self._waiting and len(self._running) < self._options.slots:
-            ready = [each for each in self._waiting if not self._is_held(each)]
+            room = self._has_room()
+            ready = [each for each in self._waiting if room or not self._is_new(each)]
             if not ready:
                 return
             best = min(ready, key=self._build_key)
@@ -247,19 +262,18 @@
             self._start(best)
 
     def _is_held(self, waiter: Waiter) -> bool:
-        """Tells whether a new program waits for room in the cache.
+        """Tells whether a new program waits for room in the engine's cache."""
+        return self._is_new(waiter) and not self._has_room()
 
-        Programs of the first class are not held, and none is held for long.
-        """
+    def _is_new(self, waiter: Waiter) -> bool:
+        """Tells whether a call may be held; those of the first class never are."""
         request = waiter.request
         if request.kind is not ServiceKind.MODEL or waiter.rank == 0:
             return False
-        now = trio.current_time()
-        if now - waiter.arrived >= self._options.hold_seconds:
-            return False
-        if self._residents.is_resident(build_program_key(request)):
-            return False
-        return not self._residents.has_room(now=now)
+        return not self._residents.is_resident(request)
+
+    def _has_room(self) -> bool:
+        return self._residents.has_room(now=trio.current_time())
 
     def _can_start(self, waiter: Waiter) -> bool:
         """Tells whether a call may run beside those that run now."""
@@ -273,9 +287,7 @@
         self._running.add(waiter)
         waiter.turn.set()
         if waiter.request.kind is ServiceKind.MODEL:
-            self._residents.touch(
-                build_program_key(waiter.request), now=trio.current_time()
-            )
+            self._residents.touch(waiter.request, now=trio.current_time())
 
     def _refuse_waiter(self, waiter: Waiter, error: ServiceError) -> None:
         self._waiting.pop(waiter, None)
@@ -297,15 +309,11 @@
             waiter,
             now=trio.current_time(),
             aging_seconds=self._options.aging_seconds,
-            service_seconds=self._service.seconds,
+            service_seconds=self._service.value,
         )
 
-    def _build_overloaded(self, reason: str) -> Overloaded:
-        retry_after = estimate_retry(
-            queued=len(self._waiting),
-            slots=self._options.slots,
-            service_seconds=self._service.seconds,
-        )
+    def _build_overloaded(self, reason: str, *, retry_after: float) -> Overloaded:
+        retry_after = max(MIN_RETRY_SECONDS, round(retry_after, 3))
         return Overloaded(
             f"{reason}; send the call again after {retry_after} s or to another target",
             retry_after=retry_after,
--- a/packages/daemon/src/goldcrestvane_daemon/gate/options.py
+++ b/packages/daemon/src/goldcrestvane_daemon/gate/options.py
@@ -10,8 +10,6 @@
         slots: Calls that the target runs at a time.
         queue_limit: Calls that wait at most.
         aging_seconds: Waiting time after which a call rises by one priority class.
-        hold_seconds: Longest time that a new program waits for room in the engine's
-            prefix cache.
         class_share: Part of the queue that each priority class keeps for itself, so
             that a flood of one class cannot refuse all calls of another; 0 to 1/3.
         first_service_seconds: Expected duration of a call before any was measured.
@@ -20,7 +18,6 @@
     slots: int = 8
     queue_limit: int = 128
     aging_seconds: float = 10.0
-    hold_seconds: float = 60.0
     class_share: float = 0.125
     first_service_seconds: float = 1.0
 
--- a/packages/daemon/src/goldcrestvane_daemon/gate/residents.py
+++ b/packages/daemon/src/goldcrestvane_daemon/gate/residents.py
@@ -10,6 +10,8 @@
 
 from goldcrestvane_common.ids import ProgramId, TeamId, get_root
 from goldcrestvane_common.messages import DispatchRequest
+from goldcrestvane_common.settings import Priority
+from goldcrestvane_daemon.gate.estimate import MovingMean
 
 FULL_SHARE = 0.95
 """Share of the cache that resident programs may take before new ones wait."""
@@ -18,6 +20,7 @@
 """Time without a call after which a program no longer counts as resident."""
 
 PEAK_SMOOTHING = 0.05
+INTERVAL_SMOOTHING = 0.1
 
 
 class ProgramKey(NamedTuple):
@@ -28,60 +31,87 @@
 
 
 class Resident(NamedTuple):
-    """Tokens that a program holds, and the time of its last call."""
+    """What is known of one program.
 
+    Attributes:
+        priority: Scheduling class.
+        tokens: Tokens that its last ended call left in the cache.
+        used: Time of its last call on trio's clock.
+    """
+
+    priority: Priority
     tokens: int
     used: float
 
 
 @final
 class Residents:
-    """Programs believed to hold a prefix at one engine; the latest used last."""
+    """Programs believed to hold a prefix at one engine; the latest used last.
+
+    Attributes:
+        capacity_tokens: Size of the engine's cache; 0 if unknown.
+    """
 
     def __init__(self) -> None:
         self.capacity_tokens = 0
         self._programs: OrderedDict[ProgramKey, Resident] = OrderedDict()
         self._roots: Counter[ProgramKey] = Counter()
-        self._tokens = 0
-        self._mean_peak = 0.0
+        self._peaks = {priority: MovingMean(PEAK_SMOOTHING) for priority in Priority}
+        self._intervals = MovingMean(INTERVAL_SMOOTHING)
+        self._last_release: float | None = None
 
-    def note(self, key: ProgramKey, *, tokens: int, now: float) -> None:
+    @property
+    def release_seconds(self) -> float:
+        """Mean time between two ends of programs; 0 before the second end."""
+        return self._intervals.value
+
+    def note(self, request: DispatchRequest, *, tokens: int, now: float) -> None:
         """Notes a call of a program and the tokens it leaves in the cache."""
+        key = build_program_key(request)
         earlier = self._programs.pop(key, None)
         if earlier is None:
             self._roots[_get_root_key(key)] += 1
-        else:
-            self._tokens -= earlier.tokens
-        self._programs[key] = Resident(tokens, now)
-        self._tokens += tokens
+        self._programs[key] = Resident(request.priority, tokens, now)
 
-    def touch(self, key: ProgramKey, *, now: float) -> None:
+    def touch(self, request: DispatchRequest, *, now: float) -> None:
         """Notes that a call of a program starts."""
-        resident = self._programs.get(key)
-        self.note(key, tokens=resident.tokens if resident else 0, now=now)
+        resident = self._programs.get(build_program_key(request))
+        self.note(request, tokens=resident.tokens if resident else 0, now=now)
 
-    def release(self, key: ProgramKey) -> None:
+    def release(self, key: ProgramKey, *, now: float) -> None:
         """Drops an ended program, and learns how large programs get."""
         resident = self._programs.get(key)
         if resident is None:
             return
         self._drop(key)
-        self._mean_peak += PEAK_SMOOTHING * (resident.tokens - self._mean_peak)
+        self._peaks[resident.priority].record(resident.tokens)
+        if self._last_release is not None:
+            self._intervals.record(now - self._last_release)
+        self._last_release = now
 
-    def is_resident(self, key: ProgramKey) -> bool:
+    def is_resident(self, request: DispatchRequest) -> bool:
         """Tells whether the tree of a program has a prefix here."""
-        return _get_root_key(key) in self._roots
+        return _get_root_key(build_program_key(request)) in self._roots
 
-    def has_room(self, *, now: float) -> bool:
-        """Tells whether one more program fits.
+    def count_tokens(self) -> int:
+        """Returns the tokens that all programs hold, or will hold on average.
 
-        Young programs count with half of what programs reach, their mean over time.
+        Programs that all are young grow later: each counts at least with half of what
+        its class reaches, the mean over its time.
         """
+        present = 0
+        grown = 0.0
+        for resident in self._programs.values():
+            present += resident.tokens
+            grown += self._peaks[resident.priority].value / 2
+        return max(present, int(grown))
+
+    def has_room(self, *, now: float) -> bool:
+        """Tells whether one more program may start."""
         if not self.capacity_tokens:
             return True
         self._drop_idle(now)
-        grown = (len(self._programs) + 1) * self._mean_peak / 2
-        return max(self._tokens, grown) <= FULL_SHARE * self.capacity_tokens
+        return self.count_tokens() < FULL_SHARE * self.capacity_tokens
 
     def _drop_idle(self, now: float) -> None:
         while self._programs:
@@ -91,7 +121,7 @@
             self._drop(key)
 
     def _drop(self, key: ProgramKey) -> None:
-        self._tokens -= self._programs.pop(key).tokens
+        del self._programs[key]
         root = _get_root_key(key)
         self._roots[root] -= 1
         if not self._roots[root]:
--- a/packages/daemon/src/goldcrestvane_daemon/placement/choice.py
+++ b/packages/daemon/src/goldcrestvane_daemon/placement/choice.py
@@ -79,7 +79,7 @@
     computed = facts.prompt_tokens - reused
     displaced = 0
     if view.free_tokens is not None:
-        displaced = max(0, computed - view.free_tokens)
+        displaced = max(0, computed - max(0, view.free_tokens))
     recompute = view.seconds_per_token * (computed + displaced)
     own = view.slowness * (estimate_wait(view) + view.call_seconds)
     return own + cache_factor * recompute + view.domain_seconds
