Count the calls that a recomputed prefix delays

Change: the cost of recomputed tokens at a target grows with the calls that wait there for each slot.

--- a/packages/daemon/src/goldcrestvane_daemon/placement/choice.py
+++ b/packages/daemon/src/goldcrestvane_daemon/placement/choice.py
@@ -65,9 +65,14 @@
     return min(MAX_CACHE_FACTOR, 1.0 / max(1.0 - cache_weight, 1e-9))
 
 
+def count_excess(view: TargetView) -> float:
+    """Returns the calls at a target beyond its slots, the new one included."""
+    return max(0.0, view.calls + 1 - view.slots)
+
+
 def estimate_wait(view: TargetView) -> float:
     """Returns the expected wait for a slot at a target, in seconds."""
-    excess = max(0.0, view.calls + 1 - view.slots)
+    excess = count_excess(view)
     busy = min(1.0, view.calls / view.slots)
     wait = excess / view.slots + BUSY_SHARE * busy
     return wait * view.call_seconds
@@ -80,7 +85,8 @@
     displaced = 0
     if view.free_tokens is not None:
         displaced = max(0, computed - max(0, view.free_tokens))
-    recompute = view.seconds_per_token * (computed + displaced)
+    delayed = count_excess(view) / view.slots
+    recompute = view.seconds_per_token * (computed + displaced) * (1 + delayed)
     own = view.slowness * (estimate_wait(view) + view.call_seconds)
     return own + cache_factor * recompute + view.domain_seconds
 
