Start new programs only when the queue has no backlog of running ones

Ruled out: aging alone as the guard against starvation (a call that is held cannot age past its deadline); a hold without any guard (a flood of a higher class would starve the others for good). Change: new programs of the lower classes also wait while as many calls of running programs wait as there are slots. A class without a start for class_start_seconds gets the next one, whatever else waits. The simple policies' calls are all of the first class, which is never held, so that their queues stay first come, first served.

--- a/bench/policy_bench/runner.py
+++ b/bench/policy_bench/runner.py
@@ -352,7 +352,7 @@
         self, session: Session, attempt: Attempt, deadline: float, idempotent: bool
     ) -> DispatchRequest:
         ordered = self._decider.ordered
-        priority = session.root.kind.priority if ordered else Priority.STANDARD
+        priority = session.root.kind.priority if ordered else Priority.INTERACTIVE
         service = attempt.facts.service
         return DispatchRequest(
             call=CallId(session.name),
--- a/packages/daemon/src/goldcrestvane_daemon/gate/gate.py
+++ b/packages/daemon/src/goldcrestvane_daemon/gate/gate.py
@@ -32,6 +32,7 @@
     ProgramKey,
     Residents,
 )
+from goldcrestvane_daemon.gate.turns import ClassTurns
 
 
 class Permit(msgspec.Struct, frozen=True):
@@ -60,6 +61,7 @@
         )
         self._fences = Fences()
         self._residents = Residents()
+        self._turns = ClassTurns()
         self._waiting: dict[Waiter, None] = {}
         self._running: set[Waiter] = set()
         self._closed = False
@@ -251,18 +253,33 @@
     def _start_waiting(self) -> None:
         """Starts waiting calls in order while there are slots."""
         while self._waiting and len(self._running) < self._options.slots:
-            room = self._has_room()
-            ready = [each for each in self._waiting if room or not self._is_new(each)]
-            if not ready:
-                return
-            best = min(ready, key=self._build_key)
-            if not self._can_start(best):
+            best = self._find_first()
+            if best is None or not self._can_start(best):
                 return
             del self._waiting[best]
             self._start(best)
 
+    def _find_first(self) -> Waiter | None:
+        """Returns the call that starts next; None if all are held."""
+        due = [each for each in self._waiting if self._is_due(each)]
+        if due:
+            return min(due, key=self._build_key)
+        room = self._has_room()
+        ready = [each for each in self._waiting if room or not self._is_new(each)]
+        return min(ready, key=self._build_key, default=None)
+
+    def _is_due(self, waiter: Waiter) -> bool:
+        """Tells whether a call's class has waited for its least rate of starts."""
+        return self._turns.is_due(
+            waiter.request.priority,
+            now=trio.current_time(),
+            seconds=self._options.class_start_seconds,
+        )
+
     def _is_held(self, waiter: Waiter) -> bool:
-        """Tells whether a new program waits for room in the engine's cache."""
+        """Tells whether a new program waits for room in the queue or the cache."""
+        if self._is_due(waiter):
+            return False
         return self._is_new(waiter) and not self._has_room()
 
     def _is_new(self, waiter: Waiter) -> bool:
@@ -273,6 +290,10 @@
         return not self._residents.is_resident(request)
 
     def _has_room(self) -> bool:
+        """Tells whether a new program may start: the cache and the queue have room."""
+        backlog = sum(not self._is_new(each) for each in self._waiting)
+        if backlog >= self._options.slots:
+            return False
         return self._residents.has_room(now=trio.current_time())
 
     def _can_start(self, waiter: Waiter) -> bool:
@@ -286,6 +307,7 @@
     def _start(self, waiter: Waiter) -> None:
         self._running.add(waiter)
         waiter.turn.set()
+        self._turns.note_start(waiter.request.priority, now=trio.current_time())
         if waiter.request.kind is ServiceKind.MODEL:
             self._residents.touch(waiter.request, now=trio.current_time())
 
--- a/packages/daemon/src/goldcrestvane_daemon/gate/options.py
+++ b/packages/daemon/src/goldcrestvane_daemon/gate/options.py
@@ -10,6 +10,8 @@
         slots: Calls that the target runs at a time.
         queue_limit: Calls that wait at most.
         aging_seconds: Waiting time after which a call rises by one priority class.
+        class_start_seconds: Time after which a class with waiting calls gets a start,
+            whatever waits in the others.
         class_share: Part of the queue that each priority class keeps for itself, so
             that a flood of one class cannot refuse all calls of another; 0 to 1/3.
         first_service_seconds: Expected duration of a call before any was measured.
@@ -18,6 +20,7 @@
     slots: int = 8
     queue_limit: int = 128
     aging_seconds: float = 10.0
+    class_start_seconds: float = 30.0
     class_share: float = 0.125
     first_service_seconds: float = 1.0
 
@@ -27,10 +30,15 @@
                 f"got slots={self.slots} and queue_limit={self.queue_limit}, expected "
                 "at least 1 and 0; correct the service's settings"
             )
-        if self.aging_seconds <= 0 or self.first_service_seconds <= 0:
+        times = (
+            self.aging_seconds,
+            self.class_start_seconds,
+            self.first_service_seconds,
+        )
+        if min(times) <= 0:
             raise ValueError(
-                f"got aging_seconds={self.aging_seconds} and first_service_seconds="
-                f"{self.first_service_seconds}, expected positive seconds"
+                f"got aging, class start and first service times {times}, expected "
+                "positive seconds"
             )
         if not 0 <= self.class_share <= 1 / 3:
             raise ValueError(
--- a/packages/daemon/tests/gate/test_residents.py
+++ b/packages/daemon/tests/gate/test_residents.py
@@ -8,7 +8,7 @@
 
 from .test_gate import GateTestCase, build_request
 
-TWO_SLOTS = GateOptions(slots=2, aging_seconds=5.0)
+TWO_SLOTS = GateOptions(slots=2, aging_seconds=5.0, class_start_seconds=200.0)
 
 
 class ResidentTests(GateTestCase):
@@ -91,6 +91,40 @@
 
         self.run_full(script)
 
+    def test_class_gets_a_start_when_its_time_has_come(self):
+        async def script(gate, nursery):
+            gate.apply(GateOptions(slots=2, class_start_seconds=30.0))
+            await self.start_calls(
+                gate,
+                nursery,
+                build_request("standard"),
+                build_request("batch", priority=Priority.BATCH),
+                build_request("batch-later", priority=Priority.BATCH),
+            )
+            await trio.sleep(28)
+            self.assertEqual(self.started, ["resident"])
+            await trio.sleep(12)
+            self.assertEqual(sorted(self.started), ["batch", "resident", "standard"])
+            nursery.cancel_scope.cancel()
+
+        self.run_full(script)
+
+    def test_new_program_waits_while_resident_ones_fill_the_queue(self):
+        async def script(gate, nursery):
+            gate.set_cache_capacity(0)
+            agents = [f"resident/a{number}" for number in range(4)]
+            await self.start_calls(
+                gate,
+                nursery,
+                *(build_request(agent, program=agent) for agent in agents),
+                build_request("new"),
+                build_request("last", program="resident/a4"),
+            )
+            await trio.sleep(5)
+            self.assertEqual(self.started[-2:], ["last", "new"])
+
+        self.run_full(script)
+
     def test_program_without_calls_no_longer_counts(self):
         async def script(gate, nursery):
             await trio.sleep(60)
