--- /dev/null
+++ b/packages/daemon/tests/gate/test_residents.py
@@ -0,0 +1,138 @@
+import unittest
+
+import trio
+
+from goldcrestvane_common.errors import DeadlineExceeded, Overloaded
+from goldcrestvane_common.settings import Priority, ServiceKind
+from goldcrestvane_daemon.gate import GateOptions
+
+from .test_gate import GateTestCase, build_request
+
+TWO_SLOTS = GateOptions(slots=2, aging_seconds=5.0, class_start_seconds=200.0)
+
+
+class ResidentTests(GateTestCase):
+    def run_full(self, script):
+        """Runs a script with a gate whose engine's cache is full with one program."""
+
+        async def fill(gate, nursery):
+            gate.set_cache_capacity(10_000)
+            resident = build_request("resident", program="resident")
+            await self.hold(gate, resident)
+            gate.note_tokens(resident, 9_900)
+            await script(gate, nursery)
+
+        self.run_gate(fill, TWO_SLOTS)
+
+    def test_new_program_waits_until_a_resident_one_ends(self):
+        async def script(gate, nursery):
+            await self.start_calls(gate, nursery, build_request("new"))
+            await trio.sleep(3)
+            self.assertNotIn("new", self.started)
+            gate.release_program("shop", "resident")
+            await trio.sleep(2)
+            self.assertEqual(self.ended["new"], "done")
+
+        self.run_full(script)
+
+    def test_resident_program_its_agents_and_others_pass_a_held_one(self):
+        async def script(gate, nursery):
+            await self.start_calls(
+                gate,
+                nursery,
+                build_request("new"),
+                build_request("again", program="resident"),
+                build_request("agent", program="resident/a0"),
+                build_request("person", priority=Priority.INTERACTIVE),
+                build_request("tool", kind=ServiceKind.TOOL),
+            )
+            await trio.sleep(5)
+            self.assertEqual(
+                set(self.started), {"resident", "again", "agent", "person", "tool"}
+            )
+
+        self.run_full(script)
+
+    def test_held_call_ends_at_its_deadline(self):
+        async def script(gate, nursery):
+            begin = trio.current_time()
+            await self.hold(gate, build_request("new", deadline_seconds=12))
+            self.assertEqual(trio.current_time(), begin + 12)
+            self.assertIsInstance(self.ended["new"], DeadlineExceeded)
+
+        self.run_full(script)
+
+    def test_wait_for_room_beyond_the_deadline_is_refused_at_once(self):
+        async def script(gate, nursery):
+            for number in range(3):
+                short = build_request(f"short-{number}", program=f"short-{number}")
+                gate.note_tokens(short, 0)
+                await trio.sleep(10)
+                gate.release_program("shop", short.program)
+            await self.hold(gate, build_request("new", deadline_seconds=9))
+            error = self.ended["new"]
+            self.assertIsInstance(error, Overloaded)
+            self.assertEqual(error.retry_after, 10.0)
+
+        self.run_full(script)
+
+    def test_young_programs_count_with_what_their_class_reaches(self):
+        async def script(gate, nursery):
+            gate.release_program("shop", "resident")
+            await self.start_calls(
+                gate, nursery, build_request("first"), build_request("second")
+            )
+            await trio.sleep(2)
+            self.assertEqual(self.ended["second"], "done")
+            await self.start_calls(gate, nursery, build_request("third"))
+            await trio.sleep(2)
+            self.assertNotIn("third", self.started)
+            nursery.cancel_scope.cancel()
+
+        self.run_full(script)
+
+    def test_class_gets_a_start_when_its_time_has_come(self):
+        async def script(gate, nursery):
+            gate.apply(GateOptions(slots=2, class_start_seconds=30.0))
+            await self.start_calls(
+                gate,
+                nursery,
+                build_request("standard"),
+                build_request("batch", priority=Priority.BATCH),
+                build_request("batch-later", priority=Priority.BATCH),
+            )
+            await trio.sleep(28)
+            self.assertEqual(self.started, ["resident"])
+            await trio.sleep(12)
+            self.assertEqual(sorted(self.started), ["batch", "resident", "standard"])
+            nursery.cancel_scope.cancel()
+
+        self.run_full(script)
+
+    def test_new_program_waits_while_resident_ones_fill_the_queue(self):
+        async def script(gate, nursery):
+            gate.set_cache_capacity(0)
+            agents = [f"resident/a{number}" for number in range(4)]
+            await self.start_calls(
+                gate,
+                nursery,
+                *(build_request(agent, program=agent) for agent in agents),
+                build_request("new"),
+                build_request("last", program="resident/a4"),
+            )
+            await trio.sleep(5)
+            self.assertEqual(self.started[-2:], ["last", "new"])
+
+        self.run_full(script)
+
+    def test_program_without_calls_no_longer_counts(self):
+        async def script(gate, nursery):
+            await trio.sleep(60)
+            await self.hold(gate, build_request("new"))
+            self.assertEqual(self.ended["new"], "done")
+
+        self.run_full(script)
+
+
+if __name__ == "__main__":
+    unittest.main()
