Refuse bad input with the field and the remedy

Cause: headers and bodies of any shape reach the entry; hypercorn answers oversized headers without a body, answers a websocket with 500 when the application returns, and sends without a timeout to a peer that stops reading. Ruled out: an own limit inside hypercorn's parser (its answer cannot carry a body), and a timeout around the ASGI send (hypercorn shields it from cancellation). Change, in goldcrestvane_common.server: headers over 16 KiB are refused as headers_too_large (431) by name, over 64 KiB by the parser alone; a body too large is read on up to 16 MiB so that its sender sees the 413; websockets are closed with 403; listeners set TCP_USER_TIMEOUT (30 s) for peers that stop reading. In the entry: budget limits are bounded to 2^53, details from a caller's body are shortened in messages. That the kernel ends a stalled send was not run; the test checks the socket option alone.

--- a/packages/common/src/goldcrestvane_common/errors.py
+++ b/packages/common/src/goldcrestvane_common/errors.py
@@ -104,6 +104,14 @@
     outcome = Outcome.REFUSED_FINAL
 
 
+class HeadersTooLarge(ServiceError):
+    """The headers exceed the size limit."""
+
+    kind = "headers_too_large"
+    status = 431
+    outcome = Outcome.REFUSED_FINAL
+
+
 class RequestTimeout(ServiceError):
     """The caller took too long to send the body."""
 
--- a/packages/common/src/goldcrestvane_common/server.py
+++ b/packages/common/src/goldcrestvane_common/server.py
@@ -2,6 +2,7 @@
 
 import logging
 import math
+import socket
 from collections.abc import AsyncGenerator, Awaitable, Callable, Mapping
 from contextlib import aclosing
 from dataclasses import dataclass, field
@@ -12,9 +13,10 @@
 import hypercorn.trio
 import msgspec
 import trio
-from hypercorn.config import Config
+from hypercorn.config import Config, Sockets
 
 from goldcrestvane_common.errors import (
+    HeadersTooLarge,
     InvalidRequest,
     NotFound,
     Outcome,
@@ -25,7 +27,12 @@
 )
 
 MAX_BODY_BYTES = 4 * 1024 * 1024
+MAX_DISCARDED_BYTES = 16 * 1024 * 1024
+MAX_HEADER_BYTES = 16 * 1024
+MAX_PARSED_HEADER_BYTES = 64 * 1024
 BODY_TIMEOUT_SECONDS = 10.0
+STALLED_SEND_SECONDS = 30.0
+MAX_SHOWN_CHARACTERS = 80
 KEEP_ALIVE_SECONDS = 75.0
 GRACEFUL_STOP_SECONDS = 300.0
 
@@ -181,7 +188,8 @@
         if scope["type"] == "lifespan":
             await _serve_lifespan(receive, send)
             return
-        if scope["type"] != "http":
+        if scope["type"] == "websocket":
+            await send({"type": "websocket.close"})
             return
         self.in_flight += 1
         try:
@@ -193,6 +201,7 @@
         self, scope: dict[str, Any], receive: Callable, send: Callable
     ) -> None:
         try:
+            _check_headers(scope)
             body = await self._read_body(receive)
         except ServiceError as error:
             await _send_error(error, send)
@@ -222,30 +231,46 @@
 
     async def _read_body(self, receive: Callable) -> bytes | None:
         """Returns the body, or None when the sender left before its end."""
+        with trio.move_on_after(self._body_timeout):
+            return await self._collect_body(receive)
+        raise RequestTimeout(
+            f"The body took over {self._body_timeout} s; send it again faster.",
+            field="body",
+            retry_after=1.0,
+        )
+
+    async def _collect_body(self, receive: Callable) -> bytes | None:
+        """Reads a body; one too large is read on, so that its sender sees the error."""
         parts: list[bytes] = []
         size = 0
-        with trio.move_on_after(self._body_timeout) as timeout:
-            while True:
-                message = await receive()
-                if message["type"] == "http.disconnect":
-                    return None
-                part = message.get("body", b"")
-                size += len(part)
-                if size > self._max_body_bytes:
-                    raise RequestTooLarge(
-                        f"The body exceeds {self._max_body_bytes} bytes; send less.",
-                        field="body",
-                    )
+        more = True
+        while more and size <= MAX_DISCARDED_BYTES:
+            message = await receive()
+            if message["type"] == "http.disconnect":
+                return None
+            part = message.get("body", b"")
+            more = message.get("more_body", False)
+            size += len(part)
+            if size <= self._max_body_bytes:
                 parts.append(part)
-                if not message.get("more_body", False):
-                    return b"".join(parts)
-        if timeout.cancelled_caught:
-            raise RequestTimeout(
-                f"The body took over {self._body_timeout} s; send it again faster.",
+        if size > self._max_body_bytes:
+            raise RequestTooLarge(
+                f"The body exceeds {self._max_body_bytes} bytes; send less.",
                 field="body",
-                retry_after=1.0,
             )
-        return None
+        return b"".join(parts)
+
+
+def _check_headers(scope: dict[str, Any]) -> None:
+    headers = scope["headers"]
+    size = sum(len(name) + len(value) for name, value in headers)
+    if size <= MAX_HEADER_BYTES:
+        return
+    longest = max(headers, key=lambda header: len(header[0]) + len(header[1]))
+    raise HeadersTooLarge(
+        f"Got {size} bytes of headers; send at most {MAX_HEADER_BYTES}.",
+        field=longest[0].decode("latin-1").lower()[:MAX_SHOWN_CHARACTERS],
+    )
 
 
 def _build_request(scope: dict[str, Any], body: bytes) -> Request:
@@ -345,6 +370,25 @@
     }
 
 
+@final
+class BoundedConfig(Config):
+    """Configuration of a server that gives up a peer which stops reading.
+
+    hypercorn sends without a timeout, so the kernel ends such a connection.
+    """
+
+    def create_sockets(self) -> Sockets:
+        """Returns the sockets to listen on; accepted ones inherit the timeout."""
+        sockets = super().create_sockets()
+        for listener in sockets.insecure_sockets:
+            listener.setsockopt(
+                socket.IPPROTO_TCP,
+                socket.TCP_USER_TIMEOUT,
+                int(STALLED_SEND_SECONDS * 1000),
+            )
+        return sockets
+
+
 async def serve_http(
     application: Application,
     address: str,
@@ -360,7 +404,8 @@
         shutdown: Set to stop gracefully; None serves until cancelled.
         task_status: Receives the ``host:port`` that is listened on.
     """
-    config = Config()
+    config = BoundedConfig()
+    config.h11_max_incomplete_size = MAX_PARSED_HEADER_BYTES
     config.bind = [address]
     config.graceful_timeout = GRACEFUL_STOP_SECONDS
     config.keep_alive_timeout = KEEP_ALIVE_SECONDS
--- a/packages/daemon/src/goldcrestvane_daemon/entry/_fields.py
+++ b/packages/daemon/src/goldcrestvane_daemon/entry/_fields.py
@@ -1,6 +1,5 @@
 """Checks of the ids, numbers and bodies that callers send."""
 
-import math
 import re
 from typing import Any
 
@@ -12,6 +11,7 @@
 
 MAX_SEQUENCE = 2**31 - 1
 MAX_PROGRAM_PARTS = 8
+MAX_LIMIT = 2**53
 NAME_RULE = "1 to 64 of the characters A-Z a-z 0-9 . _ -"
 
 _NAME = re.compile(r"[A-Za-z0-9._-]{1,64}", re.ASCII)
@@ -20,6 +20,7 @@
 _ERROR_PATH = re.compile(r" - at `\$\.?(?P<path>[^`]*)`")
 _ERROR_FIELD = re.compile(r"field `(?P<field>[^`]*)`")
 _SHOWN_CHARACTERS = 80
+_LONGEST_DETAIL = 300
 
 
 def require_header(request: Request, name: str) -> str:
@@ -87,11 +88,12 @@
 
 
 def check_limit(value: float | None, *, field: str) -> None:
-    """Refuses a budget limit that is negative or no number."""
-    if value is None or (math.isfinite(value) and value >= 0):
+    """Refuses a budget limit that is negative or out of range."""
+    if value is None or 0 <= value <= MAX_LIMIT:
         return
     raise InvalidRequest(
-        f"Got {value} as {field}; send a number from 0 on, or leave it out.",
+        f"Got {show_text(str(value))} as {field}; send a number from 0 to "
+        f"{MAX_LIMIT}, or leave it out.",
         field=field,
     )
 
@@ -106,7 +108,7 @@
         return msgspec.json.decode(body, type=body_type)
     except msgspec.ValidationError as error:
         raise InvalidRequest(
-            f"{error}; see docs/reference/http.md for the fields.",
+            f"{_shorten(str(error))}; see docs/reference/http.md for the fields.",
             field=_name_field(str(error)),
         ) from error
     except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
@@ -127,4 +129,10 @@
     path = _ERROR_PATH.search(message)
     field = _ERROR_FIELD.search(message)
     names = [path["path"] if path else "", field["field"] if field else ""]
-    return ".".join(name for name in names if name) or "body"
+    return _shorten(".".join(name for name in names if name)) or "body"
+
+
+def _shorten(text: str) -> str:
+    if len(text) <= _LONGEST_DETAIL:
+        return text
+    return f"{text[:_LONGEST_DETAIL]}..."
--- a/packages/daemon/src/goldcrestvane_daemon/entry/_service.py
+++ b/packages/daemon/src/goldcrestvane_daemon/entry/_service.py
@@ -138,6 +138,9 @@
             except ServiceError as error:
                 status = str(error.status)
                 raise
+            except Exception:
+                status = "500"
+                raise
             finally:
                 self._count(tracked, status)
             return response
--- /dev/null
+++ b/packages/daemon/tests/entry/test_fuzz.py
@@ -0,0 +1,140 @@
+"""Fuzzes the parsing edge: whatever comes in, the answer is no 500."""
+
+import random
+import unittest
+
+import msgspec
+import trio
+from hypothesis import example, given, settings
+from hypothesis import strategies as st
+
+from entry.support import CHAT, HEADERS, FakeOwners, FakeTeams
+from goldcrestvane_common.server import Application, Router
+from goldcrestvane_common.transport import Transport
+from goldcrestvane_daemon.entry import EntryLimits, EntryService
+from goldcrestvane_daemon.probes import RequestMetrics
+
+FIXED = settings(derandomize=True, deadline=None, database=None, max_examples=300)
+NO_WAIT = EntryLimits(takeover_seconds=0.0)
+PATHS = (
+    "/v1/chat/completions",
+    "/v1/tools/vouchers/issue",
+    "/v1/programs/begin",
+    "/v1/programs/end",
+    "/internal/programs/show",
+)
+BODIES = {
+    PATHS[0]: CHAT,
+    PATHS[1]: {"amount": 1},
+    PATHS[2]: {"kind": "fitting", "budget": {"tokens": 5}},
+    PATHS[3]: {"program": "p1"},
+    PATHS[4]: {"team": "open", "program": "p1"},
+}
+NUMBERS = st.sampled_from(
+    ["0", "-0", "nan", "inf", "-1", "1e309", "0x1", "1_0", " 1", "\u0661", "9" * 30]
+)
+JSON = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=20),
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(st.text(max_size=8), inner, max_size=3)
+    ),
+    max_leaves=8,
+)
+LATIN = st.text(st.characters(max_codepoint=255), max_size=40)
+
+
+async def answer(method, path, headers, body):
+    """Returns the status of one request, given straight to the application."""
+    owners = FakeOwners(None)
+    router = Router()
+    sent = []
+    messages = [{"type": "http.request", "body": body, "more_body": False}]
+
+    async def receive():
+        if messages:
+            return messages.pop()
+        await trio.sleep_forever()
+
+    async def send(message):
+        sent.append(message)
+
+    async with Transport() as transport:
+        service = EntryService(
+            transport=transport,
+            teams=FakeTeams(),
+            owners=owners,
+            metrics=RequestMetrics(),
+            limits=NO_WAIT,
+            randomness=random.Random(1),
+        )
+        service.add_routes(router)
+        scope = {
+            "type": "http",
+            "method": method,
+            "raw_path": path,
+            "path": "",
+            "query_string": b"",
+            "headers": headers,
+        }
+        await Application(router)(scope, receive, send)
+    status = sent[0]["status"]
+    if status != 503:
+        assert owners.refreshes == 0
+    return status, msgspec.json.decode(sent[1]["body"])
+
+
+def encode_headers(headers):
+    return [
+        (name.encode(), value.encode("latin-1", "replace"))
+        for name, value in headers.items()
+    ]
+
+
+class FuzzTests(unittest.TestCase):
+    def check(self, path, headers, body, *, method="POST"):
+        status, value = trio.run(answer, method, path, headers, body)
+        self.assertTrue(400 <= status < 500 or status == 503, value)
+        if status != 503:
+            self.assertIn("field", value["error"])
+
+    @FIXED
+    @given(st.sampled_from(PATHS), st.binary(max_size=200))
+    def test_bytes_as_body(self, path, body):
+        self.check(path.encode(), encode_headers(HEADERS), body)
+
+    @FIXED
+    @given(st.sampled_from(PATHS), st.data())
+    def test_changed_bodies(self, path, data):
+        body = dict(BODIES[path])
+        for _ in range(data.draw(st.integers(1, 3))):
+            known = st.sampled_from([*body, "stream", "max_tokens", "budget", "n"])
+            body[data.draw(known | st.text(max_size=8))] = data.draw(JSON)
+        encoded = msgspec.json.encode(body)
+        self.check(path.encode(), encode_headers(HEADERS), encoded)
+
+    @FIXED
+    @given(st.sampled_from(PATHS), st.data())
+    def test_cut_and_patched_bodies(self, path, data):
+        encoded = bytearray(msgspec.json.encode(BODIES[path]))
+        place = data.draw(st.integers(0, len(encoded) - 1))
+        encoded[place : place + 1] = data.draw(st.binary(max_size=4))
+        self.check(path.encode(), encode_headers(HEADERS), bytes(encoded))
+
+    @FIXED
+    @given(
+        st.sampled_from(PATHS),
+        st.sampled_from([*HEADERS, "goldcrestvane-deadline", "authorization"]),
+        NUMBERS | LATIN,
+    )
+    @example(PATHS[0], "goldcrestvane-program", "p\xe9")
+    def test_changed_headers(self, path, name, value):
+        headers = encode_headers({**HEADERS, name: value})
+        self.check(path.encode(), headers, msgspec.json.encode(BODIES[path]))
+
+    @FIXED
+    @given(st.sampled_from(["GET", "POST", "PUT"]), st.binary(max_size=40))
+    def test_changed_paths(self, method, tail):
+        for prefix in (b"/", b"/v1/programs/", b"/v1/tools/", b"/v1/tools/vouchers/"):
+            path = prefix + bytes(byte & 0x7F for byte in tail)
+            self.check(path, encode_headers(HEADERS), b"{}", method=method)
