Record what callers sent, and replay it against its stated outcome

Ruled out: writing the trace in the request's own task (a slow disk would cost callers time), and redacting a chat to one size (a replay would lose the reuse of prefixes). The entry process passes trace_file on. A replay of a redacted trace of a live entry was not run, and no replay under faults.

--- /dev/null
+++ b/bench/trace_replay/player.py
@@ -0,0 +1,82 @@
+"""Replays a trace: each program's calls in order, not before their time."""
+
+from collections import defaultdict
+from typing import final
+
+import trio
+
+from goldcrestvane_common.ids import ProgramId, get_parent
+from goldcrestvane_common.trace import Trace, TraceRecord
+from trace_replay.sender import RequestResult, Sender
+
+BEGIN_PATH = "/v1/programs/begin"
+END_PATH = "/v1/programs/end"
+
+ProgramKey = tuple[str, str]
+
+
+@final
+class ProgramRun:
+    """The requests of one program, which depend on each other.
+
+    Attributes:
+        records: Its requests in the order of the trace.
+        begun: Set once its begin has its outcome.
+        finished: Set once all requests have theirs.
+    """
+
+    def __init__(self, records: list[TraceRecord]) -> None:
+        self.records = records
+        self.begun = trio.Event()
+        self.finished = trio.Event()
+
+
+@final
+class Player:
+    """Replays one trace."""
+
+    def __init__(self, trace: Trace, sender: Sender, *, speed: float) -> None:
+        self._sender = sender
+        self._speed = speed
+        self._runs = {
+            key: ProgramRun(records) for key, records in group_records(trace).items()
+        }
+        self._results: list[RequestResult] = []
+        self._started = 0.0
+
+    async def play(self) -> list[RequestResult]:
+        """Returns what became of each request."""
+        self._started = trio.current_time()
+        async with trio.open_nursery() as nursery:
+            for key, run in self._runs.items():
+                nursery.start_soon(self._play_program, key, run)
+        return self._results
+
+    async def _play_program(self, key: ProgramKey, run: ProgramRun) -> None:
+        await self._wait_parent(key)
+        for record in run.records:
+            await trio.sleep_until(self._started + record.at / self._speed)
+            if record.path == END_PATH:
+                await self._wait_children(key)
+            self._results.append(await self._sender.send(record))
+            run.begun.set()
+        run.finished.set()
+
+    async def _wait_parent(self, key: ProgramKey) -> None:
+        parent = get_parent(ProgramId(key[1]))
+        run = self._runs.get((key[0], parent)) if parent else None
+        if run is not None:
+            await run.begun.wait()
+
+    async def _wait_children(self, key: ProgramKey) -> None:
+        for other, run in self._runs.items():
+            if other[0] == key[0] and get_parent(ProgramId(other[1])) == key[1]:
+                await run.finished.wait()
+
+
+def group_records(trace: Trace) -> dict[ProgramKey, list[TraceRecord]]:
+    """Returns the requests of each program, in the order of the trace."""
+    groups: dict[ProgramKey, list[TraceRecord]] = defaultdict(list)
+    for record in trace.records:
+        groups[record.team, record.program].append(record)
+    return dict(groups)
--- /dev/null
+++ b/bench/trace_replay/scenarios.py
@@ -0,0 +1,255 @@
+"""The two firms' busy hours, as programs whose requests a trace holds.
+
+Passolungo fits running shoes: a customer waits, turns depend on each other, and each
+fitting issues one voucher. Akwaaba closes its tills: a batch program posts each till's
+lines, and one in four stops at its budget of calls.
+"""
+
+import random
+from collections import Counter
+from dataclasses import dataclass, field
+from typing import Any, final
+
+import msgspec
+
+from goldcrestvane_common.ids import ServiceId
+from goldcrestvane_common.settings import (
+    Budget,
+    HistoryMode,
+    OperationSettings,
+    Priority,
+    ProgramSettings,
+    ServiceKind,
+    ServiceSettings,
+    TeamSettings,
+)
+from goldcrestvane_common.trace import TraceRecord, hash_bytes
+from trace_replay.bodies import WORDS
+from trace_replay.outcomes import ExpectedOutcome, TraceSettings, name_kind
+from trace_replay.player import BEGIN_PATH, END_PATH
+from trace_replay.sender import COMPLETE
+
+CHAT_PATH = "/v1/chat/completions"
+TIMEOUT_SECONDS = "60"
+FITTINGS = 40
+FITTING_ARRIVAL_SECONDS = 0.25
+TILLS = 24
+TILL_ARRIVAL_SECONDS = 0.1
+TILL_CALLS = 6
+
+
+@final
+@dataclass(kw_only=True)
+class Scenario:
+    """A trace under construction.
+
+    Attributes:
+        name: Name of the files.
+        settings: What the trace needs to be declared.
+        records: Requests, in any order.
+        requests: Expected outcomes.
+        effects: Expected side effects.
+    """
+
+    name: str
+    settings: TraceSettings
+    records: list[TraceRecord] = field(default_factory=list)
+    requests: Counter[str] = field(default_factory=Counter)
+    effects: Counter[str] = field(default_factory=Counter)
+
+    def list_records(self) -> list[TraceRecord]:
+        """Returns the requests in the order of their times."""
+        return sorted(self.records, key=lambda record: record.at)
+
+    def build_expected(self) -> ExpectedOutcome:
+        """Returns the stated outcome."""
+        return ExpectedOutcome(
+            dict(sorted(self.requests.items())), dict(sorted(self.effects.items()))
+        )
+
+
+@final
+class ProgramWriter:
+    """Writes the requests of one program, one after the other."""
+
+    def __init__(
+        self,
+        scenario: Scenario,
+        *,
+        team: str,
+        program: str,
+        at: float,
+        generator: random.Random,
+    ) -> None:
+        self.at = at
+        self._scenario = scenario
+        self._team = team
+        self._program = program
+        self._random = generator
+        self._sequence = 0
+
+    def begin(self, kind: str) -> None:
+        """Begins the program."""
+        self._add(BEGIN_PATH, {"kind": kind, "program": self._program})
+
+    def end(self) -> None:
+        """Ends the program."""
+        self._add(END_PATH, {"program": self._program})
+
+    def chat(self, service: str, words: int, *, stream: bool = False) -> None:
+        """Asks a model."""
+        text = " ".join(self._random.choice(WORDS) for _ in range(words))
+        body = {
+            "model": service,
+            "messages": [{"role": "user", "content": text}],
+            "max_tokens": 32,
+            "stream": stream,
+        }
+        self._sequence += 1
+        self._add(CHAT_PATH, body, sequence=str(self._sequence))
+
+    def use_tool(
+        self, path: str, value: dict[str, Any], *, outcome: str = COMPLETE
+    ) -> None:
+        """Calls a tool; a refused call uses up no sequence number."""
+        self._add(
+            f"/v1/tools/{path}",
+            value,
+            sequence=str(self._sequence + 1),
+            outcome=outcome,
+        )
+        if outcome == COMPLETE:
+            self._sequence += 1
+            self._scenario.effects[path.rsplit("/", 1)[1]] += 1
+
+    def wait(self, seconds: float) -> None:
+        """Lets time pass before the next request."""
+        self.at += seconds * self._random.uniform(0.5, 1.5)
+
+    def _add(
+        self,
+        path: str,
+        value: dict[str, Any],
+        *,
+        sequence: str = "",
+        outcome: str = COMPLETE,
+    ) -> None:
+        body = msgspec.json.encode(value)
+        record = TraceRecord(
+            at=round(self.at, 3),
+            method="POST",
+            path=path,
+            team=self._team,
+            program=self._program,
+            sequence=sequence,
+            timeout=TIMEOUT_SECONDS,
+            body_bytes=len(body),
+            body_hash=hash_bytes(body),
+            body=msgspec.Raw(body),
+        )
+        self._scenario.records.append(record)
+        self._scenario.requests[f"{name_kind(path)} {outcome}"] += 1
+        self.wait(0.2)
+
+
+def build_passolungo(generator: random.Random) -> Scenario:
+    """Returns the rush of fittings on a Saturday."""
+    team = TeamSettings(
+        programs={
+            "fitting": ProgramSettings(
+                priority=Priority.INTERACTIVE,
+                budget=Budget(calls=40, depth=1),
+                history=HistoryMode.OWNER,
+            )
+        },
+        services={
+            ServiceId("fitting-llm"): ServiceSettings(kind=ServiceKind.MODEL),
+            ServiceId("shop-app"): ServiceSettings(
+                kind=ServiceKind.TOOL,
+                operations={
+                    "look-up-stock": OperationSettings(idempotent=True),
+                    "issue-voucher": OperationSettings(),
+                },
+            ),
+        },
+    )
+    scenario = Scenario(
+        name="passolungo-rush", settings=TraceSettings({"passolungo": team})
+    )
+    at = 0.0
+    for number in range(FITTINGS):
+        at += generator.expovariate(1 / FITTING_ARRIVAL_SECONDS)
+        _write_fitting(scenario, f"fitting-{number}", at, generator)
+    del scenario.effects["look-up-stock"]
+    return scenario
+
+
+def _write_fitting(
+    scenario: Scenario, program: str, at: float, generator: random.Random
+) -> None:
+    fitting = ProgramWriter(
+        scenario, team="passolungo", program=program, at=at, generator=generator
+    )
+    fitting.begin("fitting")
+    fitting.chat("fitting-llm", generator.randint(8, 30))
+    if generator.random() < 0.25:
+        sizing = ProgramWriter(
+            scenario,
+            team="passolungo",
+            program=f"{program}/sizing",
+            at=fitting.at,
+            generator=generator,
+        )
+        sizing.begin("fitting")
+        sizing.chat("fitting-llm", generator.randint(5, 15))
+        sizing.end()
+    fitting.chat("fitting-llm", generator.randint(8, 30), stream=True)
+    fitting.use_tool("shop-app/look-up-stock", {"size": generator.randint(36, 48)})
+    fitting.wait(1.0)
+    fitting.chat("fitting-llm", generator.randint(8, 30))
+    fitting.use_tool("shop-app/issue-voucher", {"euros": generator.randint(5, 30)})
+    fitting.chat("fitting-llm", generator.randint(8, 20), stream=True)
+    fitting.end()
+
+
+def build_akwaaba(generator: random.Random) -> Scenario:
+    """Returns the evening close of all tills at once."""
+    team = TeamSettings(
+        programs={
+            "close": ProgramSettings(
+                priority=Priority.BATCH, budget=Budget(calls=TILL_CALLS)
+            )
+        },
+        services={
+            ServiceId("ledger-llm"): ServiceSettings(kind=ServiceKind.MODEL),
+            ServiceId("ledger"): ServiceSettings(
+                kind=ServiceKind.TOOL, operations={"post-line": OperationSettings()}
+            ),
+        },
+    )
+    scenario = Scenario(name="akwaaba-close", settings=TraceSettings({"akwaaba": team}))
+    at = 0.0
+    for number in range(TILLS):
+        at += generator.expovariate(1 / TILL_ARRIVAL_SECONDS)
+        till = ProgramWriter(
+            scenario,
+            team="akwaaba",
+            program=f"till-{number}",
+            at=at,
+            generator=generator,
+        )
+        till.begin("close")
+        for line in range(TILL_CALLS - 1):
+            till.use_tool(
+                "ledger/post-line", {"line": line, "cedis": generator.randint(1, 500)}
+            )
+        till.chat("ledger-llm", generator.randint(20, 60))
+        if number % 4 == 0:
+            till.use_tool(
+                "ledger/post-line", {"line": TILL_CALLS}, outcome="budget_exceeded"
+            )
+        till.end()
+    return scenario
+
+
+SCENARIOS = (build_passolungo, build_akwaaba)
--- /dev/null
+++ b/bench/trace_replay/sender.py
@@ -0,0 +1,130 @@
+"""Sends one request to the entries until its outcome is final, as a caller should."""
+
+import itertools
+from collections.abc import Sequence
+from contextlib import suppress
+from dataclasses import dataclass
+from typing import final
+
+import msgspec
+import trio
+
+from goldcrestvane_common.errors import Outcome, ServiceError, decode_error
+from goldcrestvane_common.trace import TraceRecord
+from goldcrestvane_common.transport import ConnectFailed, ExchangeBroken, Transport
+from trace_replay.bodies import build_body
+
+MAX_SENDS = 40
+PAUSE_SECONDS = 0.2
+REPLY_TIMEOUT_SECONDS = 150.0
+COMPLETE = "complete"
+UNANSWERED = "unanswered"
+DONE_EVENT = b"data: [DONE]"
+ERROR_EVENT = b"event: error"
+
+REPEATABLE = {Outcome.NOT_RUN, Outcome.INCOMPLETE}
+
+
+@final
+@dataclass(frozen=True, kw_only=True)
+class RequestResult:
+    """What became of one request.
+
+    Attributes:
+        record: The request.
+        outcome: ``complete``, or the kind of the final error.
+        seconds: Time from the first send to the final answer.
+        sends: Number of sends.
+    """
+
+    record: TraceRecord
+    outcome: str
+    seconds: float
+    sends: int
+
+
+@final
+class Sender:
+    """Sends requests round the entries of a deployment."""
+
+    def __init__(
+        self, transport: Transport, entries: Sequence[str], *, tokens: dict[str, str]
+    ) -> None:
+        self._transport = transport
+        self._entries = itertools.cycle(entries)
+        self._tokens = tokens
+
+    async def send(self, record: TraceRecord) -> RequestResult:
+        """Sends a request until its outcome is final."""
+        started = trio.current_time()
+        content = build_body(record)
+        headers = self._build_headers(record)
+        sends = 0
+        outcome = None
+        while outcome is None and sends < MAX_SENDS:
+            sends += 1
+            outcome = await self._try_once(record, content, headers)
+        return RequestResult(
+            record=record,
+            outcome=outcome or UNANSWERED,
+            seconds=trio.current_time() - started,
+            sends=sends,
+        )
+
+    async def _try_once(
+        self, record: TraceRecord, content: bytes, headers: dict[str, str]
+    ) -> str | None:
+        """Returns a final outcome, or None after a pause when it is not final."""
+        try:
+            await self._send_once(record, content, headers)
+        except (ConnectFailed, ExchangeBroken):
+            await trio.sleep(PAUSE_SECONDS)
+            return None
+        except ServiceError as error:
+            if error.call_outcome not in REPEATABLE:
+                return error.kind
+            await trio.sleep(error.retry_after or PAUSE_SECONDS)
+            return None
+        return COMPLETE
+
+    async def _send_once(
+        self, record: TraceRecord, content: bytes, headers: dict[str, str]
+    ) -> None:
+        reply = await self._transport.send(
+            record.method,
+            next(self._entries),
+            record.path,
+            content=content,
+            headers=headers,
+            timeout=REPLY_TIMEOUT_SECONDS,
+        )
+        if reply.status >= 400:
+            _raise_error(reply.status, reply.body)
+        if "event-stream" in reply.headers.get("content-type", ""):
+            _check_stream(reply.body)
+
+    def _build_headers(self, record: TraceRecord) -> dict[str, str]:
+        token = self._tokens.get(record.team)
+        headers = {
+            "goldcrestvane-team": record.team,
+            "goldcrestvane-program": record.program,
+            "goldcrestvane-sequence": record.sequence,
+            "goldcrestvane-timeout": record.timeout,
+            "authorization": f"Bearer {token}" if token else "",
+        }
+        return {name: value for name, value in headers.items() if value}
+
+
+def _raise_error(status: int, body: bytes) -> None:
+    with suppress(msgspec.DecodeError):
+        raise decode_error(body)
+    raise ExchangeBroken(f"Got status {status} without an error body.")
+
+
+def _check_stream(body: bytes) -> None:
+    """Raises the error of a stream that is not whole."""
+    for event in body.split(b"\n\n"):
+        if event.startswith(ERROR_EVENT):
+            raise decode_error(event.split(b"data: ", 1)[1])
+    if DONE_EVENT not in body:
+        raise ExchangeBroken("The stream has no end mark.")
--- a/packages/daemon/src/goldcrestvane_daemon/entry/_service.py
+++ b/packages/daemon/src/goldcrestvane_daemon/entry/_service.py
@@ -55,6 +55,7 @@
 )
 from goldcrestvane_daemon.entry._limits import EntryLimits
 from goldcrestvane_daemon.entry._owners import OwnerClient
+from goldcrestvane_daemon.entry._trace import TraceOptions, TraceRecorder
 from goldcrestvane_daemon.probes import RequestKind, RequestMetrics
 
 CHAT_PATH = "/v1/chat/completions"
@@ -95,7 +96,9 @@
         metrics: RequestMetrics,
         limits: EntryLimits | None = None,
         randomness: random.Random | None = None,
+        trace: TraceOptions | None = None,
     ) -> None:
+        self._recorder = TraceRecorder(trace) if trace else None
         self._teams = teams
         self._metrics = metrics
         self._limits = limits or EntryLimits()
@@ -110,8 +113,11 @@
         )
 
     async def run(self) -> None:
-        """Follows the ownership of shards for waiting requests, until cancelled."""
-        await self._exchanges.run()
+        """Follows the ownership of shards and records the trace, until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._exchanges.run)
+            if self._recorder is not None:
+                nursery.start_soon(self._recorder.run)
 
     def add_routes(self, router: Router) -> None:
         """Adds the callers' interface to a route table."""
@@ -131,6 +137,8 @@
     ) -> Callable[[Request], Awaitable[Response]]:
         async def handle(request: Request) -> Response:
             tracked = Tracked(request=request, kind=kind, started=trio.current_time())
+            if self._recorder is not None:
+                self._recorder.record(request, kind)
             status = LEFT
             try:
                 response = await handler(tracked)
--- a/packages/daemon/src/goldcrestvane_daemon/entry_process.py
+++ b/packages/daemon/src/goldcrestvane_daemon/entry_process.py
@@ -1,5 +1,6 @@
 """An entry: takes requests of callers; it keeps nothing."""
 
+from pathlib import Path
 from typing import final
 
 import trio
@@ -12,7 +13,7 @@
     Response,
     Router,
 )
-from goldcrestvane_daemon.entry import EntryService
+from goldcrestvane_daemon.entry import EntryService, TraceOptions
 from goldcrestvane_daemon.parts import Parts
 from goldcrestvane_daemon.probes import RequestMetrics, add_probe_routes
 from goldcrestvane_daemon.shard_directory import ShardDirectory
@@ -37,6 +38,7 @@
             owners=self._shards,
             metrics=self._metrics,
             randomness=parts.generator,
+            trace=_build_trace_options(parts.settings.trace_file),
         )
         self._metrics.watch_in_flight(lambda: application.in_flight)
 
@@ -79,3 +81,7 @@
             in_flight=self._application.in_flight - 1,
         )
         return JsonResponse(value=status)
+
+
+def _build_trace_options(path: str | None) -> TraceOptions | None:
+    return TraceOptions(path=Path(path)) if path else None
--- a/packages/daemon/src/goldcrestvane_daemon/parts.py
+++ b/packages/daemon/src/goldcrestvane_daemon/parts.py
@@ -5,7 +5,6 @@
 from typing import final
 
 from goldcrestvane_common.feed import ControlFeed
-
 from goldcrestvane_common.objects import ObjectClient
 from goldcrestvane_common.transport import Transport
 from goldcrestvane_daemon.membership import Membership
--- a/packages/daemon/src/goldcrestvane_daemon/supervisor.py
+++ b/packages/daemon/src/goldcrestvane_daemon/supervisor.py
@@ -4,8 +4,8 @@
 import uuid
 
 import trio
-from goldcrestvane_common.feed import ControlFeed
 
+from goldcrestvane_common.feed import ControlFeed
 from goldcrestvane_common.ids import hash_text
 from goldcrestvane_common.logs import get_logger
 from goldcrestvane_common.messages import Instance, Role
--- a/packages/daemon/tests/entry/support.py
+++ b/packages/daemon/tests/entry/support.py
@@ -241,7 +241,7 @@
 
 
 @asynccontextmanager
-async def serve_entry(owners, *, limits=QUICK, is_ready=lambda: True):
+async def serve_entry(owners, *, limits=QUICK, is_ready=lambda: True, trace=None):
     metrics = RequestMetrics()
     router = Router()
     async with Transport() as upstream, Transport() as caller:
@@ -252,6 +252,7 @@
             metrics=metrics,
             limits=limits,
             randomness=random.Random(1),
+            trace=trace,
         )
         service.add_routes(router)
         add_probe_routes(router, registry=metrics.registry, is_ready=is_ready)
