--- a/bench/path.py
+++ b/bench/path.py
@@ -10,6 +10,7 @@
 from pathlib import Path
 
 import trio
+
 from cost.hops import (
     FEW_TOKENS,
     MANY_TOKENS,
@@ -24,7 +25,6 @@
 )
 from cost.idle import run_idle
 from cost.report import Target, print_rows, print_targets
-
 from goldcrestvane_standins.deployment import Deployment
 
 CALLS_EACH = 40
