--- a/packages/common/src/goldcrestvane_common/messages.py
+++ b/packages/common/src/goldcrestvane_common/messages.py
@@ -159,6 +159,7 @@
         owner: Instance that owns the program.
         usage: Tokens taken.
         replayed: Whether the answer comes from the record of an earlier attempt.
+        finish_reason: Why the answer ended: ``stop``, or ``length`` when it was cut.
     """
 
     value: msgspec.Raw
@@ -166,6 +167,7 @@
     owner: InstanceId
     usage: Usage = Usage()
     replayed: bool = False
+    finish_reason: str = "stop"
 
 
 class StreamHead(msgspec.Struct, frozen=True, tag="head"):
@@ -256,6 +258,7 @@
     value: msgspec.Raw
     usage: Usage = Usage()
     load: "TargetLoad | None" = None
+    finish_reason: str = "stop"
 
 
 class CloseRequest(msgspec.Struct, frozen=True):
--- a/packages/daemon/src/goldcrestvane_daemon/entry/_chat.py
+++ b/packages/daemon/src/goldcrestvane_daemon/entry/_chat.py
@@ -95,7 +95,11 @@
         id=build_completion_id(call),
         created=int(time.time()),
         model=call.service,
-        choices=[Choice(message=AnswerMessage(content=text))],
+        choices=[
+            Choice(
+                message=AnswerMessage(content=text), finish_reason=answer.finish_reason
+            )
+        ],
         usage=build_usage(answer.usage),
     )
 
--- a/packages/daemon/src/goldcrestvane_daemon/entry_process.py
+++ b/packages/daemon/src/goldcrestvane_daemon/entry_process.py
@@ -71,8 +71,11 @@
         await trio.sleep(DRAIN_NOTICE_SECONDS)
 
     def count_running(self) -> int:
-        """Returns the number of requests under way."""
-        return self._application.in_flight
+        """Returns 0: the server finishes the requests under way when it closes.
+
+        A caller that never looks at the readiness must not hold up the stop.
+        """
+        return 0
 
     async def _serve_status(self, request: Request) -> Response:
         status = ProcessStatus(
--- a/packages/daemon/src/goldcrestvane_daemon/execution.py
+++ b/packages/daemon/src/goldcrestvane_daemon/execution.py
@@ -36,6 +36,7 @@
         target: Instance beside the target that runs it.
         answer: JSON of the whole answer, once ended well.
         usage: Tokens taken.
+        finish_reason: Why the answer ended: ``stop``, or ``length`` when it was cut.
         error: Why there is no answer.
         done: Set when the call has ended.
         scope: Cancels the task that runs the call.
@@ -49,6 +50,7 @@
         self.target = InstanceId("")
         self.answer: msgspec.Raw | None = None
         self.usage = Usage()
+        self.finish_reason = "stop"
         self.error: ServiceError | None = None
         self.done = trio.Event()
         self.scope = trio.CancelScope()
@@ -78,8 +80,11 @@
         self._parts.clear()
         self._length = 0
 
-    def finish(self, answer: msgspec.Raw, usage: Usage) -> None:
+    def finish(
+        self, answer: msgspec.Raw, usage: Usage, *, finish_reason: str = "stop"
+    ) -> None:
         """Ends the call with its answer."""
+        self.finish_reason = finish_reason
         self.answer = answer
         self.usage = usage
         self.done.set()
@@ -135,4 +140,4 @@
         if self.error is not None:
             yield StreamFailure(self.error.to_body())
             return
-        yield StreamEnd(self.usage)
+        yield StreamEnd(self.usage, self.finish_reason)
--- a/packages/daemon/src/goldcrestvane_daemon/owner/calls.py
+++ b/packages/daemon/src/goldcrestvane_daemon/owner/calls.py
@@ -252,14 +252,16 @@
             return
         self._chooser.count_call(call.request.service)
         tried: set[InstanceId] = set()
+        may_have_run = False
         for attempt in range(1, MAX_ATTEMPTS + 1):
             try:
                 await self._run_attempt(shard, call, execution, tried)
                 return
             except ServiceError as error:
+                may_have_run |= error.call_outcome is not Outcome.NOT_RUN
                 last = attempt == MAX_ATTEMPTS
                 if last or not self._may_retry(shard, call, execution, error):
-                    raise
+                    raise _settle_outcome(error, may_have_run=may_have_run) from error
                 execution.discard_text()
 
     def _may_retry(
@@ -398,7 +400,7 @@
         answer: DispatchAnswer,
     ) -> None:
         await self._record_answer(shard, call, execution, answer)
-        execution.finish(answer.value, answer.usage)
+        execution.finish(answer.value, answer.usage, finish_reason=answer.finish_reason)
 
     async def _join_attempt(
         self, shard: OwnedShard, call: Call, execution: Execution
@@ -577,6 +579,7 @@
         target=execution.target,
         answer=answer.value,
         usage=answer.usage,
+        finish_reason=answer.finish_reason,
     )
     if call.request.model is None:
         return record
@@ -593,6 +596,18 @@
     )
 
 
+def _settle_outcome(error: ServiceError, *, may_have_run: bool) -> ServiceError:
+    """Returns the final error of a call some of whose attempts may have run."""
+    if not may_have_run or error.call_outcome is not Outcome.NOT_RUN:
+        return error
+    return type(error)(
+        error.message,
+        field=error.field,
+        retry_after=error.retry_after,
+        outcome=Outcome.INCOMPLETE,
+    )
+
+
 def build_fingerprint(
     team: TeamId, request: CallRequest, messages: list[Message]
 ) -> Fingerprint:
--- a/packages/daemon/src/goldcrestvane_daemon/owner/records.py
+++ b/packages/daemon/src/goldcrestvane_daemon/owner/records.py
@@ -88,6 +88,7 @@
         answer: The answer's JSON; absent when the outcome is unknown.
         error: Why there is no answer.
         usage: Tokens taken.
+        finish_reason: Why the answer ended.
         messages: The caller's messages and the answer, when the owner keeps the history.
         prompt_messages: Number of messages that `usage` covers, the answer included.
         prompt_hash: Hash of these messages.
@@ -102,6 +103,7 @@
     answer: msgspec.Raw = msgspec.Raw(b"null")
     error: ErrorBody | None = None
     usage: Usage = Usage()
+    finish_reason: str = "stop"
     messages: list[Message] = []
     prompt_messages: int = 0
     prompt_hash: str = ""
--- a/packages/daemon/src/goldcrestvane_daemon/owner/service.py
+++ b/packages/daemon/src/goldcrestvane_daemon/owner/service.py
@@ -33,7 +33,7 @@
 )
 from goldcrestvane_common.settings import TeamSettings
 from goldcrestvane_daemon.execution import Execution
-from goldcrestvane_daemon.owner.calls import CallRunner, build_call
+from goldcrestvane_daemon.owner.calls import Call, CallRunner, build_call
 from goldcrestvane_daemon.owner.manager import ShardManager
 from goldcrestvane_daemon.owner.records import CallEnded
 from goldcrestvane_daemon.owner.shard import (
@@ -45,7 +45,11 @@
 
 @final
 class OwnerService:
-    """The HTTP interface between entries and an owner."""
+    """The HTTP interface between entries and an owner.
+
+    Attributes:
+        running: Calls under way, those of shards handed over included.
+    """
 
     def __init__(
         self,
@@ -60,6 +64,7 @@
         self._get_team = get_team
         self._owner = owner
         self._nursery: trio.Nursery | None = None
+        self.running = 0
 
     def add_routes(self, router: Router) -> None:
         """Serves the calls that entries pass on."""
@@ -131,9 +136,18 @@
         execution = Execution(request_hash)
         shard.executions[call.program.key, request.sequence] = execution
         assert self._nursery is not None
-        self._nursery.start_soon(self._runner.run, shard, call, execution)
+        self._nursery.start_soon(self._run_call, shard, call, execution)
         return execution
 
+    async def _run_call(
+        self, shard: OwnedShard, call: Call, execution: Execution
+    ) -> None:
+        self.running += 1
+        try:
+            await self._runner.run(shard, call, execution)
+        finally:
+            self.running -= 1
+
     async def _serve_call(self, request: Request) -> Response:
         call = request.decode(CallRequest)
         found = await self._start_call(call, stream=False)
@@ -141,14 +155,25 @@
             return JsonResponse(value=self._build_replay(found))
         await found.wait()
         assert found.answer is not None
-        answer = CallAnswer(found.answer, found.target, self._owner, found.usage)
+        answer = CallAnswer(
+            found.answer,
+            found.target,
+            self._owner,
+            found.usage,
+            finish_reason=found.finish_reason,
+        )
         return JsonResponse(value=answer)
 
     def _build_replay(self, record: CallEnded) -> CallAnswer:
         if record.error is not None:
             raise build_error(record.error)
         return CallAnswer(
-            record.answer, record.target, self._owner, record.usage, replayed=True
+            record.answer,
+            record.target,
+            self._owner,
+            record.usage,
+            replayed=True,
+            finish_reason=record.finish_reason,
         )
 
     async def _serve_stream(self, request: Request) -> Response:
@@ -174,7 +199,7 @@
         head = StreamHead(answer.target, self._owner, record.call, replayed=True)
         yield encode_line(head)
         yield encode_line(StreamDelta(offset, text[offset:]))
-        yield encode_line(StreamEnd(answer.usage))
+        yield encode_line(StreamEnd(answer.usage, answer.finish_reason))
 
     async def _encode_frames(
         self, execution: Execution, offset: int
--- a/packages/daemon/src/goldcrestvane_daemon/owner/targets.py
+++ b/packages/daemon/src/goldcrestvane_daemon/owner/targets.py
@@ -190,7 +190,9 @@
                 raise await _read_error(reply)
             end = await _follow_frames(reply, execution)
         text = msgspec.json.encode(execution.get_text())
-        return DispatchAnswer(msgspec.Raw(text), end.usage)
+        return DispatchAnswer(
+            msgspec.Raw(text), end.usage, finish_reason=end.finish_reason
+        )
 
     async def send_order(self, target: Instance, path: str, order: Any) -> bool:
         """Sends an order to a sidecar; returns whether it was carried out."""
--- a/packages/daemon/src/goldcrestvane_daemon/sidecar_process.py
+++ b/packages/daemon/src/goldcrestvane_daemon/sidecar_process.py
@@ -166,8 +166,8 @@
         await self._manager.hand_over_all()
 
     def count_running(self) -> int:
-        """Returns the number of calls and requests under way."""
-        return self._dispatcher.running + self._application.in_flight
+        """Returns the number of calls under way, as target and as owner."""
+        return self._dispatcher.running + self._service.running
 
     async def _serve_status(self, request: Request) -> Response:
         owned = self._manager.owned
--- a/packages/daemon/src/goldcrestvane_daemon/target/dispatcher.py
+++ b/packages/daemon/src/goldcrestvane_daemon/target/dispatcher.py
@@ -228,9 +228,7 @@
         await execution.done.wait()
         if execution.error is not None:
             return CloseResult(known=True, error=execution.error.to_body())
-        assert execution.answer is not None
-        answer = DispatchAnswer(execution.answer, execution.usage)
-        return CloseResult(known=True, answer=answer)
+        return CloseResult(known=True, answer=self.build_answer(execution))
 
     async def _serve_close(self, request: Request) -> Response:
         result = await self.close(request.decode(CloseRequest))
@@ -256,7 +254,12 @@
     def build_answer(self, execution: Execution) -> DispatchAnswer:
         """Returns the answer of a call that ended well, with the load now."""
         assert execution.answer is not None
-        return DispatchAnswer(execution.answer, execution.usage, load=self.read_load())
+        return DispatchAnswer(
+            execution.answer,
+            execution.usage,
+            load=self.read_load(),
+            finish_reason=execution.finish_reason,
+        )
 
     def read_load(self) -> TargetLoad:
         """Returns the load of the target, its prefix cache included."""
--- a/packages/daemon/src/goldcrestvane_daemon/target/engine.py
+++ b/packages/daemon/src/goldcrestvane_daemon/target/engine.py
@@ -101,6 +101,7 @@
         self.usage: Usage | None = None
         self.whole = False
         self.broken = False
+        self.finish_reason = "stop"
 
 
 @final
@@ -147,7 +148,11 @@
             if progress.whole:
                 text = execution.get_text()
                 answer = msgspec.Raw(msgspec.json.encode(text))
-                execution.finish(answer, progress.usage or Usage())
+                execution.finish(
+                    answer,
+                    progress.usage or Usage(),
+                    finish_reason=progress.finish_reason,
+                )
                 return
             await trio.sleep(RESUME_DELAY_SECONDS * attempt)
         raise _build_incomplete()
@@ -279,6 +284,7 @@
     if event.usage is not None:
         progress.usage = event.usage
     for choice in event.choices:
+        progress.finish_reason = choice.finish_reason or progress.finish_reason
         if choice.delta.content:
             progress.tokens += 1
             execution.add_text(choice.delta.content)
--- a/standins/tests/test_programs.py
+++ b/standins/tests/test_programs.py
@@ -25,7 +25,9 @@
         [*command, "--listen=127.0.0.1:0", *flags], stdout=subprocess.PIPE
     )
     try:
-        line = await process.stdout.receive_some()
+        line = b""
+        while not line.endswith(b"\n"):
+            line += await process.stdout.receive_some()
         peer = re.fullmatch(rb"listening (127\.0\.0\.1:\d+)\n", line)[1].decode()
         yield process, peer
     finally:
--- /dev/null
+++ b/tests/test_not_run.py
@@ -0,0 +1,58 @@
+import unittest
+
+import trio
+
+from goldcrestvane_common.errors import Outcome
+from goldcrestvane_standins.plans import (
+    MODEL,
+    TOOL,
+    build_caller,
+    build_plan,
+    run_with_deployment,
+)
+
+
+class NotRunTests(unittest.TestCase):
+    def test_call_that_ran_in_part_is_not_reported_as_not_run(self):
+        plan = build_plan(models=1, model_options=("--token-seconds=0.2",))
+        run_with_deployment(plan, self.check_engine_death)
+
+    async def check_engine_death(self, deployment):
+        caller = build_caller(deployment, "review-1", max_sends=1)
+        await caller.begin("review")
+        engine = f"target-{MODEL}-0"
+        results = []
+
+        async def call():
+            results.append(await caller.chat(MODEL, "explain the variance"))
+
+        async def has_started():
+            return bool(await deployment.read_record(engine))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(call)
+            await deployment.wait_until(has_started, "the engine runs the call")
+            deployment.processes[engine].kill()
+        self.assertIs(results[0].error.call_outcome, Outcome.INCOMPLETE)
+
+    def test_refused_tool_call_left_no_effect_and_runs_once_when_sent_again(self):
+        run_with_deployment(build_plan(tools=1), self.check_dead_tool)
+
+    async def check_dead_tool(self, deployment):
+        caller = build_caller(deployment, "review-1", max_sends=1)
+        await caller.begin("review")
+        tool = f"target-{TOOL}-0"
+        deployment.processes[tool].kill()
+        refused = await caller.use_tool(TOOL, "post", {"entry": 1})
+        self.assertIs(refused.error.call_outcome, Outcome.NOT_RUN)
+        self.assertGreater(refused.error.retry_after, 0)
+        await deployment.restart(tool)
+        retrying = build_caller(deployment, "review-1")
+        answered = await retrying.use_tool(TOOL, "post", {"entry": 1})
+        self.assertIsNone(answered.error)
+        effects = await deployment.read_record(tool)
+        self.assertEqual([effect["body"] for effect in effects], [{"entry": 1}])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/test_platform_outage.py
@@ -0,0 +1,67 @@
+import unittest
+
+from goldcrestvane_common.errors import Outcome
+from goldcrestvane_standins.plans import (
+    MODEL,
+    TOOL,
+    build_caller,
+    build_plan,
+    run_with_deployment,
+)
+
+TURNS = 5
+
+
+class PlatformOutageTests(unittest.TestCase):
+    def test_outage_serves_what_may_be_repeated_and_loses_nothing(self):
+        run_with_deployment(build_plan(), self.check_outage)
+
+    async def check_outage(self, deployment):
+        caller = build_caller(deployment, "review-1", max_sends=1)
+        await caller.begin("review")
+        await self.check_answered(caller.chat(MODEL, "turn 0"))
+        await deployment.request(
+            "objectapi", "PUT", "/control/faults", {"outage": True}
+        )
+        for turn in range(1, TURNS):
+            await self.check_answered(caller.chat(MODEL, f"turn {turn}"))
+            await self.check_answered(caller.use_tool(TOOL, "read", {"turn": turn}))
+        refused = await caller.use_tool(TOOL, "post", {"entry": 1})
+        self.assertIs(refused.error.call_outcome, Outcome.NOT_RUN)
+        self.assertGreater(refused.error.retry_after, 0)
+        await deployment.request("objectapi", "PUT", "/control/faults", {})
+
+        patient = build_caller(deployment, "review-1")
+        patient.sequence = caller.sequence
+        await self.check_answered(patient.use_tool(TOOL, "post", {"entry": 1}))
+        await self.check_survival(deployment, patient)
+
+    async def check_answered(self, call):
+        result = await call
+        self.assertIsNone(result.error)
+
+    async def check_survival(self, deployment, caller):
+        """The turns of the outage outlive the owner that served them."""
+        view = await self.read_view(deployment)
+        deployment.processes[view["owner"]].kill()
+        await self.check_answered(caller.chat(MODEL, "last turn"))
+        view = await self.read_view(deployment)
+        questions = [m["content"] for m in view["history"] if m["role"] == "user"]
+        expected = [f"turn {turn}" for turn in range(TURNS)]
+        self.assertEqual(questions, [*expected, "last turn"])
+        effects = await deployment.read_record(f"target-{TOOL}-0")
+        posts = [effect for effect in effects if effect["operation"] == "post"]
+        self.assertEqual(len(posts), 1)
+
+    async def read_view(self, deployment):
+        reply = await deployment.transport.send(
+            "GET",
+            deployment.processes["entry-0"].address,
+            "/v1/programs/review-1",
+            headers={"goldcrestvane-team": "acme"},
+        )
+        return reply.decode(dict)
+
+
+if __name__ == "__main__":
+    unittest.main()
