Let a caller give up a call, keep records below the platform's limit

Ruled out: a gap timeout, which would end calls that their caller still means to send; splitting one message over records (the record could not be joined after a crash between them). Change: header Goldcrestvane-Abandoned; messages over 256 KiB a call are refused where the owner keeps the history, larger answers are not kept for repeats; a call without a token budget does not wait for its start record.

--- a/packages/common/src/goldcrestvane_common/messages.py
+++ b/packages/common/src/goldcrestvane_common/messages.py
@@ -136,6 +136,7 @@
         model: Body of a model call.
         tool: Body of a tool call, undecoded JSON.
         resume: Where to take up a stream that broke between owner and entry.
+        abandoned: Highest sequence that the caller has given up; 0 for none.
     """
 
     team: TeamId
@@ -148,6 +149,7 @@
     model: ModelBody | None = None
     tool: msgspec.Raw = msgspec.Raw(b"null")
     resume: StreamPoint | None = None
+    abandoned: int = 0
 
 
 class CallAnswer(msgspec.Struct, frozen=True, omit_defaults=True):
--- a/packages/daemon/src/goldcrestvane_daemon/entry/_attempts.py
+++ b/packages/daemon/src/goldcrestvane_daemon/entry/_attempts.py
@@ -13,6 +13,7 @@
     OutcomeUnknown,
     ServiceError,
     Unavailable,
+    WrongOwner,
 )
 from goldcrestvane_daemon.entry._directories import OwnerDirectory
 from goldcrestvane_daemon.entry._limits import EntryLimits
@@ -108,17 +109,15 @@
     def settle(self, error: ServiceError) -> ServiceError:
         """Returns what an owner's error means after the attempts so far.
 
-        An owner that refuses the last attempt does not speak for an earlier one,
-        which may have reached another owner.
+        For a call that must not be repeated the present owner's word holds for every
+        attempt: it has read the durable claims of all former owners, and has closed
+        those that never reached a target. A repeatable call has no such claim, so an
+        earlier attempt may have run.
         """
-        if not self.may_have_reached:
-            return error
-        if error.call_outcome is Outcome.NOT_RUN:
+        open_outcome = isinstance(error, WrongOwner) or self._repeatable
+        not_run = error.call_outcome is Outcome.NOT_RUN
+        if self.may_have_reached and not_run and open_outcome:
             return self._build_uncertain(error.message)
-        if error.call_outcome is Outcome.REFUSED_FINAL and not self._repeatable:
-            return type(error)(
-                error.message, field=error.field, outcome=Outcome.UNKNOWN
-            )
         return error
 
     def _choose_pause(self) -> float:
--- a/packages/daemon/src/goldcrestvane_daemon/entry/_headers.py
+++ b/packages/daemon/src/goldcrestvane_daemon/entry/_headers.py
@@ -24,6 +24,7 @@
 PROGRAM_HEADER = "goldcrestvane-program"
 SEQUENCE_HEADER = "goldcrestvane-sequence"
 TIMEOUT_HEADER = "goldcrestvane-timeout"
+ABANDONED_HEADER = "goldcrestvane-abandoned"
 DEADLINE_HEADER = "goldcrestvane-deadline"
 AUTHORIZATION_HEADER = "authorization"
 
@@ -45,11 +46,19 @@
 @final
 @dataclass(frozen=True, kw_only=True)
 class CallHeaders:
-    """Headers of a model or tool call; `seconds` is None for the service's default."""
+    """Headers of a model or tool call.
+
+    Attributes:
+        program: Program that issues the call.
+        sequence: Position among the program's calls.
+        seconds: Time left; None for the service's default.
+        abandoned: Highest sequence that the caller has given up; 0 for none.
+    """
 
     program: ProgramId
     sequence: int
     seconds: float | None
+    abandoned: int
 
 
 def read_sender(request: Request, teams: TeamDirectory) -> Sender:
@@ -84,9 +93,15 @@
         program=parse_program(program, field=PROGRAM_HEADER),
         sequence=parse_sequence(sequence, field=SEQUENCE_HEADER),
         seconds=_read_seconds_left(request, limits),
+        abandoned=_read_abandoned(request),
     )
 
 
+def _read_abandoned(request: Request) -> int:
+    text = request.get_header(ABANDONED_HEADER)
+    return 0 if text is None else parse_sequence(text, field=ABANDONED_HEADER)
+
+
 def _check_token(request: Request, team: TeamId, settings: TeamSettings) -> None:
     authorization = request.get_header(AUTHORIZATION_HEADER)
     if settings.token_sha256 is None:
--- a/packages/daemon/src/goldcrestvane_daemon/owner/budgets.py
+++ b/packages/daemon/src/goldcrestvane_daemon/owner/budgets.py
@@ -79,6 +79,13 @@
     return program.budget.tokens - program.spent_tokens - program.held_tokens
 
 
+def has_token_budget(state: ShardState, program: Program) -> bool:
+    """Returns whether a limit of tokens holds for a program."""
+    return any(
+        item.budget.tokens is not None for item in state.list_ancestors(program.key)
+    )
+
+
 def check_calls(state: ShardState, program: Program) -> None:
     """Raises BudgetExceeded when one more call does not fit."""
     for item in state.list_ancestors(program.key):
--- a/packages/daemon/src/goldcrestvane_daemon/owner/calls.py
+++ b/packages/daemon/src/goldcrestvane_daemon/owner/calls.py
@@ -16,6 +16,8 @@
     DeadlineExceeded,
     NotFound,
     Outcome,
+    OutcomeUnknown,
+    RequestTooLarge,
     ServiceError,
     Unavailable,
 )
@@ -50,6 +52,7 @@
     Reservation,
     check_calls,
     count_seconds_left,
+    has_token_budget,
     hash_messages,
     reserve_tokens,
 )
@@ -68,6 +71,7 @@
 CLAIM_WAIT_SECONDS = 2.0
 OUTAGE_RETRY_SECONDS = 2.0
 MAX_ATTEMPTS = 3
+MAX_KEPT_BYTES = 256 * 1024
 
 logger = get_logger("calls")
 
@@ -158,6 +162,7 @@
     if request.kind is ServiceKind.TOOL:
         limit = service.operations[request.operation].timeout_seconds
     seconds = min(request.deadline_seconds, budget_seconds, limit)
+    check_message_sizes(program, request)
     return Call(
         request=request,
         request_hash=request_hash,
@@ -170,6 +175,23 @@
     )
 
 
+def check_message_sizes(program: Program, request: CallRequest) -> None:
+    """Refuses messages that the journal cannot keep in one record.
+
+    Raises:
+        RequestTooLarge: The new messages exceed `MAX_KEPT_BYTES`.
+    """
+    if request.model is None or program.history_mode is not HistoryMode.OWNER:
+        return
+    size = len(msgspec.json.encode(request.model.messages))
+    if size > MAX_KEPT_BYTES:
+        raise RequestTooLarge(
+            f"The new messages take {size} bytes and the history keeps at most "
+            f"{MAX_KEPT_BYTES} bytes a call. Send them in several calls.",
+            field="messages",
+        )
+
+
 def _find_service(team: TeamSettings, request: CallRequest) -> ServiceSettings:
     service = team.services.get(request.service)
     if service is None or service.kind is not request.kind:
@@ -248,11 +270,11 @@
     async def _run_attempts(
         self, shard: OwnedShard, call: Call, execution: Execution
     ) -> None:
+        may_have_run = call.request.sequence in call.program.started
         if await self._join_attempt(shard, call, execution):
             return
         self._chooser.count_call(call.request.service)
         tried: set[InstanceId] = set()
-        may_have_run = False
         for attempt in range(1, MAX_ATTEMPTS + 1):
             try:
                 await self._run_attempt(shard, call, execution, tried)
@@ -500,7 +522,9 @@
             once=call.once,
         )
         if not call.once:
-            await shard.commit(record, wait=RESERVE_WAIT_SECONDS)
+            durable = shard.append(record)
+            if has_token_budget(shard.state, call.program):
+                await shard.wait_durable(durable, wait=RESERVE_WAIT_SECONDS)
             return
         wait = min(CLAIM_WAIT_SECONDS, call.ends_at - trio.current_time())
         durable = await shard.commit(record, wait=wait)
@@ -581,6 +605,8 @@
         usage=answer.usage,
         finish_reason=answer.finish_reason,
     )
+    if len(bytes(answer.value)) > MAX_KEPT_BYTES:
+        record = _drop_answer(record)
     if call.request.model is None:
         return record
     reply = Message("assistant", msgspec.json.decode(answer.value, type=str))
@@ -596,6 +622,20 @@
     )
 
 
+def _drop_answer(record: records.CallEnded) -> records.CallEnded:
+    """Returns the record of a call whose answer is too large to be kept.
+
+    The caller that waits gets the answer; a repeated call is told that it ran.
+    """
+    error = OutcomeUnknown(
+        f"The call ran, and its answer exceeds the {MAX_KEPT_BYTES} bytes that are "
+        "kept for repeated calls. Look the result up at the service."
+    )
+    return msgspec.structs.replace(
+        record, answer=msgspec.Raw(b"null"), error=error.to_body()
+    )
+
+
 def _settle_outcome(error: ServiceError, *, may_have_run: bool) -> ServiceError:
     """Returns the final error of a call some of whose attempts may have run."""
     if not may_have_run or error.call_outcome is not Outcome.NOT_RUN:
--- a/packages/daemon/src/goldcrestvane_daemon/owner/shard.py
+++ b/packages/daemon/src/goldcrestvane_daemon/owner/shard.py
@@ -7,6 +7,7 @@
 import trio
 
 from goldcrestvane_common.errors import (
+    ErrorBody,
     InvalidRequest,
     NotFound,
     Outcome,
@@ -16,7 +17,7 @@
     Unavailable,
     WrongOwner,
 )
-from goldcrestvane_common.ids import InstanceId, ShardId, get_parent, hash_text
+from goldcrestvane_common.ids import CallId, InstanceId, ShardId, get_parent, hash_text
 from goldcrestvane_common.logs import get_logger
 from goldcrestvane_common.messages import (
     CallRequest,
@@ -39,6 +40,7 @@
 )
 
 MAX_EARLY_CALLS = 8
+ABANDONED_HASH = "abandoned"
 OUTAGE_RETRY_SECONDS = 2.0
 COMMIT_WAIT_SECONDS = 0.5
 RETENTION_SECONDS = 600.0
@@ -255,15 +257,47 @@
                     raise build_ended(key)
                 if request.sequence == program.next_sequence:
                     return None
+                if self._abandon_call(program, request):
+                    continue
                 _check_early(program, request)
                 await self._progress.setdefault(key, trio.Event()).wait()
         raise Overloaded(
             f"Call {program.next_sequence} has not ended; send it before call "
-            f"{request.sequence}, or send this call with more time.",
+            f"{request.sequence}, or give it up with the header "
+            f"Goldcrestvane-Abandoned: {program.next_sequence}.",
             field="sequence",
             retry_after=1.0,
         )
 
+    def _abandon_call(self, program: Program, request: CallRequest) -> bool:
+        """Ends the next call unrun when its caller has given it up.
+
+        A call that has been started here or by a former owner ends by itself.
+        """
+        sequence = program.next_sequence
+        started = sequence in program.started
+        running = (program.key, sequence) in self.executions
+        if sequence > request.abandoned or started or running:
+            return False
+        self.append(
+            records.CallEnded(
+                team=request.team,
+                program=request.program,
+                sequence=sequence,
+                request_hash=ABANDONED_HASH,
+                call=CallId(""),
+                target=InstanceId(""),
+                error=ErrorBody(
+                    kind=SequenceConflict.kind,
+                    outcome=Outcome.REFUSED_FINAL,
+                    message=f"Call {sequence} was given up by its caller unrun.",
+                    field="sequence",
+                ),
+            )
+        )
+        self.notify(program.key)
+        return True
+
     def _find_call(
         self, key: ProgramKey, request: CallRequest, request_hash: str
     ) -> records.CallEnded | Execution | None:
--- a/packages/daemon/src/goldcrestvane_daemon/owner/state.py
+++ b/packages/daemon/src/goldcrestvane_daemon/owner/state.py
@@ -193,7 +193,7 @@
         program.answers.popitem(last=False)
     program.next_sequence = max(program.next_sequence, record.sequence + 1)
     _extend_history(program, record)
-    _charge(state, program, tokens=record.usage.total, calls=1)
+    _charge(state, program, tokens=record.usage.total, calls=1 if record.call else 0)
 
 
 def _extend_history(program: Program, record: CallEnded) -> None:
--- /dev/null
+++ b/packages/daemon/tests/owner/fakes.py
@@ -0,0 +1,44 @@
+import msgspec
+
+from goldcrestvane_common.objects import (
+    ObjectConflict,
+    ObjectsUnavailable,
+    StoredObject,
+    WriteUncertain,
+)
+
+
+class FakeObjects:
+    """The platform's object API in memory, with faults by write."""
+
+    def __init__(self):
+        self.stored = {}
+        self.version = 0
+        self.down = False
+        self.lose_answers = 0
+        self.writes = 0
+
+    async def read(self, key):
+        if self.down:
+            raise ObjectsUnavailable("down")
+        return self.stored.get(key)
+
+    async def write(self, key, value, *, expected_version):
+        if self.down:
+            raise ObjectsUnavailable("down")
+        current = self.stored[key].version if key in self.stored else 0
+        if current != expected_version:
+            raise ObjectConflict(key)
+        self.version += 1
+        self.writes += 1
+        raw = msgspec.Raw(msgspec.json.encode(value))
+        self.stored[key] = StoredObject(key, self.version, raw)
+        if self.lose_answers:
+            self.lose_answers -= 1
+            raise WriteUncertain(key)
+        return self.version
+
+    async def delete(self, key, *, expected_version):
+        if self.stored[key].version != expected_version:
+            raise ObjectConflict(key)
+        del self.stored[key]
--- a/standins/src/goldcrestvane_standins/caller.py
+++ b/standins/src/goldcrestvane_standins/caller.py
@@ -76,6 +76,7 @@
         self._timeout = timeout
         self._max_sends = max_sends
         self.sequence = 1
+        self._abandoned = 0
 
     async def begin(self, kind: str, **budget: float) -> None:
         """Begins the program."""
@@ -126,6 +127,8 @@
                 result = CallResult(sequence=sequence, error=error)
             if result.error is None or result.error.call_outcome is Outcome.UNKNOWN:
                 self.sequence += 1
+            if result.error is not None:
+                self._abandoned = sequence
             seconds = trio.current_time() - started
             return dataclasses.replace(result, seconds=seconds, sends=sends)
         raise AssertionError("unreachable")
@@ -134,6 +137,8 @@
         self, path: str, body: Any, sequence: int, *, stream: bool
     ) -> CallResult:
         headers = {"goldcrestvane-sequence": str(sequence)}
+        if self._abandoned:
+            headers["goldcrestvane-abandoned"] = str(self._abandoned)
         if stream:
             return await self._read_stream(path, body, sequence, headers)
         reply = await self._send(path, body, headers)
