Keep the settings of teams encoded, and decode those in use

Ruled out: the replica's own copy, 1.0 KB a team; the decoded structs are the rest. Change: TeamCache holds the objects as the replica holds them and at most 256 decoded teams; an update is still decoded once, so that unreadable settings leave the former in force. ControlReplica.merge returns the held objects, whose values are no views of the received message.

--- a/packages/common/src/goldcrestvane_common/control_replica.py
+++ b/packages/common/src/goldcrestvane_common/control_replica.py
@@ -33,8 +33,10 @@
         return self._objects.get(key)
 
     def merge(self, objects: Iterable[StoredObject]) -> list[StoredObject]:
-        """Takes in the objects that are newer than the held ones and returns them."""
-        return [stored for stored in objects if self._replace(stored)]
+        """Takes in the objects newer than the held ones; returns them as held now."""
+        return [
+            self._objects[stored.key] for stored in objects if self._replace(stored)
+        ]
 
     def merge_list(self, listed: ObjectList) -> list[StoredObject]:
         """Takes in a whole list and returns the changes, deletions included.
--- a/packages/common/src/goldcrestvane_common/team_cache.py
+++ b/packages/common/src/goldcrestvane_common/team_cache.py
@@ -1,5 +1,6 @@
 """Decoded settings of the teams, as they are in force in this process."""
 
+from collections import OrderedDict
 from dataclasses import dataclass
 from typing import final
 
@@ -10,6 +11,8 @@
 from goldcrestvane_common.objects import StoredObject
 from goldcrestvane_common.settings import SETTINGS_PREFIX, TeamDocument, TeamSettings
 
+MAX_DECODED_TEAMS = 256
+
 logger = get_logger("settings")
 
 
@@ -24,38 +27,51 @@
 
 @final
 class TeamCache:
-    """Keeps the last settings of each team that could be decoded."""
+    """Keeps the last settings of each team that could be decoded.
+
+    It holds the encoded objects, which the control copy holds anyway, and the decoded
+    settings of the teams that were asked for lately, since decoded settings take
+    several times the memory.
+    """
 
     def __init__(self) -> None:
-        self._teams: dict[TeamId, TeamInForce] = {}
+        self._stored: dict[TeamId, StoredObject] = {}
+        self._decoded: OrderedDict[TeamId, TeamInForce] = OrderedDict()
 
     def get(self, team: TeamId) -> TeamInForce | None:
         """Returns what is in force for a team, or None for an unknown team."""
-        return self._teams.get(team)
+        found = self._decoded.get(team)
+        if found is not None:
+            self._decoded.move_to_end(team)
+            return found
+        stored = self._stored.get(team)
+        if stored is None:
+            return None
+        found = _decode(stored)
+        self._decoded[team] = found
+        if len(self._decoded) > MAX_DECODED_TEAMS:
+            self._decoded.popitem(last=False)
+        return found
 
     def get_versions(self) -> dict[TeamId, Version]:
         """Returns the version in force of each team, removed ones included."""
-        return {team: entry.version for team, entry in self._teams.items()}
+        return {team: stored.version for team, stored in self._stored.items()}
 
     def update(self, stored: StoredObject) -> None:
         """Puts an object's settings in force; other objects are passed over."""
         if not stored.key.startswith(SETTINGS_PREFIX):
             return
         team = TeamId(stored.key.removeprefix(SETTINGS_PREFIX))
-        if stored.deleted:
-            self._teams[team] = TeamInForce(settings=None, version=stored.version)
-            return
         try:
-            document = stored.decode(TeamDocument)
+            _decode(stored)
         except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
             self._log_fault(team, stored.version, error)
             return
-        self._teams[team] = TeamInForce(
-            settings=document.settings, version=stored.version
-        )
+        self._stored[team] = stored
+        self._decoded.pop(team, None)
 
     def _log_fault(self, team: TeamId, version: Version, error: Exception) -> None:
-        former = self._teams.get(team)
+        former = self._stored.get(team)
         logger.error(
             "settings of team %s at version %s do not decode (%s); %s; "
             "apply valid settings with goldcrestvane settings apply %s, "
@@ -66,3 +82,10 @@
             f"version {former.version} stays in force" if former else "none in force",
             team,
         )
+
+
+def _decode(stored: StoredObject) -> TeamInForce:
+    if stored.deleted:
+        return TeamInForce(settings=None, version=stored.version)
+    document = stored.decode(TeamDocument)
+    return TeamInForce(settings=document.settings, version=stored.version)
