Leave a silent former owner after one second

Ruled out: no grace at all, since an owner that hands a shard over still answers its running calls. Change: moved_grace_seconds 2.0 -> 1.0. The new owner joins the running attempt, so leaving early repeats nothing.

--- a/packages/daemon/src/goldcrestvane_daemon/entry/_limits.py
+++ b/packages/daemon/src/goldcrestvane_daemon/entry/_limits.py
@@ -27,5 +27,5 @@
     first_pause_seconds: float = 0.05
     longest_pause_seconds: float = 0.5
     refresh_seconds: float = 1.0
-    moved_grace_seconds: float = 2.0
+    moved_grace_seconds: float = 1.0
     hop_margin_seconds: float = 0.1
