--- a/packages/daemon/src/goldcrestvane_daemon/placement/facts.py
+++ b/packages/daemon/src/goldcrestvane_daemon/placement/facts.py
@@ -56,7 +56,7 @@
     report_seconds: float = 2.0
     first_slots: int = 8
     max_programs: int = 20_000
-    random_choices: int = 4
+    random_choices: int = 2
     eject_failures: int = 3
     eject_seconds: float = 1.0
     max_eject_seconds: float = 30.0
