Count a second of recomputing twice at cache_weight 0

Cause: with the factor 1 at cache_weight 0, owners moved programs for gains below what the recomputation takes from the target's other calls. Change: the factor is 2 / (1 - cache_weight). Tests 48 passed before and after.

--- a/packages/daemon/src/goldcrestvane_daemon/placement/choice.py
+++ b/packages/daemon/src/goldcrestvane_daemon/placement/choice.py
@@ -10,6 +10,12 @@
 MAX_CACHE_FACTOR = 50.0
 """Bound of the weight of recomputed tokens, reached as `cache_weight` nears 1."""
 
+CAPACITY_FACTOR = 2.0
+"""Weight of a second of recomputing against one of waiting, at `cache_weight` 0.
+
+It takes the second from the call and from the target's other calls.
+"""
+
 BUSY_SHARE = 0.1
 """Part of a call's run time that a target with all slots taken adds to it."""
 
@@ -57,12 +63,11 @@
 def get_cache_factor(cache_weight: float) -> float:
     """Returns how many seconds of waiting a second of recomputing is worth.
 
-    At `cache_weight` 0 both count alike, which minimises the call's own latency. The
-    spill threshold follows: a call leaves the target that holds its prefix when the
-    wait there exceeds the wait elsewhere by more than the factor times the time to
-    compute the prefix again.
+    The spill threshold follows from it: a call leaves the target that holds its
+    prefix when the wait there exceeds the wait elsewhere by more than the factor times
+    the time to compute the prefix again.
     """
-    return min(MAX_CACHE_FACTOR, 1.0 / max(1.0 - cache_weight, 1e-9))
+    return min(MAX_CACHE_FACTOR, CAPACITY_FACTOR / max(1.0 - cache_weight, 1e-9))
 
 
 def count_excess(view: TargetView) -> float:
