Send the fences of many shards in one message a peer

Cause: each take-over sent its fence to every sidecar, so that an heir of many shards sent shards x sidecars requests. Change: FenceSender sends rounds; what arrives during a round goes with the next one. Conclusion: at 3,600 sidecars a round is 3,600 messages and ends by its timeout; there only targets with started calls should be told.

--- a/packages/daemon/src/goldcrestvane_daemon/owner/manager.py
+++ b/packages/daemon/src/goldcrestvane_daemon/owner/manager.py
@@ -13,14 +13,12 @@
 import trio
 
 from goldcrestvane_common.errors import Unavailable
-from goldcrestvane_common.ids import Epoch, InstanceId, ShardId
+from goldcrestvane_common.ids import InstanceId, ShardId
 from goldcrestvane_common.logs import get_logger
 from goldcrestvane_common.messages import (
     ADOPT_PATH,
-    FENCE_PATH,
     Accepted,
     AdoptRequest,
-    Fence,
     Instance,
     Role,
     ShardMap,
@@ -30,6 +28,7 @@
 from goldcrestvane_common.server import JsonResponse, Request, Response, Router
 from goldcrestvane_common.transport import ConnectFailed, ExchangeBroken, Transport
 from goldcrestvane_daemon.membership import Membership
+from goldcrestvane_daemon.owner.fencing import FenceSender
 from goldcrestvane_daemon.owner.journal import Deposed, Journal
 from goldcrestvane_daemon.owner.ranking import (
     HEIR_PROBE_SECONDS,
@@ -46,7 +45,6 @@
 START_GRACE_SECONDS = 1.0
 OPEN_RETRY_SECONDS = 1.0
 ADOPT_TIMEOUT_SECONDS = 3.0
-FENCE_TIMEOUT_SECONDS = 0.3
 REBALANCE_SECONDS = 1.0
 SETTLED_SECONDS = 3.0
 
@@ -80,6 +78,9 @@
         self._writer = ShardMapWriter(objects, shard_count=shard_count)
         self._generator = generator
         self._transport = transport
+        self._fences = FenceSender(
+            transport, list_peers=lambda: membership.list_live(Role.SIDECAR)
+        )
         self._opening: set[ShardId] = set()
         self._handing_over: set[ShardId] = set()
         self._members: frozenset[InstanceId] = frozenset()
@@ -111,6 +112,7 @@
         await trio.sleep(START_GRACE_SECONDS)
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
+            nursery.start_soon(self._fences.run)
             nursery.start_soon(self._rebalance)
             while True:
                 await self._reconcile()
@@ -194,7 +196,7 @@
         try:
             await owned.open()
             self._nursery.start_soon(journal.run)
-            await self._fence_targets(shard, journal.epoch)
+            await self._fences.fence(shard, journal.epoch)
             await self._recovery.settle_calls(owned)
         except Deposed:
             logger.info("shard %s went to another instance", shard)
@@ -208,14 +210,6 @@
         finally:
             self._opening.discard(shard)
 
-    async def _fence_targets(self, shard: ShardId, epoch: Epoch) -> None:
-        """Tells all sidecars the new epoch; unreachable ones are passed over."""
-        fence = Fence(shard, epoch)
-        with trio.move_on_after(FENCE_TIMEOUT_SECONDS):
-            async with trio.open_nursery() as nursery:
-                for peer in self._membership.list_live(Role.SIDECAR):
-                    nursery.start_soon(self._send_order, peer, FENCE_PATH, fence)
-
     async def _send_order(self, peer: Instance, path: str, order: Any) -> bool:
         """Sends an order to a peer; returns whether it was carried out."""
         try:
--- a/packages/daemon/src/goldcrestvane_daemon/target/dispatcher.py
+++ b/packages/daemon/src/goldcrestvane_daemon/target/dispatcher.py
@@ -196,8 +196,8 @@
         return JsonResponse(value=Accepted())
 
     async def _serve_fence(self, request: Request) -> Response:
-        fence = request.decode(Fence)
-        self._gate.fence(fence.shard, fence.epoch)
+        for fence in request.decode(list[Fence]):
+            self._gate.fence(fence.shard, fence.epoch)
         return JsonResponse(value=Accepted())
 
     async def _serve_whole(self, request: Request) -> Response:
