Keep the heirs of a dead owner, and let a restarted instance take work again

A restarted instance stayed marked as leaving at its peers. Ruled out: a death notice to the new heir (another message for what the ring can tell). Change: the ring is built from the listed sidecars that do not leave, dead or not; a later heir acts when the dead owner still stands in the map after 3 s; a started instance announces that it does not leave. Conclusion: take-over no longer depends on what one process alone has seen.

--- a/packages/daemon/src/goldcrestvane_daemon/membership.py
+++ b/packages/daemon/src/goldcrestvane_daemon/membership.py
@@ -76,11 +76,17 @@
         """Polls the platform's list and probes the watched peers."""
         async with trio.open_nursery() as nursery:
             self._probe_nursery = nursery
+            nursery.start_soon(self._announce_start)
             while True:
                 await self._poll_list()
                 jitter = self._generator.uniform(0.8, 1.2)
                 await trio.sleep(LIST_INTERVAL_SECONDS * jitter)
 
+    async def _announce_start(self) -> None:
+        """Tells the peers that this incarnation does not leave, as a former one did."""
+        await self.ready.wait()
+        await self.announce_state()
+
     async def _poll_list(self) -> None:
         try:
             reply = await self._transport.send(
@@ -95,6 +101,8 @@
         if listed != self._listed:
             self._listed = listed
             self._dead &= set(listed)
+            for gone in set(self._leaving) - set(listed):
+                del self._leaving[gone]
             self._notify()
 
     def _notify(self) -> None:
@@ -142,6 +150,22 @@
             if item.role is role and item.instance not in self._dead
         ]
 
+    def list_candidates(self) -> list[Instance]:
+        """Returns the sidecars that do not leave, those that seem dead included.
+
+        Who takes over from whom must not depend on what this process alone has seen.
+        """
+        candidates = [
+            item
+            for item in self._listed.values()
+            if item.role is Role.SIDECAR
+            and item.instance != self.own.instance
+            and not self._is_leaving(item)
+        ]
+        if self.own.state is InstanceState.LIVE and self.own.role is Role.SIDECAR:
+            candidates.append(self.own)
+        return candidates
+
     def list_targets(self, service: ServiceId) -> list[Instance]:
         """Returns the sidecars beside targets of a service that take new work."""
         return [
--- a/packages/daemon/src/goldcrestvane_daemon/owner/manager.py
+++ b/packages/daemon/src/goldcrestvane_daemon/owner/manager.py
@@ -44,6 +44,7 @@
 RECONCILE_SECONDS = 0.5
 START_GRACE_SECONDS = 1.0
 OPEN_RETRY_SECONDS = 1.0
+HEIR_PATIENCE_SECONDS = 3.0
 ADOPT_TIMEOUT_SECONDS = 3.0
 REBALANCE_SECONDS = 1.0
 SETTLED_SECONDS = 3.0
@@ -89,6 +90,8 @@
         self._wakeup = trio.Event()
         self._index = ShardIndex(ShardMap([]), shard_count=shard_count)
         self._live: list[Instance] = []
+        self._candidates: list[Instance] = []
+        self._dead_since: dict[InstanceId, float] = {}
         self._ring = HeirRing([])
         self._watched: dict[InstanceId, float] = {}
         self.shard_count = shard_count
@@ -133,13 +136,16 @@
     def _note_members(self, shard_map: ShardMap) -> None:
         """Arranges map and members anew when one of them has changed."""
         live = self._membership.list_live(Role.SIDECAR)
-        if shard_map is self._index.shard_map and live == self._live:
+        candidates = self._membership.list_candidates()
+        same_members = live == self._live and candidates == self._candidates
+        if shard_map is self._index.shard_map and same_members:
             return
         if shard_map is not self._index.shard_map:
             self._index = ShardIndex(shard_map, shard_count=self.shard_count)
-        if live != self._live:
-            self._live = live
-            self._ring = HeirRing(live)
+        self._live = live
+        if candidates != self._candidates:
+            self._candidates = candidates
+            self._ring = HeirRing(candidates)
         self._watched = self._list_watched_owners()
 
     def _get_entry(self, shard_map: ShardMap, shard: ShardId) -> ShardOwner | None:
@@ -187,8 +193,14 @@
         if owner == self._own.instance:
             return self._own in self._live
         if not self._membership.is_dead(owner):
+            self._dead_since.pop(owner, None)
             return False
-        return self._ring.find_heirs(owner)[:1] == [self._own]
+        heirs = self._ring.find_heirs(owner)
+        if self._own not in heirs:
+            return False
+        now = trio.current_time()
+        waited = now - self._dead_since.setdefault(owner, now)
+        return waited >= heirs.index(self._own) * HEIR_PATIENCE_SECONDS
 
     async def _take_over(self, shard: ShardId) -> None:
         journal = Journal(self._objects, shard, self._own.instance)
--- /dev/null
+++ b/packages/daemon/tests/test_membership.py
@@ -0,0 +1,134 @@
+import random
+import unittest
+
+import msgspec
+import trio
+import trio.testing
+
+from goldcrestvane_common.messages import (
+    PEER_STATE_PATH,
+    PING_PATH,
+    Instance,
+    InstanceList,
+    InstanceState,
+    Ping,
+    Role,
+)
+from goldcrestvane_common.server import Request, Router
+from goldcrestvane_common.transport import ConnectFailed, Reply
+from goldcrestvane_daemon.membership import Membership
+from goldcrestvane_daemon.owner.ranking import HeirRing
+
+
+def build_sidecars(count=6):
+    return [
+        Instance(f"s{n}", Role.SIDECAR, f"host-{n}:1", f"d{n % 3}", service="ledger")
+        for n in range(count)
+    ]
+
+
+class FakeNetwork:
+    """Answers the instance list and probes; dead instances refuse connections."""
+
+    def __init__(self, instances):
+        self.instances = instances
+        self.dead = set()
+        self.announced = []
+
+    async def send(self, method, peer, path, **options):
+        await trio.lowlevel.checkpoint()
+        if path == "/v1/instances":
+            value = InstanceList(self.instances)
+        elif peer in self.dead:
+            raise ConnectFailed(peer)
+        elif path == PEER_STATE_PATH:
+            self.announced.append((peer, options["value"].state))
+            value = options["value"]
+        else:
+            self.assert_probe(path)
+            value = Ping("peer", "incarnation", InstanceState.LIVE)
+        return Reply(status=200, headers={}, body=msgspec.json.encode(value))
+
+    def assert_probe(self, path):
+        if path != PING_PATH:
+            raise AssertionError(path)
+
+
+class MembershipTests(unittest.TestCase):
+    def run_membership(self, check):
+        async def main():
+            sidecars = build_sidecars()
+            network = FakeNetwork(sidecars)
+            membership = Membership(
+                transport=network,
+                list_peer="list:1",
+                own=sidecars[0],
+                incarnation="own",
+                generator=random.Random(1),
+            )
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(membership.run)
+                await membership.ready.wait()
+                await check(membership, network, sidecars)
+                nursery.cancel_scope.cancel()
+
+        trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+    def test_dead_owner_keeps_its_heirs(self):
+        async def check(membership, network, sidecars):
+            for owner in sidecars[1:]:
+                before = HeirRing(membership.list_candidates())
+                heirs = before.find_heirs(owner.instance)
+                network.dead = {owner.address}
+                membership.watch_peers({owner.instance: 0.5})
+                await trio.sleep(10)
+                self.assertTrue(membership.is_dead(owner.instance))
+                after = HeirRing(membership.list_candidates())
+                self.assertEqual(after.find_heirs(owner.instance), heirs)
+
+        self.run_membership(check)
+
+    def test_dead_instance_gets_no_work_until_it_answers_again(self):
+        async def check(membership, network, sidecars):
+            network.dead = {sidecars[1].address}
+            membership.watch_peers({"s1": 0.5})
+            await trio.sleep(10)
+            self.assertNotIn(sidecars[1], membership.list_targets("ledger"))
+            network.dead = set()
+            await trio.sleep(2)
+            self.assertIn(sidecars[1], membership.list_targets("ledger"))
+
+        self.run_membership(check)
+
+    def test_started_instance_tells_its_peers_that_it_does_not_leave(self):
+        async def check(membership, network, sidecars):
+            await trio.sleep(1)
+            told = {peer for peer, state in network.announced}
+            self.assertEqual(told, {item.address for item in sidecars[1:]})
+            states = {state for _, state in network.announced}
+            self.assertEqual(states, {InstanceState.LIVE})
+
+        self.run_membership(check)
+
+    def test_instance_that_says_it_leaves_gets_no_work_while_the_list_lags(self):
+        async def check(membership, network, sidecars):
+            router = Router()
+            membership.add_routes(router)
+            leaving = Ping("s1", "first", InstanceState.LEAVING)
+            announce = Request(
+                method="POST", path=PEER_STATE_PATH, body=msgspec.json.encode(leaving)
+            )
+            await router.find("POST", PEER_STATE_PATH)(announce)
+            self.assertNotIn(sidecars[1], membership.list_targets("ledger"))
+            returned = Ping("s1", "second", InstanceState.LIVE)
+            again = Request(
+                method="POST", path=PEER_STATE_PATH, body=msgspec.json.encode(returned)
+            )
+            await router.find("POST", PEER_STATE_PATH)(again)
+            self.assertIn(sidecars[1], membership.list_targets("ledger"))
+
+        self.run_membership(check)
+
+
+if __name__ == "__main__":
+    unittest.main()
