Keep team budgets by allotments, and split the call runner by job

Ruled out: a shared counter asked at each call (a platform write a call). Conclusion: the sum of all allotments never passes the budget; what shards have been allotted and do not spend is not given back.

--- /dev/null
+++ b/packages/daemon/src/goldcrestvane_daemon/owner/outcomes.py
@@ -0,0 +1,100 @@
+"""Records and errors for the ends of calls."""
+
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from goldcrestvane_common.errors import (
+    Outcome,
+    OutcomeUnknown,
+    ServiceError,
+    Unavailable,
+)
+from goldcrestvane_common.messages import DispatchAnswer, Message
+from goldcrestvane_common.settings import HistoryMode
+from goldcrestvane_daemon.execution import Execution
+from goldcrestvane_daemon.owner import records
+from goldcrestvane_daemon.owner.budgets import hash_messages
+
+if TYPE_CHECKING:
+    from goldcrestvane_daemon.owner.calls import Call
+
+MAX_KEPT_BYTES = 256 * 1024
+OUTAGE_RETRY_SECONDS = 2.0
+
+
+def build_end(
+    call: "Call", execution: Execution, *, error: ServiceError | None = None
+) -> records.CallEnded:
+    """Returns the record of a call's end without its answer."""
+    return records.CallEnded(
+        team=call.request.team,
+        program=call.request.program,
+        sequence=call.request.sequence,
+        request_hash=call.request_hash,
+        call=execution.call,
+        target=execution.target,
+        error=None if error is None else error.to_body(),
+    )
+
+
+def build_answer_end(
+    call: "Call", execution: Execution, answer: DispatchAnswer
+) -> records.CallEnded:
+    """Returns the record of a call's answer, with its turn of the history."""
+    record = msgspec.structs.replace(
+        build_end(call, execution),
+        answer=answer.value,
+        usage=answer.usage,
+        finish_reason=answer.finish_reason,
+    )
+    if len(bytes(answer.value)) > MAX_KEPT_BYTES:
+        record = _drop_answer(record)
+    if call.request.model is None:
+        return record
+    reply = Message("assistant", msgspec.json.decode(answer.value, type=str))
+    covered = [*call.messages, reply]
+    kept: list[Message] = []
+    if call.program.history_mode is HistoryMode.OWNER:
+        kept = [*call.request.model.messages, reply]
+    return msgspec.structs.replace(
+        record,
+        messages=kept,
+        prompt_messages=len(covered),
+        prompt_hash=hash_messages(covered),
+    )
+
+
+def _drop_answer(record: records.CallEnded) -> records.CallEnded:
+    """Returns the record of a call whose answer is too large to be kept.
+
+    The caller that waits gets the answer; a repeated call is told that it ran.
+    """
+    error = OutcomeUnknown(
+        f"The call ran, and its answer exceeds the {MAX_KEPT_BYTES} bytes that are "
+        "kept for repeated calls. Look the result up at the service."
+    )
+    return msgspec.structs.replace(
+        record, answer=msgspec.Raw(b"null"), error=error.to_body()
+    )
+
+
+def settle_outcome(error: ServiceError, *, may_have_run: bool) -> ServiceError:
+    """Returns the final error of a call some of whose attempts may have run."""
+    if not may_have_run or error.call_outcome is not Outcome.NOT_RUN:
+        return error
+    return type(error)(
+        error.message,
+        field=error.field,
+        retry_after=error.retry_after,
+        outcome=Outcome.INCOMPLETE,
+    )
+
+
+def build_outage() -> Unavailable:
+    """Returns the error of a call that cannot be claimed while the platform is down."""
+    return Unavailable(
+        "The platform is down, so the call cannot be claimed; it did not run. "
+        "Send it again later.",
+        retry_after=OUTAGE_RETRY_SECONDS,
+    )
--- /dev/null
+++ b/packages/daemon/src/goldcrestvane_daemon/owner/runner.py
@@ -0,0 +1,327 @@
+"""Runs a program's call: choose a target, start, dispatch, record the end."""
+
+import itertools
+from typing import Protocol, final
+
+import msgspec
+import trio
+
+from goldcrestvane_common.errors import Outcome, ServiceError, Unavailable
+from goldcrestvane_common.ids import CallId, InstanceId, ServiceId, hash_text
+from goldcrestvane_common.logs import get_logger
+from goldcrestvane_common.messages import (
+    DISPATCH_CANCEL_PATH,
+    CancelRequest,
+    DispatchAnswer,
+    DispatchRequest,
+    Instance,
+)
+from goldcrestvane_daemon.execution import Execution
+from goldcrestvane_daemon.owner.budgets import bound_prompt_tokens
+from goldcrestvane_daemon.owner.calls import Call, build_dispatch
+from goldcrestvane_daemon.owner.outcomes import (
+    build_answer_end,
+    build_end,
+    settle_outcome,
+)
+from goldcrestvane_daemon.owner.records import CallStarted
+from goldcrestvane_daemon.owner.shard import (
+    COMMIT_WAIT_SECONDS,
+    OwnedShard,
+    build_ended,
+    build_wrong_owner,
+)
+from goldcrestvane_daemon.owner.starts import CallStarter, build_release
+from goldcrestvane_daemon.owner.state import CachedPrefix
+from goldcrestvane_daemon.owner.suspects import SuspectGuard
+from goldcrestvane_daemon.owner.targets import TargetConnector, TargetDirectory
+from goldcrestvane_daemon.placement import Attempt
+
+MAX_ATTEMPTS = 3
+
+logger = get_logger("calls")
+
+
+class Chooser(Protocol):
+    """Chooses targets and learns from what became of the calls sent there."""
+
+    def choose(
+        self,
+        request: DispatchRequest,
+        *,
+        excluded: set[InstanceId],
+        cache_weight: float,
+        cached: CachedPrefix | None,
+    ) -> tuple[Instance, Attempt]:
+        """Returns the target for a call; raises Unavailable when there is none."""
+        ...
+
+    def record_answer(self, attempt: Attempt, answer: DispatchAnswer) -> None:
+        """Notes a whole answer."""
+        ...
+
+    def record_error(self, attempt: Attempt, error: BaseException) -> None:
+        """Notes a call that ended without an answer."""
+        ...
+
+    def count_call(self, service: ServiceId) -> None:
+        """Counts a first attempt."""
+        ...
+
+    def allow_retry(self, service: ServiceId) -> bool:
+        """Returns whether the retry budget allows one more attempt."""
+        ...
+
+
+@final
+class CallRunner:
+    """Runs calls of owned shards."""
+
+    def __init__(
+        self,
+        *,
+        connector: TargetConnector,
+        directory: TargetDirectory,
+        chooser: Chooser,
+        starter: CallStarter,
+        suspects: SuspectGuard,
+    ) -> None:
+        self._starter = starter
+        self._suspects = suspects
+        self._connector = connector
+        self._directory = directory
+        self._chooser = chooser
+        self._attempts = itertools.count(1)
+
+    async def run(self, shard: OwnedShard, call: Call, execution: Execution) -> None:
+        """Runs a call to its end and records it; errors go to the execution."""
+        key = (call.program.key, call.request.sequence)
+        try:
+            with execution.scope:
+                await self._run_attempts(shard, call, execution)
+            if execution.scope.cancelled_caught:
+                await self._cancel(shard, call, execution)
+        except ServiceError as error:
+            execution.fail(error)
+        except Exception:
+            logger.exception("call %s of %s failed", key[1], key[0])
+            execution.fail(ServiceError("The owner failed on this call; report it."))
+        finally:
+            shard.executions.pop(key, None)
+            shard.notify(call.program.key)
+
+    async def _cancel(
+        self, shard: OwnedShard, call: Call, execution: Execution
+    ) -> None:
+        """Ends a repeatable call whose program has ended, here and at the target."""
+        started = call.program.started.get(call.request.sequence)
+        if started is not None:
+            shard.append(build_release(call, spent_tokens=started.reserved_tokens))
+        execution.fail(build_ended(call.program.key))
+        target = self._directory.find_instance(execution.target)
+        if target is not None:
+            await self._connector.send_order(
+                target, DISPATCH_CANCEL_PATH, CancelRequest(execution.call)
+            )
+
+    async def _run_attempts(
+        self, shard: OwnedShard, call: Call, execution: Execution
+    ) -> None:
+        may_have_run = call.request.sequence in call.program.started
+        if await self._join_attempt(shard, call, execution):
+            return
+        self._chooser.count_call(call.request.service)
+        tried: set[InstanceId] = set()
+        for attempt in range(1, MAX_ATTEMPTS + 1):
+            try:
+                await self._run_attempt(shard, call, execution, tried)
+                return
+            except ServiceError as error:
+                may_have_run |= error.call_outcome is not Outcome.NOT_RUN
+                last = attempt == MAX_ATTEMPTS
+                if last or not self._may_retry(shard, call, execution, error):
+                    raise settle_outcome(error, may_have_run=may_have_run) from error
+                execution.discard_text()
+
+    def _may_retry(
+        self,
+        shard: OwnedShard,
+        call: Call,
+        execution: Execution,
+        error: ServiceError,
+    ) -> bool:
+        repeatable = error.call_outcome is Outcome.NOT_RUN or (
+            error.call_outcome is Outcome.INCOMPLETE and not call.once
+        )
+        alive = not shard.journal.deposed.is_set() and call.program.is_open
+        in_time = trio.current_time() < call.ends_at
+        if execution.streamed or not (repeatable and alive and in_time):
+            return False
+        return self._chooser.allow_retry(call.request.service)
+
+    async def _run_attempt(
+        self,
+        shard: OwnedShard,
+        call: Call,
+        execution: Execution,
+        tried: set[InstanceId],
+    ) -> None:
+        call_id = self._build_call_id(shard, call)
+        dispatch = await self._suspects.check(
+            build_dispatch(shard, call, call_id, max_tokens=_get_max_tokens(call))
+        )
+        try:
+            answer = await self._try_target(shard, call, dispatch, execution, tried)
+        except BaseException:
+            await self._suspects.settle(dispatch, survived=False)
+            raise
+        await self._suspects.settle(dispatch, survived=True)
+        await self._finish(shard, call, execution, answer)
+
+    async def _try_target(
+        self,
+        shard: OwnedShard,
+        call: Call,
+        dispatch: DispatchRequest,
+        execution: Execution,
+        tried: set[InstanceId],
+    ) -> DispatchAnswer:
+        target, attempt = self._chooser.choose(
+            dispatch,
+            excluded=tried,
+            cache_weight=call.cache_weight,
+            cached=call.program.cached_prefix,
+        )
+        tried.add(target.instance)
+        execution.call = dispatch.call
+        execution.target = target.instance
+        try:
+            incarnation = await self._connector.get_incarnation(target)
+            dispatch = msgspec.structs.replace(dispatch, incarnation=incarnation)
+            dispatch = await self._starter.start(shard, call, dispatch, target)
+            answer = await self._send(shard, call, dispatch, target, execution)
+        except BaseException as error:
+            self._chooser.record_error(attempt, error)
+            raise
+        self._chooser.record_answer(attempt, answer)
+        return answer
+
+    async def _send(
+        self,
+        shard: OwnedShard,
+        call: Call,
+        dispatch: DispatchRequest,
+        target: Instance,
+        execution: Execution,
+    ) -> DispatchAnswer:
+        """Sends a started call and records its failure, if it fails."""
+        try:
+            return await self._connector.send_call(
+                target, dispatch, execution, stream=call.stream
+            )
+        except ServiceError as error:
+            if isinstance(error, Unavailable):
+                self._connector.forget_incarnation(target.instance)
+            await self._record_failure(shard, call, execution, error)
+            raise
+
+    async def _finish(
+        self,
+        shard: OwnedShard,
+        call: Call,
+        execution: Execution,
+        answer: DispatchAnswer,
+    ) -> None:
+        await self._record_answer(shard, call, execution, answer)
+        execution.finish(answer.value, answer.usage, finish_reason=answer.finish_reason)
+
+    async def _join_attempt(
+        self, shard: OwnedShard, call: Call, execution: Execution
+    ) -> bool:
+        """Joins the attempt that a former owner started; returns whether it ended.
+
+        An attempt that cannot be joined gives its number back.
+
+        Raises:
+            ServiceError: A reader already has a part of the answer that broke off.
+        """
+        started = call.program.started.get(call.request.sequence)
+        if started is None:
+            return False
+        target = self._directory.find_instance(started.target)
+        if target is None or started.request_hash != call.request_hash:
+            shard.append(build_release(call, spent_tokens=started.reserved_tokens))
+            return False
+        dispatch = msgspec.structs.replace(
+            build_dispatch(
+                shard, call, started.call, max_tokens=_get_joined_tokens(call, started)
+            ),
+            incarnation=started.incarnation,
+        )
+        execution.call = started.call
+        execution.target = started.target
+        try:
+            answer = await self._connector.send_call(
+                target, dispatch, execution, stream=call.stream
+            )
+        except ServiceError:
+            shard.append(build_release(call, spent_tokens=started.reserved_tokens))
+            if execution.streamed:
+                raise
+            execution.discard_text()
+            return False
+        await self._finish(shard, call, execution, answer)
+        return True
+
+    def _build_call_id(self, shard: OwnedShard, call: Call) -> CallId:
+        number = next(self._attempts)
+        program = hash_text("\n".join(call.program.key))
+        return CallId(
+            f"{shard.shard}.{shard.journal.epoch}.{program:x}."
+            f"{call.request.sequence}.{number}"
+        )
+
+    async def _record_failure(
+        self,
+        shard: OwnedShard,
+        call: Call,
+        execution: Execution,
+        error: ServiceError,
+    ) -> None:
+        if shard.journal.deposed.is_set():
+            raise build_wrong_owner(shard.shard, outcome=error.call_outcome) from error
+        if call.once and error.call_outcome is Outcome.UNKNOWN:
+            await shard.commit(build_end(call, execution, error=error))
+            return
+        spent = 0
+        started = call.program.started.get(call.request.sequence)
+        if error.call_outcome is not Outcome.NOT_RUN and started is not None:
+            spent = started.reserved_tokens
+        shard.append(build_release(call, spent_tokens=spent))
+
+    async def _record_answer(
+        self,
+        shard: OwnedShard,
+        call: Call,
+        execution: Execution,
+        answer: DispatchAnswer,
+    ) -> None:
+        """Records the answer; one that may run again needs the record first."""
+        record = build_answer_end(call, execution, answer)
+        try:
+            await shard.commit(record, wait=COMMIT_WAIT_SECONDS)
+        except ServiceError as error:
+            if call.once:
+                return  # The new owner asks the target's sidecar for the same answer.
+            raise build_wrong_owner(shard.shard, outcome=Outcome.INCOMPLETE) from error
+
+
+def _get_max_tokens(call: Call) -> int:
+    return call.request.model.max_tokens if call.request.model is not None else 0
+
+
+def _get_joined_tokens(call: Call, started: CallStarted) -> int:
+    """Returns the tokens that a former owner's reservation leaves for the answer."""
+    reserved = started.reserved_tokens
+    left = reserved - bound_prompt_tokens(call.program, call.messages)
+    return max(1, min(_get_max_tokens(call), left))
--- a/packages/daemon/src/goldcrestvane_daemon/owner/service.py
+++ b/packages/daemon/src/goldcrestvane_daemon/owner/service.py
@@ -33,9 +33,10 @@
 )
 from goldcrestvane_common.settings import TeamSettings
 from goldcrestvane_daemon.execution import Execution
-from goldcrestvane_daemon.owner.calls import Call, CallRunner, build_call
+from goldcrestvane_daemon.owner.calls import Call, build_call
 from goldcrestvane_daemon.owner.manager import ShardManager
 from goldcrestvane_daemon.owner.records import CallEnded
+from goldcrestvane_daemon.owner.runner import CallRunner
 from goldcrestvane_daemon.owner.shard import (
     OwnedShard,
     build_wrong_owner,
--- a/packages/daemon/src/goldcrestvane_daemon/sidecar_process.py
+++ b/packages/daemon/src/goldcrestvane_daemon/sidecar_process.py
@@ -19,11 +19,14 @@
 from goldcrestvane_common.settings import ServiceKind
 from goldcrestvane_daemon.chooser import TargetChooser
 from goldcrestvane_daemon.gate import Gate, GateOptions
-from goldcrestvane_daemon.owner.calls import CallRunner
+from goldcrestvane_daemon.owner.accounts import TeamAccounts
 from goldcrestvane_daemon.owner.manager import ShardManager
 from goldcrestvane_daemon.owner.recovery import CallRecovery
 from goldcrestvane_daemon.owner.release import SessionReleaser
+from goldcrestvane_daemon.owner.runner import CallRunner
 from goldcrestvane_daemon.owner.service import OwnerService
+from goldcrestvane_daemon.owner.starts import CallStarter
+from goldcrestvane_daemon.owner.suspects import SuspectGuard
 from goldcrestvane_daemon.owner.targets import TargetConnector
 from goldcrestvane_daemon.parts import Parts
 from goldcrestvane_daemon.placement import Placement
@@ -87,7 +90,8 @@
             connector=connector,
             directory=membership,
             chooser=TargetChooser(directory=membership, placement=placement),
-            quarantine=self._quarantine,
+            starter=CallStarter(TeamAccounts(parts.objects)),
+            suspects=SuspectGuard(self._quarantine),
         )
         self._service = OwnerService(
             manager=self._manager,
--- /dev/null
+++ b/packages/daemon/tests/owner/test_accounts.py
@@ -0,0 +1,101 @@
+import unittest
+
+import trio
+import trio.testing
+
+from goldcrestvane_common.errors import BudgetExceeded, Unavailable
+from goldcrestvane_common.settings import Budget
+from goldcrestvane_daemon.owner import records
+from goldcrestvane_daemon.owner.accounts import (
+    ALLOTMENTS_PER_BUDGET,
+    TeamAccounts,
+    TeamGrants,
+)
+from goldcrestvane_daemon.owner.journal import Journal
+from goldcrestvane_daemon.owner.shard import OwnedShard
+from owner.fakes import FakeObjects
+
+TEAM = "acme"
+LIMIT = Budget(tokens=ALLOTMENTS_PER_BUDGET * 10, calls=ALLOTMENTS_PER_BUDGET)
+
+
+class TeamAccountTests(unittest.TestCase):
+    def run_shards(self, check, *, count=3):
+        async def main():
+            objects = FakeObjects()
+            async with trio.open_nursery() as nursery:
+                shards = []
+                for number in range(count):
+                    journal = Journal(objects, number, "owner")
+                    shard = OwnedShard(number, "owner", journal)
+                    await shard.open()
+                    nursery.start_soon(journal.run)
+                    shards.append(shard)
+                await check(objects, shards)
+                nursery.cancel_scope.cancel()
+
+        trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+    def read_grants(self, objects):
+        return objects.stored[f"budgets/{TEAM}"].decode(TeamGrants)
+
+    def test_allotments_of_all_shards_never_pass_the_budget(self):
+        async def check(objects, shards):
+            accounts = TeamAccounts(objects)
+            refused = 0
+            for turn in range(ALLOTMENTS_PER_BUDGET * 2):
+                shard = shards[turn % len(shards)]
+                try:
+                    await accounts.extend(shard, TEAM, LIMIT, tokens=10)
+                except BudgetExceeded:
+                    refused += 1
+                    continue
+                shard.append(records.TeamAllotted(TEAM, tokens=-10, calls=-1))
+            grants = self.read_grants(objects)
+            self.assertEqual((grants.tokens, grants.calls), (640, 64))
+            self.assertEqual(refused, ALLOTMENTS_PER_BUDGET)
+
+        self.run_shards(check)
+
+    def test_lost_answer_of_an_allotment_counts_once(self):
+        async def check(objects, shards):
+            objects.lose_answers = 1
+            await TeamAccounts(objects).extend(shards[0], TEAM, LIMIT, tokens=5)
+            self.assertEqual(self.read_grants(objects).tokens, 10)
+            account = shards[0].state.get_account(TEAM)
+            self.assertEqual(account.allotted_tokens, 10)
+
+        self.run_shards(check)
+
+    def test_next_owner_has_the_allotment_and_what_was_spent(self):
+        async def check(objects, shards):
+            accounts = TeamAccounts(objects)
+            await accounts.extend(shards[0], TEAM, LIMIT, tokens=5)
+            await shards[0].wait_durable(shards[0].append(), wait=1.0)
+            following = OwnedShard(0, "next", Journal(objects, 0, "next"))
+            await following.open()
+            self.assertEqual(following.state.accounts, shards[0].state.accounts)
+
+        self.run_shards(check)
+
+    def test_outage_refuses_only_calls_beyond_the_allotment(self):
+        async def check(objects, shards):
+            accounts = TeamAccounts(objects)
+            await accounts.extend(shards[0], TEAM, LIMIT, tokens=5)
+            objects.down = True
+            self.assertTrue(accounts.has_room(shards[0], TEAM, LIMIT, tokens=10))
+            with self.assertRaises(Unavailable):
+                await accounts.extend(shards[0], TEAM, LIMIT, tokens=50)
+
+        self.run_shards(check)
+
+    def test_team_without_limits_needs_no_allotment(self):
+        async def check(objects, shards):
+            accounts = TeamAccounts(objects)
+            self.assertTrue(accounts.has_room(shards[0], TEAM, Budget(), tokens=9**9))
+
+        self.run_shards(check)
+
+
+if __name__ == "__main__":
+    unittest.main()
