--- a/packages/common/src/goldcrestvane_common/messages.py
+++ b/packages/common/src/goldcrestvane_common/messages.py
@@ -27,6 +27,7 @@
 PROGRAM_SHOW_PATH = "/internal/programs/show"
 DISPATCH_PATH = "/internal/dispatch"
 DISPATCH_CLOSE_PATH = "/internal/dispatch-close"
+DISPATCH_CANCEL_PATH = "/internal/dispatch-cancel"
 PING_PATH = "/internal/ping"
 DRAIN_PATH = "/internal/drain"
 DISPATCH_STREAM_PATH = "/internal/dispatch-stream"
@@ -135,6 +136,7 @@
         model: Body of a model call.
         tool: Body of a tool call, undecoded JSON.
         resume: Where to take up a stream that broke between owner and entry.
+        abandoned: Highest sequence that the caller has given up; 0 for none.
     """
 
     team: TeamId
@@ -147,6 +149,7 @@
     model: ModelBody | None = None
     tool: msgspec.Raw = msgspec.Raw(b"null")
     resume: StreamPoint | None = None
+    abandoned: int = 0
 
 
 class CallAnswer(msgspec.Struct, frozen=True, omit_defaults=True):
@@ -158,6 +161,7 @@
         owner: Instance that owns the program.
         usage: Tokens taken.
         replayed: Whether the answer comes from the record of an earlier attempt.
+        finish_reason: Why the answer ended: ``stop``, or ``length`` when it was cut.
     """
 
     value: msgspec.Raw
@@ -165,6 +169,7 @@
     owner: InstanceId
     usage: Usage = Usage()
     replayed: bool = False
+    finish_reason: str = "stop"
 
 
 class StreamHead(msgspec.Struct, frozen=True, tag="head"):
@@ -255,6 +260,7 @@
     value: msgspec.Raw
     usage: Usage = Usage()
     load: "TargetLoad | None" = None
+    finish_reason: str = "stop"
 
 
 class CloseRequest(msgspec.Struct, frozen=True):
@@ -283,6 +289,28 @@
     error: ErrorBody | None = None
 
 
+class CancelRequest(msgspec.Struct, frozen=True):
+    """Stops a repeatable call whose program has ended."""
+
+    call: CallId
+
+
+class ReleaseRequest(msgspec.Struct, frozen=True):
+    """Frees what the engine keeps for an ended program.
+
+    Attributes:
+        team: Team of the program.
+        program: The ended program.
+        shard: Shard of the program.
+        epoch: Epoch of the owner; the fencing number of the order.
+    """
+
+    team: TeamId
+    program: ProgramId
+    shard: ShardId
+    epoch: Epoch
+
+
 class Fence(msgspec.Struct, frozen=True):
     """A shard's new epoch; calls of earlier owners are refused from now on."""
 
--- /dev/null
+++ b/packages/common/src/goldcrestvane_common/team_cache.py
@@ -0,0 +1,91 @@
+"""Decoded settings of the teams, as they are in force in this process."""
+
+from collections import OrderedDict
+from dataclasses import dataclass
+from typing import final
+
+import msgspec
+
+from goldcrestvane_common.ids import TeamId, Version
+from goldcrestvane_common.logs import get_logger
+from goldcrestvane_common.objects import StoredObject
+from goldcrestvane_common.settings import SETTINGS_PREFIX, TeamDocument, TeamSettings
+
+MAX_DECODED_TEAMS = 256
+
+logger = get_logger("settings")
+
+
+@final
+@dataclass(frozen=True, kw_only=True)
+class TeamInForce:
+    """A team's settings and the version they came with; None for a removed team."""
+
+    settings: TeamSettings | None
+    version: Version
+
+
+@final
+class TeamCache:
+    """Keeps the last settings of each team that could be decoded.
+
+    It holds the encoded objects, which the control copy holds anyway, and the decoded
+    settings of the teams that were asked for lately, since decoded settings take
+    several times the memory.
+    """
+
+    def __init__(self) -> None:
+        self._stored: dict[TeamId, StoredObject] = {}
+        self._decoded: OrderedDict[TeamId, TeamInForce] = OrderedDict()
+
+    def get(self, team: TeamId) -> TeamInForce | None:
+        """Returns what is in force for a team, or None for an unknown team."""
+        found = self._decoded.get(team)
+        if found is not None:
+            self._decoded.move_to_end(team)
+            return found
+        stored = self._stored.get(team)
+        if stored is None:
+            return None
+        found = _decode(stored)
+        self._decoded[team] = found
+        if len(self._decoded) > MAX_DECODED_TEAMS:
+            self._decoded.popitem(last=False)
+        return found
+
+    def get_versions(self) -> dict[TeamId, Version]:
+        """Returns the version in force of each team, removed ones included."""
+        return {team: stored.version for team, stored in self._stored.items()}
+
+    def update(self, stored: StoredObject) -> None:
+        """Puts an object's settings in force; other objects are passed over."""
+        if not stored.key.startswith(SETTINGS_PREFIX):
+            return
+        team = TeamId(stored.key.removeprefix(SETTINGS_PREFIX))
+        try:
+            _decode(stored)
+        except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+            self._log_fault(team, stored.version, error)
+            return
+        self._stored[team] = stored
+        self._decoded.pop(team, None)
+
+    def _log_fault(self, team: TeamId, version: Version, error: Exception) -> None:
+        former = self._stored.get(team)
+        logger.error(
+            "settings of team %s at version %s do not decode (%s); %s; "
+            "apply valid settings with goldcrestvane settings apply %s, "
+            "or update this process",
+            team,
+            version,
+            error,
+            f"version {former.version} stays in force" if former else "none in force",
+            team,
+        )
+
+
+def _decode(stored: StoredObject) -> TeamInForce:
+    if stored.deleted:
+        return TeamInForce(settings=None, version=stored.version)
+    document = stored.decode(TeamDocument)
+    return TeamInForce(settings=document.settings, version=stored.version)
--- a/packages/daemon/src/goldcrestvane_daemon/owner/calls.py
+++ b/packages/daemon/src/goldcrestvane_daemon/owner/calls.py
@@ -16,6 +16,8 @@
     DeadlineExceeded,
     NotFound,
     Outcome,
+    OutcomeUnknown,
+    RequestTooLarge,
     ServiceError,
     Unavailable,
 )
@@ -29,7 +31,9 @@
 )
 from goldcrestvane_common.logs import get_logger
 from goldcrestvane_common.messages import (
+    DISPATCH_CANCEL_PATH,
     CallRequest,
+    CancelRequest,
     DispatchAnswer,
     DispatchRequest,
     Instance,
@@ -48,22 +52,26 @@
     Reservation,
     check_calls,
     count_seconds_left,
+    has_token_budget,
     hash_messages,
     reserve_tokens,
 )
 from goldcrestvane_daemon.owner.shard import (
     COMMIT_WAIT_SECONDS,
     OwnedShard,
+    build_ended,
     build_wrong_owner,
 )
-from goldcrestvane_daemon.owner.state import Program
+from goldcrestvane_daemon.owner.state import CachedPrefix, Program
 from goldcrestvane_daemon.owner.targets import TargetConnector, TargetDirectory
 from goldcrestvane_daemon.placement import Attempt
+from goldcrestvane_daemon.quarantine import Quarantine, Verdict, build_refusal
 
 RESERVE_WAIT_SECONDS = 0.05
 CLAIM_WAIT_SECONDS = 2.0
 OUTAGE_RETRY_SECONDS = 2.0
 MAX_ATTEMPTS = 3
+MAX_KEPT_BYTES = 256 * 1024
 
 logger = get_logger("calls")
 
@@ -77,6 +85,7 @@
         *,
         excluded: set[InstanceId],
         cache_weight: float,
+        cached: CachedPrefix | None,
     ) -> tuple[Instance, Attempt]:
         """Returns the target for a call; raises Unavailable when there is none."""
         ...
@@ -153,6 +162,7 @@
     if request.kind is ServiceKind.TOOL:
         limit = service.operations[request.operation].timeout_seconds
     seconds = min(request.deadline_seconds, budget_seconds, limit)
+    check_message_sizes(program, request)
     return Call(
         request=request,
         request_hash=request_hash,
@@ -165,6 +175,23 @@
     )
 
 
+def check_message_sizes(program: Program, request: CallRequest) -> None:
+    """Refuses messages that the journal cannot keep in one record.
+
+    Raises:
+        RequestTooLarge: The new messages exceed `MAX_KEPT_BYTES`.
+    """
+    if request.model is None or program.history_mode is not HistoryMode.OWNER:
+        return
+    size = len(msgspec.json.encode(request.model.messages))
+    if size > MAX_KEPT_BYTES:
+        raise RequestTooLarge(
+            f"The new messages take {size} bytes and the history keeps at most "
+            f"{MAX_KEPT_BYTES} bytes a call. Send them in several calls.",
+            field="messages",
+        )
+
+
 def _find_service(team: TeamSettings, request: CallRequest) -> ServiceSettings:
     service = team.services.get(request.service)
     if service is None or service.kind is not request.kind:
@@ -201,7 +228,9 @@
         connector: TargetConnector,
         directory: TargetDirectory,
         chooser: Chooser,
+        quarantine: Quarantine,
     ) -> None:
+        self._quarantine = quarantine
         self._connector = connector
         self._directory = directory
         self._chooser = chooser
@@ -211,7 +240,10 @@
         """Runs a call to its end and records it; errors go to the execution."""
         key = (call.program.key, call.request.sequence)
         try:
-            await self._run_attempts(shard, call, execution)
+            with execution.scope:
+                await self._run_attempts(shard, call, execution)
+            if execution.scope.cancelled_caught:
+                await self._cancel(shard, call, execution)
         except ServiceError as error:
             execution.fail(error)
         except Exception:
@@ -221,9 +253,24 @@
             shard.executions.pop(key, None)
             shard.notify(call.program.key)
 
+    async def _cancel(
+        self, shard: OwnedShard, call: Call, execution: Execution
+    ) -> None:
+        """Ends a repeatable call whose program has ended, here and at the target."""
+        started = call.program.started.get(call.request.sequence)
+        if started is not None:
+            self._release(shard, call, spent_tokens=started.reserved_tokens)
+        execution.fail(build_ended(call.program.key))
+        target = self._directory.find_instance(execution.target)
+        if target is not None:
+            await self._connector.send_order(
+                target, DISPATCH_CANCEL_PATH, CancelRequest(execution.call)
+            )
+
     async def _run_attempts(
         self, shard: OwnedShard, call: Call, execution: Execution
     ) -> None:
+        may_have_run = call.request.sequence in call.program.started
         if await self._join_attempt(shard, call, execution):
             return
         self._chooser.count_call(call.request.service)
@@ -233,9 +280,10 @@
                 await self._run_attempt(shard, call, execution, tried)
                 return
             except ServiceError as error:
+                may_have_run |= error.call_outcome is not Outcome.NOT_RUN
                 last = attempt == MAX_ATTEMPTS
                 if last or not self._may_retry(shard, call, execution, error):
-                    raise
+                    raise _settle_outcome(error, may_have_run=may_have_run) from error
                 execution.discard_text()
 
     def _may_retry(
@@ -269,8 +317,56 @@
         if dispatch.model is not None:
             model = ModelBody(call.messages, reservation.max_tokens)
             dispatch = msgspec.structs.replace(dispatch, model=model)
+        dispatch = await self._check_suspect(call, dispatch)
+        try:
+            answer = await self._try_target(
+                shard, call, dispatch, execution, tried, reservation
+            )
+        except BaseException:
+            await self._settle_suspect(dispatch, survived=False)
+            raise
+        await self._settle_suspect(dispatch, survived=True)
+        await self._finish(shard, call, execution, answer)
+
+    async def _check_suspect(
+        self, call: Call, dispatch: DispatchRequest
+    ) -> DispatchRequest:
+        """Claims a request with which a target died, to run it alone."""
+        verdict = self._quarantine.get_verdict(dispatch.service, dispatch.fingerprint)
+        if verdict is Verdict.FREE:
+            return dispatch
+        if verdict is Verdict.REFUSED:
+            raise build_refusal()
+        left = max(0.0, call.ends_at - trio.current_time())
+        await self._quarantine.claim_alone(
+            dispatch.service, dispatch.fingerprint, seconds=left
+        )
+        return msgspec.structs.replace(dispatch, alone=True)
+
+    async def _settle_suspect(
+        self, dispatch: DispatchRequest, *, survived: bool
+    ) -> None:
+        if not dispatch.alone:
+            return
+        with trio.CancelScope(shield=True):
+            await self._quarantine.settle(
+                dispatch.service, dispatch.fingerprint, survived=survived
+            )
+
+    async def _try_target(
+        self,
+        shard: OwnedShard,
+        call: Call,
+        dispatch: DispatchRequest,
+        execution: Execution,
+        tried: set[InstanceId],
+        reservation: Reservation,
+    ) -> DispatchAnswer:
         target, attempt = self._chooser.choose(
-            dispatch, excluded=tried, cache_weight=call.cache_weight
+            dispatch,
+            excluded=tried,
+            cache_weight=call.cache_weight,
+            cached=call.program.cached_prefix,
         )
         tried.add(target.instance)
         execution.call = dispatch.call
@@ -282,7 +378,7 @@
             self._chooser.record_error(attempt, error)
             raise
         self._chooser.record_answer(attempt, answer)
-        await self._finish(shard, call, execution, answer)
+        return answer
 
     async def _prepare(
         self,
@@ -326,7 +422,7 @@
         answer: DispatchAnswer,
     ) -> None:
         await self._record_answer(shard, call, execution, answer)
-        execution.finish(answer.value, answer.usage)
+        execution.finish(answer.value, answer.usage, finish_reason=answer.finish_reason)
 
     async def _join_attempt(
         self, shard: OwnedShard, call: Call, execution: Execution
@@ -426,7 +522,9 @@
             once=call.once,
         )
         if not call.once:
-            await shard.commit(record, wait=RESERVE_WAIT_SECONDS)
+            durable = shard.append(record)
+            if has_token_budget(shard.state, call.program):
+                await shard.wait_durable(durable, wait=RESERVE_WAIT_SECONDS)
             return
         wait = min(CLAIM_WAIT_SECONDS, call.ends_at - trio.current_time())
         durable = await shard.commit(record, wait=wait)
@@ -484,7 +582,7 @@
         answer: DispatchAnswer,
     ) -> None:
         """Records the answer; one that may run again needs the record first."""
-        record = _build_ended(call, execution, answer)
+        record = _build_call_ended(call, execution, answer)
         try:
             await shard.commit(record, wait=COMMIT_WAIT_SECONDS)
         except ServiceError as error:
@@ -493,7 +591,7 @@
             raise build_wrong_owner(shard.shard, outcome=Outcome.INCOMPLETE) from error
 
 
-def _build_ended(
+def _build_call_ended(
     call: Call, execution: Execution, answer: DispatchAnswer
 ) -> records.CallEnded:
     record = records.CallEnded(
@@ -505,7 +603,10 @@
         target=execution.target,
         answer=answer.value,
         usage=answer.usage,
+        finish_reason=answer.finish_reason,
     )
+    if len(bytes(answer.value)) > MAX_KEPT_BYTES:
+        record = _drop_answer(record)
     if call.request.model is None:
         return record
     reply = Message("assistant", msgspec.json.decode(answer.value, type=str))
@@ -521,6 +622,32 @@
     )
 
 
+def _drop_answer(record: records.CallEnded) -> records.CallEnded:
+    """Returns the record of a call whose answer is too large to be kept.
+
+    The caller that waits gets the answer; a repeated call is told that it ran.
+    """
+    error = OutcomeUnknown(
+        f"The call ran, and its answer exceeds the {MAX_KEPT_BYTES} bytes that are "
+        "kept for repeated calls. Look the result up at the service."
+    )
+    return msgspec.structs.replace(
+        record, answer=msgspec.Raw(b"null"), error=error.to_body()
+    )
+
+
+def _settle_outcome(error: ServiceError, *, may_have_run: bool) -> ServiceError:
+    """Returns the final error of a call some of whose attempts may have run."""
+    if not may_have_run or error.call_outcome is not Outcome.NOT_RUN:
+        return error
+    return type(error)(
+        error.message,
+        field=error.field,
+        retry_after=error.retry_after,
+        outcome=Outcome.INCOMPLETE,
+    )
+
+
 def build_fingerprint(
     team: TeamId, request: CallRequest, messages: list[Message]
 ) -> Fingerprint:
--- a/packages/daemon/src/goldcrestvane_daemon/owner/shard.py
+++ b/packages/daemon/src/goldcrestvane_daemon/owner/shard.py
@@ -7,6 +7,7 @@
 import trio
 
 from goldcrestvane_common.errors import (
+    ErrorBody,
     InvalidRequest,
     NotFound,
     Outcome,
@@ -16,7 +17,7 @@
     Unavailable,
     WrongOwner,
 )
-from goldcrestvane_common.ids import InstanceId, ShardId, get_parent, hash_text
+from goldcrestvane_common.ids import CallId, InstanceId, ShardId, get_parent, hash_text
 from goldcrestvane_common.logs import get_logger
 from goldcrestvane_common.messages import (
     CallRequest,
@@ -30,6 +31,7 @@
 from goldcrestvane_daemon.owner import records
 from goldcrestvane_daemon.owner.budgets import check_depth
 from goldcrestvane_daemon.owner.journal import Deposed, Journal, JournalFull
+from goldcrestvane_daemon.owner.snapshot import build_snapshot, forget_ended
 from goldcrestvane_daemon.owner.state import (
     Program,
     ProgramKey,
@@ -38,8 +40,10 @@
 )
 
 MAX_EARLY_CALLS = 8
+ABANDONED_HASH = "abandoned"
 OUTAGE_RETRY_SECONDS = 2.0
 COMMIT_WAIT_SECONDS = 0.5
+RETENTION_SECONDS = 600.0
 
 Limit = TypeVar("Limit", int, float)
 
@@ -76,6 +80,11 @@
         """
         for record in await self.journal.open():
             apply_record(record, self.state)
+        self.journal.set_snapshot(self._build_snapshot)
+
+    def _build_snapshot(self) -> list[records.Record]:
+        forget_ended(self.state, before=time.time() - RETENTION_SECONDS)
+        return build_snapshot(self.state)
 
     def stop_admitting(self) -> None:
         """Sends new and waiting calls to the next owner; running ones go on."""
@@ -170,7 +179,7 @@
             await self.commit(record)
             return self.show_program(ProgramQuery(*key))
         if not known.is_open:
-            raise _build_ended(key)
+            raise build_ended(key)
         if known.kind != request.kind:
             raise InvalidRequest(
                 f"Program {key[1]} runs as {known.kind!r}, not {request.kind!r}. "
@@ -185,7 +194,7 @@
             return
         program = self.get_program((key[0], parent))
         if not program.is_open:
-            raise _build_ended(program.key)
+            raise build_ended(program.key)
         check_depth(self.state, program)
 
     async def end_program(self, request: ProgramEnd, *, reason: str) -> ProgramView:
@@ -193,8 +202,11 @@
         key = (request.team, request.program)
         program = self.get_program(key)
         if program.is_open:
-            record = records.ProgramEnded(request.team, request.program, reason)
+            record = records.ProgramEnded(
+                request.team, request.program, time.time(), reason
+            )
             durable = self.append(record)
+            self.cancel_calls(key)
             self.notify_tree(key)
             await self.wait_durable(durable, wait=COMMIT_WAIT_SECONDS)
         return self.show_program(ProgramQuery(*key))
@@ -242,18 +254,50 @@
                     return found
                 program = self.get_program(key)
                 if not program.is_open:
-                    raise _build_ended(key)
+                    raise build_ended(key)
                 if request.sequence == program.next_sequence:
                     return None
+                if self._abandon_call(program, request):
+                    continue
                 _check_early(program, request)
                 await self._progress.setdefault(key, trio.Event()).wait()
         raise Overloaded(
             f"Call {program.next_sequence} has not ended; send it before call "
-            f"{request.sequence}, or send this call with more time.",
+            f"{request.sequence}, or give it up with the header "
+            f"Goldcrestvane-Abandoned: {program.next_sequence}.",
             field="sequence",
             retry_after=1.0,
         )
 
+    def _abandon_call(self, program: Program, request: CallRequest) -> bool:
+        """Ends the next call unrun when its caller has given it up.
+
+        A call that has been started here or by a former owner ends by itself.
+        """
+        sequence = program.next_sequence
+        started = sequence in program.started
+        running = (program.key, sequence) in self.executions
+        if sequence > request.abandoned or started or running:
+            return False
+        self.append(
+            records.CallEnded(
+                team=request.team,
+                program=request.program,
+                sequence=sequence,
+                request_hash=ABANDONED_HASH,
+                call=CallId(""),
+                target=InstanceId(""),
+                error=ErrorBody(
+                    kind=SequenceConflict.kind,
+                    outcome=Outcome.REFUSED_FINAL,
+                    message=f"Call {sequence} was given up by its caller unrun.",
+                    field="sequence",
+                ),
+            )
+        )
+        self.notify(program.key)
+        return True
+
     def _find_call(
         self, key: ProgramKey, request: CallRequest, request_hash: str
     ) -> records.CallEnded | Execution | None:
@@ -275,6 +319,14 @@
             )
         return found
 
+    def cancel_calls(self, key: ProgramKey) -> None:
+        """Cancels the repeatable calls of a program and of its sub-agents."""
+        for program in self.state.list_tree(key):
+            for sequence, started in program.started.items():
+                execution = self.executions.get((program.key, sequence))
+                if execution is not None and not started.once:
+                    execution.scope.cancel()
+
     def notify(self, key: ProgramKey) -> None:
         """Wakes the calls that wait for their turn in a program."""
         event = self._progress.pop(key, None)
@@ -314,7 +366,8 @@
     )
 
 
-def _build_ended(key: ProgramKey) -> ProgramEnded:
+def build_ended(key: ProgramKey) -> ProgramEnded:
+    """Returns the error of a call that comes after its program's end."""
     return ProgramEnded(
         f"Program {key[1]} has ended. Begin a new one under another id.",
         field="program",
--- a/packages/daemon/src/goldcrestvane_daemon/owner/state.py
+++ b/packages/daemon/src/goldcrestvane_daemon/owner/state.py
@@ -3,17 +3,21 @@
 from collections import OrderedDict
 from dataclasses import dataclass, field
 from functools import singledispatch
-from typing import final
+from typing import NamedTuple, final
 
 from goldcrestvane_common.ids import InstanceId, ProgramId, TeamId, get_parent
 from goldcrestvane_common.messages import Message, ProgramState
 from goldcrestvane_common.settings import Budget, HistoryMode, Priority
 from goldcrestvane_daemon.owner.records import (
+    AccountSnapshot,
+    AnswerKept,
     CallEnded,
     CallReleased,
     CallStarted,
+    HistoryPart,
     ProgramBegun,
     ProgramEnded,
+    ProgramSnapshot,
     Record,
     SessionsReleased,
     TeamAllotted,
@@ -24,6 +28,18 @@
 ProgramKey = tuple[TeamId, ProgramId]
 
 
+class CachedPrefix(NamedTuple):
+    """Where the latest prompt of a program was computed.
+
+    Attributes:
+        instance: Instance beside the engine.
+        tokens: Tokens of the prompt with its answer.
+    """
+
+    instance: InstanceId
+    tokens: int
+
+
 @final
 @dataclass
 class Program:
@@ -37,6 +53,7 @@
         priority: Scheduling class.
         history_mode: Who sends the earlier turns.
         state: Open or ended.
+        ended: Time of the end, in seconds since the epoch, UTC.
         next_sequence: The only call that may start now.
         started: Calls started and not ended, by sequence.
         answers: Latest ended calls, by sequence.
@@ -50,6 +67,7 @@
         prompt_tokens: Tokens of the latest prompt with its answer.
         prompt_messages: Number of messages that these tokens cover.
         prompt_hash: Hash of these messages.
+        cached_prefix: Where they were computed; None after a compaction.
     """
 
     key: ProgramKey
@@ -59,6 +77,7 @@
     priority: Priority = Priority.STANDARD
     history_mode: HistoryMode = HistoryMode.CALLER
     state: ProgramState = ProgramState.OPEN
+    ended: float | None = None
     next_sequence: int = 1
     started: dict[int, CallStarted] = field(default_factory=dict)
     answers: OrderedDict[int, CallEnded] = field(default_factory=OrderedDict)
@@ -72,6 +91,7 @@
     prompt_tokens: int = 0
     prompt_messages: int = 0
     prompt_hash: str = ""
+    cached_prefix: CachedPrefix | None = None
 
     @property
     def is_open(self) -> bool:
@@ -152,7 +172,8 @@
     program = state.programs[record.team, record.program]
     _release_hold(state, program, record.sequence)
     program.started[record.sequence] = record
-    program.sessions.add(record.target)
+    if record.reserved_tokens:
+        program.sessions.add(record.target)
     _hold(state, program, tokens=record.reserved_tokens, calls=1)
 
 
@@ -172,7 +193,7 @@
         program.answers.popitem(last=False)
     program.next_sequence = max(program.next_sequence, record.sequence + 1)
     _extend_history(program, record)
-    _charge(state, program, tokens=record.usage.total, calls=1)
+    _charge(state, program, tokens=record.usage.total, calls=1 if record.call else 0)
 
 
 def _extend_history(program: Program, record: CallEnded) -> None:
@@ -182,6 +203,7 @@
     program.prompt_tokens = record.usage.total
     program.prompt_messages = record.prompt_messages
     program.prompt_hash = record.prompt_hash
+    program.cached_prefix = CachedPrefix(record.target, record.usage.total)
 
 
 def _hold(state: ShardState, program: Program, *, tokens: int, calls: int) -> None:
@@ -212,6 +234,7 @@
 def _(record: ProgramEnded, state: ShardState) -> None:
     for program in state.list_tree((record.team, record.program)):
         program.state = ProgramState.ENDED
+        program.ended = record.time if program.ended is None else program.ended
 
 
 @apply_record.register
@@ -225,3 +248,40 @@
     account = state.get_account(record.team)
     account.allotted_tokens += record.tokens
     account.allotted_calls += record.calls
+
+
+@apply_record.register
+def _(record: ProgramSnapshot, state: ShardState) -> None:
+    apply_record(record.begun, state)
+    program = state.programs[record.begun.team, record.begun.program]
+    program.ended = record.ended
+    if record.ended is not None:
+        program.state = ProgramState.ENDED
+    program.next_sequence = record.next_sequence
+    program.spent_tokens = record.spent_tokens
+    program.spent_calls = record.spent_calls
+    program.sessions = set(record.sessions)
+    program.prompt_tokens = record.prompt_tokens
+    program.prompt_messages = record.prompt_messages
+    program.prompt_hash = record.prompt_hash
+
+
+@apply_record.register
+def _(record: HistoryPart, state: ShardState) -> None:
+    state.programs[record.team, record.program].history.extend(record.messages)
+
+
+@apply_record.register
+def _(record: AnswerKept, state: ShardState) -> None:
+    ended = record.ended
+    program = state.programs[ended.team, ended.program]
+    program.answers[ended.sequence] = ended
+
+
+@apply_record.register
+def _(record: AccountSnapshot, state: ShardState) -> None:
+    account = state.get_account(record.team)
+    account.allotted_tokens = record.allotted_tokens
+    account.allotted_calls = record.allotted_calls
+    account.spent_tokens = record.spent_tokens
+    account.spent_calls = record.spent_calls
--- a/packages/daemon/src/goldcrestvane_daemon/owner/targets.py
+++ b/packages/daemon/src/goldcrestvane_daemon/owner/targets.py
@@ -1,6 +1,6 @@
 """Sends a call to the sidecar beside a target and follows its answer."""
 
-from typing import Protocol, final
+from typing import Any, Protocol, final
 
 import msgspec
 import trio
@@ -44,6 +44,7 @@
 RESEND_DELAY_SECONDS = 0.1
 READ_MARGIN_SECONDS = 1.0
 PING_TIMEOUT_SECONDS = 0.5
+ORDER_TIMEOUT_SECONDS = 2.0
 
 
 class TargetDirectory(Protocol):
@@ -58,12 +59,39 @@
         ...
 
 
+class LocalTarget(Protocol):
+    """The target beside this process, which is called without HTTP."""
+
+    def start(self, request: DispatchRequest) -> Execution:
+        """Starts a call, or returns the execution of a repeated call id."""
+        ...
+
+    def build_answer(self, execution: Execution) -> DispatchAnswer:
+        """Returns the answer of a call that ended well."""
+        ...
+
+
 @final
 class TargetConnector:
     """Connection of an owner to the sidecars beside targets."""
 
-    def __init__(self, transport: Transport) -> None:
+    def __init__(
+        self,
+        transport: Transport,
+        *,
+        own: InstanceId | None = None,
+        local: LocalTarget | None = None,
+    ) -> None:
+        """Creates a connector.
+
+        Args:
+            transport: HTTP client for the other sidecars.
+            own: This instance.
+            local: The target beside this instance; None reaches it over HTTP too.
+        """
         self._transport = transport
+        self._own = own
+        self._local = local
         self._incarnations: dict[InstanceId, str] = {}
 
     def forget_incarnation(self, instance: InstanceId) -> None:
@@ -107,6 +135,8 @@
         Raises:
             ServiceError: The call has no answer; its outcome says why.
         """
+        if self._local is not None and target.instance == self._own:
+            return await _run_local(self._local, request, execution, stream=stream)
         exchange = self._exchange_stream if stream else self._exchange_whole
         may_have_arrived = False
         ends_at = trio.current_time() + request.deadline_seconds
@@ -160,7 +190,19 @@
                 raise await _read_error(reply)
             end = await _follow_frames(reply, execution)
         text = msgspec.json.encode(execution.get_text())
-        return DispatchAnswer(msgspec.Raw(text), end.usage)
+        return DispatchAnswer(
+            msgspec.Raw(text), end.usage, finish_reason=end.finish_reason
+        )
+
+    async def send_order(self, target: Instance, path: str, order: Any) -> bool:
+        """Sends an order to a sidecar; returns whether it was carried out."""
+        try:
+            reply = await self._transport.send(
+                "POST", target.address, path, value=order, timeout=ORDER_TIMEOUT_SECONDS
+            )
+        except (ConnectFailed, ExchangeBroken):
+            return False
+        return reply.status == 200
 
     async def close_call(self, target: Instance, request: CloseRequest) -> CloseResult:
         """Returns the end of a former owner's call, or forbids it.
@@ -179,6 +221,27 @@
             ) from error
 
 
+async def _run_local(
+    local: LocalTarget,
+    request: DispatchRequest,
+    execution: Execution,
+    *,
+    stream: bool,
+) -> DispatchAnswer:
+    """Runs a call at the target beside this process, as `send_call` does elsewhere."""
+    resumed = msgspec.structs.replace(
+        request, resume_offset=execution.length if stream else 0
+    )
+    running = local.start(resumed)
+    if stream:
+        async for delta in running.read_text(resumed.resume_offset):
+            execution.add_text(delta.text)
+    await running.wait()
+    if request.kind is ServiceKind.MODEL and not stream:
+        execution.add_text(running.get_text())
+    return local.build_answer(running)
+
+
 async def _read_error(reply: StreamedReply) -> ServiceError:
     try:
         return decode_error(await reply.read())
--- a/packages/daemon/src/goldcrestvane_daemon/sidecar_process.py
+++ b/packages/daemon/src/goldcrestvane_daemon/sidecar_process.py
@@ -5,10 +5,9 @@
 import trio
 
 from goldcrestvane_common.messages import (
-    SHARD_MAP_KEY,
     STATUS_PATH,
+    InstanceState,
     ProcessStatus,
-    ShardMap,
 )
 from goldcrestvane_common.server import (
     Application,
@@ -23,13 +22,17 @@
 from goldcrestvane_daemon.owner.calls import CallRunner
 from goldcrestvane_daemon.owner.manager import ShardManager
 from goldcrestvane_daemon.owner.recovery import CallRecovery
+from goldcrestvane_daemon.owner.release import SessionReleaser
 from goldcrestvane_daemon.owner.service import OwnerService
 from goldcrestvane_daemon.owner.targets import TargetConnector
 from goldcrestvane_daemon.parts import Parts
 from goldcrestvane_daemon.placement import Placement
-from goldcrestvane_daemon.probes import Probes
-from goldcrestvane_daemon.target.dispatcher import Dispatcher
+from goldcrestvane_daemon.probes import RequestMetrics, add_probe_routes
+from goldcrestvane_daemon.quarantine import Quarantine
+from goldcrestvane_daemon.shard_directory import ShardDirectory
+from goldcrestvane_daemon.target.dispatcher import Dispatcher, TargetClient
 from goldcrestvane_daemon.target.engine import EngineClient
+from goldcrestvane_daemon.target.sessions import SessionKeeper
 from goldcrestvane_daemon.target.tool import ToolClient
 
 CLIENT_TYPES = {ServiceKind.MODEL: EngineClient, ServiceKind.TOOL: ToolClient}
@@ -44,22 +47,36 @@
         membership = parts.membership
         self._parts = parts
         self._application = application
+        self._shards = ShardDirectory(parts.feed, shard_count=settings.shard_count)
         self._gate = Gate(GateOptions(slots=settings.target_slots))
         assert settings.target_kind is not None
         client_type = CLIENT_TYPES[settings.target_kind]
+        self._quarantine = Quarantine(
+            objects=parts.objects,
+            feed=parts.feed,
+            membership=membership,
+            transport=parts.transport,
+        )
+        client = client_type(parts.transport, settings.target_address)
         self._dispatcher = Dispatcher(
             instance=settings.instance,
             incarnation=membership.incarnation,
+            service=settings.service,
             gate=self._gate,
-            client=client_type(parts.transport, settings.target_address),
+            client=client,
+            quarantine=self._quarantine,
+        )
+        self._client = client
+        self._sessions = self._build_sessions(client)
+        connector = TargetConnector(
+            parts.transport, own=settings.instance, local=self._dispatcher
         )
-        connector = TargetConnector(parts.transport)
         self._manager = ShardManager(
             objects=parts.objects,
             transport=parts.transport,
             membership=membership,
             recovery=CallRecovery(connector=connector, directory=membership),
-            read_map=self._read_map,
+            read_map=self._shards.read_map,
             shard_count=settings.shard_count,
             generator=parts.generator,
         )
@@ -70,6 +87,7 @@
             connector=connector,
             directory=membership,
             chooser=TargetChooser(directory=membership, placement=placement),
+            quarantine=self._quarantine,
         )
         self._service = OwnerService(
             manager=self._manager,
@@ -77,26 +95,40 @@
             get_team=parts.feed.get_team,
             owner=settings.instance,
         )
-        self._probes = Probes(is_ready=self._is_ready)
-
-    def _read_map(self) -> ShardMap:
-        stored = self._parts.feed.get_object(SHARD_MAP_KEY)
-        if stored is None:
-            return ShardMap([])
-        return stored.decode(ShardMap)
+        self._releaser = SessionReleaser(
+            connector=connector,
+            directory=membership,
+            list_shards=self._manager.owned.values,
+        )
+        self._metrics = RequestMetrics()
+
+    def _build_sessions(self, client: TargetClient) -> SessionKeeper | None:
+        """Returns the keeper of an engine's sessions; tools have none."""
+        if not isinstance(client, EngineClient):
+            return None
+        return SessionKeeper(
+            engine=client,
+            gate=self._gate,
+            transport=self._parts.transport,
+            read_map=self._shards.read_map,
+            shard_count=self._parts.settings.shard_count,
+        )
 
     def _is_ready(self) -> bool:
-        return self._parts.feed.ready.is_set() and not self._gate_is_closed()
-
-    def _gate_is_closed(self) -> bool:
-        return self._parts.membership.own.state.value == "leaving"
+        live = self._parts.membership.own.state is InstanceState.LIVE
+        return live and self._parts.feed.ready.is_set()
 
     def add_routes(self, router: Router) -> None:
         """Adds the routes of the target's gate and of the owner."""
         self._dispatcher.add_routes(router)
         self._service.add_routes(router)
         self._manager.add_routes(router)
-        self._probes.add_routes(router)
+        self._quarantine.add_routes(router)
+        if self._sessions is not None:
+            self._sessions.add_routes(router)
+        add_probe_routes(
+            router, registry=self._metrics.registry, is_ready=self._is_ready
+        )
         router.add("GET", STATUS_PATH, self._serve_status)
 
     async def run(
@@ -108,6 +140,11 @@
             await nursery.start(self._service.run)
             nursery.start_soon(self._run_manager)
             nursery.start_soon(self._wake_manager)
+            nursery.start_soon(self._releaser.run)
+            if self._sessions is not None:
+                nursery.start_soon(self._sessions.run)
+            if isinstance(self._client, EngineClient):
+                nursery.start_soon(self._client.follow_load)
             task_status.started()
 
     async def _run_manager(self) -> None:
@@ -129,8 +166,8 @@
         await self._manager.hand_over_all()
 
     def count_running(self) -> int:
-        """Returns the number of calls and requests under way."""
-        return self._dispatcher.running + self._application.in_flight
+        """Returns the number of calls under way, as target and as owner."""
+        return self._dispatcher.running + self._service.running
 
     async def _serve_status(self, request: Request) -> Response:
         owned = self._manager.owned
@@ -142,7 +179,7 @@
                 for shard in owned.values()
                 for program in shard.state.programs.values()
             ),
-            load=self._gate.load(),
+            load=self._dispatcher.read_load(),
             settings_versions=self._parts.feed.get_versions(),
             in_flight=self._application.in_flight - 1,
         )
--- a/packages/daemon/src/goldcrestvane_daemon/target/dispatcher.py
+++ b/packages/daemon/src/goldcrestvane_daemon/target/dispatcher.py
@@ -4,32 +4,39 @@
 that an owner may repeat a dispatch whose connection broke.
 """
 
+import math
+import uuid
 from collections import OrderedDict
 from collections.abc import AsyncIterator
 from functools import singledispatch
 from typing import final
 
+import msgspec
 import trio
 
 from goldcrestvane_common.errors import (
     AnswerIncomplete,
     OutcomeUnknown,
     ServiceError,
+    TargetDied,
     Unavailable,
 )
-from goldcrestvane_common.ids import CallId, InstanceId
+from goldcrestvane_common.ids import CallId, Fingerprint, InstanceId, ServiceId
 from goldcrestvane_common.logs import get_logger
 from goldcrestvane_common.messages import (
+    DISPATCH_CANCEL_PATH,
     DISPATCH_CLOSE_PATH,
     DISPATCH_PATH,
     DISPATCH_STREAM_PATH,
     FENCE_PATH,
     Accepted,
+    CancelRequest,
     CloseRequest,
     CloseResult,
     DispatchAnswer,
     DispatchRequest,
     Fence,
+    TargetLoad,
     encode_line,
 )
 from goldcrestvane_common.server import (
@@ -41,10 +48,17 @@
 )
 from goldcrestvane_daemon.execution import Execution
 from goldcrestvane_daemon.gate import Gate
+from goldcrestvane_daemon.quarantine import (
+    DeathReport,
+    Quarantine,
+    Verdict,
+    build_refusal,
+)
 from goldcrestvane_daemon.target.engine import EngineClient
 from goldcrestvane_daemon.target.tool import ToolClient
 
 MAX_KEPT_CALLS = 4096
+SAME_DEATH_SECONDS = 1.0
 
 logger = get_logger("dispatch")
 
@@ -76,13 +90,20 @@
         *,
         instance: InstanceId,
         incarnation: str,
+        service: ServiceId,
         gate: Gate,
         client: TargetClient,
+        quarantine: Quarantine,
     ) -> None:
         self._instance = instance
         self._incarnation = incarnation
+        self._service = service
         self._gate = gate
         self._client = client
+        self._quarantine = quarantine
+        self._at_target: dict[CallId, Fingerprint] = {}
+        self._death = ""
+        self._death_at = -math.inf
         self._calls: OrderedDict[CallId, Execution] = OrderedDict()
         self._nursery: trio.Nursery | None = None
 
@@ -96,6 +117,7 @@
         router.add("POST", DISPATCH_PATH, self._serve_whole)
         router.add("POST", DISPATCH_STREAM_PATH, self._serve_stream)
         router.add("POST", DISPATCH_CLOSE_PATH, self._serve_close)
+        router.add("POST", DISPATCH_CANCEL_PATH, self._serve_cancel)
         router.add("POST", FENCE_PATH, self._serve_fence)
 
     async def run(
@@ -145,9 +167,17 @@
     async def _run_call(self, request: DispatchRequest, execution: Execution) -> None:
         sent = False
         try:
-            async with self._gate.admit(request):
-                sent = True
-                await self._client.run_call(request, execution)
+            with execution.scope:
+                async with self._gate.admit(request):
+                    self._check_suspect(request)
+                    sent = True
+                    self._at_target[request.call] = request.fingerprint
+                    await self._client.run_call(request, execution)
+            if execution.scope.cancelled_caught:
+                raise AnswerIncomplete("The call was cancelled; its program has ended.")
+        except TargetDied as error:
+            await self._report_death()
+            execution.fail(error)
         except ServiceError as error:
             execution.fail(error)
             if sent:
@@ -157,6 +187,29 @@
             execution.fail(
                 OutcomeUnknown("The sidecar failed on the call; report it with its id.")
             )
+        finally:
+            self._at_target.pop(request.call, None)
+
+    def _check_suspect(self, request: DispatchRequest) -> None:
+        """Refuses a request that became a suspect after its owner had looked."""
+        verdict = self._quarantine.get_verdict(self._service, request.fingerprint)
+        if verdict is Verdict.REFUSED:
+            raise build_refusal()
+        if verdict is Verdict.ALONE and not request.alone:
+            raise Unavailable(
+                "A target died with this request; it must run alone. Send it again.",
+                retry_after=0.5,
+            )
+
+    async def _report_death(self) -> None:
+        """Reports all calls at the target; those of one death share its id."""
+        now = trio.current_time()
+        if now - self._death_at > SAME_DEATH_SECONDS:
+            self._death = f"{self._instance}:{uuid.uuid4().hex[:12]}"
+        self._death_at = now
+        fingerprints = sorted(set(self._at_target.values()))
+        report = DeathReport(self._service, self._death, fingerprints)
+        await self._quarantine.report_death(report)
 
     async def close(self, request: CloseRequest) -> CloseResult:
         """Returns the end of a call, or makes sure that it never runs here.
@@ -175,28 +228,49 @@
         await execution.done.wait()
         if execution.error is not None:
             return CloseResult(known=True, error=execution.error.to_body())
-        assert execution.answer is not None
-        answer = DispatchAnswer(execution.answer, execution.usage)
-        return CloseResult(known=True, answer=answer)
+        return CloseResult(known=True, answer=self.build_answer(execution))
 
     async def _serve_close(self, request: Request) -> Response:
         result = await self.close(request.decode(CloseRequest))
         return JsonResponse(value=result)
 
+    async def _serve_cancel(self, request: Request) -> Response:
+        execution = self._calls.get(request.decode(CancelRequest).call)
+        if execution is not None:
+            execution.scope.cancel()
+        return JsonResponse(value=Accepted())
+
     async def _serve_fence(self, request: Request) -> Response:
-        fence = request.decode(Fence)
-        self._gate.fence(fence.shard, fence.epoch)
+        for fence in request.decode(list[Fence]):
+            self._gate.fence(fence.shard, fence.epoch)
         return JsonResponse(value=Accepted())
 
     async def _serve_whole(self, request: Request) -> Response:
         dispatch = request.decode(DispatchRequest)
         execution = self.start(dispatch)
         await execution.wait()
+        return JsonResponse(value=self.build_answer(execution))
+
+    def build_answer(self, execution: Execution) -> DispatchAnswer:
+        """Returns the answer of a call that ended well, with the load now."""
         assert execution.answer is not None
-        answer = DispatchAnswer(
-            execution.answer, execution.usage, load=self._gate.load()
+        return DispatchAnswer(
+            execution.answer,
+            execution.usage,
+            load=self.read_load(),
+            finish_reason=execution.finish_reason,
         )
-        return JsonResponse(value=answer)
+
+    def read_load(self) -> TargetLoad:
+        """Returns the load of the target, its prefix cache included."""
+        load = self._gate.load()
+        if isinstance(self._client, EngineClient):
+            return msgspec.structs.replace(
+                load,
+                cached_tokens=self._client.cached_tokens,
+                cache_capacity_tokens=self._client.cache_capacity_tokens,
+            )
+        return load
 
     async def _serve_stream(self, request: Request) -> Response:
         dispatch = request.decode(DispatchRequest)
