--- a/packages/daemon/src/goldcrestvane_daemon/owner/manager.py
+++ b/packages/daemon/src/goldcrestvane_daemon/owner/manager.py
@@ -46,7 +46,6 @@
 OPEN_RETRY_SECONDS = 1.0
 ADOPT_TIMEOUT_SECONDS = 3.0
 REBALANCE_SECONDS = 1.0
-MAX_MOVES = 8
 SETTLED_SECONDS = 3.0
 
 logger = get_logger("ownership")
@@ -264,7 +263,7 @@
         logger.warning("shard %s found no adopter and stays here", shard)
 
     async def _rebalance(self) -> None:
-        """Moves shards, a few at a time, to the sidecars that rank first for them."""
+        """Moves shards, one at a time, to the sidecars that rank first for them."""
         while True:
             await trio.sleep(REBALANCE_SECONDS * self._generator.uniform(0.5, 1.5))
             live = self._membership.list_live(Role.SIDECAR)
@@ -274,16 +273,16 @@
                 self._members_since = trio.current_time()
             if trio.current_time() - self._members_since < SETTLED_SECONDS:
                 continue
-            async with trio.open_nursery() as nursery:
-                for shard in self._list_misplaced(live)[:MAX_MOVES]:
-                    nursery.start_soon(self._hand_over, shard)
+            shard = self._find_misplaced(live)
+            if shard is not None:
+                await self._hand_over(shard)
 
-    def _list_misplaced(self, live: list[Instance]) -> list[ShardId]:
-        return [
-            shard
-            for shard, owned in self.owned.items()
-            if not owned.journal.down and find_first_owner(shard, live) != self._own
-        ]
+    def _find_misplaced(self, live: list[Instance]) -> ShardId | None:
+        for shard, owned in self.owned.items():
+            first = find_first_owner(shard, live)
+            if first != self._own and not owned.journal.down:
+                return shard
+        return None
 
     async def _publish_owned(self, shard_map: ShardMap) -> None:
         missing = {}
