Do not take a restarted sidecar's refusal for proof, and give up on frozen ones

Cause: (found by reading) a claimed call whose first send broke and whose second send met a restarted sidecar came back as not run, was released and could run twice. A frozen sidecar that wakes ran what waited in its sockets, late. The gate's hold of new programs had no caller in the product. Ruled out: probing every target all the time (4% of a core at 13 targets); only a silent wait makes the owner probe. Giving up on claimed calls as well: their sidecar may wake and tell the outcome. Change: kind wrong_incarnation, which proves not run only before the first send; target guards; a pause detector that refuses stale work for 1 s; the gate gets the cache's size, the tokens of ended calls and the releases. Conclusion: at most once no longer depends on when a sidecar restarts.

--- a/packages/common/src/goldcrestvane_common/errors.py
+++ b/packages/common/src/goldcrestvane_common/errors.py
@@ -192,6 +192,14 @@
     outcome = Outcome.NOT_RUN
 
 
+class WrongIncarnation(ServiceError):
+    """The sidecar was restarted; this incarnation has not run the call."""
+
+    kind = "wrong_incarnation"
+    status = 421
+    outcome = Outcome.NOT_RUN
+
+
 class RequestQuarantined(ServiceError):
     """Targets died while they ran this request; it is refused for good."""
 
--- a/packages/daemon/src/goldcrestvane_daemon/membership.py
+++ b/packages/daemon/src/goldcrestvane_daemon/membership.py
@@ -195,10 +195,12 @@
     async def _probe_peer(self, instance: InstanceId, scope: trio.CancelScope) -> None:
         failures = 0
         with scope:
-            while True:
+            while instance in self._periods:
                 found = self._listed.get(instance)
                 if found is not None:
                     answered = await self._ping(found)
+                    if scope.cancel_called:
+                        return
                     failures = 0 if answered else failures + 1
                     self._judge(instance, failures)
                 await trio.sleep(self._periods[instance])
--- a/packages/daemon/src/goldcrestvane_daemon/owner/targets.py
+++ b/packages/daemon/src/goldcrestvane_daemon/owner/targets.py
@@ -10,6 +10,7 @@
     OutcomeUnknown,
     ServiceError,
     Unavailable,
+    WrongIncarnation,
     build_error,
     decode_error,
 )
@@ -39,6 +40,7 @@
     Transport,
 )
 from goldcrestvane_daemon.execution import Execution
+from goldcrestvane_daemon.owner.guards import TargetGuards, Wait
 
 MAX_RESENDS = 3
 RESEND_DELAY_SECONDS = 0.1
@@ -92,8 +94,13 @@
         self._transport = transport
         self._own = own
         self._local = local
+        self._guards = TargetGuards(transport)
         self._incarnations: dict[InstanceId, str] = {}
 
+    async def run(self) -> None:
+        """Watches the sidecars that are waited for, until cancelled."""
+        await self._guards.run()
+
     def forget_incarnation(self, instance: InstanceId) -> None:
         """Asks for the incarnation again before the next call."""
         self._incarnations.pop(instance, None)
@@ -148,7 +155,14 @@
                 resume_offset=execution.length if stream else 0,
             )
             try:
-                return await exchange(target, sent, execution)
+                with self._guards.watch(target, enabled=request.idempotent) as wait:
+                    return await exchange(target, sent, execution, wait)
+                raise _build_lost(request, target)
+            except WrongIncarnation as error:
+                self.forget_incarnation(target.instance)
+                if not may_have_arrived:
+                    raise
+                raise _build_lost(request, target) from error
             except ConnectFailed as error:
                 if not may_have_arrived:
                     raise Unavailable(
@@ -162,7 +176,11 @@
         raise _build_lost(request, target)
 
     async def _exchange_whole(
-        self, target: Instance, request: DispatchRequest, execution: Execution
+        self,
+        target: Instance,
+        request: DispatchRequest,
+        execution: Execution,
+        wait: Wait,
     ) -> DispatchAnswer:
         reply = await self._transport.send(
             "POST",
@@ -177,7 +195,11 @@
         return answer
 
     async def _exchange_stream(
-        self, target: Instance, request: DispatchRequest, execution: Execution
+        self,
+        target: Instance,
+        request: DispatchRequest,
+        execution: Execution,
+        wait: Wait,
     ) -> DispatchAnswer:
         async with self._transport.stream(
             "POST",
@@ -188,7 +210,7 @@
         ) as reply:
             if reply.status >= 400:
                 raise await _read_error(reply)
-            end = await _follow_frames(reply, execution)
+            end = await _follow_frames(reply, execution, wait)
         text = msgspec.json.encode(execution.get_text())
         return DispatchAnswer(
             msgspec.Raw(text), end.usage, finish_reason=end.finish_reason
@@ -249,11 +271,14 @@
         raise ExchangeBroken(f"Got status {reply.status}: {error}.") from error
 
 
-async def _follow_frames(reply: StreamedReply, execution: Execution) -> StreamEnd:
+async def _follow_frames(
+    reply: StreamedReply, execution: Execution, wait: Wait
+) -> StreamEnd:
     """Passes a stream's text on and returns its end."""
     rest = b""
     end: StreamEnd | None = None
     async for chunk in reply.iterate():
+        wait.news_at = trio.current_time()
         rest += chunk
         *lines, rest = rest.split(b"\n")
         for line in lines:
--- a/packages/daemon/src/goldcrestvane_daemon/sidecar_process.py
+++ b/packages/daemon/src/goldcrestvane_daemon/sidecar_process.py
@@ -29,12 +29,13 @@
 from goldcrestvane_daemon.owner.suspects import SuspectGuard
 from goldcrestvane_daemon.owner.targets import TargetConnector
 from goldcrestvane_daemon.parts import Parts
+from goldcrestvane_daemon.pauses import PauseDetector
 from goldcrestvane_daemon.placement import Placement
 from goldcrestvane_daemon.probes import RequestMetrics, add_probe_routes
 from goldcrestvane_daemon.quarantine import Quarantine
 from goldcrestvane_daemon.shard_directory import ShardDirectory
 from goldcrestvane_daemon.target.dispatcher import Dispatcher, TargetClient
-from goldcrestvane_daemon.target.engine import EngineClient
+from goldcrestvane_daemon.target.engine import LOAD_INTERVAL_SECONDS, EngineClient
 from goldcrestvane_daemon.target.sessions import SessionKeeper
 from goldcrestvane_daemon.target.tool import ToolClient
 
@@ -54,6 +55,7 @@
         self._gate = Gate(GateOptions(slots=settings.target_slots))
         assert settings.target_kind is not None
         client_type = CLIENT_TYPES[settings.target_kind]
+        self._pauses = PauseDetector()
         self._quarantine = Quarantine(
             objects=parts.objects,
             feed=parts.feed,
@@ -68,10 +70,11 @@
             gate=self._gate,
             client=client,
             quarantine=self._quarantine,
+            pauses=self._pauses,
         )
         self._client = client
         self._sessions = self._build_sessions(client)
-        connector = TargetConnector(
+        connector = self._connector = TargetConnector(
             parts.transport, own=settings.instance, local=self._dispatcher
         )
         self._manager = ShardManager(
@@ -145,12 +148,21 @@
             nursery.start_soon(self._run_manager)
             nursery.start_soon(self._wake_manager)
             nursery.start_soon(self._releaser.run)
+            nursery.start_soon(self._pauses.run)
+            nursery.start_soon(self._connector.run)
             if self._sessions is not None:
                 nursery.start_soon(self._sessions.run)
             if isinstance(self._client, EngineClient):
                 nursery.start_soon(self._client.follow_load)
+                nursery.start_soon(self._follow_capacity, self._client)
             task_status.started()
 
+    async def _follow_capacity(self, engine: EngineClient) -> None:
+        """Tells the gate the size of the engine's cache, which a restart may change."""
+        while True:
+            self._gate.set_cache_capacity(engine.cache_capacity_tokens)
+            await trio.sleep(LOAD_INTERVAL_SECONDS)
+
     async def _run_manager(self) -> None:
         await self._parts.feed.ready.wait()
         await self._manager.run()
--- a/packages/daemon/src/goldcrestvane_daemon/target/dispatcher.py
+++ b/packages/daemon/src/goldcrestvane_daemon/target/dispatcher.py
@@ -20,6 +20,7 @@
     ServiceError,
     TargetDied,
     Unavailable,
+    WrongIncarnation,
 )
 from goldcrestvane_common.ids import CallId, Fingerprint, InstanceId, ServiceId
 from goldcrestvane_common.logs import get_logger
@@ -48,6 +49,7 @@
 )
 from goldcrestvane_daemon.execution import Execution
 from goldcrestvane_daemon.gate import Gate
+from goldcrestvane_daemon.pauses import PauseDetector
 from goldcrestvane_daemon.quarantine import (
     DeathReport,
     Quarantine,
@@ -94,6 +96,7 @@
         gate: Gate,
         client: TargetClient,
         quarantine: Quarantine,
+        pauses: PauseDetector,
     ) -> None:
         self._instance = instance
         self._incarnation = incarnation
@@ -101,6 +104,7 @@
         self._gate = gate
         self._client = client
         self._quarantine = quarantine
+        self._pauses = pauses
         self._at_target: dict[CallId, Fingerprint] = {}
         self._death = ""
         self._death_at = -math.inf
@@ -134,10 +138,10 @@
 
         Raises:
             AnswerIncomplete: The owner resumes a call that this sidecar does not know.
-            Unavailable: The call was meant for an earlier incarnation or was closed.
+            WrongIncarnation: The call was meant for an earlier incarnation.
         """
         if request.incarnation != self._incarnation:
-            raise Unavailable(
+            raise WrongIncarnation(
                 "This sidecar was restarted; choose a target again.", retry_after=0.0
             )
         known = self._calls.get(request.call)
@@ -154,6 +158,11 @@
         execution.target = self._instance
         self._calls[request.call] = execution
         self._forget_oldest()
+        try:
+            self._pauses.check()
+        except Unavailable as error:
+            execution.fail(error)
+            return execution
         self._nursery.start_soon(self._run_call, request, execution)
         return execution
 
@@ -169,10 +178,12 @@
         try:
             with execution.scope:
                 async with self._gate.admit(request):
+                    self._pauses.check()
                     self._check_suspect(request)
                     sent = True
                     self._at_target[request.call] = request.fingerprint
                     await self._client.run_call(request, execution)
+                    self._gate.note_tokens(request, execution.usage.total)
             if execution.scope.cancelled_caught:
                 raise AnswerIncomplete("The call was cancelled; its program has ended.")
         except TargetDied as error:
--- a/packages/daemon/src/goldcrestvane_daemon/target/sessions.py
+++ b/packages/daemon/src/goldcrestvane_daemon/target/sessions.py
@@ -83,6 +83,7 @@
             raise Unavailable(
                 f"The engine does not answer: {error}. Order it again.", retry_after=1.0
             ) from error
+        self._gate.release_program(order.team, order.program)
         if reply.status >= 400 and reply.status != STALE_FENCE_STATUS:
             raise Unavailable(
                 f"The engine answered {reply.status}. Order it again.", retry_after=1.0
--- a/packages/daemon/tests/test_membership.py
+++ b/packages/daemon/tests/test_membership.py
@@ -88,6 +88,18 @@
 
         self.run_membership(check)
 
+    def test_peer_that_is_watched_no_longer_is_not_judged_by_a_late_probe(self):
+        async def check(membership, network, sidecars):
+            network.dead = {sidecars[1].address}
+            for _ in range(20):
+                membership.watch_peers({"s1": 0.5})
+                await trio.sleep(0.5)
+                membership.watch_peers({})
+            await trio.sleep(5)
+            self.assertFalse(membership.is_dead("s1"))
+
+        self.run_membership(check)
+
     def test_dead_instance_gets_no_work_until_it_answers_again(self):
         async def check(membership, network, sidecars):
             network.dead = {sidecars[1].address}
