Feed placement and gate with what the calls tell

Ruled out: learning from the whole time of a call (it contains the wait, which the policy itself causes); the engine's cache events for the gate (late and with gaps). Change: DispatchAnswer and the last frame from a sidecar carry waited_seconds, the frame also the load; the dispatcher notes the tokens of ended model calls and the cache's size at the gate; a release order that was carried out releases the program there; the reported cache use is the larger of the engine's lagged one and the gate's. No measurement of the real processes.

--- a/packages/common/src/goldcrestvane_common/messages.py
+++ b/packages/common/src/goldcrestvane_common/messages.py
@@ -194,10 +194,19 @@
 
 
 class StreamEnd(msgspec.Struct, frozen=True, tag="end"):
-    """Last frame of a whole answer; a stream without it is incomplete."""
+    """Last frame of a whole answer; a stream without it is incomplete.
+
+    Attributes:
+        usage: Tokens taken.
+        finish_reason: Why the answer ended: ``stop``, or ``length`` when it was cut.
+        load: Load of the target, from its sidecar to the owner only.
+        waited_seconds: Time that the call waited for a slot, to the owner only.
+    """
 
     usage: Usage
     finish_reason: str = "stop"
+    load: "TargetLoad | None" = None
+    waited_seconds: float | None = None
 
 
 class StreamFailure(msgspec.Struct, frozen=True, tag="failure"):
@@ -255,12 +264,21 @@
 
 
 class DispatchAnswer(msgspec.Struct, frozen=True, omit_defaults=True):
-    """A whole answer of a target, with the target's load at that time."""
+    """A whole answer of a target, with the target's load at that time.
+
+    Attributes:
+        value: The answer text of a model (a JSON string) or the tool's JSON.
+        usage: Tokens taken.
+        load: Load of the target, the call itself not included.
+        finish_reason: Why the answer ended: ``stop``, or ``length`` when it was cut.
+        waited_seconds: Time that the call waited for a slot; None if unknown.
+    """
 
     value: msgspec.Raw
     usage: Usage = Usage()
     load: "TargetLoad | None" = None
     finish_reason: str = "stop"
+    waited_seconds: float | None = None
 
 
 class CloseRequest(msgspec.Struct, frozen=True):
--- a/packages/daemon/src/goldcrestvane_daemon/chooser.py
+++ b/packages/daemon/src/goldcrestvane_daemon/chooser.py
@@ -78,7 +78,12 @@
 
     def record_answer(self, attempt: Attempt, answer: DispatchAnswer) -> None:
         """Notes a whole answer."""
-        self._placement.record_success(attempt, usage=answer.usage, load=answer.load)
+        self._placement.record_success(
+            attempt,
+            usage=answer.usage,
+            waited_seconds=answer.waited_seconds,
+            load=answer.load,
+        )
 
     def record_error(self, attempt: Attempt, error: BaseException) -> None:
         """Notes a call that ended without an answer."""
--- a/packages/daemon/src/goldcrestvane_daemon/execution.py
+++ b/packages/daemon/src/goldcrestvane_daemon/execution.py
@@ -37,6 +37,7 @@
         answer: JSON of the whole answer, once ended well.
         usage: Tokens taken.
         finish_reason: Why the answer ended: ``stop``, or ``length`` when it was cut.
+        waited_seconds: Time that the call waited at its target's gate, if known.
         error: Why there is no answer.
         done: Set when the call has ended.
         scope: Cancels the task that runs the call.
@@ -51,6 +52,7 @@
         self.answer: msgspec.Raw | None = None
         self.usage = Usage()
         self.finish_reason = "stop"
+        self.waited_seconds: float | None = None
         self.error: ServiceError | None = None
         self.done = trio.Event()
         self.scope = trio.CancelScope()
--- a/packages/daemon/src/goldcrestvane_daemon/owner/targets.py
+++ b/packages/daemon/src/goldcrestvane_daemon/owner/targets.py
@@ -191,7 +191,11 @@
             end = await _follow_frames(reply, execution)
         text = msgspec.json.encode(execution.get_text())
         return DispatchAnswer(
-            msgspec.Raw(text), end.usage, finish_reason=end.finish_reason
+            msgspec.Raw(text),
+            end.usage,
+            load=end.load,
+            finish_reason=end.finish_reason,
+            waited_seconds=end.waited_seconds,
         )
 
     async def send_order(self, target: Instance, path: str, order: Any) -> bool:
--- a/packages/daemon/src/goldcrestvane_daemon/target/dispatcher.py
+++ b/packages/daemon/src/goldcrestvane_daemon/target/dispatcher.py
@@ -36,6 +36,7 @@
     DispatchAnswer,
     DispatchRequest,
     Fence,
+    StreamEnd,
     TargetLoad,
     encode_line,
 )
@@ -168,11 +169,13 @@
         sent = False
         try:
             with execution.scope:
-                async with self._gate.admit(request):
+                async with self._gate.admit(request) as permit:
+                    execution.waited_seconds = permit.waited_seconds
                     self._check_suspect(request)
                     sent = True
                     self._at_target[request.call] = request.fingerprint
                     await self._client.run_call(request, execution)
+                    self._note_tokens(request, execution)
             if execution.scope.cancelled_caught:
                 raise AnswerIncomplete("The call was cancelled; its program has ended.")
         except TargetDied as error:
@@ -190,6 +193,11 @@
         finally:
             self._at_target.pop(request.call, None)
 
+    def _note_tokens(self, request: DispatchRequest, execution: Execution) -> None:
+        if isinstance(self._client, EngineClient):
+            self._gate.set_cache_capacity(self._client.cache_capacity_tokens)
+            self._gate.note_tokens(request, execution.usage.total)
+
     def _check_suspect(self, request: DispatchRequest) -> None:
         """Refuses a request that became a suspect after its owner had looked."""
         verdict = self._quarantine.get_verdict(self._service, request.fingerprint)
@@ -259,6 +267,7 @@
             execution.usage,
             load=self.read_load(),
             finish_reason=execution.finish_reason,
+            waited_seconds=execution.waited_seconds,
         )
 
     def read_load(self) -> TargetLoad:
@@ -267,7 +276,7 @@
         if isinstance(self._client, EngineClient):
             return msgspec.structs.replace(
                 load,
-                cached_tokens=self._client.cached_tokens,
+                cached_tokens=max(load.cached_tokens, self._client.cached_tokens),
                 cache_capacity_tokens=self._client.cache_capacity_tokens,
             )
         return load
@@ -287,4 +296,10 @@
             owner=self._instance, offset=request.resume_offset
         )
         async for frame in frames:
+            if isinstance(frame, StreamEnd):
+                frame = msgspec.structs.replace(
+                    frame,
+                    load=self.read_load(),
+                    waited_seconds=execution.waited_seconds,
+                )
             yield encode_line(frame)
--- a/packages/daemon/src/goldcrestvane_daemon/target/sessions.py
+++ b/packages/daemon/src/goldcrestvane_daemon/target/sessions.py
@@ -87,6 +87,7 @@
             raise Unavailable(
                 f"The engine answered {reply.status}. Order it again.", retry_after=1.0
             )
+        self._gate.release_program(order.team, order.program)
 
     async def run(self) -> None:
         """Sweeps until cancelled."""
