Show what the gate holds back

Cause: an operator could not tell a held new program from a queued call, nor a cache that is full from releases that never come. Ruled out: counters beside the gate's state (they drift; gauges read the state itself). Change: six gauges a sidecar: running, queued, held, service time, planned tokens and cache size.

--- a/packages/daemon/src/goldcrestvane_daemon/gate/gate.py
+++ b/packages/daemon/src/goldcrestvane_daemon/gate/gate.py
@@ -157,6 +157,10 @@
             cache_capacity_tokens=self._residents.capacity_tokens,
         )
 
+    def count_held(self) -> int:
+        """Returns the waiting calls of new programs for which there is no room."""
+        return sum(self._is_held(each) for each in self._waiting)
+
     @property
     def service_seconds(self) -> float:
         """Expected time that a call holds a slot."""
--- a/packages/daemon/src/goldcrestvane_daemon/sidecar_process.py
+++ b/packages/daemon/src/goldcrestvane_daemon/sidecar_process.py
@@ -18,7 +18,7 @@
 )
 from goldcrestvane_common.settings import ServiceKind
 from goldcrestvane_daemon.chooser import TargetChooser
-from goldcrestvane_daemon.gate import Gate, GateOptions
+from goldcrestvane_daemon.gate import Gate, GateOptions, watch_gate
 from goldcrestvane_daemon.owner.calls import CallRunner
 from goldcrestvane_daemon.owner.manager import ShardManager
 from goldcrestvane_daemon.owner.recovery import CallRecovery
@@ -101,6 +101,7 @@
             list_shards=self._manager.owned.values,
         )
         self._metrics = RequestMetrics()
+        watch_gate(self._gate, self._metrics.registry)
 
     def _build_sessions(self, client: TargetClient) -> SessionKeeper | None:
         """Returns the keeper of an engine's sessions; tools have none."""
--- a/packages/daemon/tests/gate/test_residents.py
+++ b/packages/daemon/tests/gate/test_residents.py
@@ -1,10 +1,11 @@
 import unittest
 
 import trio
+from prometheus_client import CollectorRegistry
 
 from goldcrestvane_common.errors import DeadlineExceeded, Overloaded
 from goldcrestvane_common.settings import Priority, ServiceKind
-from goldcrestvane_daemon.gate import GateOptions
+from goldcrestvane_daemon.gate import GateOptions, watch_gate
 
 from .test_gate import GateTestCase, build_request
 
@@ -91,6 +92,19 @@
 
         self.run_full(script)
 
+    def test_metrics_tell_a_held_program_from_a_queued_call(self):
+        async def script(gate, nursery):
+            registry = CollectorRegistry()
+            watch_gate(gate, registry)
+            await self.start_calls(gate, nursery, build_request("new"))
+            for name, value in (("held", 1), ("queued", 1), ("running", 0)):
+                sample = registry.get_sample_value(f"goldcrestvane_gate_{name}")
+                self.assertEqual(sample, value, name)
+            gate.release_program("shop", "resident")
+            self.assertEqual(registry.get_sample_value("goldcrestvane_gate_held"), 0)
+
+        self.run_full(script)
+
     def test_class_gets_a_start_when_its_time_has_come(self):
         async def script(gate, nursery):
             gate.apply(GateOptions(slots=2, class_start_seconds=30.0))
