--- a/bench/policy_bench/runner.py
+++ b/bench/policy_bench/runner.py
@@ -366,7 +366,6 @@
             deadline_seconds=deadline - trio.current_time(),
             priority=priority,
             attained_tokens=session.spent[0] if ordered else 0,
-            program_seconds=session.deadline - trio.current_time(),
             idempotent=idempotent,
         )
 
--- a/packages/common/src/goldcrestvane_common/messages.py
+++ b/packages/common/src/goldcrestvane_common/messages.py
@@ -234,7 +234,6 @@
         deadline_seconds: Time left when the message was sent.
         priority: Scheduling class.
         attained_tokens: Service the whole program has had; less goes first.
-        program_seconds: Time left for the whole program; None for no limit.
         fingerprint: Hash of team and content; equal for a request sent again.
         idempotent: Whether the call may be sent to the target twice.
         alone: Whether the call must be the only one on its target.
@@ -255,7 +254,6 @@
     deadline_seconds: float
     priority: Priority = Priority.STANDARD
     attained_tokens: int = 0
-    program_seconds: float | None = None
     fingerprint: Fingerprint = Fingerprint("")
     idempotent: bool = True
     alone: bool = False
--- a/packages/daemon/src/goldcrestvane_daemon/gate/gate.py
+++ b/packages/daemon/src/goldcrestvane_daemon/gate/gate.py
@@ -267,21 +267,10 @@
         """Returns the call that starts next; None if all are held."""
         due = [each for each in self._waiting if self._is_due(each)]
         if due:
-            timely = [each for each in due if not self._is_late(each)]
-            return min(timely or due, key=self._build_key)
+            return min(due, key=self._build_key)
         room = self._has_room()
         ready = [each for each in self._waiting if room or not self._is_new(each)]
-        timely = [each for each in ready if not self._is_late(each)]
-        return min(timely or ready, key=self._build_key, default=None)
-
-    def _is_late(self, waiter: Waiter) -> bool:
-        """Tells whether a new program has less time left than its class takes."""
-        left = waiter.request.program_seconds
-        if left is None or not self._is_new(waiter):
-            return False
-        waited = trio.current_time() - waiter.arrived
-        stay = self._residents.get_stay_seconds(waiter.request.priority)
-        return left - waited < stay
+        return min(ready, key=self._build_key, default=None)
 
     def _is_due(self, waiter: Waiter) -> bool:
         """Tells whether a call's class has waited for its least rate of starts."""
--- a/packages/daemon/src/goldcrestvane_daemon/gate/residents.py
+++ b/packages/daemon/src/goldcrestvane_daemon/gate/residents.py
@@ -36,13 +36,11 @@
     Attributes:
         priority: Scheduling class.
         tokens: Tokens that its last ended call left in the cache.
-        started: Time of its first call here on trio's clock.
         used: Time of its last call on trio's clock.
     """
 
     priority: Priority
     tokens: int
-    started: float
     used: float
 
 
@@ -58,7 +56,6 @@
         self.capacity_tokens = 0
         self._programs: OrderedDict[ProgramKey, Resident] = OrderedDict()
         self._roots: Counter[ProgramKey] = Counter()
-        self._stays = {priority: MovingMean(PEAK_SMOOTHING) for priority in Priority}
         self._peaks = {priority: MovingMean(PEAK_SMOOTHING) for priority in Priority}
         self._intervals = MovingMean(INTERVAL_SMOOTHING)
         self._last_release: float | None = None
@@ -68,18 +65,13 @@
         """Mean time between two ends of programs; 0 before the second end."""
         return self._intervals.value
 
-    def get_stay_seconds(self, priority: Priority) -> float:
-        """Returns the mean time from the first call of a program to its end."""
-        return self._stays[priority].value
-
     def note(self, request: DispatchRequest, *, tokens: int, now: float) -> None:
         """Notes a call of a program and the tokens it leaves in the cache."""
         key = build_program_key(request)
         earlier = self._programs.pop(key, None)
         if earlier is None:
             self._roots[_get_root_key(key)] += 1
-        started = earlier.started if earlier else now
-        self._programs[key] = Resident(request.priority, tokens, started, now)
+        self._programs[key] = Resident(request.priority, tokens, now)
 
     def touch(self, request: DispatchRequest, *, now: float) -> None:
         """Notes that a call of a program starts."""
@@ -93,7 +85,6 @@
             return
         self._drop(key)
         self._peaks[resident.priority].record(resident.tokens)
-        self._stays[resident.priority].record(now - resident.started)
         if self._last_release is not None:
             self._intervals.record(now - self._last_release)
         self._last_release = now
