--- a/packages/daemon/src/goldcrestvane_daemon/sidecar_process.py
+++ b/packages/daemon/src/goldcrestvane_daemon/sidecar_process.py
@@ -18,7 +18,7 @@
 )
 from goldcrestvane_common.settings import ServiceKind
 from goldcrestvane_daemon.chooser import TargetChooser
-from goldcrestvane_daemon.gate import Gate, GateOptions
+from goldcrestvane_daemon.gate import Gate, GateOptions, watch_gate
 from goldcrestvane_daemon.owner.accounts import TeamAccounts
 from goldcrestvane_daemon.owner.manager import ShardManager
 from goldcrestvane_daemon.owner.recovery import CallRecovery
@@ -35,7 +35,7 @@
 from goldcrestvane_daemon.quarantine import Quarantine
 from goldcrestvane_daemon.shard_directory import ShardDirectory
 from goldcrestvane_daemon.target.dispatcher import Dispatcher, TargetClient
-from goldcrestvane_daemon.target.engine import LOAD_INTERVAL_SECONDS, EngineClient
+from goldcrestvane_daemon.target.engine import EngineClient
 from goldcrestvane_daemon.target.sessions import SessionKeeper
 from goldcrestvane_daemon.target.tool import ToolClient
 
@@ -108,6 +108,7 @@
             list_shards=self._manager.owned.values,
         )
         self._metrics = RequestMetrics()
+        watch_gate(self._gate, self._metrics.registry)
 
     def _build_sessions(self, client: TargetClient) -> SessionKeeper | None:
         """Returns the keeper of an engine's sessions; tools have none."""
@@ -154,15 +155,8 @@
                 nursery.start_soon(self._sessions.run)
             if isinstance(self._client, EngineClient):
                 nursery.start_soon(self._client.follow_load)
-                nursery.start_soon(self._follow_capacity, self._client)
             task_status.started()
 
-    async def _follow_capacity(self, engine: EngineClient) -> None:
-        """Tells the gate the size of the engine's cache, which a restart may change."""
-        while True:
-            self._gate.set_cache_capacity(engine.cache_capacity_tokens)
-            await trio.sleep(LOAD_INTERVAL_SECONDS)
-
     async def _run_manager(self) -> None:
         await self._parts.feed.ready.wait()
         await self._manager.run()
--- a/packages/daemon/src/goldcrestvane_daemon/target/sessions.py
+++ b/packages/daemon/src/goldcrestvane_daemon/target/sessions.py
@@ -83,11 +83,11 @@
             raise Unavailable(
                 f"The engine does not answer: {error}. Order it again.", retry_after=1.0
             ) from error
-        self._gate.release_program(order.team, order.program)
         if reply.status >= 400 and reply.status != STALE_FENCE_STATUS:
             raise Unavailable(
                 f"The engine answered {reply.status}. Order it again.", retry_after=1.0
             )
+        self._gate.release_program(order.team, order.program)
 
     async def run(self) -> None:
         """Sweeps until cancelled."""
