Add bench-slopes and streams at the pace of a real engine

Cause: docs/CAPACITY.md needs slopes from several sizes, and a chunk's cost when chunks do not coalesce.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 SEED ?= 1
 TRACE ?= bench/traces/passolungo-rush.jsonl
 
-.PHONY: setup format lint test demo faults bench bench-path replay
+.PHONY: setup format lint test demo faults bench bench-path bench-slopes replay
 
 setup: .venv/.installed
 
@@ -37,5 +37,8 @@
 bench-path: setup
 	$(PYTHON) bench/path.py
 
+bench-slopes: setup
+	$(PYTHON) bench/slopes.py
+
 replay: setup
 	$(PYTHON) bench/replay.py --trace=$(TRACE)
--- a/bench/cost/hops.py
+++ b/bench/cost/hops.py
@@ -120,10 +120,11 @@
     pids: Mapping[str, int],
     *,
     calls_each: int,
+    warm_up: int = WARM_UP_CALLS,
     deployment: Deployment | None = None,
 ) -> Sample:
     """Runs calls after a warm-up and returns what they cost."""
-    await run_load(workers, calls_each=WARM_UP_CALLS)
+    await run_load(workers, calls_each=warm_up)
     before = await count_platform(deployment) if deployment else None
     meter = Meter(pids)
     load = await run_load(workers, calls_each=calls_each)
--- a/bench/path.py
+++ b/bench/path.py
@@ -9,6 +9,7 @@
 import tempfile
 from pathlib import Path
 
+import msgspec
 import trio
 from cost.hops import (
     FEW_TOKENS,
@@ -30,6 +31,8 @@
 CALLS_EACH = 40
 STREAMS_EACH = 8
 MAX_PATH_FACTOR = 1.5
+PACED_TOKEN_SECONDS = 0.05
+PACED_WORKERS = 32
 
 
 async def measure_bare(hops: BareHops, deployment: Deployment) -> dict[str, Sample]:
@@ -155,14 +158,62 @@
     return targets
 
 
+async def run_paced(folder: Path) -> None:
+    """Measures streams at the pace of a real engine, where chunks seldom coalesce."""
+    pace = f"--token-seconds={PACED_TOKEN_SECONDS}"
+    target = msgspec.structs.replace(
+        PLAN.targets[0], options=(pace, "--prefill-token-seconds=0")
+    )
+    plan = msgspec.structs.replace(PLAN, targets=(target,))
+    async with Deployment(plan, folder) as deployment:
+        hops = BareHops(folder, deployment.processes["target-engine-0"].address)
+        hops.start()
+        try:
+            bare = build_bare_call(
+                deployment.transport, hops.first, tokens=MANY_TOKENS, stream=True
+            )
+            samples = {
+                "bare": await measure(
+                    [bare] * PACED_WORKERS, hops.pids, calls_each=1, warm_up=0
+                )
+            }
+        finally:
+            hops.stop()
+        workers = [
+            await build_chat_call(
+                deployment, f"paced-{number}", tokens=MANY_TOKENS, stream=True
+            )
+            for number in range(PACED_WORKERS)
+        ]
+        samples["ours"] = await measure(
+            workers,
+            list_pids(deployment),
+            calls_each=1,
+            warm_up=0,
+            deployment=deployment,
+        )
+    print_samples(
+        f"{PACED_WORKERS} streams of {MANY_TOKENS} tokens, one each "
+        f"{PACED_TOKEN_SECONDS * 1000:.0f} ms",
+        samples,
+    )
+    for name, sample in samples.items():
+        parts = ", ".join(
+            f"{key} {cpu / MANY_TOKENS * 1e6:.0f}" for key, cpu in sample.cpu.items()
+        )
+        print(f"  CPU us a token, request included, {name}: {parts}")
+
+
 async def main() -> int:
     """Runs the bench; a target that is not met does not change the exit code."""
     print(f"load of the machine before: {os.getloadavg()[0]:.1f} of {os.cpu_count()}")
-    sections = sys.argv[1:] or ["hops", "idle"]
+    sections = sys.argv[1:] or ["hops", "paced", "idle"]
     targets: list[Target] = []
     with tempfile.TemporaryDirectory(prefix="goldcrestvane-cost-") as folder:
         if "hops" in sections:
             targets += await run_hops(Path(folder) / "hops")
+        if "paced" in sections:
+            await run_paced(Path(folder) / "paced")
         if "idle" in sections:
             targets += await run_idle(Path(folder) / "idle")
     print_targets(targets)
