Open at most 16 shards at once

Cause: a sidecar that takes many shards opened them all at the same time; httpcore's pool look-ups grow with its connections (one a shard, kept for 30 s), so that the first of a deployment with 512 shards was not ready within 60 s. Ruled out: the platform (no conflict, two calls a shard) and the fences (no peers).

--- a/packages/daemon/src/goldcrestvane_daemon/owner/manager.py
+++ b/packages/daemon/src/goldcrestvane_daemon/owner/manager.py
@@ -46,6 +46,7 @@
 OPEN_RETRY_SECONDS = 1.0
 ADOPT_TIMEOUT_SECONDS = 3.0
 REBALANCE_SECONDS = 1.0
+MAX_OPENINGS = 16
 SETTLED_SECONDS = 3.0
 
 logger = get_logger("ownership")
@@ -82,6 +83,7 @@
             transport, list_peers=lambda: membership.list_live(Role.SIDECAR)
         )
         self._opening: set[ShardId] = set()
+        self._open_limiter = trio.CapacityLimiter(MAX_OPENINGS)
         self._handing_over: set[ShardId] = set()
         self._members: frozenset[InstanceId] = frozenset()
         self._members_since = 0.0
@@ -194,7 +196,8 @@
         journal = Journal(self._objects, shard, self._own.instance)
         owned = OwnedShard(shard, self._own.instance, journal)
         try:
-            await owned.open()
+            async with self._open_limiter:
+                await owned.open()
             self._nursery.start_soon(journal.run)
             await self._fences.fence(shard, journal.epoch)
             await self._recovery.settle_calls(owned)
