Hand a shard over only after its starts are durable

Ruled out: waiting for each start record (a platform round trip a call). Conclusion: running calls of a shard handed over are joined, not begun anew.

--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -11,6 +11,7 @@
 from pathlib import Path
 
 import trio
+
 from cost.fleet import measure_fleet
 from cost.report import print_rows
 from cost.usage import fit_slope
--- a/packages/daemon/src/goldcrestvane_daemon/owner/manager.py
+++ b/packages/daemon/src/goldcrestvane_daemon/owner/manager.py
@@ -12,7 +12,7 @@
 import msgspec
 import trio
 
-from goldcrestvane_common.errors import Unavailable
+from goldcrestvane_common.errors import Unavailable, WrongOwner
 from goldcrestvane_common.ids import InstanceId, ShardId
 from goldcrestvane_common.logs import get_logger
 from goldcrestvane_common.messages import (
@@ -44,6 +44,7 @@
 RECONCILE_SECONDS = 0.5
 START_GRACE_SECONDS = 1.0
 OPEN_RETRY_SECONDS = 1.0
+FLUSH_WAIT_SECONDS = 2.0
 HEIR_PATIENCE_SECONDS = 3.0
 ADOPT_TIMEOUT_SECONDS = 3.0
 REBALANCE_SECONDS = 1.0
@@ -260,7 +261,11 @@
         self._handing_over.add(shard)
         try:
             owned.stop_admitting()
+            # The next owner joins running calls by the starts that it finds.
+            await owned.wait_durable(owned.append(), wait=FLUSH_WAIT_SECONDS)
             await self._find_adopter(shard, owned)
+        except WrongOwner:
+            logger.info("shard %s was taken over before its hand-over", shard)
         finally:
             self._handing_over.discard(shard)
 
--- a/packages/daemon/src/goldcrestvane_daemon/owner/starts.py
+++ b/packages/daemon/src/goldcrestvane_daemon/owner/starts.py
@@ -21,7 +21,7 @@
 )
 from goldcrestvane_daemon.owner.calls import Call
 from goldcrestvane_daemon.owner.outcomes import build_outage
-from goldcrestvane_daemon.owner.shard import OwnedShard
+from goldcrestvane_daemon.owner.shard import OwnedShard, build_wrong_owner
 
 RESERVE_WAIT_SECONDS = 0.05
 CLAIM_WAIT_SECONDS = 2.0
@@ -47,6 +47,8 @@
         if call.once and shard.journal.down:
             raise build_outage()
         reservation = await self._reserve(shard, call)
+        if not shard.admitting:
+            raise build_wrong_owner(shard.shard)
         # No checkpoint stands between the reservation and its record.
         durable = shard.append(_build_start(call, dispatch, target, reservation))
         if call.once:
