--- a/packages/daemon/src/goldcrestvane_daemon/sidecar_process.py
+++ b/packages/daemon/src/goldcrestvane_daemon/sidecar_process.py
@@ -18,7 +18,7 @@
 )
 from goldcrestvane_common.settings import ServiceKind
 from goldcrestvane_daemon.chooser import TargetChooser
-from goldcrestvane_daemon.gate import Gate, GateOptions
+from goldcrestvane_daemon.gate import Gate, GateOptions, watch_gate
 from goldcrestvane_daemon.owner.accounts import TeamAccounts
 from goldcrestvane_daemon.owner.manager import ShardManager
 from goldcrestvane_daemon.owner.recovery import CallRecovery
@@ -29,6 +29,7 @@
 from goldcrestvane_daemon.owner.suspects import SuspectGuard
 from goldcrestvane_daemon.owner.targets import TargetConnector
 from goldcrestvane_daemon.parts import Parts
+from goldcrestvane_daemon.pauses import PauseDetector
 from goldcrestvane_daemon.placement import Placement
 from goldcrestvane_daemon.probes import RequestMetrics, add_probe_routes
 from goldcrestvane_daemon.quarantine import Quarantine
@@ -54,6 +55,7 @@
         self._gate = Gate(GateOptions(slots=settings.target_slots))
         assert settings.target_kind is not None
         client_type = CLIENT_TYPES[settings.target_kind]
+        self._pauses = PauseDetector()
         self._quarantine = Quarantine(
             objects=parts.objects,
             feed=parts.feed,
@@ -68,10 +70,11 @@
             gate=self._gate,
             client=client,
             quarantine=self._quarantine,
+            pauses=self._pauses,
         )
         self._client = client
         self._sessions = self._build_sessions(client)
-        connector = TargetConnector(
+        connector = self._connector = TargetConnector(
             parts.transport, own=settings.instance, local=self._dispatcher
         )
         self._manager = ShardManager(
@@ -105,6 +108,7 @@
             list_shards=self._manager.owned.values,
         )
         self._metrics = RequestMetrics()
+        watch_gate(self._gate, self._metrics.registry)
 
     def _build_sessions(self, client: TargetClient) -> SessionKeeper | None:
         """Returns the keeper of an engine's sessions; tools have none."""
@@ -145,6 +149,8 @@
             nursery.start_soon(self._run_manager)
             nursery.start_soon(self._wake_manager)
             nursery.start_soon(self._releaser.run)
+            nursery.start_soon(self._pauses.run)
+            nursery.start_soon(self._connector.run)
             if self._sessions is not None:
                 nursery.start_soon(self._sessions.run)
             if isinstance(self._client, EngineClient):
--- a/packages/daemon/src/goldcrestvane_daemon/target/dispatcher.py
+++ b/packages/daemon/src/goldcrestvane_daemon/target/dispatcher.py
@@ -20,6 +20,7 @@
     ServiceError,
     TargetDied,
     Unavailable,
+    WrongIncarnation,
 )
 from goldcrestvane_common.ids import CallId, Fingerprint, InstanceId, ServiceId
 from goldcrestvane_common.logs import get_logger
@@ -36,6 +37,7 @@
     DispatchAnswer,
     DispatchRequest,
     Fence,
+    StreamEnd,
     TargetLoad,
     encode_line,
 )
@@ -48,6 +50,7 @@
 )
 from goldcrestvane_daemon.execution import Execution
 from goldcrestvane_daemon.gate import Gate
+from goldcrestvane_daemon.pauses import PauseDetector
 from goldcrestvane_daemon.quarantine import (
     DeathReport,
     Quarantine,
@@ -94,6 +97,7 @@
         gate: Gate,
         client: TargetClient,
         quarantine: Quarantine,
+        pauses: PauseDetector,
     ) -> None:
         self._instance = instance
         self._incarnation = incarnation
@@ -101,6 +105,7 @@
         self._gate = gate
         self._client = client
         self._quarantine = quarantine
+        self._pauses = pauses
         self._at_target: dict[CallId, Fingerprint] = {}
         self._death = ""
         self._death_at = -math.inf
@@ -134,10 +139,10 @@
 
         Raises:
             AnswerIncomplete: The owner resumes a call that this sidecar does not know.
-            Unavailable: The call was meant for an earlier incarnation or was closed.
+            WrongIncarnation: The call was meant for an earlier incarnation.
         """
         if request.incarnation != self._incarnation:
-            raise Unavailable(
+            raise WrongIncarnation(
                 "This sidecar was restarted; choose a target again.", retry_after=0.0
             )
         known = self._calls.get(request.call)
@@ -154,6 +159,11 @@
         execution.target = self._instance
         self._calls[request.call] = execution
         self._forget_oldest()
+        try:
+            self._pauses.check()
+        except Unavailable as error:
+            execution.fail(error)
+            return execution
         self._nursery.start_soon(self._run_call, request, execution)
         return execution
 
@@ -168,11 +178,14 @@
         sent = False
         try:
             with execution.scope:
-                async with self._gate.admit(request):
+                async with self._gate.admit(request) as permit:
+                    execution.waited_seconds = permit.waited_seconds
+                    self._pauses.check()
                     self._check_suspect(request)
                     sent = True
                     self._at_target[request.call] = request.fingerprint
                     await self._client.run_call(request, execution)
+                    self._note_tokens(request, execution)
             if execution.scope.cancelled_caught:
                 raise AnswerIncomplete("The call was cancelled; its program has ended.")
         except TargetDied as error:
@@ -190,6 +203,11 @@
         finally:
             self._at_target.pop(request.call, None)
 
+    def _note_tokens(self, request: DispatchRequest, execution: Execution) -> None:
+        if isinstance(self._client, EngineClient):
+            self._gate.set_cache_capacity(self._client.cache_capacity_tokens)
+            self._gate.note_tokens(request, execution.usage.total)
+
     def _check_suspect(self, request: DispatchRequest) -> None:
         """Refuses a request that became a suspect after its owner had looked."""
         verdict = self._quarantine.get_verdict(self._service, request.fingerprint)
@@ -259,6 +277,7 @@
             execution.usage,
             load=self.read_load(),
             finish_reason=execution.finish_reason,
+            waited_seconds=execution.waited_seconds,
         )
 
     def read_load(self) -> TargetLoad:
@@ -267,7 +286,7 @@
         if isinstance(self._client, EngineClient):
             return msgspec.structs.replace(
                 load,
-                cached_tokens=self._client.cached_tokens,
+                cached_tokens=max(load.cached_tokens, self._client.cached_tokens),
                 cache_capacity_tokens=self._client.cache_capacity_tokens,
             )
         return load
@@ -287,4 +306,10 @@
             owner=self._instance, offset=request.resume_offset
         )
         async for frame in frames:
+            if isinstance(frame, StreamEnd):
+                frame = msgspec.structs.replace(
+                    frame,
+                    load=self.read_load(),
+                    waited_seconds=execution.waited_seconds,
+                )
             yield encode_line(frame)
