Ask processes for a shared secret on internal paths

Ruled out: a second port on entries (two addresses in list and balancer for one secret). Conclusion: with a token set, callers reach their own interface only.

--- a/packages/client/src/goldcrestvane_client/main.py
+++ b/packages/client/src/goldcrestvane_client/main.py
@@ -76,7 +76,7 @@
     command = find_command(line.words)
     command_arguments = line.words[len(command.name) :]
     command.check_arguments(command_arguments)
-    async with Transport() as transport:
+    async with Transport(peer_token=line.options.peer_token) as transport:
         context = Context(
             options=line.options,
             transport=transport,
--- a/packages/client/src/goldcrestvane_client/options.py
+++ b/packages/client/src/goldcrestvane_client/options.py
@@ -30,6 +30,7 @@
 
     platform: str = ""
     instances: str = ""
+    peer_token: str = ""
     operator: str = ""
     reason: str = ""
     expected_version: Version | None = None
@@ -55,6 +56,9 @@
     flags.DEFINE_string(
         "instances", defaults.instances, "host:port of the instance list.", values
     )
+    flags.DEFINE_string(
+        "peer_token", "", "Secret that the processes share, if they ask for it.", values
+    )
     flags.DEFINE_string(
         "operator", "", "Your name, for the audit record of a change.", values
     )
--- a/packages/common/src/goldcrestvane_common/server.py
+++ b/packages/common/src/goldcrestvane_common/server.py
@@ -1,5 +1,6 @@
 """HTTP server of every process: a route table served by hypercorn on trio."""
 
+import hmac
 import logging
 import math
 import socket
@@ -23,8 +24,10 @@
     RequestTimeout,
     RequestTooLarge,
     ServiceError,
+    Unauthorized,
     encode_error,
 )
+from goldcrestvane_common.transport import INTERNAL_PREFIX, PEER_TOKEN_HEADER
 
 MAX_BODY_BYTES = 4 * 1024 * 1024
 MAX_DISCARDED_BYTES = 16 * 1024 * 1024
@@ -175,7 +178,18 @@
         *,
         max_body_bytes: int = MAX_BODY_BYTES,
         body_timeout: float = BODY_TIMEOUT_SECONDS,
+        peer_token: str = "",
     ) -> None:
+        """Creates an application.
+
+        Args:
+            router: Routes to serve.
+            max_body_bytes: Largest body that is taken.
+            body_timeout: Seconds that a sender may take for a body.
+            peer_token: Secret that requests below `INTERNAL_PREFIX` must carry; empty
+                asks for none.
+        """
+        self._peer_token = peer_token
         self._router = router
         self._max_body_bytes = max_body_bytes
         self._body_timeout = body_timeout
@@ -216,6 +230,7 @@
     async def _answer(self, scope: dict[str, Any], body: bytes, send: Callable) -> None:
         try:
             request = _build_request(scope, body)
+            self._check_peer(request)
             response = await self._router.find(request.method, request.path)(request)
         except ServiceError as error:
             await _send_error(error, send)
@@ -229,6 +244,18 @@
             return
         await _send_response(response, send)
 
+    def _check_peer(self, request: Request) -> None:
+        """Refuses an internal request that does not come from a process of ours."""
+        if not self._peer_token or not request.path.startswith(INTERNAL_PREFIX):
+            return
+        token = request.get_header(PEER_TOKEN_HEADER) or ""
+        if not hmac.compare_digest(token.encode(), self._peer_token.encode()):
+            raise Unauthorized(
+                f"Paths below {INTERNAL_PREFIX} are for the system's own processes. "
+                f"Send the peer token in {PEER_TOKEN_HEADER}.",
+                field=PEER_TOKEN_HEADER,
+            )
+
     async def _read_body(self, receive: Callable) -> bytes | None:
         """Returns the body, or None when the sender left before its end."""
         with trio.move_on_after(self._body_timeout):
--- a/packages/common/src/goldcrestvane_common/transport.py
+++ b/packages/common/src/goldcrestvane_common/transport.py
@@ -12,6 +12,8 @@
 
 CONNECT_TIMEOUT_SECONDS = 1.0
 MAX_CONNECTIONS_PER_PEER = 512
+INTERNAL_PREFIX = "/internal/"
+PEER_TOKEN_HEADER = "goldcrestvane-peer-token"
 KEEP_ALIVE_EXPIRY_SECONDS = 30.0
 
 
@@ -105,7 +107,14 @@
     Use it as an asynchronous context manager; leaving it closes the connections.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, *, peer_token: str = "") -> None:
+        """Creates a client.
+
+        Args:
+            peer_token: Secret sent with requests below `INTERNAL_PREFIX`, and nowhere
+                else; empty sends none.
+        """
+        self._peer_token = peer_token
         self._pools: dict[str, httpcore.AsyncConnectionPool] = {}
 
     async def __aenter__(self) -> "Transport":
@@ -202,6 +211,8 @@
             "pool": CONNECT_TIMEOUT_SECONDS,
         }
         request_headers = {"content-type": "application/json", **(headers or {})}
+        if self._peer_token and path.startswith(INTERNAL_PREFIX):
+            request_headers[PEER_TOKEN_HEADER] = self._peer_token
         manager = self._get_pool(peer).stream(
             method,
             f"http://{peer}{path}",
--- a/packages/common/tests/test_server.py
+++ b/packages/common/tests/test_server.py
@@ -11,7 +11,12 @@
     StreamResponse,
     serve_http,
 )
-from goldcrestvane_common.transport import ConnectFailed, ExchangeBroken, Transport
+from goldcrestvane_common.transport import (
+    PEER_TOKEN_HEADER,
+    ConnectFailed,
+    ExchangeBroken,
+    Transport,
+)
 
 
 class ServerTests(unittest.TestCase):
@@ -66,6 +71,29 @@
 
         self.serve(fail, check)
 
+    def test_internal_path_asks_for_the_peer_token_and_gives_it_to_peers_alone(self):
+        async def main():
+            async def answer(request):
+                return JsonResponse(value=request.get_header(PEER_TOKEN_HEADER))
+
+            router = Router()
+            router.add("GET", "/internal/ping", answer)
+            router.add("GET", "/v1/load", answer)
+            application = Application(router, peer_token="secret")
+            async with trio.open_nursery() as nursery:
+                peer = await nursery.start(serve_http, application, "127.0.0.1:0")
+                async with Transport() as stranger:
+                    reply = await stranger.send("GET", peer, "/internal/ping")
+                    self.assertEqual(reply.status, 401)
+                async with Transport(peer_token="secret") as transport:
+                    reply = await transport.send("GET", peer, "/internal/ping")
+                    self.assertEqual(reply.decode(str), "secret")
+                    reply = await transport.send("GET", peer, "/v1/load")
+                    self.assertIsNone(reply.decode(str | None))
+                nursery.cancel_scope.cancel()
+
+        trio.run(main)
+
     def test_peer_that_does_not_listen_proves_that_nothing_was_sent(self):
         async def check(transport, peer):
             with self.assertRaises(ConnectFailed):
--- a/packages/daemon/src/goldcrestvane_daemon/settings.py
+++ b/packages/daemon/src/goldcrestvane_daemon/settings.py
@@ -33,6 +33,12 @@
 flags.DEFINE_integer("target_slots", 8, "Calls that the target runs at a time.")
 flags.DEFINE_integer("shard_count", 32, "Shards in all; the same in every process.")
 flags.DEFINE_string("log_level", "INFO", "Lowest level that is logged.")
+flags.DEFINE_string(
+    "peer_token",
+    "",
+    "Secret that all processes share; set it by the environment. Empty trusts the "
+    "network.",
+)
 flags.DEFINE_string("trace_file", None, "File to which an entry records a trace.")
 
 SETTING_NAMES = (
@@ -48,6 +54,7 @@
     "target_slots",
     "shard_count",
     "log_level",
+    "peer_token",
     "trace_file",
 )
 
@@ -72,6 +79,7 @@
     target_slots: int = 8
     shard_count: int = 32
     log_level: str = "INFO"
+    peer_token: str = ""
     trace_file: str | None = None
 
 
--- a/packages/daemon/src/goldcrestvane_daemon/supervisor.py
+++ b/packages/daemon/src/goldcrestvane_daemon/supervisor.py
@@ -61,8 +61,11 @@
 async def run_process(settings: DaemonSettings) -> None:
     """Runs a process from its start to its planned stop."""
     router = Router()
-    application = Application(router)
-    async with Transport() as transport, trio.open_nursery() as nursery:
+    application = Application(router, peer_token=settings.peer_token)
+    async with (
+        Transport(peer_token=settings.peer_token) as transport,
+        trio.open_nursery() as nursery,
+    ):
         parts = build_parts(settings, transport)
         process = PROCESS_TYPES[settings.role](parts, application)
         drain = Drain(
--- a/standins/src/goldcrestvane_standins/deployment.py
+++ b/standins/src/goldcrestvane_standins/deployment.py
@@ -32,6 +32,7 @@
 POLL_SECONDS = 0.05
 START_TIMEOUT_SECONDS = 60.0
 STOP_TIMEOUT_SECONDS = 90.0
+PEER_TOKEN = "a secret of the test deployment"
 LISTENING_PREFIX = "listening "
 
 
@@ -146,7 +147,7 @@
         self._folder = folder
         self._rows: dict[str, Instance] = {}
         self.processes: dict[str, ManagedProcess] = {}
-        self.transport = Transport()
+        self.transport = Transport(peer_token=PEER_TOKEN)
 
     async def __aenter__(self) -> "Deployment":
         self._folder.mkdir(parents=True, exist_ok=True)
@@ -252,6 +253,7 @@
                 f"--instances={self.processes['instances'].address}",
                 f"--shard_count={self._plan.shard_count}",
                 f"--log_level={self._plan.log_level}",
+                f"--peer_token={PEER_TOKEN}",
                 *options,
             ]
             process = ManagedProcess(name, command, self._folder / f"{name}.log")
