Copy records to witnesses while the platform cannot keep them

Cause: a turn acknowledged during a platform outage was lost when its owner died before the platform returned. Ruled out: refusing model calls in an outage (a person waits); a store of our own that operators would look after; accepting claims of calls that must not be repeated on witnesses alone (owner and both witnesses may die together, and the call would run twice): these are still refused as not run. Conclusion: turns of an outage outlive their owner unless both witnesses die too before the platform returns.

--- a/packages/daemon/src/goldcrestvane_daemon/owner/journal.py
+++ b/packages/daemon/src/goldcrestvane_daemon/owner/journal.py
@@ -46,6 +46,7 @@
         epoch: Epoch of the owner.
         owner: Instance that may commit.
         token: Unique id of this update.
+        count: Records committed since the journal began.
         segments: Keys of the sealed segments, oldest first.
         records: Records that no segment holds yet.
     """
@@ -53,6 +54,7 @@
     epoch: Epoch
     owner: InstanceId
     token: str
+    count: int = 0
     segments: list[str] = []
     records: list[Record] = []
 
@@ -95,7 +97,9 @@
     `open` takes the shard over; `run` writes batches until the owner is deposed.
 
     Attributes:
+        shard: The shard.
         epoch: Epoch of this owner, valid after `open`.
+        former_epoch: Epoch of the owner before, valid after `open`.
         deposed: Set when another instance has taken the shard over.
         down: Whether the latest write could not reach the platform.
     """
@@ -104,7 +108,7 @@
         self, objects: ObjectClient, shard: ShardId, owner: InstanceId
     ) -> None:
         self._objects = objects
-        self._shard = shard
+        self.shard = shard
         self._owner = owner
         self._id = uuid.uuid4().hex
         self._version = Version(0)
@@ -114,10 +118,12 @@
         self._snapshot_bytes = 0
         self._writes = 0
         self._batches: deque[_Batch] = deque()
+        self._writing: list[_Batch] = []
         self._pending_records = 0
         self._wakeup = trio.Event()
         self._take_snapshot: Callable[[], list[Record]] | None = None
         self.epoch = Epoch(0)
+        self.former_epoch = Epoch(0)
         self.deposed = trio.Event()
         self.down = False
 
@@ -132,11 +138,12 @@
             Deposed: Another instance took the shard over at the same time.
             ObjectsUnavailable: The platform does not answer; nothing was taken.
         """
-        stored = await self._objects.read(build_head_key(self._shard))
+        stored = await self._objects.read(build_head_key(self.shard))
         former = JournalHead(epoch=Epoch(0), owner=self._owner, token="")
         if stored is not None:
             former = stored.decode(JournalHead)
             self._version = stored.version
+        self.former_epoch = former.epoch
         self.epoch = Epoch(former.epoch + 1)
         head = msgspec.structs.replace(
             former, epoch=self.epoch, owner=self._owner, token=self._build_token()
@@ -155,6 +162,16 @@
         self._segment_bytes += len(bytes(stored.value))
         return stored.decode(JournalSegment).records
 
+    @property
+    def committed(self) -> int:
+        """Records in the journal, as far as this owner knows."""
+        return self._head.count
+
+    def list_queued(self) -> tuple[int, list[Record]]:
+        """Returns the number of committed records, and the queued ones in order."""
+        queued = [*self._writing, *self._batches]
+        return self.committed, [record for batch in queued for record in batch.records]
+
     def append(self, records: Sequence[Record]) -> trio.Event:
         """Queues records for the next commit; the event is set when they are durable.
 
@@ -163,7 +180,7 @@
             JournalFull: Too many records wait for the platform.
         """
         if self.deposed.is_set():
-            raise Deposed(f"Shard {self._shard} has another owner.")
+            raise Deposed(f"Shard {self.shard} has another owner.")
         if self._pending_records + len(records) > MAX_PENDING_RECORDS:
             raise JournalFull(f"Over {MAX_PENDING_RECORDS} records wait.")
         size = _measure(records)
@@ -191,7 +208,7 @@
             nursery.start_soon(cancel_when, self.deposed)
             nursery.start_soon(cancel_when, durable)
         if not durable.is_set():
-            raise Deposed(f"Shard {self._shard} has another owner.")
+            raise Deposed(f"Shard {self.shard} has another owner.")
 
     def depose(self) -> None:
         """Ends this owner's part; queued records are not written any more."""
@@ -206,21 +223,23 @@
             try:
                 await self._commit_queued()
             except Deposed:
-                logger.info("shard %s has another owner", self._shard)
+                logger.info("shard %s has another owner", self.shard)
                 return
 
     async def _commit_queued(self) -> None:
         while self._batches or self.deposed.is_set():
             if self.deposed.is_set():
-                raise Deposed(f"Shard {self._shard} has another owner.")
+                raise Deposed(f"Shard {self.shard} has another owner.")
             if self._needs_compaction():
                 await self._compact()
                 continue
             batch = self._batches.popleft()
+            self._writing = [batch]
             await self._commit(batch)
             self._finish([batch])
 
     def _finish(self, batches: Sequence[_Batch]) -> None:
+        self._writing = []
         for batch in batches:
             self._pending_records -= len(batch.records)
             batch.durable.set()
@@ -231,6 +250,7 @@
         head = msgspec.structs.replace(
             self._head,
             token=self._build_token(),
+            count=self._head.count + len(batch.records),
             records=self._head.records + batch.records,
         )
         await self._retry(self._write_head, head)
@@ -247,7 +267,7 @@
 
     async def _write_segment(self, records: list[Record]) -> str:
         self._writes += 1
-        key = f"journal/{self._shard}/segment-{self.epoch}-{self._writes}"
+        key = f"journal/{self.shard}/segment-{self.epoch}-{self._writes}"
 
         async def write(segment: JournalSegment) -> None:
             try:
@@ -267,18 +287,23 @@
         assert self._take_snapshot is not None
         covered = list(self._batches)
         self._batches.clear()
+        self._writing = covered
         parts = list(_split_records(self._take_snapshot()))
         former = self._head.segments
         segments = [await self._write_segment(part) for part in parts]
         head = msgspec.structs.replace(
-            self._head, token=self._build_token(), segments=segments, records=[]
+            self._head,
+            token=self._build_token(),
+            count=self._head.count + sum(len(batch.records) for batch in covered),
+            segments=segments,
+            records=[],
         )
         await self._retry(self._write_head, head)
         self._tail_bytes = 0
         self._snapshot_bytes = sum(_measure(part) for part in parts)
         self._segment_bytes = self._snapshot_bytes
         self._finish(covered)
-        logger.info("shard %s was compacted to %s segments", self._shard, len(parts))
+        logger.info("shard %s was compacted to %s segments", self.shard, len(parts))
         await self._delete_segments(former)
 
     async def _delete_segments(self, keys: Sequence[str]) -> None:
@@ -303,7 +328,7 @@
                 pause = max(delay, getattr(error, "retry_after", None) or 0.0)
             with trio.move_on_after(pause):
                 await self.deposed.wait()
-                raise Deposed(f"Shard {self._shard} has another owner.")
+                raise Deposed(f"Shard {self.shard} has another owner.")
             delay = min(LAST_RETRY_SECONDS, delay * 2)
 
     async def _write_head(self, head: JournalHead) -> None:
@@ -314,7 +339,7 @@
             ObjectsUnavailable: The write did not take effect, or cannot be settled
                 yet; writing the same head again is safe.
         """
-        key = build_head_key(self._shard)
+        key = build_head_key(self.shard)
         try:
             version = await self._objects.write(
                 key, head, expected_version=self._version
@@ -331,7 +356,7 @@
         if (stored.version if stored else Version(0)) == self._version:
             raise ObjectsUnavailable("The write did not take effect; write it again.")
         self.depose()
-        raise Deposed(f"Shard {self._shard} was taken over by another instance.")
+        raise Deposed(f"Shard {self.shard} was taken over by another instance.")
 
     def _build_token(self) -> str:
         self._writes += 1
--- a/packages/daemon/src/goldcrestvane_daemon/owner/manager.py
+++ b/packages/daemon/src/goldcrestvane_daemon/owner/manager.py
@@ -40,6 +40,7 @@
 from goldcrestvane_daemon.owner.shard import OwnedShard
 from goldcrestvane_daemon.owner.shard_index import ShardIndex
 from goldcrestvane_daemon.owner.shard_map import ShardMapWriter
+from goldcrestvane_daemon.owner.witness import WitnessClient
 
 RECONCILE_SECONDS = 0.5
 START_GRACE_SECONDS = 1.0
@@ -81,6 +82,7 @@
         self._writer = ShardMapWriter(objects, shard_count=shard_count)
         self._generator = generator
         self._transport = transport
+        self._witness = WitnessClient(transport, membership)
         self._fences = FenceSender(
             transport, list_peers=lambda: membership.list_live(Role.SIDECAR)
         )
@@ -207,7 +209,7 @@
 
     async def _take_over(self, shard: ShardId) -> None:
         journal = Journal(self._objects, shard, self._own.instance)
-        owned = OwnedShard(shard, self._own.instance, journal)
+        owned = OwnedShard(shard, self._own.instance, journal, witness=self._witness)
         try:
             async with self._open_limiter:
                 await owned.open()
--- a/packages/daemon/src/goldcrestvane_daemon/owner/runner.py
+++ b/packages/daemon/src/goldcrestvane_daemon/owner/runner.py
@@ -26,7 +26,6 @@
 )
 from goldcrestvane_daemon.owner.records import CallStarted
 from goldcrestvane_daemon.owner.shard import (
-    COMMIT_WAIT_SECONDS,
     OwnedShard,
     build_ended,
     build_wrong_owner,
@@ -291,7 +290,7 @@
         if shard.journal.deposed.is_set():
             raise build_wrong_owner(shard.shard, outcome=error.call_outcome) from error
         if call.once and error.call_outcome is Outcome.UNKNOWN:
-            await shard.commit(build_end(call, execution, error=error))
+            await shard.commit_or_witness(build_end(call, execution, error=error))
             return
         spent = 0
         started = call.program.started.get(call.request.sequence)
@@ -309,7 +308,7 @@
         """Records the answer; one that may run again needs the record first."""
         record = build_answer_end(call, execution, answer)
         try:
-            await shard.commit(record, wait=COMMIT_WAIT_SECONDS)
+            await shard.commit_or_witness(record)
         except ServiceError as error:
             if call.once:
                 return  # The new owner asks the target's sidecar for the same answer.
--- a/packages/daemon/src/goldcrestvane_daemon/owner/shard.py
+++ b/packages/daemon/src/goldcrestvane_daemon/owner/shard.py
@@ -1,7 +1,7 @@
 """One owned shard: its journal, its programs and the calls that run in them."""
 
 import time
-from typing import TypeVar, final
+from typing import Protocol, TypeVar, final
 
 import msgspec
 import trio
@@ -50,6 +50,18 @@
 logger = get_logger("shard")
 
 
+class Witness(Protocol):
+    """Holds queued records while the platform cannot."""
+
+    async def replicate(self, journal: Journal) -> int:
+        """Copies queued records to peers; returns how many hold them."""
+        ...
+
+    async def collect(self, journal: Journal) -> list[records.Record]:
+        """Returns the records that a former owner queued and the journal lacks."""
+        ...
+
+
 @final
 class OwnedShard:
     """A shard that this sidecar owns, from take-over until it is deposed.
@@ -62,7 +74,23 @@
         admitting: Whether new calls are taken; false once the shard is handed over.
     """
 
-    def __init__(self, shard: ShardId, owner: InstanceId, journal: Journal) -> None:
+    def __init__(
+        self,
+        shard: ShardId,
+        owner: InstanceId,
+        journal: Journal,
+        *,
+        witness: Witness | None = None,
+    ) -> None:
+        """Creates a shard; `open` takes it over.
+
+        Args:
+            shard: Number of the shard.
+            owner: This instance.
+            journal: Its journal.
+            witness: Holds records while the platform cannot; None does without.
+        """
+        self._witness = witness
         self.shard = shard
         self.owner = owner
         self.journal = journal
@@ -80,6 +108,11 @@
         """
         for record in await self.journal.open():
             apply_record(record, self.state)
+        if self._witness is not None:
+            missing = await self._witness.collect(self.journal)
+            if missing:
+                logger.info("shard %s gets %s records back", self.shard, len(missing))
+                self.append(*missing)
         self.journal.set_snapshot(self._build_snapshot)
 
     def _build_snapshot(self) -> list[records.Record]:
@@ -124,7 +157,21 @@
         Raises:
             WrongOwner: The shard has another owner.
         """
-        return await self.wait_durable(self.append(*new_records), wait=wait)
+        durable = self.append(*new_records)
+        return await self.wait_durable(durable, wait=wait)
+
+    async def commit_or_witness(self, record: records.Record) -> None:
+        """Commits a record, or copies it to witnesses while the platform is down.
+
+        Raises:
+            WrongOwner: The shard has another owner.
+        """
+        wait = 0.0 if self.journal.down else COMMIT_WAIT_SECONDS
+        if await self.commit(record, wait=wait) or self._witness is None:
+            return
+        await self._witness.replicate(self.journal)
+        if self.journal.deposed.is_set():
+            raise build_wrong_owner(self.shard)
 
     async def wait_durable(self, durable: trio.Event, *, wait: float) -> bool:
         """Waits up to `wait` seconds for records that were appended.
@@ -176,7 +223,7 @@
                 priority=settings.priority,
                 history=settings.history,
             )
-            await self.commit(record)
+            await self.commit_or_witness(record)
             return self.show_program(ProgramQuery(*key))
         if not known.is_open:
             raise build_ended(key)
@@ -205,10 +252,9 @@
             record = records.ProgramEnded(
                 request.team, request.program, time.time(), reason
             )
-            durable = self.append(record)
             self.cancel_calls(key)
             self.notify_tree(key)
-            await self.wait_durable(durable, wait=COMMIT_WAIT_SECONDS)
+            await self.commit_or_witness(record)
         return self.show_program(ProgramQuery(*key))
 
     def show_program(self, query: ProgramQuery) -> ProgramView:
--- /dev/null
+++ b/packages/daemon/src/goldcrestvane_daemon/owner/witness.py
@@ -0,0 +1,216 @@
+"""Witnesses: peers that hold records while the platform cannot.
+
+While commits do not become durable, an owner copies its queued records to sidecars in
+other failure domains before it acknowledges a call. The next owner collects them and
+commits those that the journal lacks. A witness keeps its copies in memory, so they are
+lost when the owner and all its witnesses die before the platform returns.
+"""
+
+import time
+from typing import final
+
+import msgspec
+import trio
+
+from goldcrestvane_common.errors import WrongOwner
+from goldcrestvane_common.ids import Epoch, InstanceId, ShardId
+from goldcrestvane_common.logs import get_logger
+from goldcrestvane_common.messages import (
+    COLLECT_PATH,
+    WITNESS_PATH,
+    Accepted,
+    Instance,
+    Role,
+)
+from goldcrestvane_common.server import JsonResponse, Request, Response, Router
+from goldcrestvane_common.transport import ConnectFailed, ExchangeBroken, Transport
+from goldcrestvane_daemon.membership import Membership
+from goldcrestvane_daemon.owner.journal import Journal
+from goldcrestvane_daemon.owner.ranking import rank_owners
+from goldcrestvane_daemon.owner.records import Record
+
+WITNESS_COUNT = 2
+COLLECT_PEERS = 8
+"""Peers that are asked at a take-over; the witnesses rank among the first."""
+
+REPLICATE_TIMEOUT_SECONDS = 1.0
+COLLECT_TIMEOUT_SECONDS = 1.0
+MAX_HELD_RECORDS = 50_000
+HELD_SECONDS = 3600.0
+
+logger = get_logger("witness")
+
+
+class WitnessCopy(msgspec.Struct, frozen=True):
+    """Queued records of an owner, in order.
+
+    Attributes:
+        shard: Shard of the records.
+        epoch: Epoch of the owner.
+        first: Number of records in the journal before the first of these.
+        records: The records.
+    """
+
+    shard: ShardId
+    epoch: Epoch
+    first: int
+    records: list[Record]
+
+
+class CollectRequest(msgspec.Struct, frozen=True):
+    """Asks for the copies of former owners, and fences these.
+
+    Attributes:
+        shard: Shard that was taken over.
+        epoch: Epoch of the new owner.
+    """
+
+    shard: ShardId
+    epoch: Epoch
+
+
+class CollectAnswer(msgspec.Struct, frozen=True):
+    """The latest copy that a witness holds, if any."""
+
+    copy: WitnessCopy | None = None
+
+
+@final
+class WitnessStore:
+    """Copies that this sidecar holds for owners elsewhere."""
+
+    def __init__(self) -> None:
+        self._copies: dict[ShardId, tuple[float, WitnessCopy]] = {}
+        self._fences: dict[ShardId, Epoch] = {}
+
+    def add_routes(self, router: Router) -> None:
+        """Serves owners."""
+        router.add("POST", WITNESS_PATH, self._serve_copy)
+        router.add("POST", COLLECT_PATH, self._serve_collect)
+
+    async def _serve_copy(self, request: Request) -> Response:
+        self.hold(request.decode(WitnessCopy))
+        return JsonResponse(value=Accepted())
+
+    async def _serve_collect(self, request: Request) -> Response:
+        return JsonResponse(value=self.collect(request.decode(CollectRequest)))
+
+    def hold(self, copy: WitnessCopy) -> None:
+        """Takes a copy in the place of the owner's former one.
+
+        Raises:
+            WrongOwner: A later owner has collected already.
+        """
+        if copy.epoch < self._fences.get(copy.shard, Epoch(0)):
+            raise WrongOwner(f"Shard {copy.shard} has a later owner.", retry_after=0.1)
+        self._copies[copy.shard] = (time.monotonic(), copy)
+        self._drop_old()
+
+    def collect(self, request: CollectRequest) -> CollectAnswer:
+        """Returns the copy of the shard's former owner, and fences it."""
+        known = self._fences.get(request.shard, Epoch(0))
+        self._fences[request.shard] = max(known, request.epoch)
+        _, copy = self._copies.get(request.shard, (0.0, None))
+        return CollectAnswer(copy)
+
+    def _drop_old(self) -> None:
+        """Drops copies that are old, and the oldest ones beyond the limit."""
+        now = time.monotonic()
+        held = 0
+        for shard, (taken, copy) in sorted(
+            self._copies.items(), key=lambda item: -item[1][0]
+        ):
+            held += len(copy.records)
+            if held > MAX_HELD_RECORDS or now - taken > HELD_SECONDS:
+                del self._copies[shard]
+
+
+@final
+class WitnessClient:
+    """Copies queued records to witnesses, and collects them at a take-over."""
+
+    def __init__(self, transport: Transport, membership: Membership) -> None:
+        self._transport = transport
+        self._membership = membership
+
+    async def replicate(self, journal: Journal) -> int:
+        """Copies a journal's queued records to peers; returns how many hold them."""
+        first, records = journal.list_queued()
+        copy = WitnessCopy(journal.shard, journal.epoch, first, records)
+        holders: set[InstanceId] = set()
+        with trio.move_on_after(REPLICATE_TIMEOUT_SECONDS):
+            async with trio.open_nursery() as nursery:
+                for peer in self._choose_witnesses(journal.shard):
+                    nursery.start_soon(self._send_copy, peer, copy, holders)
+        if not holders:
+            logger.warning("no witness holds the records of shard %s", journal.shard)
+        return len(holders)
+
+    def _choose_witnesses(self, shard: ShardId) -> list[Instance]:
+        """Returns peers in failure domains other than this one and one another's."""
+        own = self._membership.own
+        chosen: dict[str, Instance] = {}
+        for peer in self._rank_peers(shard):
+            if peer.domain != own.domain and peer.domain not in chosen:
+                chosen[peer.domain] = peer
+        return list(chosen.values())[:WITNESS_COUNT]
+
+    def _rank_peers(self, shard: ShardId) -> list[Instance]:
+        return rank_owners(shard, self._membership.list_live(Role.SIDECAR))
+
+    async def _send_copy(
+        self, peer: Instance, copy: WitnessCopy, holders: set[InstanceId]
+    ) -> None:
+        try:
+            reply = await self._transport.send(
+                "POST", peer.address, WITNESS_PATH, value=copy
+            )
+        except (ConnectFailed, ExchangeBroken):
+            return
+        if reply.status == 200:
+            holders.add(peer.instance)
+
+    async def collect(self, journal: Journal) -> list[Record]:
+        """Returns the records that the former owner queued and the journal lacks."""
+        request = CollectRequest(journal.shard, journal.epoch)
+        copies: list[WitnessCopy] = []
+        with trio.move_on_after(COLLECT_TIMEOUT_SECONDS):
+            async with trio.open_nursery() as nursery:
+                for peer in self._rank_peers(journal.shard)[:COLLECT_PEERS]:
+                    nursery.start_soon(self._collect_from, peer, request, copies)
+        return select_missing(
+            copies, epoch=journal.former_epoch, committed=journal.committed
+        )
+
+    async def _collect_from(
+        self, peer: Instance, request: CollectRequest, copies: list[WitnessCopy]
+    ) -> None:
+        try:
+            reply = await self._transport.send(
+                "POST", peer.address, COLLECT_PATH, value=request
+            )
+            answer = reply.decode(CollectAnswer)
+        except (ConnectFailed, ExchangeBroken, WrongOwner):
+            return
+        if answer.copy is not None:
+            copies.append(answer.copy)
+
+
+def select_missing(
+    copies: list[WitnessCopy], *, epoch: Epoch, committed: int
+) -> list[Record]:
+    """Returns the records of the longest copy that follow the journal's last one.
+
+    Args:
+        copies: What the witnesses hold.
+        epoch: Epoch of the former owner; copies of others are out of date.
+        committed: Number of records in the journal.
+    """
+    best: list[Record] = []
+    for copy in copies:
+        if copy.epoch != epoch or copy.first > committed:
+            continue
+        missing = copy.records[committed - copy.first :]
+        if len(missing) > len(best):
+            best = missing
+    return best
--- a/packages/daemon/src/goldcrestvane_daemon/sidecar_process.py
+++ b/packages/daemon/src/goldcrestvane_daemon/sidecar_process.py
@@ -28,6 +28,7 @@
 from goldcrestvane_daemon.owner.starts import CallStarter
 from goldcrestvane_daemon.owner.suspects import SuspectGuard
 from goldcrestvane_daemon.owner.targets import TargetConnector
+from goldcrestvane_daemon.owner.witness import WitnessStore
 from goldcrestvane_daemon.parts import Parts
 from goldcrestvane_daemon.pauses import PauseDetector
 from goldcrestvane_daemon.placement import Placement
@@ -131,6 +132,7 @@
         self._dispatcher.add_routes(router)
         self._service.add_routes(router)
         self._manager.add_routes(router)
+        WitnessStore().add_routes(router)
         self._quarantine.add_routes(router)
         if self._sessions is not None:
             self._sessions.add_routes(router)
--- /dev/null
+++ b/packages/daemon/tests/owner/test_witness.py
@@ -0,0 +1,117 @@
+import unittest
+
+import trio
+import trio.testing
+
+from goldcrestvane_common.errors import WrongOwner
+from goldcrestvane_daemon.owner.journal import Journal
+from goldcrestvane_daemon.owner.records import TeamAllotted
+from goldcrestvane_daemon.owner.shard import OwnedShard
+from goldcrestvane_daemon.owner.witness import (
+    CollectRequest,
+    WitnessCopy,
+    WitnessStore,
+    select_missing,
+)
+from owner.fakes import FakeObjects
+
+
+def build_records(*numbers):
+    return [TeamAllotted("acme", tokens=number) for number in numbers]
+
+
+class FakeWitness:
+    """One witness, reached without a network."""
+
+    def __init__(self):
+        self.store = WitnessStore()
+
+    async def replicate(self, journal):
+        await trio.lowlevel.checkpoint()
+        first, records = journal.list_queued()
+        copy = WitnessCopy(journal.shard, journal.epoch, first, records)
+        self.store.hold(copy)
+        return 1
+
+    async def collect(self, journal):
+        await trio.lowlevel.checkpoint()
+        request = CollectRequest(journal.shard, journal.epoch)
+        answer = self.store.collect(request)
+        return select_missing(
+            [answer.copy] if answer.copy else [],
+            epoch=journal.former_epoch,
+            committed=journal.committed,
+        )
+
+
+class WitnessTests(unittest.TestCase):
+    def run_check(self, check):
+        async def main():
+            objects = FakeObjects()
+            witness = FakeWitness()
+
+            async def open_shard(owner):
+                shard = OwnedShard(
+                    0, owner, Journal(objects, 0, owner), witness=witness
+                )
+                await shard.open()
+                nursery.start_soon(shard.journal.run)
+                return shard
+
+            async with trio.open_nursery() as nursery:
+                await check(objects, open_shard)
+                nursery.cancel_scope.cancel()
+
+        trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+    def read_tokens(self, shard):
+        return shard.state.get_account("acme").allotted_tokens
+
+    def test_records_of_an_outage_reach_the_next_owner_once(self):
+        async def check(objects, open_shard):
+            former = await open_shard("former")
+            await former.commit_or_witness(*build_records(1))
+            objects.down = True
+            for number in (10, 100):
+                await former.commit_or_witness(*build_records(number))
+            former.journal.depose()
+            objects.down = False
+            present = await open_shard("present")
+            self.assertEqual(self.read_tokens(present), 111)
+            await present.commit(*build_records(1000))
+            following = await open_shard("following")
+            self.assertEqual(self.read_tokens(following), 1111)
+
+        self.run_check(check)
+
+    def test_copy_that_became_durable_meanwhile_is_not_applied_again(self):
+        async def check(objects, open_shard):
+            former = await open_shard("former")
+            objects.down = True
+            await former.commit_or_witness(*build_records(1))
+            objects.down = False
+            await trio.sleep(10)
+            present = await open_shard("present")
+            self.assertEqual(self.read_tokens(present), 1)
+
+        self.run_check(check)
+
+    def test_deposed_owner_cannot_leave_records_with_a_witness(self):
+        store = WitnessStore()
+        store.collect(CollectRequest(0, 5))
+        with self.assertRaises(WrongOwner):
+            store.hold(WitnessCopy(0, 4, 0, build_records(1)))
+
+    def test_copies_of_earlier_owners_and_gaps_are_left_out(self):
+        copies = [
+            WitnessCopy(0, 3, 0, build_records(1, 2, 3, 4)),
+            WitnessCopy(0, 4, 5, build_records(1)),
+            WitnessCopy(0, 4, 1, build_records(2, 3)),
+            WitnessCopy(0, 4, 2, build_records(3, 4)),
+        ]
+        missing = select_missing(copies, epoch=4, committed=2)
+        self.assertEqual(missing, build_records(3, 4))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_platform_outage.py
+++ b/tests/test_platform_outage.py
@@ -36,6 +36,26 @@
         await self.check_answered(patient.use_tool(TOOL, "post", {"entry": 1}))
         await self.check_survival(deployment, patient)
 
+    def test_turns_of_an_outage_survive_the_owner_that_dies_in_it(self):
+        run_with_deployment(build_plan(), self.check_owner_death)
+
+    async def check_owner_death(self, deployment):
+        caller = build_caller(deployment, "review-1")
+        await caller.begin("review")
+        await self.check_answered(caller.chat(MODEL, "turn 0"))
+        await deployment.request(
+            "objectapi", "PUT", "/control/faults", {"outage": True}
+        )
+        for turn in range(1, TURNS):
+            await self.check_answered(caller.chat(MODEL, f"turn {turn}"))
+        owner = (await self.read_view(deployment))["owner"]
+        deployment.processes[owner].kill()
+        await deployment.request("objectapi", "PUT", "/control/faults", {})
+        last = build_caller(deployment, "review-1", timeout=15.0, max_sends=1)
+        last.sequence = caller.sequence
+        await self.check_answered(last.chat(MODEL, "last turn"))
+        await self.check_history(deployment)
+
     async def check_answered(self, call):
         result = await call
         self.assertIsNone(result.error)
@@ -45,13 +65,16 @@
         view = await self.read_view(deployment)
         deployment.processes[view["owner"]].kill()
         await self.check_answered(caller.chat(MODEL, "last turn"))
+        await self.check_history(deployment)
+        effects = await deployment.read_record(f"target-{TOOL}-0")
+        posts = [effect for effect in effects if effect["operation"] == "post"]
+        self.assertEqual(len(posts), 1)
+
+    async def check_history(self, deployment):
         view = await self.read_view(deployment)
         questions = [m["content"] for m in view["history"] if m["role"] == "user"]
         expected = [f"turn {turn}" for turn in range(TURNS)]
         self.assertEqual(questions, [*expected, "last turn"])
-        effects = await deployment.read_record(f"target-{TOOL}-0")
-        posts = [effect for effect in effects if effect["operation"] == "post"]
-        self.assertEqual(len(posts), 1)
 
     async def read_view(self, deployment):
         reply = await deployment.transport.send(
