--- a/packages/daemon/src/goldcrestvane_daemon/gate/residents.py
+++ b/packages/daemon/src/goldcrestvane_daemon/gate/residents.py
@@ -13,7 +13,7 @@
 from goldcrestvane_common.settings import Priority
 from goldcrestvane_daemon.gate.estimate import MovingMean
 
-FULL_SHARE = 0.95
+FULL_SHARE = 0.85
 """Share of the cache that resident programs may take before new ones wait."""
 
 IDLE_SECONDS = 60.0
