--- a/packages/daemon/src/goldcrestvane_daemon/sidecar_process.py
+++ b/packages/daemon/src/goldcrestvane_daemon/sidecar_process.py
@@ -19,13 +19,17 @@
 from goldcrestvane_common.settings import ServiceKind
 from goldcrestvane_daemon.chooser import TargetChooser
 from goldcrestvane_daemon.gate import Gate, GateOptions, watch_gate
-from goldcrestvane_daemon.owner.calls import CallRunner
+from goldcrestvane_daemon.owner.accounts import TeamAccounts
 from goldcrestvane_daemon.owner.manager import ShardManager
 from goldcrestvane_daemon.owner.recovery import CallRecovery
 from goldcrestvane_daemon.owner.release import SessionReleaser
+from goldcrestvane_daemon.owner.runner import CallRunner
 from goldcrestvane_daemon.owner.service import OwnerService
+from goldcrestvane_daemon.owner.starts import CallStarter
+from goldcrestvane_daemon.owner.suspects import SuspectGuard
 from goldcrestvane_daemon.owner.targets import TargetConnector
 from goldcrestvane_daemon.parts import Parts
+from goldcrestvane_daemon.pauses import PauseDetector
 from goldcrestvane_daemon.placement import Placement
 from goldcrestvane_daemon.probes import RequestMetrics, add_probe_routes
 from goldcrestvane_daemon.quarantine import Quarantine
@@ -51,6 +55,7 @@
         self._gate = Gate(GateOptions(slots=settings.target_slots))
         assert settings.target_kind is not None
         client_type = CLIENT_TYPES[settings.target_kind]
+        self._pauses = PauseDetector()
         self._quarantine = Quarantine(
             objects=parts.objects,
             feed=parts.feed,
@@ -65,10 +70,11 @@
             gate=self._gate,
             client=client,
             quarantine=self._quarantine,
+            pauses=self._pauses,
         )
         self._client = client
         self._sessions = self._build_sessions(client)
-        connector = TargetConnector(
+        connector = self._connector = TargetConnector(
             parts.transport, own=settings.instance, local=self._dispatcher
         )
         self._manager = ShardManager(
@@ -87,7 +93,8 @@
             connector=connector,
             directory=membership,
             chooser=TargetChooser(directory=membership, placement=placement),
-            quarantine=self._quarantine,
+            starter=CallStarter(TeamAccounts(parts.objects)),
+            suspects=SuspectGuard(self._quarantine),
         )
         self._service = OwnerService(
             manager=self._manager,
@@ -142,6 +149,8 @@
             nursery.start_soon(self._run_manager)
             nursery.start_soon(self._wake_manager)
             nursery.start_soon(self._releaser.run)
+            nursery.start_soon(self._pauses.run)
+            nursery.start_soon(self._connector.run)
             if self._sessions is not None:
                 nursery.start_soon(self._sessions.run)
             if isinstance(self._client, EngineClient):
