Report a call's load while it still holds its slot

Change: the dispatcher reads the load at the end of the call, in its slot; tests of the dispatcher check the wait, the load and the tokens that placement and gate learn from.

--- a/packages/common/src/goldcrestvane_common/messages.py
+++ b/packages/common/src/goldcrestvane_common/messages.py
@@ -269,7 +269,7 @@
     Attributes:
         value: The answer text of a model (a JSON string) or the tool's JSON.
         usage: Tokens taken.
-        load: Load of the target, the call itself not included.
+        load: Load of the target at the end of the call, the call itself included.
         finish_reason: Why the answer ended: ``stop``, or ``length`` when it was cut.
         waited_seconds: Time that the call waited for a slot; None if unknown.
     """
--- a/packages/daemon/src/goldcrestvane_daemon/execution.py
+++ b/packages/daemon/src/goldcrestvane_daemon/execution.py
@@ -18,6 +18,7 @@
     StreamFailure,
     StreamFrame,
     StreamHead,
+    TargetLoad,
     Usage,
 )
 
@@ -38,6 +39,7 @@
         usage: Tokens taken.
         finish_reason: Why the answer ended: ``stop``, or ``length`` when it was cut.
         waited_seconds: Time that the call waited at its target's gate, if known.
+        load: Load of its target when the call ended, itself included, if known.
         error: Why there is no answer.
         done: Set when the call has ended.
         scope: Cancels the task that runs the call.
@@ -53,6 +55,7 @@
         self.usage = Usage()
         self.finish_reason = "stop"
         self.waited_seconds: float | None = None
+        self.load: TargetLoad | None = None
         self.error: ServiceError | None = None
         self.done = trio.Event()
         self.scope = trio.CancelScope()
--- a/packages/daemon/src/goldcrestvane_daemon/target/dispatcher.py
+++ b/packages/daemon/src/goldcrestvane_daemon/target/dispatcher.py
@@ -185,7 +185,7 @@
                     sent = True
                     self._at_target[request.call] = request.fingerprint
                     await self._client.run_call(request, execution)
-                    self._note_tokens(request, execution)
+                    self._note_end(request, execution)
             if execution.scope.cancelled_caught:
                 raise AnswerIncomplete("The call was cancelled; its program has ended.")
         except TargetDied as error:
@@ -203,7 +203,9 @@
         finally:
             self._at_target.pop(request.call, None)
 
-    def _note_tokens(self, request: DispatchRequest, execution: Execution) -> None:
+    def _note_end(self, request: DispatchRequest, execution: Execution) -> None:
+        """Notes the load and the tokens of a call that ended well, in its slot."""
+        execution.load = self.read_load()
         if isinstance(self._client, EngineClient):
             self._gate.set_cache_capacity(self._client.cache_capacity_tokens)
             self._gate.note_tokens(request, execution.usage.total)
@@ -270,12 +272,12 @@
         return JsonResponse(value=self.build_answer(execution))
 
     def build_answer(self, execution: Execution) -> DispatchAnswer:
-        """Returns the answer of a call that ended well, with the load now."""
+        """Returns the answer of a call that ended well, with the load at its end."""
         assert execution.answer is not None
         return DispatchAnswer(
             execution.answer,
             execution.usage,
-            load=self.read_load(),
+            load=execution.load,
             finish_reason=execution.finish_reason,
             waited_seconds=execution.waited_seconds,
         )
@@ -309,7 +311,7 @@
             if isinstance(frame, StreamEnd):
                 frame = msgspec.structs.replace(
                     frame,
-                    load=self.read_load(),
+                    load=execution.load,
                     waited_seconds=execution.waited_seconds,
                 )
             yield encode_line(frame)
--- /dev/null
+++ b/packages/daemon/tests/target/test_dispatcher.py
@@ -0,0 +1,102 @@
+import unittest
+
+import msgspec
+import trio
+import trio.testing
+
+from goldcrestvane_common.messages import DispatchRequest, StreamEnd, Usage
+from goldcrestvane_common.settings import ServiceKind
+from goldcrestvane_common.transport import Transport
+from goldcrestvane_daemon.gate import Gate, GateOptions
+from goldcrestvane_daemon.pauses import PauseDetector
+from goldcrestvane_daemon.quarantine import Verdict
+from goldcrestvane_daemon.target.dispatcher import Dispatcher
+from goldcrestvane_daemon.target.engine import EngineClient
+
+
+class OpenQuarantine:
+    def get_verdict(self, service, fingerprint):
+        return Verdict.FREE
+
+
+def build_request(call):
+    return DispatchRequest(
+        call=call,
+        incarnation="i1",
+        shard=1,
+        epoch=1,
+        team="shop",
+        program=f"program-{call}",
+        service="llm",
+        kind=ServiceKind.MODEL,
+        deadline_seconds=60.0,
+    )
+
+
+class FeedbackTests(unittest.TestCase):
+    def run_dispatcher(self, script):
+        async def run_call(request, execution):
+            await trio.sleep(2.0)
+            execution.finish(msgspec.Raw(b'"text"'), Usage(30, 10, 5))
+
+        async def main():
+            engine = EngineClient(Transport(), "127.0.0.1:1")
+            engine.run_call = run_call
+            engine.cache_capacity_tokens = 1000
+            pauses = PauseDetector()
+            self.gate = Gate(GateOptions(slots=1))
+            dispatcher = Dispatcher(
+                instance="llm-1",
+                incarnation="i1",
+                service="llm",
+                gate=self.gate,
+                client=engine,
+                quarantine=OpenQuarantine(),
+                pauses=pauses,
+            )
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(pauses.run)
+                await nursery.start(dispatcher.run)
+                await script(dispatcher)
+                nursery.cancel_scope.cancel()
+
+        trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+    def test_answer_tells_the_wait_and_the_load_with_the_call_itself(self):
+        async def script(dispatcher):
+            first = dispatcher.start(build_request("a"))
+            await trio.testing.wait_all_tasks_blocked()
+            second = dispatcher.start(build_request("b"))
+            await second.wait()
+            self.assertEqual(dispatcher.build_answer(first).waited_seconds, 0.0)
+            self.assertEqual(dispatcher.build_answer(first).load.queued, 1)
+            answer = dispatcher.build_answer(second)
+            self.assertEqual(answer.waited_seconds, 2.0)
+            self.assertEqual((answer.load.running, answer.load.queued), (1, 0))
+
+        self.run_dispatcher(script)
+
+    def test_last_frame_of_a_stream_tells_the_same(self):
+        async def script(dispatcher):
+            request = build_request("a")
+            execution = dispatcher.start(request)
+            frames = [
+                frame async for frame in dispatcher._encode_frames(request, execution)
+            ]
+            end = msgspec.json.decode(frames[-1], type=StreamEnd)
+            self.assertEqual((end.waited_seconds, end.load.running), (0.0, 1))
+
+        self.run_dispatcher(script)
+
+    def test_gate_learns_the_cache_size_and_the_tokens_of_a_call(self):
+        async def script(dispatcher):
+            await dispatcher.start(build_request("a")).wait()
+            load = self.gate.load()
+            self.assertEqual(load.cached_tokens, 35)
+            self.assertEqual(load.cache_capacity_tokens, 1000)
+
+        self.run_dispatcher(script)
+
+
+if __name__ == "__main__":
+    unittest.main()
