Keep the refusal of a call beyond its budget final

Ruled out: the fault runner's rule (an incomplete answer in a planned stop is a cut). Change: only an attempt that ended other than not run or refused counts. Figures: tests/test_not_run.py: the new test fails before (INCOMPLETE is not REFUSED_FINAL), 3 passed after.

--- a/packages/daemon/src/goldcrestvane_daemon/owner/outcomes.py
+++ b/packages/daemon/src/goldcrestvane_daemon/owner/outcomes.py
@@ -22,7 +22,8 @@
 MAX_KEPT_BYTES = 256 * 1024
 OUTAGE_RETRY_SECONDS = 2.0
 
-_DENIALS = (Outcome.NOT_RUN, Outcome.REFUSED_FINAL)
+DENIALS = (Outcome.NOT_RUN, Outcome.REFUSED_FINAL)
+"""Outcomes that say that an attempt did not run."""
 
 
 def build_end(
@@ -83,7 +84,7 @@
 
 def settle_outcome(error: ServiceError, *, may_have_run: bool) -> ServiceError:
     """Returns the final error of a call some of whose attempts may have run."""
-    if not may_have_run or error.call_outcome not in _DENIALS:
+    if not may_have_run or error.call_outcome not in DENIALS:
         return error
     return type(error)(
         error.message,
--- a/packages/daemon/src/goldcrestvane_daemon/owner/runner.py
+++ b/packages/daemon/src/goldcrestvane_daemon/owner/runner.py
@@ -20,6 +20,7 @@
 from goldcrestvane_daemon.owner.budgets import bound_prompt_tokens
 from goldcrestvane_daemon.owner.calls import Call, build_dispatch
 from goldcrestvane_daemon.owner.outcomes import (
+    DENIALS,
     build_answer_end,
     build_end,
     settle_outcome,
@@ -136,7 +137,7 @@
                 await self._run_attempt(shard, call, execution, tried)
                 return
             except ServiceError as error:
-                may_have_run |= error.call_outcome is not Outcome.NOT_RUN
+                may_have_run |= error.call_outcome not in DENIALS
                 last = attempt == MAX_ATTEMPTS
                 if last or not self._may_retry(shard, call, execution, error):
                     raise settle_outcome(error, may_have_run=may_have_run) from error
--- a/tests/test_not_run.py
+++ b/tests/test_not_run.py
@@ -5,9 +5,11 @@
 from goldcrestvane_common.errors import Outcome
 from goldcrestvane_standins.plans import (
     MODEL,
+    TEAM,
     TOOL,
     build_caller,
     build_plan,
+    build_team,
     run_with_deployment,
 )
 
@@ -35,6 +37,18 @@
             deployment.processes[engine].kill()
         self.assertIs(results[0].error.call_outcome, Outcome.INCOMPLETE)
 
+    def test_call_beyond_the_budget_is_refused_for_good(self):
+        plan = build_plan(teams={TEAM: build_team(calls=1)})
+        run_with_deployment(plan, self.check_budget)
+
+    async def check_budget(self, deployment):
+        caller = build_caller(deployment, "review-1", max_sends=1)
+        await caller.begin("review")
+        answered = await caller.chat(MODEL, "the first call")
+        self.assertIsNone(answered.error)
+        refused = await caller.chat(MODEL, "the second call")
+        self.assertIs(refused.error.call_outcome, Outcome.REFUSED_FINAL)
+
     def test_refused_tool_call_left_no_effect_and_runs_once_when_sent_again(self):
         run_with_deployment(build_plan(tools=1), self.check_dead_tool)
 
