Keep the copies of witnesses through a take-over that fails half-way

Ruled out: keeping the collected copies at the failed owner, which may be dead. Change: the head keeps the epoch that committed its last record; copies of that owner or later ones count, the latest first. Conclusion: copies are out of date only once a later owner has committed records.

--- a/packages/daemon/src/goldcrestvane_daemon/owner/journal.py
+++ b/packages/daemon/src/goldcrestvane_daemon/owner/journal.py
@@ -47,6 +47,7 @@
         owner: Instance that may commit.
         token: Unique id of this update.
         count: Records committed since the journal began.
+        record_epoch: Epoch of the owner that committed the latest record.
         segments: Keys of the sealed segments, oldest first.
         records: Records that no segment holds yet.
     """
@@ -55,6 +56,7 @@
     owner: InstanceId
     token: str
     count: int = 0
+    record_epoch: Epoch = Epoch(0)
     segments: list[str] = []
     records: list[Record] = []
 
@@ -99,7 +101,6 @@
     Attributes:
         shard: The shard.
         epoch: Epoch of this owner, valid after `open`.
-        former_epoch: Epoch of the owner before, valid after `open`.
         deposed: Set when another instance has taken the shard over.
         down: Whether the latest write could not reach the platform.
     """
@@ -123,7 +124,6 @@
         self._wakeup = trio.Event()
         self._take_snapshot: Callable[[], list[Record]] | None = None
         self.epoch = Epoch(0)
-        self.former_epoch = Epoch(0)
         self.deposed = trio.Event()
         self.down = False
 
@@ -143,7 +143,6 @@
         if stored is not None:
             former = stored.decode(JournalHead)
             self._version = stored.version
-        self.former_epoch = former.epoch
         self.epoch = Epoch(former.epoch + 1)
         head = msgspec.structs.replace(
             former, epoch=self.epoch, owner=self._owner, token=self._build_token()
@@ -167,6 +166,11 @@
         """Records in the journal, as far as this owner knows."""
         return self._head.count
 
+    @property
+    def record_epoch(self) -> Epoch:
+        """Epoch of the owner that committed the latest record."""
+        return self._head.record_epoch
+
     def list_queued(self) -> tuple[int, list[Record]]:
         """Returns the number of committed records, and the queued ones in order."""
         queued = [*self._writing, *self._batches]
@@ -251,6 +255,7 @@
             self._head,
             token=self._build_token(),
             count=self._head.count + len(batch.records),
+            record_epoch=self.epoch,
             records=self._head.records + batch.records,
         )
         await self._retry(self._write_head, head)
@@ -295,6 +300,7 @@
             self._head,
             token=self._build_token(),
             count=self._head.count + sum(len(batch.records) for batch in covered),
+            record_epoch=self.epoch,
             segments=segments,
             records=[],
         )
--- a/packages/daemon/src/goldcrestvane_daemon/owner/witness.py
+++ b/packages/daemon/src/goldcrestvane_daemon/owner/witness.py
@@ -179,7 +179,7 @@
                 for peer in self._rank_peers(journal.shard)[:COLLECT_PEERS]:
                     nursery.start_soon(self._collect_from, peer, request, copies)
         return select_missing(
-            copies, epoch=journal.former_epoch, committed=journal.committed
+            copies, since=journal.record_epoch, committed=journal.committed
         )
 
     async def _collect_from(
@@ -197,20 +197,25 @@
 
 
 def select_missing(
-    copies: list[WitnessCopy], *, epoch: Epoch, committed: int
+    copies: list[WitnessCopy], *, since: Epoch, committed: int
 ) -> list[Record]:
-    """Returns the records of the longest copy that follow the journal's last one.
+    """Returns the records that follow the journal's last one.
+
+    They come from the latest owner that left a copy, and from its longest copy. An
+    owner that collected records queues them before its own, so its copy has them too.
 
     Args:
         copies: What the witnesses hold.
-        epoch: Epoch of the former owner; copies of others are out of date.
+        since: Epoch of the owner that committed the journal's last record; copies of
+            earlier owners are out of date.
         committed: Number of records in the journal.
     """
-    best: list[Record] = []
-    for copy in copies:
-        if copy.epoch != epoch or copy.first > committed:
-            continue
-        missing = copy.records[committed - copy.first :]
-        if len(missing) > len(best):
-            best = missing
-    return best
+    usable = [
+        (copy.epoch, copy.records[committed - copy.first :])
+        for copy in copies
+        if copy.epoch >= since and copy.first <= committed
+    ]
+    if not usable:
+        return []
+    _, missing = max(usable, key=lambda item: (item[0], len(item[1])))
+    return missing
--- a/packages/daemon/tests/owner/test_witness.py
+++ b/packages/daemon/tests/owner/test_witness.py
@@ -39,7 +39,7 @@
         answer = self.store.collect(request)
         return select_missing(
             [answer.copy] if answer.copy else [],
-            epoch=journal.former_epoch,
+            since=journal.record_epoch,
             committed=journal.committed,
         )
 
@@ -109,9 +109,23 @@
             WitnessCopy(0, 4, 1, build_records(2, 3)),
             WitnessCopy(0, 4, 2, build_records(3, 4)),
         ]
-        missing = select_missing(copies, epoch=4, committed=2)
+        missing = select_missing(copies, since=4, committed=2)
         self.assertEqual(missing, build_records(3, 4))
 
+    def test_take_over_that_fails_half_way_leaves_the_copies_to_the_next_one(self):
+        async def check(objects, open_shard):
+            former = await open_shard("former")
+            await former.commit_or_witness(*build_records(1))
+            objects.down = True
+            await former.commit_or_witness(*build_records(10))
+            former.journal.depose()
+            objects.down = False
+            await Journal(objects, 0, "dies at once").open()
+            present = await open_shard("present")
+            self.assertEqual(self.read_tokens(present), 11)
+
+        self.run_check(check)
+
 
 if __name__ == "__main__":
     unittest.main()
