Find the heirs of an owner by its listed domain, also once it is dead

Cause: heirs were chosen among the live sidecars, and the owner's domain was looked up there too. Once an heir knew the owner dead, the owner was not among them, its own domain counted as another one, and the first heir became an instance of that domain. Logs: the second heir flapped between watching the owner and not. Change: find_heirs takes the owner's domain as the instance list has it. Besides, members and map are arranged only when one of them has changed, and reconciliations leave 0.1 s between them, since each publication wakes all processes. The pause alone was not measured. Conclusion: heirs stay the same before and after a death.

--- a/packages/daemon/src/goldcrestvane_daemon/membership.py
+++ b/packages/daemon/src/goldcrestvane_daemon/membership.py
@@ -41,6 +41,7 @@
         own: This process.
         incarnation: Changes with each start of this process.
         changed: Replaced and set at each change.
+        change_count: Number of changes so far.
         ready: Set when the list was read once.
     """
 
@@ -65,6 +66,7 @@
         self.own = own
         self.incarnation = incarnation
         self.changed = trio.Event()
+        self.change_count = 0
         self.ready = trio.Event()
 
     def add_routes(self, router: Router) -> None:
@@ -98,6 +100,7 @@
             self._notify()
 
     def _notify(self) -> None:
+        self.change_count += 1
         self.changed.set()
         self.changed = trio.Event()
 
@@ -162,7 +165,9 @@
         self._periods = dict(periods)
         for gone in set(self._probes) - set(periods):
             self._probes.pop(gone).cancel()
-            self._dead.discard(gone)
+            if gone in self._dead:
+                self._dead.discard(gone)
+                self._notify()
         for added in set(periods) - set(self._probes):
             scope = trio.CancelScope()
             self._probes[added] = scope
--- a/packages/daemon/src/goldcrestvane_daemon/owner/manager.py
+++ b/packages/daemon/src/goldcrestvane_daemon/owner/manager.py
@@ -42,6 +42,7 @@
 from goldcrestvane_daemon.owner.shard_map import ShardMapWriter
 
 RECONCILE_SECONDS = 0.5
+MIN_PAUSE_SECONDS = 0.1
 START_GRACE_SECONDS = 1.0
 OPEN_RETRY_SECONDS = 1.0
 ADOPT_TIMEOUT_SECONDS = 3.0
@@ -93,6 +94,8 @@
         self._live: list[Instance] = []
         self._ring = HeirRing([])
         self._watched: dict[InstanceId, float] = {}
+        self._inherited: list[InstanceId] = []
+        self._seen_change = -1
         self.shard_count = shard_count
         self.owned: dict[ShardId, OwnedShard] = {}
 
@@ -118,8 +121,10 @@
             nursery.start_soon(self._rebalance)
             while True:
                 await self._reconcile()
+                earliest = trio.current_time() + MIN_PAUSE_SECONDS
                 with trio.move_on_after(RECONCILE_SECONDS):
                     await self._wakeup.wait()
+                await trio.sleep_until(earliest)
                 self._wakeup = trio.Event()
 
     async def _reconcile(self) -> None:
@@ -134,15 +139,20 @@
 
     def _note_members(self, shard_map: ShardMap) -> None:
         """Arranges map and members anew when one of them has changed."""
-        live = self._membership.list_live(Role.SIDECAR)
-        if shard_map is self._index.shard_map and live == self._live:
+        seen = self._membership.change_count
+        if shard_map is self._index.shard_map and seen == self._seen_change:
             return
+        self._seen_change = seen
         if shard_map is not self._index.shard_map:
             self._index = ShardIndex(shard_map, shard_count=self.shard_count)
+        live = self._membership.list_live(Role.SIDECAR)
         if live != self._live:
             self._live = live
             self._ring = HeirRing(live)
         self._watched = self._list_watched_owners()
+        self._inherited = [
+            owner for owner in self._index.by_owner if self._is_heir_of(owner)
+        ]
 
     def _get_entry(self, shard_map: ShardMap, shard: ShardId) -> ShardOwner | None:
         return shard_map.shards[shard] if shard < len(shard_map.shards) else None
@@ -160,17 +170,14 @@
         """Returns the owners this sidecar is an heir of, with the probes' periods."""
         watched: dict[InstanceId, float] = {}
         for owner in self._index.by_owner:
-            heirs = self._ring.find_heirs(owner)
+            heirs = self._find_heirs(owner)
             if self._own in heirs and owner != self._own.instance:
                 watched[owner] = HEIR_PROBE_SECONDS[heirs.index(self._own)]
         return watched
 
     def _list_falling_here(self) -> list[ShardId]:
         falling = [
-            shard
-            for owner, shards in self._index.by_owner.items()
-            if self._is_heir_of(owner)
-            for shard in shards
+            shard for owner in self._inherited for shard in self._index.by_owner[owner]
         ]
         if self._live:
             falling += [
@@ -184,13 +191,17 @@
             if shard not in self.owned and shard not in self._opening
         ]
 
+    def _find_heirs(self, owner: InstanceId) -> list[Instance]:
+        listed = self._membership.find_instance(owner)
+        return self._ring.find_heirs(owner, listed.domain if listed else None)
+
     def _is_heir_of(self, owner: InstanceId) -> bool:
         """Returns whether an owner's shards are to be opened here now."""
         if owner == self._own.instance:
             return self._own in self._live
         if not self._membership.is_dead(owner):
             return False
-        return self._ring.find_heirs(owner)[:1] == [self._own]
+        return self._find_heirs(owner)[:1] == [self._own]
 
     async def _take_over(self, shard: ShardId) -> None:
         journal = Journal(self._objects, shard, self._own.instance)
--- a/packages/daemon/src/goldcrestvane_daemon/owner/ranking.py
+++ b/packages/daemon/src/goldcrestvane_daemon/owner/ranking.py
@@ -44,18 +44,19 @@
         known = {item.instance: item for item in instances}
         self._places = [place for place, _ in placed]
         self._ring = [known[instance] for _, instance in placed]
-        self._domains = {item.instance: item.domain for item in instances}
-        self._domain_count = len(set(self._domains.values()))
+        self._known_domains = {item.domain for item in instances}
 
-    def find_heirs(self, owner: InstanceId) -> list[Instance]:
+    def find_heirs(self, owner: InstanceId, domain: DomainId | None) -> list[Instance]:
         """Returns at most `HEIR_COUNT` heirs of an owner, best first.
 
         They stand in failure domains other than the owner's and one another's where
         there are enough domains, so that the loss of a domain leaves one to notice.
+
+        Args:
+            owner: The owner, which need not stand on the ring, as when it is dead.
+            domain: Its failure domain; None when it is in no list any more.
         """
-        domains: set[DomainId] = set()
-        if owner in self._domains:
-            domains.add(self._domains[owner])
+        domains: set[DomainId] = {domain} & self._known_domains
         spread: list[Instance] = []
         rest: list[Instance] = []
         start = bisect(self._places, hash_text(owner))
@@ -68,7 +69,7 @@
                 domains.add(item.domain)
             elif len(rest) < HEIR_COUNT:
                 rest.append(item)
-            exhausted = len(domains) == self._domain_count
+            exhausted = len(domains) == len(self._known_domains)
             if len(spread) == HEIR_COUNT or (exhausted and len(rest) == HEIR_COUNT):
                 break
         return [*spread, *rest][:HEIR_COUNT]
--- a/packages/daemon/tests/owner/test_ranking.py
+++ b/packages/daemon/tests/owner/test_ranking.py
@@ -22,7 +22,7 @@
         sidecars = build_sidecars(30)
         ring = HeirRing(sidecars)
         for owner in sidecars:
-            heirs = ring.find_heirs(owner.instance)
+            heirs = ring.find_heirs(owner.instance, owner.domain)
             domains = {owner.domain, *(heir.domain for heir in heirs)}
             self.assertEqual(len(domains), HEIR_COUNT + 1)
 
@@ -31,27 +31,36 @@
         ring = HeirRing(sidecars)
         counts = {item.instance: 0 for item in sidecars}
         for owner in sidecars:
-            for heir in ring.find_heirs(owner.instance):
+            for heir in ring.find_heirs(owner.instance, owner.domain):
                 counts[heir.instance] += 1
         self.assertEqual(sum(counts.values()), 60 * HEIR_COUNT)
         self.assertLessEqual(max(counts.values()), 4 * HEIR_COUNT)
 
     def test_the_loss_of_the_first_heir_makes_the_second_one_first(self):
         sidecars = build_sidecars(12, domains=12)
-        first, second = HeirRing(sidecars).find_heirs("s3")
+        first, second = HeirRing(sidecars).find_heirs("s3", "d3")
         left = [item for item in sidecars if item != first]
-        self.assertEqual(HeirRing(left).find_heirs("s3")[0], second)
+        self.assertEqual(HeirRing(left).find_heirs("s3", "d3")[0], second)
+
+    def test_an_owner_known_to_be_dead_keeps_its_heirs(self):
+        sidecars = build_sidecars(32, domains=8)
+        for owner in sidecars:
+            live = [item for item in sidecars if item != owner]
+            self.assertEqual(
+                HeirRing(live).find_heirs(owner.instance, owner.domain),
+                HeirRing(sidecars).find_heirs(owner.instance, owner.domain),
+            )
 
     def test_an_owner_that_left_the_list_has_heirs(self):
-        heirs = HeirRing(build_sidecars(5)).find_heirs("gone")
+        heirs = HeirRing(build_sidecars(5)).find_heirs("gone", None)
         self.assertEqual(len({item.domain for item in heirs}), HEIR_COUNT)
 
     def test_one_domain_or_few_instances_still_give_heirs(self):
         alike = build_sidecars(5, domains=1)
-        self.assertEqual(len(HeirRing(alike).find_heirs("s0")), HEIR_COUNT)
-        self.assertNotIn(alike[0], HeirRing(alike).find_heirs("s0"))
-        self.assertEqual(HeirRing(alike[:2]).find_heirs("s0"), [alike[1]])
-        self.assertEqual(HeirRing([]).find_heirs("s0"), [])
+        self.assertEqual(len(HeirRing(alike).find_heirs("s0", "d0")), HEIR_COUNT)
+        self.assertNotIn(alike[0], HeirRing(alike).find_heirs("s0", "d0"))
+        self.assertEqual(HeirRing(alike[:2]).find_heirs("s0", "d0"), [alike[1]])
+        self.assertEqual(HeirRing([]).find_heirs("s0", "d0"), [])
 
     def test_the_first_owner_is_the_first_of_the_ranking(self):
         sidecars = build_sidecars(20)
