--- a/bench/cost/hops.py
+++ b/bench/cost/hops.py
@@ -25,6 +25,7 @@
     Plan,
     TargetPlan,
 )
+from goldcrestvane_standins.runs import Message, build_answer
 
 TEAM = "cost"
 KIND = "probe"
@@ -32,7 +33,8 @@
 TOOL = "tool"
 QUESTION = "which of the two lasts has the lower drop in millimetres"
 FEW_TOKENS = 4
-MANY_TOKENS = 132
+MANY_TOKENS = len(build_answer((Message(role="user", content=QUESTION),)))
+"""All tokens of the stand-in's answer, whose length follows from the question."""
 WORKERS = 8
 WARM_UP_CALLS = 5
 RELAY_FILE = Path(__file__).with_name("relay.py")
