--- a/bench/path.py
+++ b/bench/path.py
@@ -11,6 +11,7 @@
 
 import msgspec
 import trio
+
 from cost.hops import (
     FEW_TOKENS,
     MANY_TOKENS,
@@ -25,7 +26,6 @@
 )
 from cost.idle import run_idle
 from cost.report import Target, print_rows, print_targets
-
 from goldcrestvane_standins.deployment import Deployment
 
 CALLS_EACH = 40
--- a/packages/common/src/goldcrestvane_common/errors.py
+++ b/packages/common/src/goldcrestvane_common/errors.py
@@ -104,6 +104,14 @@
     outcome = Outcome.REFUSED_FINAL
 
 
+class HeadersTooLarge(ServiceError):
+    """The headers exceed the size limit."""
+
+    kind = "headers_too_large"
+    status = 431
+    outcome = Outcome.REFUSED_FINAL
+
+
 class RequestTimeout(ServiceError):
     """The caller took too long to send the body."""
 
@@ -184,6 +192,14 @@
     outcome = Outcome.NOT_RUN
 
 
+class WrongIncarnation(ServiceError):
+    """The sidecar was restarted; this incarnation has not run the call."""
+
+    kind = "wrong_incarnation"
+    status = 421
+    outcome = Outcome.NOT_RUN
+
+
 class RequestQuarantined(ServiceError):
     """Targets died while they ran this request; it is refused for good."""
 
--- a/packages/common/src/goldcrestvane_common/messages.py
+++ b/packages/common/src/goldcrestvane_common/messages.py
@@ -33,6 +33,8 @@
 DISPATCH_STREAM_PATH = "/internal/dispatch-stream"
 FENCE_PATH = "/internal/fence"
 RELEASE_PATH = "/internal/release"
+WITNESS_PATH = "/internal/witness"
+COLLECT_PATH = "/internal/witness/collect"
 ADOPT_PATH = "/internal/adopt"
 QUARANTINE_PATH = "/internal/quarantine"
 STATUS_PATH = "/internal/status"
@@ -136,6 +138,7 @@
         model: Body of a model call.
         tool: Body of a tool call, undecoded JSON.
         resume: Where to take up a stream that broke between owner and entry.
+        abandoned: Highest sequence that the caller has given up; 0 for none.
     """
 
     team: TeamId
@@ -148,6 +151,7 @@
     model: ModelBody | None = None
     tool: msgspec.Raw = msgspec.Raw(b"null")
     resume: StreamPoint | None = None
+    abandoned: int = 0
 
 
 class CallAnswer(msgspec.Struct, frozen=True, omit_defaults=True):
@@ -159,6 +163,7 @@
         owner: Instance that owns the program.
         usage: Tokens taken.
         replayed: Whether the answer comes from the record of an earlier attempt.
+        finish_reason: Why the answer ended: ``stop``, or ``length`` when it was cut.
     """
 
     value: msgspec.Raw
@@ -166,6 +171,7 @@
     owner: InstanceId
     usage: Usage = Usage()
     replayed: bool = False
+    finish_reason: str = "stop"
 
 
 class StreamHead(msgspec.Struct, frozen=True, tag="head"):
@@ -190,10 +196,19 @@
 
 
 class StreamEnd(msgspec.Struct, frozen=True, tag="end"):
-    """Last frame of a whole answer; a stream without it is incomplete."""
+    """Last frame of a whole answer; a stream without it is incomplete.
+
+    Attributes:
+        usage: Tokens taken.
+        finish_reason: Why the answer ended: ``stop``, or ``length`` when it was cut.
+        load: Load of the target, from its sidecar to the owner only.
+        waited_seconds: Time that the call waited for a slot, to the owner only.
+    """
 
     usage: Usage
     finish_reason: str = "stop"
+    load: "TargetLoad | None" = None
+    waited_seconds: float | None = None
 
 
 class StreamFailure(msgspec.Struct, frozen=True, tag="failure"):
@@ -251,11 +266,21 @@
 
 
 class DispatchAnswer(msgspec.Struct, frozen=True, omit_defaults=True):
-    """A whole answer of a target, with the target's load at that time."""
+    """A whole answer of a target, with the target's load at that time.
+
+    Attributes:
+        value: The answer text of a model (a JSON string) or the tool's JSON.
+        usage: Tokens taken.
+        load: Load of the target, the call itself not included.
+        finish_reason: Why the answer ended: ``stop``, or ``length`` when it was cut.
+        waited_seconds: Time that the call waited for a slot; None if unknown.
+    """
 
     value: msgspec.Raw
     usage: Usage = Usage()
     load: "TargetLoad | None" = None
+    finish_reason: str = "stop"
+    waited_seconds: float | None = None
 
 
 class CloseRequest(msgspec.Struct, frozen=True):
--- a/packages/common/src/goldcrestvane_common/server.py
+++ b/packages/common/src/goldcrestvane_common/server.py
@@ -1,7 +1,9 @@
 """HTTP server of every process: a route table served by hypercorn on trio."""
 
+import hmac
 import logging
 import math
+import socket
 from collections.abc import AsyncGenerator, Awaitable, Callable, Mapping
 from contextlib import aclosing
 from dataclasses import dataclass, field
@@ -12,20 +14,28 @@
 import hypercorn.trio
 import msgspec
 import trio
-from hypercorn.config import Config
+from hypercorn.config import Config, Sockets
 
 from goldcrestvane_common.errors import (
+    HeadersTooLarge,
     InvalidRequest,
     NotFound,
     Outcome,
     RequestTimeout,
     RequestTooLarge,
     ServiceError,
+    Unauthorized,
     encode_error,
 )
+from goldcrestvane_common.transport import INTERNAL_PREFIX, PEER_TOKEN_HEADER
 
 MAX_BODY_BYTES = 4 * 1024 * 1024
+MAX_DISCARDED_BYTES = 16 * 1024 * 1024
+MAX_HEADER_BYTES = 16 * 1024
+MAX_PARSED_HEADER_BYTES = 64 * 1024
 BODY_TIMEOUT_SECONDS = 10.0
+STALLED_SEND_SECONDS = 30.0
+MAX_SHOWN_CHARACTERS = 80
 KEEP_ALIVE_SECONDS = 75.0
 GRACEFUL_STOP_SECONDS = 300.0
 
@@ -168,7 +178,18 @@
         *,
         max_body_bytes: int = MAX_BODY_BYTES,
         body_timeout: float = BODY_TIMEOUT_SECONDS,
+        peer_token: str = "",
     ) -> None:
+        """Creates an application.
+
+        Args:
+            router: Routes to serve.
+            max_body_bytes: Largest body that is taken.
+            body_timeout: Seconds that a sender may take for a body.
+            peer_token: Secret that requests below `INTERNAL_PREFIX` must carry; empty
+                asks for none.
+        """
+        self._peer_token = peer_token
         self._router = router
         self._max_body_bytes = max_body_bytes
         self._body_timeout = body_timeout
@@ -181,7 +202,8 @@
         if scope["type"] == "lifespan":
             await _serve_lifespan(receive, send)
             return
-        if scope["type"] != "http":
+        if scope["type"] == "websocket":
+            await send({"type": "websocket.close"})
             return
         self.in_flight += 1
         try:
@@ -193,6 +215,7 @@
         self, scope: dict[str, Any], receive: Callable, send: Callable
     ) -> None:
         try:
+            _check_headers(scope)
             body = await self._read_body(receive)
         except ServiceError as error:
             await _send_error(error, send)
@@ -207,6 +230,7 @@
     async def _answer(self, scope: dict[str, Any], body: bytes, send: Callable) -> None:
         try:
             request = _build_request(scope, body)
+            self._check_peer(request)
             response = await self._router.find(request.method, request.path)(request)
         except ServiceError as error:
             await _send_error(error, send)
@@ -220,32 +244,60 @@
             return
         await _send_response(response, send)
 
+    def _check_peer(self, request: Request) -> None:
+        """Refuses an internal request that does not come from a process of ours."""
+        if not self._peer_token or not request.path.startswith(INTERNAL_PREFIX):
+            return
+        token = request.get_header(PEER_TOKEN_HEADER) or ""
+        if not hmac.compare_digest(token.encode(), self._peer_token.encode()):
+            raise Unauthorized(
+                f"Paths below {INTERNAL_PREFIX} are for the system's own processes. "
+                f"Send the peer token in {PEER_TOKEN_HEADER}.",
+                field=PEER_TOKEN_HEADER,
+            )
+
     async def _read_body(self, receive: Callable) -> bytes | None:
         """Returns the body, or None when the sender left before its end."""
+        with trio.move_on_after(self._body_timeout):
+            return await self._collect_body(receive)
+        raise RequestTimeout(
+            f"The body took over {self._body_timeout} s; send it again faster.",
+            field="body",
+            retry_after=1.0,
+        )
+
+    async def _collect_body(self, receive: Callable) -> bytes | None:
+        """Reads a body; one too large is read on, so that its sender sees the error."""
         parts: list[bytes] = []
         size = 0
-        with trio.move_on_after(self._body_timeout) as timeout:
-            while True:
-                message = await receive()
-                if message["type"] == "http.disconnect":
-                    return None
-                part = message.get("body", b"")
-                size += len(part)
-                if size > self._max_body_bytes:
-                    raise RequestTooLarge(
-                        f"The body exceeds {self._max_body_bytes} bytes; send less.",
-                        field="body",
-                    )
+        more = True
+        while more and size <= MAX_DISCARDED_BYTES:
+            message = await receive()
+            if message["type"] == "http.disconnect":
+                return None
+            part = message.get("body", b"")
+            more = message.get("more_body", False)
+            size += len(part)
+            if size <= self._max_body_bytes:
                 parts.append(part)
-                if not message.get("more_body", False):
-                    return b"".join(parts)
-        if timeout.cancelled_caught:
-            raise RequestTimeout(
-                f"The body took over {self._body_timeout} s; send it again faster.",
+        if size > self._max_body_bytes:
+            raise RequestTooLarge(
+                f"The body exceeds {self._max_body_bytes} bytes; send less.",
                 field="body",
-                retry_after=1.0,
             )
-        return None
+        return b"".join(parts)
+
+
+def _check_headers(scope: dict[str, Any]) -> None:
+    headers = scope["headers"]
+    size = sum(len(name) + len(value) for name, value in headers)
+    if size <= MAX_HEADER_BYTES:
+        return
+    longest = max(headers, key=lambda header: len(header[0]) + len(header[1]))
+    raise HeadersTooLarge(
+        f"Got {size} bytes of headers; send at most {MAX_HEADER_BYTES}.",
+        field=longest[0].decode("latin-1").lower()[:MAX_SHOWN_CHARACTERS],
+    )
 
 
 def _build_request(scope: dict[str, Any], body: bytes) -> Request:
@@ -319,7 +371,7 @@
         **response.headers,
     }
     await send(_build_start(response.status, headers))
-    await send({"type": "http.response.body", "body": response.body})
+    await _send_end(response.body, send)
 
 
 @_send_response.register
@@ -331,7 +383,17 @@
         await send({"type": "http.response.body", "body": first, "more_body": True})
         async for chunk in chunks:
             await send({"type": "http.response.body", "body": chunk, "more_body": True})
-    await send({"type": "http.response.body", "body": b""})
+    await _send_end(b"", send)
+
+
+async def _send_end(body: bytes, send: Callable) -> None:
+    """Sends the last part of a body.
+
+    Within this send the server reports the end of the exchange, which cancels the
+    request; the connection must all the same be made ready for the next one.
+    """
+    with trio.CancelScope(shield=True):
+        await send({"type": "http.response.body", "body": body})
 
 
 def _build_start(status: int, headers: Mapping[str, str]) -> dict[str, Any]:
@@ -345,6 +407,25 @@
     }
 
 
+@final
+class BoundedConfig(Config):
+    """Configuration of a server that gives up a peer which stops reading.
+
+    hypercorn sends without a timeout, so the kernel ends such a connection.
+    """
+
+    def create_sockets(self) -> Sockets:
+        """Returns the sockets to listen on; accepted ones inherit the timeout."""
+        sockets = super().create_sockets()
+        for listener in sockets.insecure_sockets:
+            listener.setsockopt(
+                socket.IPPROTO_TCP,
+                socket.TCP_USER_TIMEOUT,
+                int(STALLED_SEND_SECONDS * 1000),
+            )
+        return sockets
+
+
 async def serve_http(
     application: Application,
     address: str,
@@ -360,7 +441,8 @@
         shutdown: Set to stop gracefully; None serves until cancelled.
         task_status: Receives the ``host:port`` that is listened on.
     """
-    config = Config()
+    config = BoundedConfig()
+    config.h11_max_incomplete_size = MAX_PARSED_HEADER_BYTES
     config.bind = [address]
     config.graceful_timeout = GRACEFUL_STOP_SECONDS
     config.keep_alive_timeout = KEEP_ALIVE_SECONDS
--- a/packages/daemon/src/goldcrestvane_daemon/owner/manager.py
+++ b/packages/daemon/src/goldcrestvane_daemon/owner/manager.py
@@ -12,7 +12,7 @@
 import msgspec
 import trio
 
-from goldcrestvane_common.errors import Unavailable
+from goldcrestvane_common.errors import Unavailable, WrongOwner
 from goldcrestvane_common.ids import InstanceId, ShardId
 from goldcrestvane_common.logs import get_logger
 from goldcrestvane_common.messages import (
@@ -40,11 +40,14 @@
 from goldcrestvane_daemon.owner.shard import OwnedShard
 from goldcrestvane_daemon.owner.shard_index import ShardIndex
 from goldcrestvane_daemon.owner.shard_map import ShardMapWriter
+from goldcrestvane_daemon.owner.witness import WitnessClient
 
 RECONCILE_SECONDS = 0.5
 MIN_PAUSE_SECONDS = 0.1
 START_GRACE_SECONDS = 1.0
 OPEN_RETRY_SECONDS = 1.0
+FLUSH_WAIT_SECONDS = 2.0
+HEIR_PATIENCE_SECONDS = 3.0
 ADOPT_TIMEOUT_SECONDS = 3.0
 REBALANCE_SECONDS = 1.0
 MAX_OPENINGS = 16
@@ -80,6 +83,7 @@
         self._writer = ShardMapWriter(objects, shard_count=shard_count)
         self._generator = generator
         self._transport = transport
+        self._witness = WitnessClient(transport, membership)
         self._fences = FenceSender(
             transport, list_peers=lambda: membership.list_live(Role.SIDECAR)
         )
@@ -92,9 +96,10 @@
         self._wakeup = trio.Event()
         self._index = ShardIndex(ShardMap([]), shard_count=shard_count)
         self._live: list[Instance] = []
+        self._candidates: list[Instance] = []
+        self._dead_since: dict[InstanceId, float] = {}
         self._ring = HeirRing([])
         self._watched: dict[InstanceId, float] = {}
-        self._inherited: list[InstanceId] = []
         self._seen_change = -1
         self.shard_count = shard_count
         self.owned: dict[ShardId, OwnedShard] = {}
@@ -145,14 +150,12 @@
         self._seen_change = seen
         if shard_map is not self._index.shard_map:
             self._index = ShardIndex(shard_map, shard_count=self.shard_count)
-        live = self._membership.list_live(Role.SIDECAR)
-        if live != self._live:
-            self._live = live
-            self._ring = HeirRing(live)
+        self._live = self._membership.list_live(Role.SIDECAR)
+        candidates = self._membership.list_candidates()
+        if candidates != self._candidates:
+            self._candidates = candidates
+            self._ring = HeirRing(candidates)
         self._watched = self._list_watched_owners()
-        self._inherited = [
-            owner for owner in self._index.by_owner if self._is_heir_of(owner)
-        ]
 
     def _get_entry(self, shard_map: ShardMap, shard: ShardId) -> ShardOwner | None:
         return shard_map.shards[shard] if shard < len(shard_map.shards) else None
@@ -170,14 +173,17 @@
         """Returns the owners this sidecar is an heir of, with the probes' periods."""
         watched: dict[InstanceId, float] = {}
         for owner in self._index.by_owner:
-            heirs = self._find_heirs(owner)
+            heirs = self._ring.find_heirs(owner)
             if self._own in heirs and owner != self._own.instance:
                 watched[owner] = HEIR_PROBE_SECONDS[heirs.index(self._own)]
         return watched
 
     def _list_falling_here(self) -> list[ShardId]:
         falling = [
-            shard for owner in self._inherited for shard in self._index.by_owner[owner]
+            shard
+            for owner in (self._own.instance, *self._watched)
+            if self._is_heir_of(owner)
+            for shard in self._index.by_owner.get(owner, ())
         ]
         if self._live:
             falling += [
@@ -191,21 +197,23 @@
             if shard not in self.owned and shard not in self._opening
         ]
 
-    def _find_heirs(self, owner: InstanceId) -> list[Instance]:
-        listed = self._membership.find_instance(owner)
-        return self._ring.find_heirs(owner, listed.domain if listed else None)
-
     def _is_heir_of(self, owner: InstanceId) -> bool:
         """Returns whether an owner's shards are to be opened here now."""
         if owner == self._own.instance:
             return self._own in self._live
         if not self._membership.is_dead(owner):
+            self._dead_since.pop(owner, None)
+            return False
+        heirs = self._ring.find_heirs(owner)
+        if self._own not in heirs:
             return False
-        return self._find_heirs(owner)[:1] == [self._own]
+        now = trio.current_time()
+        waited = now - self._dead_since.setdefault(owner, now)
+        return waited >= heirs.index(self._own) * HEIR_PATIENCE_SECONDS
 
     async def _take_over(self, shard: ShardId) -> None:
         journal = Journal(self._objects, shard, self._own.instance)
-        owned = OwnedShard(shard, self._own.instance, journal)
+        owned = OwnedShard(shard, self._own.instance, journal, witness=self._witness)
         try:
             async with self._open_limiter:
                 await owned.open()
@@ -259,7 +267,11 @@
         self._handing_over.add(shard)
         try:
             owned.stop_admitting()
+            # The next owner joins running calls by the starts that it finds.
+            await owned.wait_durable(owned.append(), wait=FLUSH_WAIT_SECONDS)
             await self._find_adopter(shard, owned)
+        except WrongOwner:
+            logger.info("shard %s was taken over before its hand-over", shard)
         finally:
             self._handing_over.discard(shard)
 
--- a/packages/daemon/src/goldcrestvane_daemon/placement/choice.py
+++ b/packages/daemon/src/goldcrestvane_daemon/placement/choice.py
@@ -10,6 +10,12 @@
 MAX_CACHE_FACTOR = 50.0
 """Bound of the weight of recomputed tokens, reached as `cache_weight` nears 1."""
 
+CAPACITY_FACTOR = 2.0
+"""Weight of a second of recomputing against one of waiting, at `cache_weight` 0.
+
+It takes the second from the call and from the target's other calls.
+"""
+
 BUSY_SHARE = 0.1
 """Part of a call's run time that a target with all slots taken adds to it."""
 
@@ -57,17 +63,21 @@
 def get_cache_factor(cache_weight: float) -> float:
     """Returns how many seconds of waiting a second of recomputing is worth.
 
-    At `cache_weight` 0 both count alike, which minimises the call's own latency. The
-    spill threshold follows: a call leaves the target that holds its prefix when the
-    wait there exceeds the wait elsewhere by more than the factor times the time to
-    compute the prefix again.
+    The spill threshold follows from it: a call leaves the target that holds its
+    prefix when the wait there exceeds the wait elsewhere by more than the factor times
+    the time to compute the prefix again.
     """
-    return min(MAX_CACHE_FACTOR, 1.0 / max(1.0 - cache_weight, 1e-9))
+    return min(MAX_CACHE_FACTOR, CAPACITY_FACTOR / max(1.0 - cache_weight, 1e-9))
+
+
+def count_excess(view: TargetView) -> float:
+    """Returns the calls at a target beyond its slots, the new one included."""
+    return max(0.0, view.calls + 1 - view.slots)
 
 
 def estimate_wait(view: TargetView) -> float:
     """Returns the expected wait for a slot at a target, in seconds."""
-    excess = max(0.0, view.calls + 1 - view.slots)
+    excess = count_excess(view)
     busy = min(1.0, view.calls / view.slots)
     wait = excess / view.slots + BUSY_SHARE * busy
     return wait * view.call_seconds
@@ -79,8 +89,9 @@
     computed = facts.prompt_tokens - reused
     displaced = 0
     if view.free_tokens is not None:
-        displaced = max(0, computed - view.free_tokens)
-    recompute = view.seconds_per_token * (computed + displaced)
+        displaced = max(0, computed - max(0, view.free_tokens))
+    delayed = count_excess(view) / view.slots
+    recompute = view.seconds_per_token * (computed + displaced) * (1 + delayed)
     own = view.slowness * (estimate_wait(view) + view.call_seconds)
     return own + cache_factor * recompute + view.domain_seconds
 
--- a/packages/daemon/src/goldcrestvane_daemon/sidecar_process.py
+++ b/packages/daemon/src/goldcrestvane_daemon/sidecar_process.py
@@ -18,16 +18,22 @@
 )
 from goldcrestvane_common.settings import ServiceKind
 from goldcrestvane_daemon.chooser import TargetChooser
-from goldcrestvane_daemon.gate import Gate, GateOptions
-from goldcrestvane_daemon.owner.calls import CallRunner
+from goldcrestvane_daemon.gate import Gate, GateOptions, watch_gate
+from goldcrestvane_daemon.owner.accounts import TeamAccounts
 from goldcrestvane_daemon.owner.manager import ShardManager
 from goldcrestvane_daemon.owner.recovery import CallRecovery
 from goldcrestvane_daemon.owner.release import SessionReleaser
+from goldcrestvane_daemon.owner.runner import CallRunner
 from goldcrestvane_daemon.owner.service import OwnerService
+from goldcrestvane_daemon.owner.starts import CallStarter
+from goldcrestvane_daemon.owner.suspects import SuspectGuard
 from goldcrestvane_daemon.owner.targets import TargetConnector
+from goldcrestvane_daemon.owner.witness import WitnessStore
 from goldcrestvane_daemon.parts import Parts
+from goldcrestvane_daemon.pauses import PauseDetector
 from goldcrestvane_daemon.placement import Placement
 from goldcrestvane_daemon.probes import RequestMetrics, add_probe_routes
+from goldcrestvane_daemon.quarantine import Quarantine
 from goldcrestvane_daemon.shard_directory import ShardDirectory
 from goldcrestvane_daemon.target.dispatcher import Dispatcher, TargetClient
 from goldcrestvane_daemon.target.engine import EngineClient
@@ -50,15 +56,26 @@
         self._gate = Gate(GateOptions(slots=settings.target_slots))
         assert settings.target_kind is not None
         client_type = CLIENT_TYPES[settings.target_kind]
+        self._pauses = PauseDetector()
+        self._quarantine = Quarantine(
+            objects=parts.objects,
+            feed=parts.feed,
+            membership=membership,
+            transport=parts.transport,
+        )
         client = client_type(parts.transport, settings.target_address)
         self._dispatcher = Dispatcher(
             instance=settings.instance,
             incarnation=membership.incarnation,
+            service=settings.service,
             gate=self._gate,
             client=client,
+            quarantine=self._quarantine,
+            pauses=self._pauses,
         )
+        self._client = client
         self._sessions = self._build_sessions(client)
-        connector = TargetConnector(
+        connector = self._connector = TargetConnector(
             parts.transport, own=settings.instance, local=self._dispatcher
         )
         self._manager = ShardManager(
@@ -77,6 +94,8 @@
             connector=connector,
             directory=membership,
             chooser=TargetChooser(directory=membership, placement=placement),
+            starter=CallStarter(TeamAccounts(parts.objects)),
+            suspects=SuspectGuard(self._quarantine),
         )
         self._service = OwnerService(
             manager=self._manager,
@@ -90,6 +109,7 @@
             list_shards=self._manager.owned.values,
         )
         self._metrics = RequestMetrics()
+        watch_gate(self._gate, self._metrics.registry)
 
     def _build_sessions(self, client: TargetClient) -> SessionKeeper | None:
         """Returns the keeper of an engine's sessions; tools have none."""
@@ -112,6 +132,8 @@
         self._dispatcher.add_routes(router)
         self._service.add_routes(router)
         self._manager.add_routes(router)
+        WitnessStore().add_routes(router)
+        self._quarantine.add_routes(router)
         if self._sessions is not None:
             self._sessions.add_routes(router)
         add_probe_routes(
@@ -129,8 +151,12 @@
             nursery.start_soon(self._run_manager)
             nursery.start_soon(self._wake_manager)
             nursery.start_soon(self._releaser.run)
+            nursery.start_soon(self._pauses.run)
+            nursery.start_soon(self._connector.run)
             if self._sessions is not None:
                 nursery.start_soon(self._sessions.run)
+            if isinstance(self._client, EngineClient):
+                nursery.start_soon(self._client.follow_load)
             task_status.started()
 
     async def _run_manager(self) -> None:
@@ -152,8 +178,8 @@
         await self._manager.hand_over_all()
 
     def count_running(self) -> int:
-        """Returns the number of calls and requests under way."""
-        return self._dispatcher.running + self._application.in_flight
+        """Returns the number of calls under way, as target and as owner."""
+        return self._dispatcher.running + self._service.running
 
     async def _serve_status(self, request: Request) -> Response:
         owned = self._manager.owned
@@ -165,7 +191,7 @@
                 for shard in owned.values()
                 for program in shard.state.programs.values()
             ),
-            load=self._gate.load(),
+            load=self._dispatcher.read_load(),
             settings_versions=self._parts.feed.get_versions(),
             in_flight=self._application.in_flight - 1,
         )
