--- a/packages/daemon/src/goldcrestvane_daemon/owner/manager.py
+++ b/packages/daemon/src/goldcrestvane_daemon/owner/manager.py
@@ -43,6 +43,7 @@
 from goldcrestvane_daemon.owner.witness import WitnessClient
 
 RECONCILE_SECONDS = 0.5
+MIN_PAUSE_SECONDS = 0.1
 START_GRACE_SECONDS = 1.0
 OPEN_RETRY_SECONDS = 1.0
 FLUSH_WAIT_SECONDS = 2.0
@@ -99,6 +100,7 @@
         self._dead_since: dict[InstanceId, float] = {}
         self._ring = HeirRing([])
         self._watched: dict[InstanceId, float] = {}
+        self._seen_change = -1
         self.shard_count = shard_count
         self.owned: dict[ShardId, OwnedShard] = {}
 
@@ -124,8 +126,10 @@
             nursery.start_soon(self._rebalance)
             while True:
                 await self._reconcile()
+                earliest = trio.current_time() + MIN_PAUSE_SECONDS
                 with trio.move_on_after(RECONCILE_SECONDS):
                     await self._wakeup.wait()
+                await trio.sleep_until(earliest)
                 self._wakeup = trio.Event()
 
     async def _reconcile(self) -> None:
@@ -140,14 +144,14 @@
 
     def _note_members(self, shard_map: ShardMap) -> None:
         """Arranges map and members anew when one of them has changed."""
-        live = self._membership.list_live(Role.SIDECAR)
-        candidates = self._membership.list_candidates()
-        same_members = live == self._live and candidates == self._candidates
-        if shard_map is self._index.shard_map and same_members:
+        seen = self._membership.change_count
+        if shard_map is self._index.shard_map and seen == self._seen_change:
             return
+        self._seen_change = seen
         if shard_map is not self._index.shard_map:
             self._index = ShardIndex(shard_map, shard_count=self.shard_count)
-        self._live = live
+        self._live = self._membership.list_live(Role.SIDECAR)
+        candidates = self._membership.list_candidates()
         if candidates != self._candidates:
             self._candidates = candidates
             self._ring = HeirRing(candidates)
@@ -177,9 +181,9 @@
     def _list_falling_here(self) -> list[ShardId]:
         falling = [
             shard
-            for owner, shards in self._index.by_owner.items()
+            for owner in (self._own.instance, *self._watched)
             if self._is_heir_of(owner)
-            for shard in shards
+            for shard in self._index.by_owner.get(owner, ())
         ]
         if self._live:
             falling += [
