--- /dev/null
+++ b/tests/support.py
@@ -0,0 +1,169 @@
+"""One running deployment for each test class, and records to judge a test by."""
+
+import random
+import signal
+import tempfile
+import time
+import unittest
+from pathlib import Path
+
+import msgspec
+import trio
+from bench.checker import CHECKS
+from bench.checker.records import Evidence, ProgramKey
+from bench.checker.traces import Trace
+from bench.faultrun.balancer import Balancer
+from bench.faultrun.caller import ProgramCaller
+from bench.faultrun.plan import FITTING, MODEL, TEAMS, TOOL, build_plan
+from bench.faultrun.recorder import Recorder
+
+from goldcrestvane_common.messages import STATUS_PATH, ProcessStatus, ProgramView
+from goldcrestvane_common.transport import ConnectFailed, ExchangeBroken, Transport
+from goldcrestvane_standins.deployment import Deployment
+
+GIVE_UP_SECONDS = 120.0
+SETTLE_SECONDS = 0.5
+
+
+class DeploymentCase(unittest.TestCase):
+    """Tests of one deployment; each test heals what it broke.
+
+    A test is an asynchronous function that `run_script` runs. Its evidence is that
+    of the calls made in the test.
+    """
+
+    plan = build_plan()
+
+    @classmethod
+    def setUpClass(cls):
+        cls.folder = tempfile.TemporaryDirectory()
+        cls.addClassCleanup(cls.folder.cleanup)
+        cls.deployment = Deployment(cls.plan, Path(cls.folder.name))
+
+        async def start():
+            await cls.deployment.__aenter__()
+            await cls.deployment.transport.close()
+
+        trio.run(start)
+        cls.addClassCleanup(trio.run, cls.deployment.__aexit__, None, None, None)
+
+    def run_script(self, script):
+        async def main():
+            self.deployment.transport = Transport()
+            self.evidence = Evidence()
+            self.recorder = Recorder(self.deployment, self.evidence)
+            self.balancer = Balancer(self.deployment)
+            with trio.fail_after(GIVE_UP_SECONDS):
+                try:
+                    await script()
+                finally:
+                    await self.heal()
+            await self.deployment.transport.close()
+
+        trio.run(main)
+
+    async def heal(self):
+        for process in self.deployment.processes.values():
+            process.send_signal(signal.SIGCONT)
+        await self.set_faults("objectapi")
+        for name in self.deployment.processes:
+            if not self.deployment.processes[name].is_running:
+                await self.deployment.restart(name)
+        for name in self.list_names("target-"):
+            await self.set_faults(name)
+        await self.deployment.wait_ready()
+
+    def list_names(self, prefix):
+        return [name for name in self.deployment.processes if name.startswith(prefix)]
+
+    async def set_faults(self, name, **faults):
+        await self.deployment.request(name, "PUT", "/control/faults", faults)
+
+    async def set_tool_faults(self, **faults):
+        for name in self.list_names(f"target-{TOOL}-"):
+            await self.set_faults(name, **faults)
+
+    async def set_engine_faults(self, **faults):
+        for name in self.list_names(f"target-{MODEL}-"):
+            await self.set_faults(name, **faults)
+
+    def build_caller(self, program=None, *, team=TEAMS[0], **options):
+        program = program or f"{self.id().rsplit('.', 1)[1]}-{time.time_ns()}"
+        return ProgramCaller(
+            self.deployment,
+            self.evidence,
+            ProgramKey(team, program),
+            entries=self.balancer.build_round(random.Random(0)),
+            **options,
+        )
+
+    async def begin(self, program=None, *, kind=FITTING, team=TEAMS[0], **options):
+        caller = self.build_caller(program, team=team)
+        options.setdefault("owner_history", True)
+        self.assertTrue(await caller.begin(kind, **options))
+        return caller
+
+    async def read_view(self, caller):
+        """Returns the program's state, from the first entry that knows it."""
+        headers = {"goldcrestvane-team": caller.key.team}
+        path = f"/v1/programs/{caller.key.program}"
+        for name in self.list_names("entry-"):
+            address = self.deployment.processes[name].address
+            try:
+                reply = await self.deployment.transport.send(
+                    "GET", address, path, headers=headers
+                )
+            except (ConnectFailed, ExchangeBroken):
+                continue
+            if reply.status == 200:
+                return reply.decode(ProgramView)
+        raise AssertionError(f"No entry knows {caller.key}.")
+
+    async def read_owner(self, caller):
+        return (await self.read_view(caller)).owner
+
+    async def find_running(self, service):
+        """Returns the sidecar of a service at whose target a call runs."""
+        found = []
+
+        async def look():
+            for name in self.list_names(f"sidecar-{service}-"):
+                try:
+                    reply = await self.deployment.request(name, "GET", STATUS_PATH)
+                except (ConnectFailed, ExchangeBroken):
+                    continue
+                if reply.decode(ProcessStatus).load.running:
+                    found.append(name)
+                    return True
+            return False
+
+        await self.deployment.wait_until(look, f"a call runs at {service}")
+        return found[0]
+
+    def freeze(self, name):
+        self.deployment.processes[name].send_signal(signal.SIGSTOP)
+
+    def thaw(self, name):
+        self.deployment.processes[name].send_signal(signal.SIGCONT)
+
+    def kill(self, name):
+        self.deployment.processes[name].kill()
+
+    async def collect(self):
+        """Adds what the targets have recorded, once late work could have begun."""
+        await trio.sleep(SETTLE_SECONDS)
+        for name in self.list_names("target-"):
+            if self.deployment.processes[name].is_running:
+                await self.recorder.keep_record(name)
+
+    async def assert_no_breach(self, *properties):
+        """Checks properties on the evidence of this test."""
+        await self.collect()
+        trace = Trace(self.evidence)
+        for name in properties:
+            breaches = list(CHECKS[name](self.evidence, trace))
+            shown = msgspec.json.format(msgspec.json.encode(breaches)).decode()
+            self.assertEqual(breaches, [], shown)
+
+    def count_effects(self, marker):
+        return sum(effect.marker == marker for effect in self.evidence.effects)
