--- a/packages/daemon/src/goldcrestvane_daemon/gate/gate.py
+++ b/packages/daemon/src/goldcrestvane_daemon/gate/gate.py
@@ -16,17 +16,23 @@
     Unavailable,
     WrongOwner,
 )
-from goldcrestvane_common.ids import Epoch, ShardId
+from goldcrestvane_common.ids import Epoch, ProgramId, ShardId, TeamId
 from goldcrestvane_common.messages import DispatchRequest, TargetLoad
+from goldcrestvane_common.settings import ServiceKind
 from goldcrestvane_daemon.gate.estimate import (
     MIN_RETRY_SECONDS,
-    ServiceTime,
-    estimate_retry,
+    SERVICE_SMOOTHING,
+    MovingMean,
     estimate_wait,
 )
 from goldcrestvane_daemon.gate.fences import Fences
 from goldcrestvane_daemon.gate.options import GateOptions
 from goldcrestvane_daemon.gate.order import OrderKey, Waiter, build_order_key
+from goldcrestvane_daemon.gate.residents import (
+    ProgramKey,
+    Residents,
+)
+from goldcrestvane_daemon.gate.turns import ClassTurns
 
 
 class Permit(msgspec.Struct, frozen=True):
@@ -50,8 +56,12 @@
 
     def __init__(self, options: GateOptions) -> None:
         self._options = options
-        self._service = ServiceTime(first_seconds=options.first_service_seconds)
+        self._service = MovingMean(
+            SERVICE_SMOOTHING, first=options.first_service_seconds
+        )
         self._fences = Fences()
+        self._residents = Residents()
+        self._turns = ClassTurns()
         self._waiting: dict[Waiter, None] = {}
         self._running: set[Waiter] = set()
         self._closed = False
@@ -123,18 +133,34 @@
         """Waits until a closed gate has no call left."""
         await self._idle.wait()
 
+    def set_cache_capacity(self, tokens: int) -> None:
+        """Sets the size of the engine's prefix cache; 0 holds no program back."""
+        self._residents.capacity_tokens = tokens
+        self._start_waiting()
+
+    def note_tokens(self, request: DispatchRequest, tokens: int) -> None:
+        """Notes the tokens that an ended model call leaves in the cache."""
+        self._residents.note(request, tokens=tokens, now=trio.current_time())
+
+    def release_program(self, team: TeamId, program: ProgramId) -> None:
+        """Notes that a program's prefixes were released at the engine."""
+        self._residents.release(ProgramKey(team, program), now=trio.current_time())
+        self._start_waiting()
+
     def load(self) -> TargetLoad:
-        """Returns the load; the cache's figures are the engine's to add."""
+        """Returns the load; the cache's figures are those that the gate plans with."""
         return TargetLoad(
             running=len(self._running),
             queued=len(self._waiting),
             slots=self._options.slots,
+            cached_tokens=self._residents.count_tokens(),
+            cache_capacity_tokens=self._residents.capacity_tokens,
         )
 
     @property
     def service_seconds(self) -> float:
         """Expected time that a call holds a slot."""
-        return self._service.seconds
+        return self._service.value
 
     def _enqueue(self, request: DispatchRequest) -> Waiter:
         """Takes a call in, or refuses it at once."""
@@ -146,7 +172,7 @@
             raise build_late(request)
         self._arrivals += 1
         waiter = Waiter(request, now=trio.current_time(), number=self._arrivals)
-        if self._can_start(waiter) and not self._waiting:
+        if not self._waiting and self._can_start(waiter) and not self._is_held(waiter):
             self._start(waiter)
             return waiter
         self._check_wait(waiter)
@@ -157,9 +183,11 @@
 
     async def _wait_turn(self, waiter: Waiter) -> None:
         """Waits for the start of a call, and checks it before it leaves the gate."""
-        if waiter in self._waiting:
-            with trio.move_on_at(waiter.deadline):
+        while waiter in self._waiting and trio.current_time() < waiter.deadline:
+            end = trio.current_time() + self._options.aging_seconds
+            with trio.move_on_at(min(end, waiter.deadline)):
                 await waiter.turn.wait()
+            self._start_waiting()
         if waiter.refusal is not None:
             raise waiter.refusal
         if trio.current_time() >= waiter.deadline:
@@ -168,18 +196,26 @@
 
     def _check_wait(self, waiter: Waiter) -> None:
         """Refuses a call whose expected wait exceeds its deadline."""
-        key = self._build_key(waiter)
-        ahead = sum(self._build_key(other) < key for other in self._waiting)
-        wait = estimate_wait(
-            ahead=ahead,
-            slots=self._options.slots,
-            service_seconds=self._service.seconds,
-        )
-        if wait <= waiter.request.deadline_seconds:
+        wait = self._estimate_wait(waiter)
+        deadline = waiter.request.deadline_seconds
+        if wait <= deadline:
             return
         raise self._build_overloaded(
-            f"expected wait is {wait:.2f} s, got a deadline of "
-            f"{waiter.request.deadline_seconds:.2f} s"
+            f"expected wait is {wait:.2f} s, got a deadline of {deadline:.2f} s",
+            retry_after=wait,
+        )
+
+    def _estimate_wait(self, waiter: Waiter) -> float:
+        """Returns the expected wait of a call that cannot start at once."""
+        key = self._build_key(waiter)
+        before = [each for each in self._waiting if self._build_key(each) < key]
+        if self._is_held(waiter):
+            held = sum(map(self._is_new, before))
+            return (held + 1) * self._residents.release_seconds
+        return estimate_wait(
+            ahead=len(before),
+            slots=self._options.slots,
+            service_seconds=self._service.value,
         )
 
     def _make_room(self, newcomer: Waiter) -> None:
@@ -193,7 +229,12 @@
         last = self._find_last(newcomer)
         error = self._build_overloaded(
             f"queue is full with {len(self._waiting)} calls, expected fewer than "
-            f"{self._options.queue_limit}"
+            f"{self._options.queue_limit}",
+            retry_after=estimate_wait(
+                ahead=len(self._waiting),
+                slots=self._options.slots,
+                service_seconds=self._service.value,
+            ),
         )
         if last is newcomer:
             raise error
@@ -212,12 +253,49 @@
     def _start_waiting(self) -> None:
         """Starts waiting calls in order while there are slots."""
         while self._waiting and len(self._running) < self._options.slots:
-            best = min(self._waiting, key=self._build_key)
-            if not self._can_start(best):
+            best = self._find_first()
+            if best is None or not self._can_start(best):
                 return
             del self._waiting[best]
             self._start(best)
 
+    def _find_first(self) -> Waiter | None:
+        """Returns the call that starts next; None if all are held."""
+        due = [each for each in self._waiting if self._is_due(each)]
+        if due:
+            return min(due, key=self._build_key)
+        room = self._has_room()
+        ready = [each for each in self._waiting if room or not self._is_new(each)]
+        return min(ready, key=self._build_key, default=None)
+
+    def _is_due(self, waiter: Waiter) -> bool:
+        """Tells whether a call's class has waited for its least rate of starts."""
+        return self._turns.is_due(
+            waiter.request.priority,
+            now=trio.current_time(),
+            seconds=self._options.class_start_seconds,
+        )
+
+    def _is_held(self, waiter: Waiter) -> bool:
+        """Tells whether a new program waits for room in the queue or the cache."""
+        if self._is_due(waiter):
+            return False
+        return self._is_new(waiter) and not self._has_room()
+
+    def _is_new(self, waiter: Waiter) -> bool:
+        """Tells whether a call may be held; those of the first class never are."""
+        request = waiter.request
+        if request.kind is not ServiceKind.MODEL or waiter.rank == 0:
+            return False
+        return not self._residents.is_resident(request)
+
+    def _has_room(self) -> bool:
+        """Tells whether a new program may start: the cache and the queue have room."""
+        backlog = sum(not self._is_new(each) for each in self._waiting)
+        if backlog >= self._options.slots:
+            return False
+        return self._residents.has_room(now=trio.current_time())
+
     def _can_start(self, waiter: Waiter) -> bool:
         """Tells whether a call may run beside those that run now."""
         if waiter.request.alone:
@@ -229,6 +307,9 @@
     def _start(self, waiter: Waiter) -> None:
         self._running.add(waiter)
         waiter.turn.set()
+        self._turns.note_start(waiter.request.priority, now=trio.current_time())
+        if waiter.request.kind is ServiceKind.MODEL:
+            self._residents.touch(waiter.request, now=trio.current_time())
 
     def _refuse_waiter(self, waiter: Waiter, error: ServiceError) -> None:
         self._waiting.pop(waiter, None)
@@ -250,15 +331,11 @@
             waiter,
             now=trio.current_time(),
             aging_seconds=self._options.aging_seconds,
-            service_seconds=self._service.seconds,
+            service_seconds=self._service.value,
         )
 
-    def _build_overloaded(self, reason: str) -> Overloaded:
-        retry_after = estimate_retry(
-            queued=len(self._waiting),
-            slots=self._options.slots,
-            service_seconds=self._service.seconds,
-        )
+    def _build_overloaded(self, reason: str, *, retry_after: float) -> Overloaded:
+        retry_after = max(MIN_RETRY_SECONDS, round(retry_after, 3))
         return Overloaded(
             f"{reason}; send the call again after {retry_after} s or to another target",
             retry_after=retry_after,
