--- a/bench/faults.py
+++ b/bench/faults.py
@@ -15,7 +15,7 @@
 from absl import app, flags
 
 from bench.checker import CHECKS
-from bench.checker.records import Breach, Evidence, Property
+from bench.checker.records import AttemptOutcome, Breach, Evidence, Property
 from bench.checker.traces import Trace
 from bench.faultrun.faults import Faults
 from bench.faultrun.load import Load, count_answers
@@ -122,6 +122,21 @@
     }
 
 
+def describe_calls(evidence: Evidence) -> str:
+    """Returns how many calls ended in which way, as their callers know it."""
+    last = {item.call: item.outcome for item in evidence.attempts}
+    answered = {
+        item.call
+        for item in evidence.attempts
+        if item.outcome is AttemptOutcome.ANSWERED
+    }
+    others = Counter(
+        outcome.value for call, outcome in last.items() if call not in answered
+    )
+    counts = {"answered": len(answered), **others}
+    return ", ".join(f"{count} {name}" for name, count in counts.items())
+
+
 def print_property(name: Property, breaches: list[Breach], trial: str) -> None:
     """Prints one line a property, and the first breaches with their evidence."""
     verdict = f"{len(breaches)} BREACHES" if breaches else "held"
@@ -155,6 +170,7 @@
     (folder / "evidence.json").write_bytes(msgspec.json.encode(evidence))
     faults = ", ".join(f"{name} {count}" for name, count in sorted(counts.items()))
     print(f"seed {_SEED.value}: {faults}")
+    print(f"calls: {describe_calls(evidence)}")
     breaches = judge(evidence)
     print(f"seed {_SEED.value}: {breaches} breaches")
     return 1 if breaches else 0
