--- a/bench/tests/checker/test_checker.py
+++ b/bench/tests/checker/test_checker.py
@@ -1,15 +1,18 @@
 import unittest
 
 from bench.checker import check_evidence
+from bench.checker.order import check_order
 from bench.checker.records import (
     Attempt,
     AttemptOutcome,
+    CallKey,
     ChatMessage,
     Departure,
     Property,
     SessionsHeld,
 )
 
+from bench.checker.traces import Trace
 from checker.recorded import (
     TEAM,
     build_chat,
@@ -47,6 +50,11 @@
 
 
 class OrderTests(CheckerCase):
+    def test_calls_without_work_are_passed_over(self):
+        trace = Trace(self.evidence)
+        self.assertEqual(trace.work[CallKey(TEAM, "idle", 1)], [])
+        self.assertEqual(list(check_order(self.evidence, trace)), [])
+
     def test_run_of_an_earlier_call_after_a_later_one_is_caught(self):
         self.evidence.team_budgets = {}
         self.change(self.evidence.programs, 0, budget=Budget())
--- /dev/null
+++ b/tests/test_leaving.py
@@ -0,0 +1,62 @@
+import random
+import signal
+import time
+
+import trio
+from bench.checker.records import Departure, Property
+from bench.faultrun.load import Load
+from bench.faultrun.plan import build_plan
+from support import CALL_SECONDS, DeploymentCase
+
+from goldcrestvane_common.messages import DRAIN_PATH
+
+LIST_LAG_SECONDS = 8.0
+WATCHED_SECONDS = 5.0
+
+
+class LeavingTests(DeploymentCase):
+    """The list lags so much that the sidecar itself must be the first to tell."""
+
+    plan = build_plan(list_lag=LIST_LAG_SECONDS, call_seconds=CALL_SECONDS)
+
+    def run_departure(self, *names, leave):
+        async def script():
+            load = Load(self.deployment, self.evidence, random.Random(1))
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(load.run)
+                await trio.sleep(1.0)
+                for name in names:
+                    await self.depart(name, leave)
+                await trio.sleep(WATCHED_SECONDS)
+                load.is_stopping = True
+            await self.assert_no_breach(
+                Property.LEAVING, Property.AT_MOST_ONCE, Property.NOT_RUN
+            )
+            for name in names:
+                target = name.replace("sidecar-", "target-")
+                later = [
+                    item
+                    for item in (*self.evidence.effects, *self.evidence.runs)
+                    if item.target != target and item.time > self.left_at + 3.0
+                ]
+                self.assertTrue(later, "No other target worked meanwhile.")
+
+        self.run_script(script)
+
+    async def depart(self, name, leave):
+        self.left_at = time.time()
+        await leave(name)
+        target = name.replace("sidecar-", "target-")
+        self.evidence.departures.append(Departure(target=target, time=self.left_at))
+
+    def test_drain_order(self):
+        async def leave(name):
+            await self.deployment.request(name, "POST", DRAIN_PATH, {})
+
+        self.run_departure("sidecar-llm-0", "sidecar-app-0", leave=leave)
+
+    def test_signal(self):
+        async def leave(name):
+            self.deployment.processes[name].send_signal(signal.SIGTERM)
+
+        self.run_departure("sidecar-llm-1", "sidecar-app-1", leave=leave)
