--- a/packages/common/src/goldcrestvane_common/messages.py
+++ b/packages/common/src/goldcrestvane_common/messages.py
@@ -136,6 +136,7 @@
         model: Body of a model call.
         tool: Body of a tool call, undecoded JSON.
         resume: Where to take up a stream that broke between owner and entry.
+        abandoned: Highest sequence that the caller has given up; 0 for none.
     """
 
     team: TeamId
@@ -148,6 +149,7 @@
     model: ModelBody | None = None
     tool: msgspec.Raw = msgspec.Raw(b"null")
     resume: StreamPoint | None = None
+    abandoned: int = 0
 
 
 class CallAnswer(msgspec.Struct, frozen=True, omit_defaults=True):
@@ -159,6 +161,7 @@
         owner: Instance that owns the program.
         usage: Tokens taken.
         replayed: Whether the answer comes from the record of an earlier attempt.
+        finish_reason: Why the answer ended: ``stop``, or ``length`` when it was cut.
     """
 
     value: msgspec.Raw
@@ -166,6 +169,7 @@
     owner: InstanceId
     usage: Usage = Usage()
     replayed: bool = False
+    finish_reason: str = "stop"
 
 
 class StreamHead(msgspec.Struct, frozen=True, tag="head"):
@@ -256,6 +260,7 @@
     value: msgspec.Raw
     usage: Usage = Usage()
     load: "TargetLoad | None" = None
+    finish_reason: str = "stop"
 
 
 class CloseRequest(msgspec.Struct, frozen=True):
--- a/packages/daemon/src/goldcrestvane_daemon/owner/manager.py
+++ b/packages/daemon/src/goldcrestvane_daemon/owner/manager.py
@@ -13,14 +13,12 @@
 import trio
 
 from goldcrestvane_common.errors import Unavailable
-from goldcrestvane_common.ids import Epoch, InstanceId, ShardId
+from goldcrestvane_common.ids import InstanceId, ShardId
 from goldcrestvane_common.logs import get_logger
 from goldcrestvane_common.messages import (
     ADOPT_PATH,
-    FENCE_PATH,
     Accepted,
     AdoptRequest,
-    Fence,
     Instance,
     Role,
     ShardMap,
@@ -30,6 +28,7 @@
 from goldcrestvane_common.server import JsonResponse, Request, Response, Router
 from goldcrestvane_common.transport import ConnectFailed, ExchangeBroken, Transport
 from goldcrestvane_daemon.membership import Membership
+from goldcrestvane_daemon.owner.fencing import FenceSender
 from goldcrestvane_daemon.owner.journal import Deposed, Journal
 from goldcrestvane_daemon.owner.ranking import (
     HEIR_PROBE_SECONDS,
@@ -45,8 +44,8 @@
 RECONCILE_SECONDS = 0.5
 START_GRACE_SECONDS = 1.0
 OPEN_RETRY_SECONDS = 1.0
+HEIR_PATIENCE_SECONDS = 3.0
 ADOPT_TIMEOUT_SECONDS = 3.0
-FENCE_TIMEOUT_SECONDS = 0.3
 REBALANCE_SECONDS = 1.0
 SETTLED_SECONDS = 3.0
 
@@ -80,6 +79,9 @@
         self._writer = ShardMapWriter(objects, shard_count=shard_count)
         self._generator = generator
         self._transport = transport
+        self._fences = FenceSender(
+            transport, list_peers=lambda: membership.list_live(Role.SIDECAR)
+        )
         self._opening: set[ShardId] = set()
         self._handing_over: set[ShardId] = set()
         self._members: frozenset[InstanceId] = frozenset()
@@ -88,6 +90,8 @@
         self._wakeup = trio.Event()
         self._index = ShardIndex(ShardMap([]), shard_count=shard_count)
         self._live: list[Instance] = []
+        self._candidates: list[Instance] = []
+        self._dead_since: dict[InstanceId, float] = {}
         self._ring = HeirRing([])
         self._watched: dict[InstanceId, float] = {}
         self.shard_count = shard_count
@@ -111,6 +115,7 @@
         await trio.sleep(START_GRACE_SECONDS)
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
+            nursery.start_soon(self._fences.run)
             nursery.start_soon(self._rebalance)
             while True:
                 await self._reconcile()
@@ -131,13 +136,16 @@
     def _note_members(self, shard_map: ShardMap) -> None:
         """Arranges map and members anew when one of them has changed."""
         live = self._membership.list_live(Role.SIDECAR)
-        if shard_map is self._index.shard_map and live == self._live:
+        candidates = self._membership.list_candidates()
+        same_members = live == self._live and candidates == self._candidates
+        if shard_map is self._index.shard_map and same_members:
             return
         if shard_map is not self._index.shard_map:
             self._index = ShardIndex(shard_map, shard_count=self.shard_count)
-        if live != self._live:
-            self._live = live
-            self._ring = HeirRing(live)
+        self._live = live
+        if candidates != self._candidates:
+            self._candidates = candidates
+            self._ring = HeirRing(candidates)
         self._watched = self._list_watched_owners()
 
     def _get_entry(self, shard_map: ShardMap, shard: ShardId) -> ShardOwner | None:
@@ -185,8 +193,14 @@
         if owner == self._own.instance:
             return self._own in self._live
         if not self._membership.is_dead(owner):
+            self._dead_since.pop(owner, None)
             return False
-        return self._ring.find_heirs(owner)[:1] == [self._own]
+        heirs = self._ring.find_heirs(owner)
+        if self._own not in heirs:
+            return False
+        now = trio.current_time()
+        waited = now - self._dead_since.setdefault(owner, now)
+        return waited >= heirs.index(self._own) * HEIR_PATIENCE_SECONDS
 
     async def _take_over(self, shard: ShardId) -> None:
         journal = Journal(self._objects, shard, self._own.instance)
@@ -194,7 +208,7 @@
         try:
             await owned.open()
             self._nursery.start_soon(journal.run)
-            await self._fence_targets(shard, journal.epoch)
+            await self._fences.fence(shard, journal.epoch)
             await self._recovery.settle_calls(owned)
         except Deposed:
             logger.info("shard %s went to another instance", shard)
@@ -208,14 +222,6 @@
         finally:
             self._opening.discard(shard)
 
-    async def _fence_targets(self, shard: ShardId, epoch: Epoch) -> None:
-        """Tells all sidecars the new epoch; unreachable ones are passed over."""
-        fence = Fence(shard, epoch)
-        with trio.move_on_after(FENCE_TIMEOUT_SECONDS):
-            async with trio.open_nursery() as nursery:
-                for peer in self._membership.list_live(Role.SIDECAR):
-                    nursery.start_soon(self._send_order, peer, FENCE_PATH, fence)
-
     async def _send_order(self, peer: Instance, path: str, order: Any) -> bool:
         """Sends an order to a peer; returns whether it was carried out."""
         try:
