--- a/bench/tests/checker/test_checker.py
+++ b/bench/tests/checker/test_checker.py
@@ -11,8 +11,8 @@
     Property,
     SessionsHeld,
 )
-
 from bench.checker.traces import Trace
+
 from checker.recorded import (
     TEAM,
     build_chat,
