--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -12,15 +12,25 @@
 
 LIST_LAG_SECONDS = 8.0
 WATCHED_SECONDS = 5.0
+TOOL_SECONDS = 1.5
+SLOW_OPTIONS = ("--token-seconds=0.1",)
 
 
 class LeavingTests(DeploymentCase):
-    """The list lags so much that the sidecar itself must be the first to tell."""
+    """The list lags so much that the sidecar itself must be the first to tell.
 
-    plan = build_plan(list_lag=LIST_LAG_SECONDS, call_seconds=CALL_SECONDS)
+    Long calls keep the sidecar up, so that it could be given new ones.
+    """
+
+    plan = build_plan(
+        list_lag=LIST_LAG_SECONDS,
+        call_seconds=CALL_SECONDS,
+        model_options=SLOW_OPTIONS,
+    )
 
     def run_departure(self, *names, leave):
         async def script():
+            await self.set_tool_faults(delay=TOOL_SECONDS)
             load = Load(self.deployment, self.evidence, random.Random(1))
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(load.run)
