--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -12,6 +12,7 @@
 
 LIST_LAG_SECONDS = 8.0
 WATCHED_SECONDS = 5.0
+HUNG_CALLS = 2
 TOOL_SECONDS = 1.5
 SLOW_OPTIONS = ("--token-seconds=0.1",)
 
@@ -19,7 +20,7 @@
 class LeavingTests(DeploymentCase):
     """The list lags so much that the sidecar itself must be the first to tell.
 
-    Long calls keep the sidecar up, so that it could be given new ones.
+    Hung calls keep the sidecar up, so that it could be given new ones.
     """
 
     plan = build_plan(
@@ -35,6 +36,10 @@
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(load.run)
                 await trio.sleep(1.0)
+                for name in names:
+                    target = name.replace("sidecar-", "target-")
+                    await self.set_faults(target, hang=HUNG_CALLS)
+                await trio.sleep(1.0)
                 for name in names:
                     await self.depart(name, leave)
                 await trio.sleep(WATCHED_SECONDS)
