Let the failure tests and the fault runner reach internal paths

Ruled out: opening the internal paths of test deployments (they would not show a missing token any more). Change: the tests' client carries the token; the runner notes a start before it as well.

--- a/bench/faultrun/faults.py
+++ b/bench/faultrun/faults.py
@@ -78,6 +78,7 @@
         async with self._disturb(f"kill {name}", name):
             self._deployment.processes[name].kill()
             await trio.sleep(self._generator.uniform(0.5, 5.0))
+            self._recorder.mark_up(name)
             await self._deployment.restart(name)
             self._recorder.mark_up(name)
 
@@ -191,6 +192,7 @@
             await process.wait_end()
         ended = time.time()
         process.kill()
+        self._recorder.mark_up(name)
         await self._deployment.restart(name)
         self._recorder.mark_up(name)
         self.busy.discard(name)
--- a/tests/support.py
+++ b/tests/support.py
@@ -19,7 +19,7 @@
 
 from goldcrestvane_common.messages import STATUS_PATH, ProcessStatus, ProgramView
 from goldcrestvane_common.transport import ConnectFailed, ExchangeBroken, Transport
-from goldcrestvane_standins.deployment import Deployment
+from goldcrestvane_standins.deployment import PEER_TOKEN, Deployment
 
 GIVE_UP_SECONDS = 120.0
 SETTLE_SECONDS = 0.5
@@ -50,7 +50,7 @@
 
     def run_script(self, script):
         async def main():
-            self.deployment.transport = Transport()
+            self.deployment.transport = Transport(peer_token=PEER_TOKEN)
             self.evidence = Evidence()
             self.recorder = Recorder(self.deployment, self.evidence)
             self.balancer = Balancer(self.deployment)
