Try idempotent tool calls again, and drop a setting without effect

Cause: the answer of an idempotent tool call that broke off, or a status of 500 or above, was told as unknown and not tried again; services.SERVICE.slots was stored and shown and changed nothing; an owner kept the place of an ended program's prefix. Change: such calls end incomplete and are tried again within the retry budget; the setting is gone; placement forgets a program once its engine memory is free.

--- a/packages/common/src/goldcrestvane_common/settings.py
+++ b/packages/common/src/goldcrestvane_common/settings.py
@@ -80,13 +80,11 @@
         kind: Model engine or tool.
         operations: Declared operations of a tool; others are refused.
         timeout_seconds: Time after which a model call is given up.
-        slots: Calls that one target runs at a time.
     """
 
     kind: ServiceKind
     operations: dict[str, OperationSettings] = {}
     timeout_seconds: float = 120.0
-    slots: int = 8
 
 
 class ProgramSettings(
--- a/packages/daemon/src/goldcrestvane_daemon/chooser.py
+++ b/packages/daemon/src/goldcrestvane_daemon/chooser.py
@@ -5,7 +5,7 @@
 import trio
 
 from goldcrestvane_common.errors import Outcome, ServiceError, Unavailable
-from goldcrestvane_common.ids import InstanceId, ServiceId
+from goldcrestvane_common.ids import InstanceId, ProgramId, ServiceId, TeamId
 from goldcrestvane_common.messages import DispatchAnswer, DispatchRequest, Instance
 from goldcrestvane_daemon.owner.state import CachedPrefix
 from goldcrestvane_daemon.owner.targets import TargetDirectory
@@ -96,6 +96,10 @@
         else:
             self._placement.record_failure(attempt)
 
+    def forget_program(self, team: TeamId, program: ProgramId) -> None:
+        """Drops what is believed cached for an ended program."""
+        self._placement.forget_program(team, program)
+
     def count_call(self, service: ServiceId) -> None:
         """Counts a first attempt, of which retries may be a share."""
         self._get_retries(service).record_attempt(now=trio.current_time())
--- a/packages/daemon/src/goldcrestvane_daemon/owner/release.py
+++ b/packages/daemon/src/goldcrestvane_daemon/owner/release.py
@@ -7,7 +7,7 @@
 import trio
 
 from goldcrestvane_common.errors import BudgetExceeded, ServiceError
-from goldcrestvane_common.ids import InstanceId
+from goldcrestvane_common.ids import InstanceId, ProgramId, TeamId
 from goldcrestvane_common.logs import get_logger
 from goldcrestvane_common.messages import (
     RELEASE_PATH,
@@ -39,7 +39,17 @@
         connector: TargetConnector,
         directory: TargetDirectory,
         list_shards: Callable[[], Iterable[OwnedShard]],
+        forget_program: Callable[[TeamId, ProgramId], None],
     ) -> None:
+        """Creates a releaser.
+
+        Args:
+            connector: Sends the orders.
+            directory: Finds the sidecars beside the engines.
+            list_shards: Returns the owned shards.
+            forget_program: Told of each program whose engine memory is free.
+        """
+        self._forget_program = forget_program
         self._connector = connector
         self._directory = directory
         self._list_shards = list_shards
@@ -79,6 +89,7 @@
         ]
         if all(freed):
             shard.append(records.SessionsReleased(*program.key))
+            self._forget_program(*program.key)
 
     async def _release_at(self, instance: InstanceId, order: ReleaseRequest) -> bool:
         target = self._directory.find_instance(instance)
--- a/packages/daemon/src/goldcrestvane_daemon/sidecar_process.py
+++ b/packages/daemon/src/goldcrestvane_daemon/sidecar_process.py
@@ -90,10 +90,11 @@
         placement = Placement(
             domain=settings.domain, seed=parts.generator.randrange(2**32)
         )
+        chooser = TargetChooser(directory=membership, placement=placement)
         runner = CallRunner(
             connector=connector,
             directory=membership,
-            chooser=TargetChooser(directory=membership, placement=placement),
+            chooser=chooser,
             starter=CallStarter(TeamAccounts(parts.objects)),
             suspects=SuspectGuard(self._quarantine),
         )
@@ -107,6 +108,7 @@
             connector=connector,
             directory=membership,
             list_shards=self._manager.owned.values,
+            forget_program=chooser.forget_program,
         )
         self._metrics = RequestMetrics()
         watch_gate(self._gate, self._metrics.registry)
--- a/packages/daemon/src/goldcrestvane_daemon/target/tool.py
+++ b/packages/daemon/src/goldcrestvane_daemon/target/tool.py
@@ -5,8 +5,10 @@
 import msgspec
 
 from goldcrestvane_common.errors import (
+    AnswerIncomplete,
     Outcome,
     OutcomeUnknown,
+    ServiceError,
     TargetDied,
     Unavailable,
 )
@@ -30,7 +32,8 @@
 
         Raises:
             Unavailable: The tool cannot be reached; the call did not run.
-            OutcomeUnknown: The call may have run.
+            OutcomeUnknown: The call may have run and must not be repeated.
+            AnswerIncomplete: The call may have run and may be repeated.
             TargetDied: The call may have run, and the tool died.
         """
         try:
@@ -48,21 +51,20 @@
                 retry_after=1.0,
             ) from error
         except ExchangeBroken as error:
-            if await self._has_died():
-                raise TargetDied(
-                    f"The tool died during the call: {error} "
-                    "Look the result up in the tool.",
-                    outcome=Outcome.UNKNOWN,
-                ) from error
-            raise OutcomeUnknown(
-                f"The tool's answer was lost: {error} Look the result up in the tool."
-            ) from error
+            raise await self._build_loss(request, error) from error
         if reply.status >= 500:
-            raise OutcomeUnknown(
-                f"The tool answered {reply.status}. Look the result up in the tool."
-            )
+            raise _build_lost_answer(request, f"The tool answered {reply.status}.")
         execution.finish(_check_json(reply.body), Usage())
 
+    async def _build_loss(
+        self, request: DispatchRequest, error: ExchangeBroken
+    ) -> ServiceError:
+        """Returns the error of a call whose exchange broke."""
+        if not await self._has_died():
+            return _build_lost_answer(request, f"The tool's answer was lost: {error}")
+        outcome = Outcome.INCOMPLETE if request.idempotent else Outcome.UNKNOWN
+        return TargetDied(f"The tool died during the call: {error}", outcome=outcome)
+
     async def _has_died(self) -> bool:
         """Returns whether the tool refuses connections."""
         try:
@@ -74,6 +76,12 @@
         return False
 
 
+def _build_lost_answer(request: DispatchRequest, reason: str) -> ServiceError:
+    if request.idempotent:
+        return AnswerIncomplete(f"{reason} Send the call again.", retry_after=0.5)
+    return OutcomeUnknown(f"{reason} Look the result up in the tool.")
+
+
 def _check_json(body: bytes) -> msgspec.Raw:
     try:
         msgspec.json.decode(body)
--- a/tests/test_not_run.py
+++ b/tests/test_not_run.py
@@ -49,6 +49,23 @@
         refused = await caller.chat(MODEL, "the second call")
         self.assertIs(refused.error.call_outcome, Outcome.REFUSED_FINAL)
 
+    def test_lost_answer_of_an_idempotent_tool_call_is_fetched_by_a_repeat(self):
+        run_with_deployment(build_plan(tools=2), self.check_lost_answer)
+
+    async def check_lost_answer(self, deployment):
+        caller = build_caller(deployment, "review-1", max_sends=1)
+        await caller.begin("review")
+        tools = [f"target-{TOOL}-{number}" for number in range(2)]
+        for tool in tools:
+            await deployment.request(
+                tool, "PUT", "/control/faults", {"close_after_effect": 1}
+            )
+        for turn in range(2):
+            result = await caller.use_tool(TOOL, "read", {"turn": turn})
+            self.assertIsNone(result.error)
+        effects = [await deployment.read_record(tool) for tool in tools]
+        self.assertGreaterEqual(sum(map(len, effects)), 3)
+
     def test_refused_tool_call_left_no_effect_and_runs_once_when_sent_again(self):
         run_with_deployment(build_plan(tools=1), self.check_dead_tool)
 
