--- a/bench/cost/fleet.py
+++ b/bench/cost/fleet.py
@@ -11,8 +11,13 @@
 
 from cost.hops import MODEL, PLAN, PlatformCounts, count_platform, list_pids
 from cost.usage import Meter, find_percentile, read_usage
-from goldcrestvane_common.messages import SHARD_MAP_KEY, ShardMap
+from goldcrestvane_common.messages import (
+    ShardMap,
+)
 from goldcrestvane_common.objects import StoredObject
+from goldcrestvane_common.paths import (
+    SHARD_MAP_KEY,
+)
 from goldcrestvane_standins.deployment import Deployment, Plan, TargetPlan
 
 DOMAINS = tuple(f"domain-{number}" for number in range(8))
--- a/bench/cost/idle.py
+++ b/bench/cost/idle.py
@@ -13,7 +13,11 @@
 from cost.hops import PLAN, TEAM, TOOL_PLAN, PlatformCounts, count_platform, list_pids
 from cost.report import Target, print_rows
 from cost.usage import Meter, read_usage
-from goldcrestvane_common.messages import Instance, ProcessStatus, Role
+from goldcrestvane_common.messages import (
+    Instance,
+    ProcessStatus,
+    Role,
+)
 from goldcrestvane_common.settings import (
     AuditRecord,
     TeamDocument,
--- a/bench/cost/members.py
+++ b/bench/cost/members.py
@@ -15,7 +15,6 @@
 
 from cost.usage import read_usage
 from goldcrestvane_common.messages import (
-    PING_PATH,
     Instance,
     InstanceList,
     InstanceState,
@@ -25,6 +24,9 @@
     ShardOwner,
 )
 from goldcrestvane_common.objects import ObjectClient
+from goldcrestvane_common.paths import (
+    PING_PATH,
+)
 from goldcrestvane_common.transport import Reply
 from goldcrestvane_daemon.membership import Membership
 from goldcrestvane_daemon.owner.manager import ShardManager
--- a/bench/cost/programs.py
+++ b/bench/cost/programs.py
@@ -10,14 +10,20 @@
 
 from cost.usage import read_usage
 from goldcrestvane_common.ids import InstanceId, ProgramId, ShardId, TeamId
-from goldcrestvane_common.messages import Instance, Message, Usage
+from goldcrestvane_common.messages import (
+    Instance,
+    Message,
+    Usage,
+)
 from goldcrestvane_common.objects import ObjectClient
 from goldcrestvane_common.settings import Budget, HistoryMode
 from goldcrestvane_common.transport import Transport
 from goldcrestvane_daemon.owner.journal import Journal
 from goldcrestvane_daemon.owner.records import CallEnded, ProgramBegun, Record
 from goldcrestvane_daemon.owner.release import SessionReleaser
-from goldcrestvane_daemon.owner.shard import OwnedShard
+from goldcrestvane_daemon.owner.shard import (
+    OwnedShard,
+)
 from goldcrestvane_daemon.owner.snapshot import build_snapshot
 from goldcrestvane_daemon.owner.state import apply_record
 from goldcrestvane_daemon.owner.targets import TargetConnector
--- a/bench/faultrun/faults.py
+++ b/bench/faultrun/faults.py
@@ -14,7 +14,9 @@
 from bench.checker.records import Departure, Disturbance, Evidence, PlannedStop
 from bench.faultrun.plan import TEAMS
 from bench.faultrun.recorder import Recorder
-from goldcrestvane_common.messages import DRAIN_PATH
+from goldcrestvane_common.paths import (
+    DRAIN_PATH,
+)
 from goldcrestvane_common.settings import build_settings_key
 from goldcrestvane_common.transport import TransportError
 from goldcrestvane_standins.deployment import Deployment, ManagedProcess
--- a/bench/faultrun/recorder.py
+++ b/bench/faultrun/recorder.py
@@ -15,7 +15,12 @@
     SettingsSeen,
     SettingsWrite,
 )
-from goldcrestvane_common.messages import STATUS_PATH, ProcessStatus
+from goldcrestvane_common.messages import (
+    ProcessStatus,
+)
+from goldcrestvane_common.paths import (
+    STATUS_PATH,
+)
 from goldcrestvane_common.settings import SETTINGS_PREFIX
 from goldcrestvane_common.transport import (
     ConnectFailed,
--- a/bench/generate_traces.py
+++ b/bench/generate_traces.py
@@ -6,7 +6,9 @@
 import msgspec
 from absl import app, flags
 
-from goldcrestvane_common.messages import encode_line
+from goldcrestvane_common.messages import (
+    encode_line,
+)
 from goldcrestvane_common.trace import TraceHeader
 from trace_replay.scenarios import SCENARIOS, Scenario
 
--- a/bench/policy_bench/deciders.py
+++ b/bench/policy_bench/deciders.py
@@ -9,7 +9,10 @@
 import trio
 
 from goldcrestvane_common.ids import DomainId, InstanceId, ProgramId, hash_text
-from goldcrestvane_common.messages import TargetLoad, Usage
+from goldcrestvane_common.messages import (
+    TargetLoad,
+    Usage,
+)
 from goldcrestvane_daemon.placement import (
     Attempt,
     CallFacts,
--- a/bench/policy_bench/fleet.py
+++ b/bench/policy_bench/fleet.py
@@ -15,7 +15,9 @@
     ServiceId,
     hash_text,
 )
-from goldcrestvane_common.messages import TargetLoad
+from goldcrestvane_common.messages import (
+    TargetLoad,
+)
 from goldcrestvane_daemon.placement import Candidate
 from policy_bench.deployments import Deployment
 from policy_bench.targets import FakeTarget, PrefixCache
--- a/bench/policy_bench/runner.py
+++ b/bench/policy_bench/runner.py
@@ -25,7 +25,10 @@
     TeamId,
     get_root,
 )
-from goldcrestvane_common.messages import DispatchRequest, Usage
+from goldcrestvane_common.messages import (
+    DispatchRequest,
+    Usage,
+)
 from goldcrestvane_common.settings import Priority, ServiceKind
 from goldcrestvane_daemon.placement import Attempt, CallFacts
 from policy_bench.deciders import Decider, Ending
--- a/bench/policy_bench/targets.py
+++ b/bench/policy_bench/targets.py
@@ -8,7 +8,10 @@
 import trio
 
 from goldcrestvane_common.ids import DomainId, InstanceId, ProgramId
-from goldcrestvane_common.messages import TargetLoad, Usage
+from goldcrestvane_common.messages import (
+    TargetLoad,
+    Usage,
+)
 from goldcrestvane_daemon.gate import Gate, GateOptions
 
 
--- a/bench/tests/test_trace_replay.py
+++ b/bench/tests/test_trace_replay.py
@@ -11,11 +11,13 @@
 
 from generate_traces import write_scenario
 from goldcrestvane_common.errors import OutcomeUnknown, Unavailable
-from goldcrestvane_common.server import (
-    Application,
+from goldcrestvane_common.routing import (
     BytesResponse,
     JsonResponse,
     Router,
+)
+from goldcrestvane_common.server import (
+    Application,
     serve_http,
 )
 from goldcrestvane_common.trace import (
--- a/packages/client/src/goldcrestvane_client/processes.py
+++ b/packages/client/src/goldcrestvane_client/processes.py
@@ -10,7 +10,11 @@
 from goldcrestvane_client.exits import UsageError
 from goldcrestvane_common.control_exchange import push_control
 from goldcrestvane_common.errors import ServiceError
-from goldcrestvane_common.messages import Instance, InstanceList, InstanceState
+from goldcrestvane_common.messages import (
+    Instance,
+    InstanceList,
+    InstanceState,
+)
 from goldcrestvane_common.objects import StoredObject
 from goldcrestvane_common.transport import TransportError
 
--- a/packages/client/src/goldcrestvane_client/program_commands.py
+++ b/packages/client/src/goldcrestvane_client/program_commands.py
@@ -8,11 +8,15 @@
 from goldcrestvane_common.errors import Unavailable
 from goldcrestvane_common.ids import ProgramId, TeamId
 from goldcrestvane_common.messages import (
-    PROGRAM_SHOW_PATH,
     InstanceState,
+    Role,
+)
+from goldcrestvane_common.paths import (
+    PROGRAM_SHOW_PATH,
+)
+from goldcrestvane_common.programs import (
     ProgramQuery,
     ProgramView,
-    Role,
 )
 from goldcrestvane_common.transport import TransportError
 
--- a/packages/client/src/goldcrestvane_client/status_commands.py
+++ b/packages/client/src/goldcrestvane_client/status_commands.py
@@ -14,15 +14,17 @@
 from goldcrestvane_common.errors import NotFound, ServiceError
 from goldcrestvane_common.ids import TeamId, Version
 from goldcrestvane_common.messages import (
-    DRAIN_PATH,
-    SHARD_MAP_KEY,
-    STATUS_PATH,
     Accepted,
     Instance,
     ProcessStatus,
     ShardMap,
 )
 from goldcrestvane_common.objects import ObjectsUnavailable
+from goldcrestvane_common.paths import (
+    DRAIN_PATH,
+    SHARD_MAP_KEY,
+    STATUS_PATH,
+)
 from goldcrestvane_common.transport import TransportError
 
 STATUS_TIMEOUT_SECONDS = 2.0
--- a/packages/client/tests/system.py
+++ b/packages/client/tests/system.py
@@ -13,20 +13,31 @@
 from goldcrestvane_common.control_replica import ControlReplica
 from goldcrestvane_common.errors import NotFound
 from goldcrestvane_common.messages import (
-    DRAIN_PATH,
-    PROGRAM_SHOW_PATH,
-    STATUS_PATH,
     Accepted,
     Instance,
     InstanceState,
     ProcessStatus,
+    Role,
+    TargetLoad,
+)
+from goldcrestvane_common.paths import (
+    DRAIN_PATH,
+    PROGRAM_SHOW_PATH,
+    STATUS_PATH,
+)
+from goldcrestvane_common.programs import (
     ProgramQuery,
     ProgramState,
     ProgramView,
-    Role,
-    TargetLoad,
 )
-from goldcrestvane_common.server import Application, JsonResponse, Router, serve_http
+from goldcrestvane_common.routing import (
+    JsonResponse,
+    Router,
+)
+from goldcrestvane_common.server import (
+    Application,
+    serve_http,
+)
 from goldcrestvane_common.transport import Transport
 from goldcrestvane_standins.instances import InstanceApi
 from goldcrestvane_standins.objectapi import ObjectApi
--- a/packages/client/tests/test_processes.py
+++ b/packages/client/tests/test_processes.py
@@ -4,7 +4,10 @@
 
 from goldcrestvane_client.exits import ExitCode
 from goldcrestvane_client.processes import PUSH_COUNT
-from goldcrestvane_common.messages import Instance, Role
+from goldcrestvane_common.messages import (
+    Instance,
+    Role,
+)
 
 KEY = "control/settings/alpha"
 
--- a/packages/client/tests/test_program_commands.py
+++ b/packages/client/tests/test_program_commands.py
@@ -3,7 +3,10 @@
 from system import CLOSED_ADDRESS, run_system
 
 from goldcrestvane_client.exits import ExitCode
-from goldcrestvane_common.messages import Instance, Role
+from goldcrestvane_common.messages import (
+    Instance,
+    Role,
+)
 
 
 class ProgramCommandTests(unittest.TestCase):
--- a/packages/client/tests/test_status_commands.py
+++ b/packages/client/tests/test_status_commands.py
@@ -3,7 +3,11 @@
 from system import CLOSED_ADDRESS, run_system
 
 from goldcrestvane_client.exits import ExitCode
-from goldcrestvane_common.messages import Instance, InstanceState, Role
+from goldcrestvane_common.messages import (
+    Instance,
+    InstanceState,
+    Role,
+)
 
 
 class StatusCommandTests(unittest.TestCase):
--- a/packages/common/src/goldcrestvane_common/control_exchange.py
+++ b/packages/common/src/goldcrestvane_common/control_exchange.py
@@ -17,9 +17,16 @@
 )
 from goldcrestvane_common.errors import InvalidRequest
 from goldcrestvane_common.ids import Version
-from goldcrestvane_common.messages import CONTROL_PATH
 from goldcrestvane_common.objects import StoredObject
-from goldcrestvane_common.server import JsonResponse, Request, Response, Router
+from goldcrestvane_common.paths import (
+    CONTROL_PATH,
+)
+from goldcrestvane_common.routing import (
+    JsonResponse,
+    Request,
+    Response,
+    Router,
+)
 from goldcrestvane_common.transport import ExchangeBroken, Transport
 
 PULL_TIMEOUT_SECONDS = 2.0
--- a/packages/common/src/goldcrestvane_common/feed.py
+++ b/packages/common/src/goldcrestvane_common/feed.py
@@ -22,7 +22,9 @@
     RevisionTooOld,
     StoredObject,
 )
-from goldcrestvane_common.server import Router
+from goldcrestvane_common.routing import (
+    Router,
+)
 from goldcrestvane_common.settings import TeamSettings
 from goldcrestvane_common.team_cache import TeamCache
 from goldcrestvane_common.transport import Transport, TransportError
--- a/packages/common/src/goldcrestvane_common/messages.py
+++ b/packages/common/src/goldcrestvane_common/messages.py
@@ -18,29 +18,7 @@
     TeamId,
     Version,
 )
-from goldcrestvane_common.settings import Budget, Priority, ServiceKind
-
-CALL_PATH = "/internal/call"
-STREAM_PATH = "/internal/stream"
-PROGRAM_BEGIN_PATH = "/internal/programs/begin"
-PROGRAM_END_PATH = "/internal/programs/end"
-PROGRAM_SHOW_PATH = "/internal/programs/show"
-DISPATCH_PATH = "/internal/dispatch"
-DISPATCH_CLOSE_PATH = "/internal/dispatch-close"
-DISPATCH_CANCEL_PATH = "/internal/dispatch-cancel"
-PING_PATH = "/internal/ping"
-DRAIN_PATH = "/internal/drain"
-DISPATCH_STREAM_PATH = "/internal/dispatch-stream"
-FENCE_PATH = "/internal/fence"
-RELEASE_PATH = "/internal/release"
-WITNESS_PATH = "/internal/witness"
-COLLECT_PATH = "/internal/witness/collect"
-ADOPT_PATH = "/internal/adopt"
-QUARANTINE_PATH = "/internal/quarantine"
-STATUS_PATH = "/internal/status"
-PEER_STATE_PATH = "/internal/peers"
-CONTROL_PATH = "/internal/control"
-SHARD_MAP_KEY = "control/shards"
+from goldcrestvane_common.settings import Priority, ServiceKind
 
 
 class Role(Enum):
@@ -382,61 +360,6 @@
     cache_capacity_tokens: int = 0
 
 
-class ProgramBegin(msgspec.Struct, frozen=True, omit_defaults=True):
-    """Begins a program; the team's declared kind gives priority and budget.
-
-    Attributes:
-        team: Team of the program.
-        program: Path id; the part before the last ``/`` is the parent.
-        kind: Name of a program kind in the team's settings.
-        budget: Tighter limits than the kind's, if any.
-    """
-
-    team: TeamId
-    program: ProgramId
-    kind: str
-    budget: Budget = Budget()
-
-
-class ProgramEnd(msgspec.Struct, frozen=True):
-    """Ends a program and its sub-agents."""
-
-    team: TeamId
-    program: ProgramId
-
-
-class ProgramQuery(msgspec.Struct, frozen=True):
-    """Asks for the state of one program."""
-
-    team: TeamId
-    program: ProgramId
-
-
-class ProgramState(Enum):
-    """Whether a program takes calls."""
-
-    OPEN = "open"
-    ENDED = "ended"
-
-
-class ProgramView(msgspec.Struct, frozen=True, omit_defaults=True):
-    """State of one program, for callers and operators."""
-
-    team: TeamId
-    program: ProgramId
-    kind: str
-    state: ProgramState
-    owner: InstanceId
-    shard: ShardId
-    epoch: Epoch
-    next_sequence: int
-    budget: Budget = Budget()
-    spent_tokens: int = 0
-    spent_calls: int = 0
-    turns: int = 0
-    history: list[Message] = []
-
-
 class ShardOwner(msgspec.Struct, frozen=True, array_like=True):
     """Owner of one shard; the journal's head decides, this is for routing."""
 
--- a/packages/common/src/goldcrestvane_common/server.py
+++ b/packages/common/src/goldcrestvane_common/server.py
@@ -4,9 +4,8 @@
 import logging
 import math
 import socket
-from collections.abc import AsyncGenerator, Awaitable, Callable, Mapping
+from collections.abc import Callable, Mapping
 from contextlib import aclosing
-from dataclasses import dataclass, field
 from functools import singledispatch
 from typing import Any, final
 from urllib.parse import parse_qsl, unquote
@@ -19,7 +18,6 @@
 from goldcrestvane_common.errors import (
     HeadersTooLarge,
     InvalidRequest,
-    NotFound,
     Outcome,
     RequestTimeout,
     RequestTooLarge,
@@ -27,6 +25,14 @@
     Unauthorized,
     encode_error,
 )
+from goldcrestvane_common.routing import (
+    BytesResponse,
+    JsonResponse,
+    Request,
+    Response,
+    Router,
+    StreamResponse,
+)
 from goldcrestvane_common.transport import INTERNAL_PREFIX, PEER_TOKEN_HEADER
 
 MAX_BODY_BYTES = 4 * 1024 * 1024
@@ -42,128 +48,6 @@
 logger = logging.getLogger(__name__)
 
 
-@final
-@dataclass(frozen=True, kw_only=True)
-class Request:
-    """One HTTP request with its whole body.
-
-    Attributes:
-        method: HTTP method in upper case.
-        path: Decoded path.
-        query: Query parameters; the last of a repeated name wins.
-        headers: Header pairs in the order received, names in lower case.
-        body: Raw body.
-    """
-
-    method: str
-    path: str
-    query: Mapping[str, str] = field(default_factory=dict)
-    headers: tuple[tuple[str, str], ...] = ()
-    body: bytes = b""
-
-    def get_header(self, name: str) -> str | None:
-        """Returns the value of a header that may stand once.
-
-        Raises:
-            InvalidRequest: The header stands more than once.
-        """
-        values = [value for key, value in self.headers if key == name]
-        if len(values) > 1:
-            raise InvalidRequest(
-                f"Header {name} was sent {len(values)} times; send it once.",
-                field=name,
-            )
-        return values[0] if values else None
-
-    def decode(self, body_type: type[Any]) -> Any:
-        """Returns the JSON body as a typed value.
-
-        Raises:
-            InvalidRequest: The body is not JSON, or does not fit the type.
-        """
-        try:
-            return msgspec.json.decode(self.body, type=body_type)
-        except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
-            raise InvalidRequest(
-                f"The body does not parse: {error}. Send JSON that fits the reference.",
-                field="body",
-            ) from error
-
-
-@final
-@dataclass(frozen=True, kw_only=True)
-class JsonResponse:
-    """A whole response with a JSON body of any msgspec-encodable value."""
-
-    value: Any = None
-    status: int = 200
-    headers: Mapping[str, str] = field(default_factory=dict)
-
-
-@final
-@dataclass(frozen=True, kw_only=True)
-class BytesResponse:
-    """A whole response with an encoded body."""
-
-    body: bytes
-    content_type: str = "application/json"
-    status: int = 200
-    headers: Mapping[str, str] = field(default_factory=dict)
-
-
-@final
-@dataclass(frozen=True, kw_only=True)
-class StreamResponse:
-    """A response sent chunk by chunk.
-
-    An iterator that raises ends the connection without the last chunk, so that the
-    receiver never takes the body for a whole one. The iterator is
-    started before the head is sent, and closed when the receiver leaves, so that what
-    it holds is freed in any case.
-    """
-
-    chunks: AsyncGenerator[bytes, None]
-    content_type: str = "text/event-stream"
-    status: int = 200
-    headers: Mapping[str, str] = field(default_factory=dict)
-
-
-Response = JsonResponse | BytesResponse | StreamResponse
-Handler = Callable[[Request], Awaitable[Response]]
-
-
-class Router:
-    """A table of routes; the longest matching path prefix wins."""
-
-    def __init__(self) -> None:
-        self._exact: dict[tuple[str, str], Handler] = {}
-        self._prefixes: list[tuple[str, str, Handler]] = []
-
-    def add(self, method: str, path: str, handler: Handler) -> None:
-        """Adds a route; a path that ends with ``/`` matches every path below it."""
-        if not path.endswith("/"):
-            self._exact[method, path] = handler
-            return
-        self._prefixes.append((method, path, handler))
-        self._prefixes.sort(key=lambda route: -len(route[1]))
-
-    def find(self, method: str, path: str) -> Handler:
-        """Returns the handler of a request.
-
-        Raises:
-            NotFound: No route matches.
-        """
-        handler = self._exact.get((method, path))
-        if handler is not None:
-            return handler
-        for route_method, prefix, handler in self._prefixes:
-            if route_method == method and path.startswith(prefix):
-                return handler
-        raise NotFound(
-            f"No route for {method} {path}; see docs/reference/http.md.", field="path"
-        )
-
-
 @final
 class Application:
     """The ASGI application that serves a router.
--- a/packages/common/tests/fakes.py
+++ b/packages/common/tests/fakes.py
@@ -15,7 +15,10 @@
     StoredObject,
     WriteUncertain,
 )
-from goldcrestvane_common.server import Request, Router
+from goldcrestvane_common.routing import (
+    Request,
+    Router,
+)
 from goldcrestvane_common.transport import ConnectFailed, Reply
 
 logging.getLogger("goldcrestvane").addHandler(logging.NullHandler())
--- a/packages/common/tests/test_control_exchange.py
+++ b/packages/common/tests/test_control_exchange.py
@@ -11,9 +11,13 @@
 )
 from goldcrestvane_common.control_replica import ControlReplica
 from goldcrestvane_common.errors import InvalidRequest
-from goldcrestvane_common.messages import CONTROL_PATH
 from goldcrestvane_common.objects import StoredObject
-from goldcrestvane_common.server import Router
+from goldcrestvane_common.paths import (
+    CONTROL_PATH,
+)
+from goldcrestvane_common.routing import (
+    Router,
+)
 
 SMALL_ANSWER_BYTES = 200
 
--- a/packages/common/tests/test_feed.py
+++ b/packages/common/tests/test_feed.py
@@ -12,7 +12,9 @@
     MIN_BACKOFF_SECONDS,
     ControlFeed,
 )
-from goldcrestvane_common.server import Router
+from goldcrestvane_common.routing import (
+    Router,
+)
 
 KEY = "control/settings/alpha"
 GIVE_UP_SECONDS = 120
--- a/packages/common/tests/test_feed_served.py
+++ b/packages/common/tests/test_feed_served.py
@@ -5,7 +5,13 @@
 from goldcrestvane_common.control_exchange import push_control
 from goldcrestvane_common.feed import ControlFeed
 from goldcrestvane_common.objects import ObjectClient, StoredObject
-from goldcrestvane_common.server import Application, Router, serve_http
+from goldcrestvane_common.routing import (
+    Router,
+)
+from goldcrestvane_common.server import (
+    Application,
+    serve_http,
+)
 from goldcrestvane_common.transport import Transport
 from goldcrestvane_standins.objectapi import ObjectApi
 from goldcrestvane_standins.objectstore import ObjectStore
--- a/packages/common/tests/test_server.py
+++ b/packages/common/tests/test_server.py
@@ -3,12 +3,14 @@
 import trio
 
 from goldcrestvane_common.errors import InvalidRequest
-from goldcrestvane_common.server import (
-    Application,
+from goldcrestvane_common.routing import (
     JsonResponse,
     Request,
     Router,
     StreamResponse,
+)
+from goldcrestvane_common.server import (
+    Application,
     serve_http,
 )
 from goldcrestvane_common.transport import (
--- a/packages/common/tests/test_server_edges.py
+++ b/packages/common/tests/test_server_edges.py
@@ -5,14 +5,16 @@
 
 import trio
 
+from goldcrestvane_common.routing import (
+    JsonResponse,
+    Router,
+    StreamResponse,
+)
 from goldcrestvane_common.server import (
     MAX_HEADER_BYTES,
     MAX_PARSED_HEADER_BYTES,
     Application,
     BoundedConfig,
-    JsonResponse,
-    Router,
-    StreamResponse,
     serve_http,
 )
 
--- a/packages/daemon/src/goldcrestvane_daemon/chooser.py
+++ b/packages/daemon/src/goldcrestvane_daemon/chooser.py
@@ -6,7 +6,11 @@
 
 from goldcrestvane_common.errors import Outcome, ServiceError, Unavailable
 from goldcrestvane_common.ids import InstanceId, ProgramId, ServiceId, TeamId
-from goldcrestvane_common.messages import DispatchAnswer, DispatchRequest, Instance
+from goldcrestvane_common.messages import (
+    DispatchAnswer,
+    DispatchRequest,
+    Instance,
+)
 from goldcrestvane_daemon.owner.state import CachedPrefix
 from goldcrestvane_daemon.owner.targets import TargetDirectory
 from goldcrestvane_daemon.placement import (
--- a/packages/daemon/src/goldcrestvane_daemon/drain.py
+++ b/packages/daemon/src/goldcrestvane_daemon/drain.py
@@ -11,8 +11,18 @@
 import trio
 
 from goldcrestvane_common.logs import get_logger
-from goldcrestvane_common.messages import DRAIN_PATH, Accepted
-from goldcrestvane_common.server import JsonResponse, Request, Response, Router
+from goldcrestvane_common.messages import (
+    Accepted,
+)
+from goldcrestvane_common.paths import (
+    DRAIN_PATH,
+)
+from goldcrestvane_common.routing import (
+    JsonResponse,
+    Request,
+    Response,
+    Router,
+)
 from goldcrestvane_daemon.membership import Membership
 
 LIST_CHECK_SECONDS = 0.2
--- a/packages/daemon/src/goldcrestvane_daemon/entry/_bodies.py
+++ b/packages/daemon/src/goldcrestvane_daemon/entry/_bodies.py
@@ -4,7 +4,10 @@
 
 import msgspec
 
-from goldcrestvane_common.messages import Message, ModelBody
+from goldcrestvane_common.messages import (
+    Message,
+    ModelBody,
+)
 from goldcrestvane_common.settings import Budget
 
 MAX_ANSWER_TOKENS = 1_000_000
--- a/packages/daemon/src/goldcrestvane_daemon/entry/_calls.py
+++ b/packages/daemon/src/goldcrestvane_daemon/entry/_calls.py
@@ -9,11 +9,15 @@
 from goldcrestvane_common.ids import ProgramId, ServiceId
 from goldcrestvane_common.messages import (
     CallRequest,
+)
+from goldcrestvane_common.programs import (
     ProgramBegin,
     ProgramEnd,
     ProgramQuery,
 )
-from goldcrestvane_common.server import Request
+from goldcrestvane_common.routing import (
+    Request,
+)
 from goldcrestvane_common.settings import Budget, ServiceKind, ServiceSettings
 from goldcrestvane_daemon.entry._bodies import BeginBody, ChatBody, EndBody
 from goldcrestvane_daemon.entry._fields import (
--- a/packages/daemon/src/goldcrestvane_daemon/entry/_directories.py
+++ b/packages/daemon/src/goldcrestvane_daemon/entry/_directories.py
@@ -3,7 +3,9 @@
 from typing import Protocol
 
 from goldcrestvane_common.ids import ShardId, TeamId
-from goldcrestvane_common.messages import ShardOwner
+from goldcrestvane_common.messages import (
+    ShardOwner,
+)
 from goldcrestvane_common.settings import TeamSettings
 
 
--- a/packages/daemon/src/goldcrestvane_daemon/entry/_exchanges.py
+++ b/packages/daemon/src/goldcrestvane_daemon/entry/_exchanges.py
@@ -8,7 +8,9 @@
 import trio
 
 from goldcrestvane_common.ids import ShardId
-from goldcrestvane_common.messages import ShardOwner
+from goldcrestvane_common.messages import (
+    ShardOwner,
+)
 from goldcrestvane_daemon.entry._directories import OwnerDirectory
 
 CHECK_INTERVAL_SECONDS = 0.25
--- a/packages/daemon/src/goldcrestvane_daemon/entry/_fields.py
+++ b/packages/daemon/src/goldcrestvane_daemon/entry/_fields.py
@@ -7,7 +7,9 @@
 
 from goldcrestvane_common.errors import InvalidRequest
 from goldcrestvane_common.ids import ProgramId, TeamId
-from goldcrestvane_common.server import Request
+from goldcrestvane_common.routing import (
+    Request,
+)
 
 MAX_SEQUENCE = 2**31 - 1
 MAX_PROGRAM_PARTS = 8
--- a/packages/daemon/src/goldcrestvane_daemon/entry/_headers.py
+++ b/packages/daemon/src/goldcrestvane_daemon/entry/_headers.py
@@ -8,7 +8,9 @@
 
 from goldcrestvane_common.errors import InvalidRequest, NotFound, Unauthorized
 from goldcrestvane_common.ids import ProgramId, TeamId
-from goldcrestvane_common.server import Request
+from goldcrestvane_common.routing import (
+    Request,
+)
 from goldcrestvane_common.settings import TeamSettings
 from goldcrestvane_daemon.entry._directories import TeamDirectory
 from goldcrestvane_daemon.entry._fields import (
--- a/packages/daemon/src/goldcrestvane_daemon/entry/_owners.py
+++ b/packages/daemon/src/goldcrestvane_daemon/entry/_owners.py
@@ -23,11 +23,7 @@
 )
 from goldcrestvane_common.ids import ShardId, locate_shard
 from goldcrestvane_common.messages import (
-    STREAM_PATH,
     CallRequest,
-    ProgramBegin,
-    ProgramEnd,
-    ProgramQuery,
     ShardOwner,
     StreamDelta,
     StreamEnd,
@@ -35,6 +31,14 @@
     StreamFrame,
     StreamHead,
 )
+from goldcrestvane_common.paths import (
+    STREAM_PATH,
+)
+from goldcrestvane_common.programs import (
+    ProgramBegin,
+    ProgramEnd,
+    ProgramQuery,
+)
 from goldcrestvane_common.transport import (
     ConnectFailed,
     ExchangeBroken,
--- a/packages/daemon/src/goldcrestvane_daemon/entry/_service.py
+++ b/packages/daemon/src/goldcrestvane_daemon/entry/_service.py
@@ -10,17 +10,21 @@
 
 from goldcrestvane_common.errors import ServiceError
 from goldcrestvane_common.messages import (
+    CallAnswer,
+    CallRequest,
+    StreamHead,
+)
+from goldcrestvane_common.paths import (
     CALL_PATH,
     PROGRAM_BEGIN_PATH,
     PROGRAM_END_PATH,
     PROGRAM_SHOW_PATH,
-    CallAnswer,
-    CallRequest,
+)
+from goldcrestvane_common.programs import (
     ProgramQuery,
     ProgramView,
-    StreamHead,
 )
-from goldcrestvane_common.server import (
+from goldcrestvane_common.routing import (
     BytesResponse,
     JsonResponse,
     Request,
--- a/packages/daemon/src/goldcrestvane_daemon/entry/_trace.py
+++ b/packages/daemon/src/goldcrestvane_daemon/entry/_trace.py
@@ -14,8 +14,12 @@
 import trio
 
 from goldcrestvane_common.logs import get_logger
-from goldcrestvane_common.messages import encode_line
-from goldcrestvane_common.server import Request
+from goldcrestvane_common.messages import (
+    encode_line,
+)
+from goldcrestvane_common.routing import (
+    Request,
+)
 from goldcrestvane_common.trace import (
     NO_BODY,
     ChatShape,
--- a/packages/daemon/src/goldcrestvane_daemon/entry_process.py
+++ b/packages/daemon/src/goldcrestvane_daemon/entry_process.py
@@ -5,14 +5,22 @@
 
 import trio
 
-from goldcrestvane_common.messages import STATUS_PATH, InstanceState, ProcessStatus
-from goldcrestvane_common.server import (
-    Application,
+from goldcrestvane_common.messages import (
+    InstanceState,
+    ProcessStatus,
+)
+from goldcrestvane_common.paths import (
+    STATUS_PATH,
+)
+from goldcrestvane_common.routing import (
     JsonResponse,
     Request,
     Response,
     Router,
 )
+from goldcrestvane_common.server import (
+    Application,
+)
 from goldcrestvane_daemon.entry import EntryService, TraceOptions
 from goldcrestvane_daemon.parts import Parts
 from goldcrestvane_daemon.probes import RequestMetrics, add_probe_routes
--- a/packages/daemon/src/goldcrestvane_daemon/gate/fences.py
+++ b/packages/daemon/src/goldcrestvane_daemon/gate/fences.py
@@ -4,7 +4,9 @@
 
 from goldcrestvane_common.errors import WrongOwner
 from goldcrestvane_common.ids import Epoch, ShardId
-from goldcrestvane_common.messages import DispatchRequest
+from goldcrestvane_common.messages import (
+    DispatchRequest,
+)
 
 
 @final
--- a/packages/daemon/src/goldcrestvane_daemon/gate/gate.py
+++ b/packages/daemon/src/goldcrestvane_daemon/gate/gate.py
@@ -17,7 +17,10 @@
     WrongOwner,
 )
 from goldcrestvane_common.ids import Epoch, ProgramId, ShardId, TeamId
-from goldcrestvane_common.messages import DispatchRequest, TargetLoad
+from goldcrestvane_common.messages import (
+    DispatchRequest,
+    TargetLoad,
+)
 from goldcrestvane_common.settings import ServiceKind
 from goldcrestvane_daemon.gate.estimate import (
     MIN_RETRY_SECONDS,
--- a/packages/daemon/src/goldcrestvane_daemon/gate/order.py
+++ b/packages/daemon/src/goldcrestvane_daemon/gate/order.py
@@ -10,7 +10,9 @@
 import trio
 
 from goldcrestvane_common.errors import ServiceError
-from goldcrestvane_common.messages import DispatchRequest
+from goldcrestvane_common.messages import (
+    DispatchRequest,
+)
 from goldcrestvane_common.settings import Priority
 
 CLASS_RANKS = {
--- a/packages/daemon/src/goldcrestvane_daemon/gate/residents.py
+++ b/packages/daemon/src/goldcrestvane_daemon/gate/residents.py
@@ -9,7 +9,9 @@
 from typing import NamedTuple, final
 
 from goldcrestvane_common.ids import ProgramId, TeamId, get_root
-from goldcrestvane_common.messages import DispatchRequest
+from goldcrestvane_common.messages import (
+    DispatchRequest,
+)
 from goldcrestvane_common.settings import Priority
 from goldcrestvane_daemon.gate.estimate import MovingMean
 
--- a/packages/daemon/src/goldcrestvane_daemon/membership.py
+++ b/packages/daemon/src/goldcrestvane_daemon/membership.py
@@ -14,15 +14,22 @@
 from goldcrestvane_common.ids import InstanceId, ServiceId
 from goldcrestvane_common.logs import get_logger
 from goldcrestvane_common.messages import (
-    PEER_STATE_PATH,
-    PING_PATH,
     Instance,
     InstanceList,
     InstanceState,
     Ping,
     Role,
 )
-from goldcrestvane_common.server import JsonResponse, Request, Response, Router
+from goldcrestvane_common.paths import (
+    PEER_STATE_PATH,
+    PING_PATH,
+)
+from goldcrestvane_common.routing import (
+    JsonResponse,
+    Request,
+    Response,
+    Router,
+)
 from goldcrestvane_common.transport import ConnectFailed, ExchangeBroken, Transport
 
 LIST_INTERVAL_SECONDS = 1.0
--- a/packages/daemon/src/goldcrestvane_daemon/owner/accounts.py
+++ b/packages/daemon/src/goldcrestvane_daemon/owner/accounts.py
@@ -22,7 +22,9 @@
 )
 from goldcrestvane_common.settings import Budget
 from goldcrestvane_daemon.owner.records import TeamAllotted
-from goldcrestvane_daemon.owner.shard import OwnedShard
+from goldcrestvane_daemon.owner.shard import (
+    OwnedShard,
+)
 
 ALLOTMENTS_PER_BUDGET = 64
 MAX_WRITE_ATTEMPTS = 16
--- a/packages/daemon/src/goldcrestvane_daemon/owner/budgets.py
+++ b/packages/daemon/src/goldcrestvane_daemon/owner/budgets.py
@@ -2,17 +2,23 @@
 
 import math
 from dataclasses import dataclass
-from typing import final
+from typing import TypeVar, final
 
 import msgspec
 import xxhash
 
 from goldcrestvane_common.errors import BudgetExceeded
-from goldcrestvane_common.messages import Message, ModelBody
+from goldcrestvane_common.messages import (
+    Message,
+    ModelBody,
+)
+from goldcrestvane_common.settings import Budget
 from goldcrestvane_daemon.owner.state import Program, ShardState
 
 MESSAGE_OVERHEAD_TOKENS = 8
 
+Limit = TypeVar("Limit", int, float)
+
 
 @final
 @dataclass(frozen=True, kw_only=True)
@@ -126,3 +132,18 @@
                 "Raise its depth budget.",
                 field="budget.depth",
             )
+
+
+def tighten_budget(declared: Budget, asked: Budget) -> Budget:
+    """Returns the lower limit of each kind."""
+    return Budget(
+        tokens=_choose_lower(declared.tokens, asked.tokens),
+        calls=_choose_lower(declared.calls, asked.calls),
+        seconds=_choose_lower(declared.seconds, asked.seconds),
+        depth=_choose_lower(declared.depth, asked.depth),
+    )
+
+
+def _choose_lower(first: Limit | None, second: Limit | None) -> Limit | None:
+    limits = [limit for limit in (first, second) if limit is not None]
+    return min(limits) if limits else None
--- a/packages/daemon/src/goldcrestvane_daemon/owner/calls.py
+++ b/packages/daemon/src/goldcrestvane_daemon/owner/calls.py
@@ -24,7 +24,9 @@
 )
 from goldcrestvane_daemon.owner.budgets import count_seconds_left
 from goldcrestvane_daemon.owner.outcomes import MAX_KEPT_BYTES
-from goldcrestvane_daemon.owner.shard import OwnedShard
+from goldcrestvane_daemon.owner.shard import (
+    OwnedShard,
+)
 from goldcrestvane_daemon.owner.state import Program
 
 
--- a/packages/daemon/src/goldcrestvane_daemon/owner/fencing.py
+++ b/packages/daemon/src/goldcrestvane_daemon/owner/fencing.py
@@ -10,7 +10,13 @@
 import trio
 
 from goldcrestvane_common.ids import Epoch, ShardId
-from goldcrestvane_common.messages import FENCE_PATH, Fence, Instance
+from goldcrestvane_common.messages import (
+    Fence,
+    Instance,
+)
+from goldcrestvane_common.paths import (
+    FENCE_PATH,
+)
 from goldcrestvane_common.transport import ConnectFailed, ExchangeBroken, Transport
 
 FENCE_TIMEOUT_SECONDS = 0.3
--- a/packages/daemon/src/goldcrestvane_daemon/owner/guards.py
+++ b/packages/daemon/src/goldcrestvane_daemon/owner/guards.py
@@ -13,7 +13,12 @@
 
 import trio
 
-from goldcrestvane_common.messages import PING_PATH, Instance
+from goldcrestvane_common.messages import (
+    Instance,
+)
+from goldcrestvane_common.paths import (
+    PING_PATH,
+)
 from goldcrestvane_common.transport import ConnectFailed, ExchangeBroken, Transport
 
 CHECK_SECONDS = 0.5
--- a/packages/daemon/src/goldcrestvane_daemon/owner/manager.py
+++ b/packages/daemon/src/goldcrestvane_daemon/owner/manager.py
@@ -16,7 +16,6 @@
 from goldcrestvane_common.ids import InstanceId, ShardId
 from goldcrestvane_common.logs import get_logger
 from goldcrestvane_common.messages import (
-    ADOPT_PATH,
     Accepted,
     AdoptRequest,
     Instance,
@@ -25,7 +24,15 @@
     ShardOwner,
 )
 from goldcrestvane_common.objects import ObjectClient, ObjectsUnavailable
-from goldcrestvane_common.server import JsonResponse, Request, Response, Router
+from goldcrestvane_common.paths import (
+    ADOPT_PATH,
+)
+from goldcrestvane_common.routing import (
+    JsonResponse,
+    Request,
+    Response,
+    Router,
+)
 from goldcrestvane_common.transport import ConnectFailed, ExchangeBroken, Transport
 from goldcrestvane_daemon.membership import Membership
 from goldcrestvane_daemon.owner.fencing import FenceSender
@@ -37,7 +44,9 @@
     rank_owners,
 )
 from goldcrestvane_daemon.owner.recovery import CallRecovery
-from goldcrestvane_daemon.owner.shard import OwnedShard
+from goldcrestvane_daemon.owner.shard import (
+    OwnedShard,
+)
 from goldcrestvane_daemon.owner.shard_index import ShardIndex
 from goldcrestvane_daemon.owner.shard_map import ShardMapWriter
 from goldcrestvane_daemon.owner.witness import WitnessClient
--- a/packages/daemon/src/goldcrestvane_daemon/owner/outcomes.py
+++ b/packages/daemon/src/goldcrestvane_daemon/owner/outcomes.py
@@ -10,7 +10,10 @@
     ServiceError,
     Unavailable,
 )
-from goldcrestvane_common.messages import DispatchAnswer, Message
+from goldcrestvane_common.messages import (
+    DispatchAnswer,
+    Message,
+)
 from goldcrestvane_common.settings import HistoryMode
 from goldcrestvane_daemon.execution import Execution
 from goldcrestvane_daemon.owner import records
--- a/packages/daemon/src/goldcrestvane_daemon/owner/ranking.py
+++ b/packages/daemon/src/goldcrestvane_daemon/owner/ranking.py
@@ -5,7 +5,9 @@
 from typing import final
 
 from goldcrestvane_common.ids import DomainId, InstanceId, ShardId, hash_text
-from goldcrestvane_common.messages import Instance
+from goldcrestvane_common.messages import (
+    Instance,
+)
 
 HEIR_PROBE_SECONDS = (0.5, 2.0)
 """Period of each heir's probes; a later one acts only once an earlier one is gone."""
--- a/packages/daemon/src/goldcrestvane_daemon/owner/records.py
+++ b/packages/daemon/src/goldcrestvane_daemon/owner/records.py
@@ -7,7 +7,10 @@
 
 from goldcrestvane_common.errors import ErrorBody
 from goldcrestvane_common.ids import CallId, InstanceId, ProgramId, TeamId
-from goldcrestvane_common.messages import Message, Usage
+from goldcrestvane_common.messages import (
+    Message,
+    Usage,
+)
 from goldcrestvane_common.settings import Budget, HistoryMode, Priority
 
 
--- a/packages/daemon/src/goldcrestvane_daemon/owner/recovery.py
+++ b/packages/daemon/src/goldcrestvane_daemon/owner/recovery.py
@@ -13,9 +13,14 @@
 
 from goldcrestvane_common.errors import ErrorBody, OutcomeUnknown, ServiceError
 from goldcrestvane_common.logs import get_logger
-from goldcrestvane_common.messages import CloseRequest, CloseResult
+from goldcrestvane_common.messages import (
+    CloseRequest,
+    CloseResult,
+)
 from goldcrestvane_daemon.owner import records
-from goldcrestvane_daemon.owner.shard import OwnedShard
+from goldcrestvane_daemon.owner.shard import (
+    OwnedShard,
+)
 from goldcrestvane_daemon.owner.targets import TargetConnector, TargetDirectory
 
 CLOSE_WAIT_SECONDS = 5.0
--- a/packages/daemon/src/goldcrestvane_daemon/owner/release.py
+++ b/packages/daemon/src/goldcrestvane_daemon/owner/release.py
@@ -10,13 +10,19 @@
 from goldcrestvane_common.ids import InstanceId, ProgramId, TeamId
 from goldcrestvane_common.logs import get_logger
 from goldcrestvane_common.messages import (
+    ReleaseRequest,
+)
+from goldcrestvane_common.paths import (
     RELEASE_PATH,
+)
+from goldcrestvane_common.programs import (
     ProgramEnd,
-    ReleaseRequest,
 )
 from goldcrestvane_daemon.owner import records
 from goldcrestvane_daemon.owner.budgets import count_seconds_left
-from goldcrestvane_daemon.owner.shard import OwnedShard
+from goldcrestvane_daemon.owner.shard import (
+    OwnedShard,
+)
 from goldcrestvane_daemon.owner.state import Program
 from goldcrestvane_daemon.owner.targets import TargetConnector, TargetDirectory
 
--- a/packages/daemon/src/goldcrestvane_daemon/owner/runner.py
+++ b/packages/daemon/src/goldcrestvane_daemon/owner/runner.py
@@ -10,12 +10,14 @@
 from goldcrestvane_common.ids import CallId, InstanceId, ServiceId, hash_text
 from goldcrestvane_common.logs import get_logger
 from goldcrestvane_common.messages import (
-    DISPATCH_CANCEL_PATH,
     CancelRequest,
     DispatchAnswer,
     DispatchRequest,
     Instance,
 )
+from goldcrestvane_common.paths import (
+    DISPATCH_CANCEL_PATH,
+)
 from goldcrestvane_daemon.execution import Execution
 from goldcrestvane_daemon.owner.budgets import bound_prompt_tokens
 from goldcrestvane_daemon.owner.calls import Call, build_dispatch
@@ -26,11 +28,13 @@
     settle_outcome,
 )
 from goldcrestvane_daemon.owner.records import CallStarted
-from goldcrestvane_daemon.owner.shard import (
-    OwnedShard,
+from goldcrestvane_daemon.owner.refusals import (
     build_ended,
     build_wrong_owner,
 )
+from goldcrestvane_daemon.owner.shard import (
+    OwnedShard,
+)
 from goldcrestvane_daemon.owner.starts import CallStarter, build_release
 from goldcrestvane_daemon.owner.state import CachedPrefix
 from goldcrestvane_daemon.owner.suspects import SuspectGuard
--- a/packages/daemon/src/goldcrestvane_daemon/owner/service.py
+++ b/packages/daemon/src/goldcrestvane_daemon/owner/service.py
@@ -9,22 +9,26 @@
 from goldcrestvane_common.errors import AnswerIncomplete, NotFound, build_error
 from goldcrestvane_common.ids import CallId, InstanceId, ProgramId, TeamId, locate_shard
 from goldcrestvane_common.messages import (
+    CallAnswer,
+    CallRequest,
+    StreamDelta,
+    StreamEnd,
+    StreamHead,
+    encode_line,
+)
+from goldcrestvane_common.paths import (
     CALL_PATH,
     PROGRAM_BEGIN_PATH,
     PROGRAM_END_PATH,
     PROGRAM_SHOW_PATH,
     STREAM_PATH,
-    CallAnswer,
-    CallRequest,
+)
+from goldcrestvane_common.programs import (
     ProgramBegin,
     ProgramEnd,
     ProgramQuery,
-    StreamDelta,
-    StreamEnd,
-    StreamHead,
-    encode_line,
 )
-from goldcrestvane_common.server import (
+from goldcrestvane_common.routing import (
     JsonResponse,
     Request,
     Response,
@@ -36,10 +40,12 @@
 from goldcrestvane_daemon.owner.calls import Call, build_call
 from goldcrestvane_daemon.owner.manager import ShardManager
 from goldcrestvane_daemon.owner.records import CallEnded
+from goldcrestvane_daemon.owner.refusals import (
+    build_wrong_owner,
+)
 from goldcrestvane_daemon.owner.runner import CallRunner
 from goldcrestvane_daemon.owner.shard import (
     OwnedShard,
-    build_wrong_owner,
     hash_request,
 )
 
--- a/packages/daemon/src/goldcrestvane_daemon/owner/shard.py
+++ b/packages/daemon/src/goldcrestvane_daemon/owner/shard.py
@@ -1,7 +1,7 @@
 """One owned shard: its journal, its programs and the calls that run in them."""
 
 import time
-from typing import Protocol, TypeVar, final
+from typing import Protocol, final
 
 import msgspec
 import trio
@@ -12,25 +12,26 @@
     NotFound,
     Outcome,
     Overloaded,
-    ProgramEnded,
     SequenceConflict,
     Unavailable,
-    WrongOwner,
 )
 from goldcrestvane_common.ids import CallId, InstanceId, ShardId, get_parent, hash_text
 from goldcrestvane_common.logs import get_logger
 from goldcrestvane_common.messages import (
     CallRequest,
+)
+from goldcrestvane_common.programs import (
     ProgramBegin,
     ProgramEnd,
     ProgramQuery,
     ProgramView,
 )
-from goldcrestvane_common.settings import Budget, ProgramSettings
+from goldcrestvane_common.settings import ProgramSettings
 from goldcrestvane_daemon.execution import Execution
 from goldcrestvane_daemon.owner import records
-from goldcrestvane_daemon.owner.budgets import check_depth
+from goldcrestvane_daemon.owner.budgets import check_depth, tighten_budget
 from goldcrestvane_daemon.owner.journal import Deposed, Journal, JournalFull
+from goldcrestvane_daemon.owner.refusals import build_ended, build_wrong_owner
 from goldcrestvane_daemon.owner.snapshot import build_snapshot, forget_ended
 from goldcrestvane_daemon.owner.state import (
     Program,
@@ -45,8 +46,6 @@
 COMMIT_WAIT_SECONDS = 0.5
 RETENTION_SECONDS = 600.0
 
-Limit = TypeVar("Limit", int, float)
-
 logger = get_logger("shard")
 
 
@@ -219,7 +218,7 @@
                 program=request.program,
                 kind=request.kind,
                 time=time.time(),
-                budget=_tighten_budget(settings.budget, request.budget),
+                budget=tighten_budget(settings.budget, request.budget),
                 priority=settings.priority,
                 history=settings.history,
             )
@@ -396,30 +395,6 @@
     return f"{hash_text(msgspec.json.encode(content).decode()):016x}"
 
 
-def build_wrong_owner(
-    shard: ShardId, *, outcome: Outcome = Outcome.NOT_RUN
-) -> WrongOwner:
-    """Returns the error that sends an entry to the present owner.
-
-    Args:
-        shard: Shard that was lost.
-        outcome: What became of the call here; the present owner joins its attempt.
-    """
-    return WrongOwner(
-        f"Shard {shard} has another owner; ask the shard map again.",
-        retry_after=0.1,
-        outcome=outcome,
-    )
-
-
-def build_ended(key: ProgramKey) -> ProgramEnded:
-    """Returns the error of a call that comes after its program's end."""
-    return ProgramEnded(
-        f"Program {key[1]} has ended. Begin a new one under another id.",
-        field="program",
-    )
-
-
 def _check_early(program: Program, request: CallRequest) -> None:
     if request.sequence > program.next_sequence + MAX_EARLY_CALLS:
         raise SequenceConflict(
@@ -427,17 +402,3 @@
             f"{program.next_sequence} and {MAX_EARLY_CALLS} may come early.",
             field="sequence",
         )
-
-
-def _tighten_budget(declared: Budget, asked: Budget) -> Budget:
-    return Budget(
-        tokens=_choose_lower(declared.tokens, asked.tokens),
-        calls=_choose_lower(declared.calls, asked.calls),
-        seconds=_choose_lower(declared.seconds, asked.seconds),
-        depth=_choose_lower(declared.depth, asked.depth),
-    )
-
-
-def _choose_lower(first: Limit | None, second: Limit | None) -> Limit | None:
-    limits = [limit for limit in (first, second) if limit is not None]
-    return min(limits) if limits else None
--- a/packages/daemon/src/goldcrestvane_daemon/owner/shard_index.py
+++ b/packages/daemon/src/goldcrestvane_daemon/owner/shard_index.py
@@ -3,7 +3,9 @@
 from typing import final
 
 from goldcrestvane_common.ids import InstanceId, ShardId
-from goldcrestvane_common.messages import ShardMap
+from goldcrestvane_common.messages import (
+    ShardMap,
+)
 
 
 @final
--- a/packages/daemon/src/goldcrestvane_daemon/owner/shard_map.py
+++ b/packages/daemon/src/goldcrestvane_daemon/owner/shard_map.py
@@ -8,13 +8,19 @@
 from typing import final
 
 from goldcrestvane_common.ids import ShardId, Version
-from goldcrestvane_common.messages import SHARD_MAP_KEY, ShardMap, ShardOwner
+from goldcrestvane_common.messages import (
+    ShardMap,
+    ShardOwner,
+)
 from goldcrestvane_common.objects import (
     ObjectClient,
     ObjectConflict,
     ObjectsUnavailable,
     WriteUncertain,
 )
+from goldcrestvane_common.paths import (
+    SHARD_MAP_KEY,
+)
 
 MAX_WRITE_ATTEMPTS = 8
 
--- a/packages/daemon/src/goldcrestvane_daemon/owner/snapshot.py
+++ b/packages/daemon/src/goldcrestvane_daemon/owner/snapshot.py
@@ -5,7 +5,9 @@
 import msgspec
 
 from goldcrestvane_common.ids import get_depth
-from goldcrestvane_common.messages import Message
+from goldcrestvane_common.messages import (
+    Message,
+)
 from goldcrestvane_daemon.owner.records import (
     AccountSnapshot,
     AnswerKept,
--- a/packages/daemon/src/goldcrestvane_daemon/owner/starts.py
+++ b/packages/daemon/src/goldcrestvane_daemon/owner/starts.py
@@ -10,7 +10,11 @@
 import trio
 
 from goldcrestvane_common.errors import DeadlineExceeded
-from goldcrestvane_common.messages import DispatchRequest, Instance, ModelBody
+from goldcrestvane_common.messages import (
+    DispatchRequest,
+    Instance,
+    ModelBody,
+)
 from goldcrestvane_daemon.owner import records
 from goldcrestvane_daemon.owner.accounts import TeamAccounts
 from goldcrestvane_daemon.owner.budgets import (
@@ -21,7 +25,12 @@
 )
 from goldcrestvane_daemon.owner.calls import Call
 from goldcrestvane_daemon.owner.outcomes import build_outage
-from goldcrestvane_daemon.owner.shard import OwnedShard, build_wrong_owner
+from goldcrestvane_daemon.owner.refusals import (
+    build_wrong_owner,
+)
+from goldcrestvane_daemon.owner.shard import (
+    OwnedShard,
+)
 
 RESERVE_WAIT_SECONDS = 0.05
 CLAIM_WAIT_SECONDS = 2.0
--- a/packages/daemon/src/goldcrestvane_daemon/owner/state.py
+++ b/packages/daemon/src/goldcrestvane_daemon/owner/state.py
@@ -6,7 +6,12 @@
 from typing import NamedTuple, final
 
 from goldcrestvane_common.ids import InstanceId, ProgramId, TeamId, get_parent
-from goldcrestvane_common.messages import Message, ProgramState
+from goldcrestvane_common.messages import (
+    Message,
+)
+from goldcrestvane_common.programs import (
+    ProgramState,
+)
 from goldcrestvane_common.settings import Budget, HistoryMode, Priority
 from goldcrestvane_daemon.owner.records import (
     AccountSnapshot,
--- a/packages/daemon/src/goldcrestvane_daemon/owner/suspects.py
+++ b/packages/daemon/src/goldcrestvane_daemon/owner/suspects.py
@@ -5,7 +5,9 @@
 import msgspec
 import trio
 
-from goldcrestvane_common.messages import DispatchRequest
+from goldcrestvane_common.messages import (
+    DispatchRequest,
+)
 from goldcrestvane_daemon.quarantine import Quarantine, Verdict, build_refusal
 
 
--- a/packages/daemon/src/goldcrestvane_daemon/owner/targets.py
+++ b/packages/daemon/src/goldcrestvane_daemon/owner/targets.py
@@ -16,10 +16,6 @@
 )
 from goldcrestvane_common.ids import InstanceId, ServiceId
 from goldcrestvane_common.messages import (
-    DISPATCH_CLOSE_PATH,
-    DISPATCH_PATH,
-    DISPATCH_STREAM_PATH,
-    PING_PATH,
     CloseRequest,
     CloseResult,
     DispatchAnswer,
@@ -32,6 +28,12 @@
     StreamFrame,
     StreamHead,
 )
+from goldcrestvane_common.paths import (
+    DISPATCH_CLOSE_PATH,
+    DISPATCH_PATH,
+    DISPATCH_STREAM_PATH,
+    PING_PATH,
+)
 from goldcrestvane_common.settings import ServiceKind
 from goldcrestvane_common.transport import (
     ConnectFailed,
--- a/packages/daemon/src/goldcrestvane_daemon/owner/witness.py
+++ b/packages/daemon/src/goldcrestvane_daemon/owner/witness.py
@@ -16,13 +16,20 @@
 from goldcrestvane_common.ids import Epoch, InstanceId, ShardId
 from goldcrestvane_common.logs import get_logger
 from goldcrestvane_common.messages import (
-    COLLECT_PATH,
-    WITNESS_PATH,
     Accepted,
     Instance,
     Role,
 )
-from goldcrestvane_common.server import JsonResponse, Request, Response, Router
+from goldcrestvane_common.paths import (
+    COLLECT_PATH,
+    WITNESS_PATH,
+)
+from goldcrestvane_common.routing import (
+    JsonResponse,
+    Request,
+    Response,
+    Router,
+)
 from goldcrestvane_common.transport import ConnectFailed, ExchangeBroken, Transport
 from goldcrestvane_daemon.membership import Membership
 from goldcrestvane_daemon.owner.journal import Journal
--- a/packages/daemon/src/goldcrestvane_daemon/placement/loads.py
+++ b/packages/daemon/src/goldcrestvane_daemon/placement/loads.py
@@ -4,7 +4,9 @@
 from typing import final
 
 from goldcrestvane_common.ids import InstanceId
-from goldcrestvane_common.messages import TargetLoad
+from goldcrestvane_common.messages import (
+    TargetLoad,
+)
 
 
 @final
--- a/packages/daemon/src/goldcrestvane_daemon/placement/placement.py
+++ b/packages/daemon/src/goldcrestvane_daemon/placement/placement.py
@@ -9,7 +9,10 @@
 
 from goldcrestvane_common.errors import Unavailable
 from goldcrestvane_common.ids import DomainId, InstanceId, ProgramId, ServiceId, TeamId
-from goldcrestvane_common.messages import TargetLoad, Usage
+from goldcrestvane_common.messages import (
+    TargetLoad,
+    Usage,
+)
 from goldcrestvane_daemon.placement.affinity import AffinityMap
 from goldcrestvane_daemon.placement.choice import Choice, TargetView, choose_target
 from goldcrestvane_daemon.placement.facts import (
--- a/packages/daemon/src/goldcrestvane_daemon/probes.py
+++ b/packages/daemon/src/goldcrestvane_daemon/probes.py
@@ -14,7 +14,7 @@
 from prometheus_client.exposition import CONTENT_TYPE_LATEST
 
 from goldcrestvane_common.errors import Unavailable
-from goldcrestvane_common.server import (
+from goldcrestvane_common.routing import (
     BytesResponse,
     JsonResponse,
     Request,
--- a/packages/daemon/src/goldcrestvane_daemon/quarantine.py
+++ b/packages/daemon/src/goldcrestvane_daemon/quarantine.py
@@ -17,7 +17,10 @@
 from goldcrestvane_common.feed import ControlFeed
 from goldcrestvane_common.ids import Fingerprint, ServiceId, Version
 from goldcrestvane_common.logs import get_logger
-from goldcrestvane_common.messages import QUARANTINE_PATH, Accepted, Role
+from goldcrestvane_common.messages import (
+    Accepted,
+    Role,
+)
 from goldcrestvane_common.objects import (
     ObjectClient,
     ObjectConflict,
@@ -25,7 +28,15 @@
     ObjectsUnavailable,
     WriteUncertain,
 )
-from goldcrestvane_common.server import JsonResponse, Request, Response, Router
+from goldcrestvane_common.paths import (
+    QUARANTINE_PATH,
+)
+from goldcrestvane_common.routing import (
+    JsonResponse,
+    Request,
+    Response,
+    Router,
+)
 from goldcrestvane_common.transport import ConnectFailed, ExchangeBroken, Transport
 from goldcrestvane_daemon.membership import Membership
 
--- a/packages/daemon/src/goldcrestvane_daemon/settings.py
+++ b/packages/daemon/src/goldcrestvane_daemon/settings.py
@@ -12,7 +12,9 @@
 from absl import flags
 
 from goldcrestvane_common.ids import DomainId, InstanceId, ServiceId
-from goldcrestvane_common.messages import Role
+from goldcrestvane_common.messages import (
+    Role,
+)
 from goldcrestvane_common.settings import ServiceKind
 
 ENVIRONMENT_PREFIX = "GOLDCRESTVANE_"
--- a/packages/daemon/src/goldcrestvane_daemon/shard_directory.py
+++ b/packages/daemon/src/goldcrestvane_daemon/shard_directory.py
@@ -7,7 +7,13 @@
 from goldcrestvane_common.feed import ControlFeed
 from goldcrestvane_common.ids import ShardId, Version
 from goldcrestvane_common.logs import get_logger
-from goldcrestvane_common.messages import SHARD_MAP_KEY, ShardMap, ShardOwner
+from goldcrestvane_common.messages import (
+    ShardMap,
+    ShardOwner,
+)
+from goldcrestvane_common.paths import (
+    SHARD_MAP_KEY,
+)
 
 logger = get_logger("shards")
 
--- a/packages/daemon/src/goldcrestvane_daemon/sidecar_process.py
+++ b/packages/daemon/src/goldcrestvane_daemon/sidecar_process.py
@@ -5,17 +5,21 @@
 import trio
 
 from goldcrestvane_common.messages import (
-    STATUS_PATH,
     InstanceState,
     ProcessStatus,
 )
-from goldcrestvane_common.server import (
-    Application,
+from goldcrestvane_common.paths import (
+    STATUS_PATH,
+)
+from goldcrestvane_common.routing import (
     JsonResponse,
     Request,
     Response,
     Router,
 )
+from goldcrestvane_common.server import (
+    Application,
+)
 from goldcrestvane_common.settings import ServiceKind
 from goldcrestvane_daemon.chooser import TargetChooser
 from goldcrestvane_daemon.gate import Gate, GateOptions, watch_gate
--- a/packages/daemon/src/goldcrestvane_daemon/supervisor.py
+++ b/packages/daemon/src/goldcrestvane_daemon/supervisor.py
@@ -8,9 +8,18 @@
 from goldcrestvane_common.feed import ControlFeed
 from goldcrestvane_common.ids import hash_text
 from goldcrestvane_common.logs import get_logger
-from goldcrestvane_common.messages import Instance, Role
+from goldcrestvane_common.messages import (
+    Instance,
+    Role,
+)
 from goldcrestvane_common.objects import ObjectClient
-from goldcrestvane_common.server import Application, Router, serve_http
+from goldcrestvane_common.routing import (
+    Router,
+)
+from goldcrestvane_common.server import (
+    Application,
+    serve_http,
+)
 from goldcrestvane_common.transport import Transport
 from goldcrestvane_daemon.drain import Drain
 from goldcrestvane_daemon.entry_process import EntryProcess
--- a/packages/daemon/src/goldcrestvane_daemon/target/dispatcher.py
+++ b/packages/daemon/src/goldcrestvane_daemon/target/dispatcher.py
@@ -25,11 +25,6 @@
 from goldcrestvane_common.ids import CallId, Fingerprint, InstanceId, ServiceId
 from goldcrestvane_common.logs import get_logger
 from goldcrestvane_common.messages import (
-    DISPATCH_CANCEL_PATH,
-    DISPATCH_CLOSE_PATH,
-    DISPATCH_PATH,
-    DISPATCH_STREAM_PATH,
-    FENCE_PATH,
     Accepted,
     CancelRequest,
     CloseRequest,
@@ -41,7 +36,14 @@
     TargetLoad,
     encode_line,
 )
-from goldcrestvane_common.server import (
+from goldcrestvane_common.paths import (
+    DISPATCH_CANCEL_PATH,
+    DISPATCH_CLOSE_PATH,
+    DISPATCH_PATH,
+    DISPATCH_STREAM_PATH,
+    FENCE_PATH,
+)
+from goldcrestvane_common.routing import (
     JsonResponse,
     Request,
     Response,
--- a/packages/daemon/src/goldcrestvane_daemon/target/engine.py
+++ b/packages/daemon/src/goldcrestvane_daemon/target/engine.py
@@ -14,7 +14,11 @@
     Unavailable,
 )
 from goldcrestvane_common.logs import get_logger
-from goldcrestvane_common.messages import DispatchRequest, Message, Usage
+from goldcrestvane_common.messages import (
+    DispatchRequest,
+    Message,
+    Usage,
+)
 from goldcrestvane_common.settings import Priority
 from goldcrestvane_common.transport import (
     ConnectFailed,
--- a/packages/daemon/src/goldcrestvane_daemon/target/sessions.py
+++ b/packages/daemon/src/goldcrestvane_daemon/target/sessions.py
@@ -19,17 +19,26 @@
 from goldcrestvane_common.ids import ProgramId, ShardId, TeamId, locate_shard
 from goldcrestvane_common.logs import get_logger
 from goldcrestvane_common.messages import (
+    Accepted,
+    ReleaseRequest,
+    ShardMap,
+    ShardOwner,
+)
+from goldcrestvane_common.paths import (
     PROGRAM_SHOW_PATH,
     RELEASE_PATH,
-    Accepted,
+)
+from goldcrestvane_common.programs import (
     ProgramQuery,
     ProgramState,
     ProgramView,
-    ReleaseRequest,
-    ShardMap,
-    ShardOwner,
 )
-from goldcrestvane_common.server import JsonResponse, Request, Response, Router
+from goldcrestvane_common.routing import (
+    JsonResponse,
+    Request,
+    Response,
+    Router,
+)
 from goldcrestvane_common.transport import ConnectFailed, ExchangeBroken, Transport
 from goldcrestvane_daemon.gate import Gate
 from goldcrestvane_daemon.target.engine import EngineClient
--- a/packages/daemon/src/goldcrestvane_daemon/target/tool.py
+++ b/packages/daemon/src/goldcrestvane_daemon/target/tool.py
@@ -12,7 +12,10 @@
     TargetDied,
     Unavailable,
 )
-from goldcrestvane_common.messages import DispatchRequest, Usage
+from goldcrestvane_common.messages import (
+    DispatchRequest,
+    Usage,
+)
 from goldcrestvane_common.transport import ConnectFailed, ExchangeBroken, Transport
 from goldcrestvane_daemon.execution import Execution
 
--- a/packages/daemon/tests/entry/support.py
+++ b/packages/daemon/tests/entry/support.py
@@ -9,12 +9,8 @@
 
 from goldcrestvane_common.ids import Epoch, InstanceId, ServiceId, ShardId, TeamId
 from goldcrestvane_common.messages import (
-    CALL_PATH,
-    STREAM_PATH,
     CallAnswer,
     CallRequest,
-    ProgramState,
-    ProgramView,
     ShardOwner,
     StreamDelta,
     StreamEnd,
@@ -22,11 +18,21 @@
     Usage,
     encode_line,
 )
-from goldcrestvane_common.server import (
-    Application,
+from goldcrestvane_common.paths import (
+    CALL_PATH,
+    STREAM_PATH,
+)
+from goldcrestvane_common.programs import (
+    ProgramState,
+    ProgramView,
+)
+from goldcrestvane_common.routing import (
     JsonResponse,
     Router,
     StreamResponse,
+)
+from goldcrestvane_common.server import (
+    Application,
     serve_http,
 )
 from goldcrestvane_common.settings import (
--- a/packages/daemon/tests/entry/test_bad_input.py
+++ b/packages/daemon/tests/entry/test_bad_input.py
@@ -5,7 +5,9 @@
 import trio
 
 from entry.support import CHAT, HEADERS, QUICK, FakeOwners, run_with_owner, serve_entry
-from goldcrestvane_common.server import MAX_BODY_BYTES
+from goldcrestvane_common.server import (
+    MAX_BODY_BYTES,
+)
 
 CHAT_PATH = "/v1/chat/completions"
 ISSUE = "/v1/tools/vouchers/issue"
--- a/packages/daemon/tests/entry/test_fuzz.py
+++ b/packages/daemon/tests/entry/test_fuzz.py
@@ -9,7 +9,12 @@
 from hypothesis import strategies as st
 
 from entry.support import CHAT, HEADERS, FakeOwners, FakeTeams
-from goldcrestvane_common.server import Application, Router
+from goldcrestvane_common.routing import (
+    Router,
+)
+from goldcrestvane_common.server import (
+    Application,
+)
 from goldcrestvane_common.transport import Transport
 from goldcrestvane_daemon.entry import EntryLimits, EntryService
 from goldcrestvane_daemon.probes import RequestMetrics
--- a/packages/daemon/tests/gate/test_gate.py
+++ b/packages/daemon/tests/gate/test_gate.py
@@ -13,7 +13,9 @@
     Unavailable,
     WrongOwner,
 )
-from goldcrestvane_common.messages import DispatchRequest
+from goldcrestvane_common.messages import (
+    DispatchRequest,
+)
 from goldcrestvane_common.settings import Priority, ServiceKind
 from goldcrestvane_daemon.gate import Gate, GateOptions
 
--- a/packages/daemon/tests/owner/test_accounts.py
+++ b/packages/daemon/tests/owner/test_accounts.py
@@ -12,7 +12,9 @@
     TeamGrants,
 )
 from goldcrestvane_daemon.owner.journal import Journal
-from goldcrestvane_daemon.owner.shard import OwnedShard
+from goldcrestvane_daemon.owner.shard import (
+    OwnedShard,
+)
 from owner.fakes import FakeObjects
 
 TEAM = "acme"
--- a/packages/daemon/tests/owner/test_fencing.py
+++ b/packages/daemon/tests/owner/test_fencing.py
@@ -3,7 +3,11 @@
 import trio
 import trio.testing
 
-from goldcrestvane_common.messages import Fence, Instance, Role
+from goldcrestvane_common.messages import (
+    Fence,
+    Instance,
+    Role,
+)
 from goldcrestvane_common.transport import ConnectFailed, Reply
 from goldcrestvane_daemon.owner.fencing import FenceSender
 
--- a/packages/daemon/tests/owner/test_ranking.py
+++ b/packages/daemon/tests/owner/test_ranking.py
@@ -1,6 +1,9 @@
 import unittest
 
-from goldcrestvane_common.messages import Instance, Role
+from goldcrestvane_common.messages import (
+    Instance,
+    Role,
+)
 from goldcrestvane_daemon.owner.ranking import (
     HEIR_COUNT,
     HEIR_PROBE_SECONDS,
--- a/packages/daemon/tests/owner/test_shard.py
+++ b/packages/daemon/tests/owner/test_shard.py
@@ -16,10 +16,12 @@
     CallRequest,
     Message,
     ModelBody,
+    Usage,
+)
+from goldcrestvane_common.programs import (
     ProgramBegin,
     ProgramEnd,
     ProgramQuery,
-    Usage,
 )
 from goldcrestvane_common.settings import (
     Budget,
@@ -30,7 +32,9 @@
 from goldcrestvane_daemon.owner import records
 from goldcrestvane_daemon.owner.budgets import check_calls, reserve_tokens
 from goldcrestvane_daemon.owner.journal import Journal
-from goldcrestvane_daemon.owner.shard import OwnedShard
+from goldcrestvane_daemon.owner.shard import (
+    OwnedShard,
+)
 from goldcrestvane_daemon.owner.snapshot import build_snapshot, forget_ended
 from goldcrestvane_daemon.owner.state import ShardState, apply_record
 from owner.fakes import FakeObjects
--- a/packages/daemon/tests/owner/test_targets.py
+++ b/packages/daemon/tests/owner/test_targets.py
@@ -11,7 +11,6 @@
     encode_error,
 )
 from goldcrestvane_common.messages import (
-    PING_PATH,
     DispatchAnswer,
     DispatchRequest,
     Instance,
@@ -19,6 +18,9 @@
     Ping,
     Role,
 )
+from goldcrestvane_common.paths import (
+    PING_PATH,
+)
 from goldcrestvane_common.settings import ServiceKind
 from goldcrestvane_common.transport import ConnectFailed, ExchangeBroken, Reply
 from goldcrestvane_daemon.execution import Execution
--- a/packages/daemon/tests/owner/test_witness.py
+++ b/packages/daemon/tests/owner/test_witness.py
@@ -6,7 +6,9 @@
 from goldcrestvane_common.errors import WrongOwner
 from goldcrestvane_daemon.owner.journal import Journal
 from goldcrestvane_daemon.owner.records import TeamAllotted
-from goldcrestvane_daemon.owner.shard import OwnedShard
+from goldcrestvane_daemon.owner.shard import (
+    OwnedShard,
+)
 from goldcrestvane_daemon.owner.witness import (
     CollectRequest,
     WitnessCopy,
--- a/packages/daemon/tests/placement/test_placement.py
+++ b/packages/daemon/tests/placement/test_placement.py
@@ -4,7 +4,10 @@
 import trio.testing
 
 from goldcrestvane_common.errors import Outcome, Unavailable
-from goldcrestvane_common.messages import TargetLoad, Usage
+from goldcrestvane_common.messages import (
+    TargetLoad,
+    Usage,
+)
 from goldcrestvane_daemon.placement import (
     CallFacts,
     Candidate,
--- a/packages/daemon/tests/target/test_dispatcher.py
+++ b/packages/daemon/tests/target/test_dispatcher.py
@@ -4,7 +4,11 @@
 import trio
 import trio.testing
 
-from goldcrestvane_common.messages import DispatchRequest, StreamEnd, Usage
+from goldcrestvane_common.messages import (
+    DispatchRequest,
+    StreamEnd,
+    Usage,
+)
 from goldcrestvane_common.settings import ServiceKind
 from goldcrestvane_common.transport import Transport
 from goldcrestvane_daemon.gate import Gate, GateOptions
--- a/packages/daemon/tests/test_membership.py
+++ b/packages/daemon/tests/test_membership.py
@@ -6,15 +6,20 @@
 import trio.testing
 
 from goldcrestvane_common.messages import (
-    PEER_STATE_PATH,
-    PING_PATH,
     Instance,
     InstanceList,
     InstanceState,
     Ping,
     Role,
 )
-from goldcrestvane_common.server import Request, Router
+from goldcrestvane_common.paths import (
+    PEER_STATE_PATH,
+    PING_PATH,
+)
+from goldcrestvane_common.routing import (
+    Request,
+    Router,
+)
 from goldcrestvane_common.transport import ConnectFailed, Reply
 from goldcrestvane_daemon.membership import Membership
 from goldcrestvane_daemon.owner.ranking import HeirRing
--- a/standins/src/goldcrestvane_standins/deployment.py
+++ b/standins/src/goldcrestvane_standins/deployment.py
@@ -16,7 +16,11 @@
 import msgspec
 import trio
 
-from goldcrestvane_common.messages import Instance, InstanceState, Role
+from goldcrestvane_common.messages import (
+    Instance,
+    InstanceState,
+    Role,
+)
 from goldcrestvane_common.settings import (
     TeamDocument,
     TeamSettings,
--- a/standins/src/goldcrestvane_standins/engine.py
+++ b/standins/src/goldcrestvane_standins/engine.py
@@ -10,7 +10,7 @@
 from absl import flags
 
 from goldcrestvane_common.errors import InvalidRequest, NotFound
-from goldcrestvane_common.server import (
+from goldcrestvane_common.routing import (
     JsonResponse,
     Request,
     Response,
--- a/standins/src/goldcrestvane_standins/instances.py
+++ b/standins/src/goldcrestvane_standins/instances.py
@@ -9,7 +9,12 @@
 
 from goldcrestvane_common.errors import InvalidRequest, NotFound
 from goldcrestvane_common.ids import DomainId, InstanceId, ServiceId
-from goldcrestvane_common.server import JsonResponse, Request, Response, Router
+from goldcrestvane_common.routing import (
+    JsonResponse,
+    Request,
+    Response,
+    Router,
+)
 from goldcrestvane_standins.lag import LaggedValue
 from goldcrestvane_standins.programs import run_program
 
--- a/standins/src/goldcrestvane_standins/objectapi.py
+++ b/standins/src/goldcrestvane_standins/objectapi.py
@@ -17,7 +17,12 @@
 )
 from goldcrestvane_common.ids import Version
 from goldcrestvane_common.objects import MAX_VALUE_BYTES, ObjectList, WriteResult
-from goldcrestvane_common.server import JsonResponse, Request, Response, Router
+from goldcrestvane_common.routing import (
+    JsonResponse,
+    Request,
+    Response,
+    Router,
+)
 from goldcrestvane_standins.objectstore import ObjectStore
 from goldcrestvane_standins.programs import close_without_answer, run_program
 
--- a/standins/src/goldcrestvane_standins/programs.py
+++ b/standins/src/goldcrestvane_standins/programs.py
@@ -7,7 +7,14 @@
 from absl import app, flags
 
 from goldcrestvane_common.logs import configure_logs
-from goldcrestvane_common.server import Application, Router, StreamResponse, serve_http
+from goldcrestvane_common.routing import (
+    Router,
+    StreamResponse,
+)
+from goldcrestvane_common.server import (
+    Application,
+    serve_http,
+)
 
 _LISTEN = flags.DEFINE_string(
     "listen", "127.0.0.1:0", "host:port to listen on; port 0 picks a free one."
--- a/standins/src/goldcrestvane_standins/tool.py
+++ b/standins/src/goldcrestvane_standins/tool.py
@@ -10,7 +10,12 @@
 import trio
 
 from goldcrestvane_common.errors import Unavailable
-from goldcrestvane_common.server import JsonResponse, Request, Response, Router
+from goldcrestvane_common.routing import (
+    JsonResponse,
+    Request,
+    Response,
+    Router,
+)
 from goldcrestvane_standins.programs import close_without_answer, run_program
 
 OPERATION_PATH = "/v1/"
--- a/tests/support.py
+++ b/tests/support.py
@@ -17,7 +17,15 @@
 from bench.faultrun.plan import FITTING, MODEL, TEAMS, TOOL, build_plan
 from bench.faultrun.recorder import Recorder
 
-from goldcrestvane_common.messages import STATUS_PATH, ProcessStatus, ProgramView
+from goldcrestvane_common.messages import (
+    ProcessStatus,
+)
+from goldcrestvane_common.paths import (
+    STATUS_PATH,
+)
+from goldcrestvane_common.programs import (
+    ProgramView,
+)
 from goldcrestvane_common.transport import ConnectFailed, ExchangeBroken, Transport
 from goldcrestvane_standins.deployment import PEER_TOKEN, Deployment
 
--- a/tests/test_budget.py
+++ b/tests/test_budget.py
@@ -13,7 +13,12 @@
 )
 from support import DeploymentCase
 
-from goldcrestvane_common.messages import STATUS_PATH, ProcessStatus
+from goldcrestvane_common.messages import (
+    ProcessStatus,
+)
+from goldcrestvane_common.paths import (
+    STATUS_PATH,
+)
 
 MAX_TURNS = 200
 ENGINE_SECONDS = 1.0
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -8,7 +8,9 @@
 from bench.faultrun.plan import build_plan
 from support import CALL_SECONDS, DeploymentCase
 
-from goldcrestvane_common.messages import DRAIN_PATH
+from goldcrestvane_common.paths import (
+    DRAIN_PATH,
+)
 
 LIST_LAG_SECONDS = 8.0
 WATCHED_SECONDS = 5.0
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -1,7 +1,12 @@
 import unittest
 
-from goldcrestvane_common.messages import SHARD_MAP_KEY, ShardMap
+from goldcrestvane_common.messages import (
+    ShardMap,
+)
 from goldcrestvane_common.objects import ObjectClient
+from goldcrestvane_common.paths import (
+    SHARD_MAP_KEY,
+)
 from goldcrestvane_standins.plans import (
     MODEL,
     build_caller,
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -10,7 +10,9 @@
 
 import trio
 
-from goldcrestvane_common.messages import ProgramView
+from goldcrestvane_common.programs import (
+    ProgramView,
+)
 from goldcrestvane_common.settings import (
     Budget,
     HistoryMode,
