Make the start of a stream durable before its first token

A stream's start was not waited for when its program had no token budget, so a take-over within the commit's time loses it. Change: a streamed call waits up to 50 ms for its start record, as one with a budget.

--- a/packages/daemon/src/goldcrestvane_daemon/owner/starts.py
+++ b/packages/daemon/src/goldcrestvane_daemon/owner/starts.py
@@ -62,7 +62,7 @@
         durable = shard.append(_build_start(call, dispatch, target, reservation))
         if call.once:
             await self._wait_claim(shard, call, durable)
-        elif has_token_budget(shard.state, call.program):
+        elif call.stream or has_token_budget(shard.state, call.program):
             await shard.wait_durable(durable, wait=RESERVE_WAIT_SECONDS)
         model = dispatch.model
         if model is not None:
--- /dev/null
+++ b/packages/daemon/tests/owner/test_starts.py
@@ -0,0 +1,118 @@
+import unittest
+
+import trio
+import trio.testing
+
+from goldcrestvane_common.errors import Outcome, Unavailable, WrongOwner
+from goldcrestvane_common.messages import (
+    CallRequest,
+    Instance,
+    Message,
+    ModelBody,
+    Role,
+)
+from goldcrestvane_common.programs import ProgramBegin
+from goldcrestvane_common.settings import (
+    OperationSettings,
+    ProgramSettings,
+    ServiceKind,
+    ServiceSettings,
+    TeamSettings,
+)
+from goldcrestvane_daemon.owner.accounts import TeamAccounts
+from goldcrestvane_daemon.owner.calls import build_call, build_dispatch
+from goldcrestvane_daemon.owner.journal import Journal, JournalHead, build_head_key
+from goldcrestvane_daemon.owner.records import CallReleased, CallStarted
+from goldcrestvane_daemon.owner.shard import OwnedShard
+from goldcrestvane_daemon.owner.starts import CallStarter
+from owner.fakes import FakeObjects
+
+TEAM = TeamSettings(
+    services={
+        "llm": ServiceSettings(kind=ServiceKind.MODEL),
+        "ledger": ServiceSettings(
+            kind=ServiceKind.TOOL, operations={"post": OperationSettings()}
+        ),
+    }
+)
+TARGET = Instance("there", Role.SIDECAR, "there:1", "b")
+
+
+def build_request(kind):
+    model = kind is ServiceKind.MODEL
+    return CallRequest(
+        team="acme",
+        program="review",
+        sequence=1,
+        service="llm" if model else "ledger",
+        kind=kind,
+        deadline_seconds=30.0,
+        operation="" if model else "post",
+        model=ModelBody([Message("user", "hello")]) if model else None,
+    )
+
+
+class CallStarterTests(unittest.TestCase):
+    def run_start(self, check):
+        async def main():
+            objects = FakeObjects()
+            shard = OwnedShard(0, "owner", Journal(objects, 0, "owner"))
+            await shard.open()
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(shard.journal.run)
+                begin = ProgramBegin("acme", "review", "review")
+                await shard.begin_program(begin, ProgramSettings())
+                await check(objects, shard)
+                nursery.cancel_scope.cancel()
+
+        trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+    async def start(self, objects, shard, kind, *, stream=False):
+        call = build_call(shard, build_request(kind), "hash", team=TEAM, stream=stream)
+        dispatch = build_dispatch(shard, call, "c", max_tokens=8)
+        starter = CallStarter(TeamAccounts(objects))
+        return await starter.start(shard, call, dispatch, TARGET)
+
+    def read_last(self, objects):
+        head = objects.stored[build_head_key(0)].decode(JournalHead)
+        return head.records[-1]
+
+    def test_claim_is_durable_before_the_call_leaves(self):
+        async def check(objects, shard):
+            await self.start(objects, shard, ServiceKind.TOOL)
+            self.assertIsInstance(self.read_last(objects), CallStarted)
+            self.assertTrue(self.read_last(objects).once)
+
+        self.run_start(check)
+
+    def test_start_of_a_stream_is_durable_before_its_first_token(self):
+        async def check(objects, shard):
+            await self.start(objects, shard, ServiceKind.MODEL, stream=True)
+            self.assertIsInstance(self.read_last(objects), CallStarted)
+
+        self.run_start(check)
+
+    def test_claim_that_cannot_become_durable_is_given_up_and_released(self):
+        async def check(objects, shard):
+            objects.down = True
+            with self.assertRaises(Unavailable) as caught:
+                await self.start(objects, shard, ServiceKind.TOOL)
+            self.assertIs(caught.exception.call_outcome, Outcome.NOT_RUN)
+            objects.down = False
+            await trio.sleep(10)
+            self.assertIsInstance(self.read_last(objects), CallReleased)
+
+        self.run_start(check)
+
+    def test_call_does_not_start_in_a_shard_that_is_handed_over(self):
+        async def check(objects, shard):
+            shard.stop_admitting()
+            with self.assertRaises(WrongOwner):
+                await self.start(objects, shard, ServiceKind.MODEL)
+            self.assertNotIsInstance(self.read_last(objects), CallStarted)
+
+        self.run_start(check)
+
+
+if __name__ == "__main__":
+    unittest.main()
