Show owners' calls, shards and journals as metrics

Cause: /metrics of a sidecar named request metrics without samples, and nothing showed that the platform was out of reach. Ruled out: counting in the entry (it does not see the journals). Conclusion: an operator sees an outage at the owners.

--- a/packages/daemon/src/goldcrestvane_daemon/owner/journal.py
+++ b/packages/daemon/src/goldcrestvane_daemon/owner/journal.py
@@ -171,6 +171,11 @@
         """Epoch of the owner that committed the latest record."""
         return self._head.record_epoch
 
+    @property
+    def queued(self) -> int:
+        """Records that wait to become durable."""
+        return self._pending_records
+
     def list_queued(self) -> tuple[int, list[Record]]:
         """Returns the number of committed records, and the queued ones in order."""
         queued = [*self._writing, *self._batches]
--- a/packages/daemon/src/goldcrestvane_daemon/owner/runner.py
+++ b/packages/daemon/src/goldcrestvane_daemon/owner/runner.py
@@ -21,6 +21,7 @@
 from goldcrestvane_daemon.execution import Execution
 from goldcrestvane_daemon.owner.budgets import bound_prompt_tokens
 from goldcrestvane_daemon.owner.calls import Call, build_dispatch
+from goldcrestvane_daemon.owner.metrics import OwnerMetrics
 from goldcrestvane_daemon.owner.outcomes import (
     DENIALS,
     build_answer_end,
@@ -89,7 +90,9 @@
         chooser: Chooser,
         starter: CallStarter,
         suspects: SuspectGuard,
+        metrics: OwnerMetrics,
     ) -> None:
+        self._metrics = metrics
         self._starter = starter
         self._suspects = suspects
         self._connector = connector
@@ -105,7 +108,10 @@
                 await self._run_attempts(shard, call, execution)
             if execution.scope.cancelled_caught:
                 await self._cancel(shard, call, execution)
+            else:
+                self._metrics.count_answer(call.request.service)
         except ServiceError as error:
+            self._metrics.count_error(call.request.service, error)
             execution.fail(error)
         except Exception:
             logger.exception("call %s of %s failed", key[1], key[0])
--- a/packages/daemon/src/goldcrestvane_daemon/owner/state.py
+++ b/packages/daemon/src/goldcrestvane_daemon/owner/state.py
@@ -129,6 +129,10 @@
         """Returns the account of a team, made when absent."""
         return self.accounts.setdefault(team, TeamAccount())
 
+    def count_open(self) -> int:
+        """Returns the number of programs that take calls."""
+        return sum(program.is_open for program in self.programs.values())
+
     def list_tree(self, key: ProgramKey) -> list[Program]:
         """Returns a program and all its sub-agents, parents first."""
         team, _ = key
--- a/packages/daemon/src/goldcrestvane_daemon/sidecar_process.py
+++ b/packages/daemon/src/goldcrestvane_daemon/sidecar_process.py
@@ -3,6 +3,7 @@
 from typing import final
 
 import trio
+from prometheus_client import CollectorRegistry
 
 from goldcrestvane_common.messages import (
     InstanceState,
@@ -25,6 +26,7 @@
 from goldcrestvane_daemon.gate import Gate, GateOptions, watch_gate
 from goldcrestvane_daemon.owner.accounts import TeamAccounts
 from goldcrestvane_daemon.owner.manager import ShardManager
+from goldcrestvane_daemon.owner.metrics import OwnerMetrics
 from goldcrestvane_daemon.owner.recovery import CallRecovery
 from goldcrestvane_daemon.owner.release import SessionReleaser
 from goldcrestvane_daemon.owner.runner import CallRunner
@@ -36,7 +38,7 @@
 from goldcrestvane_daemon.parts import Parts
 from goldcrestvane_daemon.pauses import PauseDetector
 from goldcrestvane_daemon.placement import Placement
-from goldcrestvane_daemon.probes import RequestMetrics, add_probe_routes
+from goldcrestvane_daemon.probes import add_probe_routes
 from goldcrestvane_daemon.quarantine import Quarantine
 from goldcrestvane_daemon.shard_directory import ShardDirectory
 from goldcrestvane_daemon.target.dispatcher import Dispatcher, TargetClient
@@ -94,6 +96,8 @@
         placement = Placement(
             domain=settings.domain, seed=parts.generator.randrange(2**32)
         )
+        self._registry = CollectorRegistry()
+        owner_metrics = OwnerMetrics(self._registry)
         chooser = TargetChooser(directory=membership, placement=placement)
         runner = CallRunner(
             connector=connector,
@@ -101,6 +105,7 @@
             chooser=chooser,
             starter=CallStarter(TeamAccounts(parts.objects)),
             suspects=SuspectGuard(self._quarantine),
+            metrics=owner_metrics,
         )
         self._service = OwnerService(
             manager=self._manager,
@@ -114,8 +119,8 @@
             list_shards=self._manager.owned.values,
             forget_program=chooser.forget_program,
         )
-        self._metrics = RequestMetrics()
-        watch_gate(self._gate, self._metrics.registry)
+        watch_gate(self._gate, self._registry)
+        owner_metrics.watch_shards(self._manager.owned)
 
     def _build_sessions(self, client: TargetClient) -> SessionKeeper | None:
         """Returns the keeper of an engine's sessions; tools have none."""
@@ -142,9 +147,7 @@
         self._quarantine.add_routes(router)
         if self._sessions is not None:
             self._sessions.add_routes(router)
-        add_probe_routes(
-            router, registry=self._metrics.registry, is_ready=self._is_ready
-        )
+        add_probe_routes(router, registry=self._registry, is_ready=self._is_ready)
         router.add("GET", STATUS_PATH, self._serve_status)
 
     async def run(
@@ -192,11 +195,7 @@
         status = ProcessStatus(
             instance=self._parts.membership.own,
             shards=sorted(owned),
-            open_programs=sum(
-                program.is_open
-                for shard in owned.values()
-                for program in shard.state.programs.values()
-            ),
+            open_programs=sum(shard.state.count_open() for shard in owned.values()),
             load=self._dispatcher.read_load(),
             settings_versions=self._parts.feed.get_versions(),
             in_flight=self._application.in_flight - 1,
--- a/tests/test_platform_outage.py
+++ b/tests/test_platform_outage.py
@@ -26,6 +26,7 @@
         for turn in range(1, TURNS):
             await self.check_answered(caller.chat(MODEL, f"turn {turn}"))
             await self.check_answered(caller.use_tool(TOOL, "read", {"turn": turn}))
+        await self.check_metrics(deployment)
         refused = await caller.use_tool(TOOL, "post", {"entry": 1})
         self.assertIs(refused.error.call_outcome, Outcome.NOT_RUN)
         self.assertGreater(refused.error.retry_after, 0)
@@ -56,6 +57,17 @@
         await self.check_answered(last.chat(MODEL, "last turn"))
         await self.check_history(deployment)
 
+    async def check_metrics(self, deployment):
+        owner = (await self.read_view(deployment))["owner"]
+        reply = await deployment.request(owner, "GET", "/metrics")
+        samples = dict(
+            line.rsplit(" ", 1)
+            for line in reply.body.decode().splitlines()
+            if not line.startswith("#")
+        )
+        self.assertEqual(float(samples["goldcrestvane_journals_down"]), 1.0)
+        self.assertGreater(float(samples["goldcrestvane_journal_queued_records"]), 0)
+
     async def check_answered(self, call):
         result = await call
         self.assertIsNone(result.error)
