Drop an unused function

Cause: decode_map in owner/manager.py had no caller since the shard directory decodes the map. Ruled out: nothing to weigh. Change: removed. Conclusion: one place decodes the shard map.

--- a/packages/daemon/src/goldcrestvane_daemon/owner/manager.py
+++ b/packages/daemon/src/goldcrestvane_daemon/owner/manager.py
@@ -9,7 +9,6 @@
 from collections.abc import Callable
 from typing import Any, final
 
-import msgspec
 import trio
 
 from goldcrestvane_common.errors import Unavailable, WrongOwner
@@ -335,10 +334,3 @@
 
     def _build_entry(self, owned: OwnedShard) -> ShardOwner:
         return ShardOwner(self._own.instance, self._own.address, owned.journal.epoch)
-
-
-def decode_map(value: bytes | None) -> ShardMap:
-    """Returns the shard map from its stored value; an empty one when absent."""
-    if value is None:
-        return ShardMap([])
-    return msgspec.json.decode(value, type=ShardMap)
