Go to the next owner at once when the map names it already

A stream that ends at an owner whose shard was handed over is finished by the next owner, which joins the attempt at the leaving sidecar. The entry waited up to 1 s for a change of a map that had changed long before, and by then that sidecar, quiet for 1 s, had ended: 'attempt cannot be joined: cannot be reached' 37 ms after the drain. Change: the entry waits for a newer map only while the map names the owner that failed. An attempt that cannot be joined is logged. The new entry test fails with the wait (one refresh) and passes without; packages/daemon/tests 151 passed. Conclusion: calls also leave a deposed owner up to 1 s sooner.

--- a/packages/daemon/src/goldcrestvane_daemon/entry/_attempts.py
+++ b/packages/daemon/src/goldcrestvane_daemon/entry/_attempts.py
@@ -71,12 +71,14 @@
         self._failures = 0
         self.may_have_reached = True
 
-    async def pause(self, reason: RetryReason, detail: str) -> None:
+    async def pause(self, reason: RetryReason, detail: str, *, needs_map: bool) -> None:
         """Waits before the next attempt, while asking for a newer shard map.
 
         Args:
             reason: Why the last attempt failed.
             detail: That failure in words, for a final error.
+            needs_map: Whether the map still names the owner that failed; one that
+                names another already is not waited for.
 
         Raises:
             ServiceError: The call is given up.
@@ -92,8 +94,10 @@
             raise self.expire(detail)
         if wake_at >= self._give_up_at:
             raise self._give_up(detail)
-        with trio.move_on_at(min(now + self._limits.refresh_seconds, self.deadline)):
-            await self._owners.refresh()
+        if needs_map:
+            refresh_at = min(now + self._limits.refresh_seconds, self.deadline)
+            with trio.move_on_at(refresh_at):
+                await self._owners.refresh()
         await trio.sleep_until(wake_at)
 
     def expire(self, detail: str) -> ServiceError:
--- a/packages/daemon/src/goldcrestvane_daemon/entry/_owners.py
+++ b/packages/daemon/src/goldcrestvane_daemon/entry/_owners.py
@@ -112,6 +112,7 @@
         """
         attempts = self._start(seconds, repeatable=repeatable)
         shard = self._locate(message)
+        owner: ShardOwner | None = None
         while True:
             try:
                 owner = self._find_owner(shard)
@@ -119,7 +120,7 @@
                     path, message, answer_type, shard, owner, attempts
                 )
             except _AttemptFailed as failure:
-                await self._pause(attempts, failure)
+                await self._pause(attempts, failure, shard, owner)
             except ServiceError as error:
                 raise attempts.settle(error) from error
 
@@ -136,6 +137,7 @@
         attempts = self._start(call.deadline_seconds, repeatable=True)
         shard = self._locate(call)
         progress = StreamProgress()
+        owner: ShardOwner | None = None
         while True:
             try:
                 owner = self._find_owner(shard)
@@ -145,7 +147,7 @@
                         yield frame
                 return
             except _AttemptFailed as failure:
-                await self._pause(attempts, failure)
+                await self._pause(attempts, failure, shard, owner)
             except ServiceError as error:
                 raise attempts.settle(error) from error
 
@@ -171,8 +173,20 @@
             )
         return owner
 
-    async def _pause(self, attempts: Attempts, failure: _AttemptFailed) -> None:
-        await attempts.pause(failure.reason, failure.detail)
+    async def _pause(
+        self,
+        attempts: Attempts,
+        failure: _AttemptFailed,
+        shard: ShardId,
+        owner: ShardOwner | None,
+    ) -> None:
+        """Waits before the next attempt, for a newer map only if it is needed."""
+        current = self._owners.find_owner(shard)
+        await attempts.pause(
+            failure.reason,
+            failure.detail,
+            needs_map=current is None or current == owner,
+        )
         self._metrics.count_retry(failure.reason.value)
 
     async def _ask_once(
--- a/packages/daemon/src/goldcrestvane_daemon/owner/runner.py
+++ b/packages/daemon/src/goldcrestvane_daemon/owner/runner.py
@@ -274,7 +274,8 @@
             answer = await self._connector.send_call(
                 target, dispatch, execution, stream=call.stream
             )
-        except ServiceError:
+        except ServiceError as error:
+            logger.info("attempt %s cannot be joined: %s", started.call, error)
             shard.append(build_release(call, spent_tokens=started.reserved_tokens))
             if execution.streamed:
                 raise
--- a/packages/daemon/tests/entry/test_calls.py
+++ b/packages/daemon/tests/entry/test_calls.py
@@ -218,6 +218,24 @@
 
         trio.run(main)
 
+    def test_map_that_names_the_next_owner_already_is_not_waited_for(self):
+        async def main():
+            with trio.fail_after(GIVE_UP_SECONDS):
+                first, second = FakeOwner("first"), FakeOwner("second")
+                async with serve_owner(first) as old, serve_owner(second) as new:
+                    owners = FakeOwners(old, new)
+
+                    async def lose_shard():
+                        owners.move()
+                        raise WrongOwner("handed over")
+
+                    first.faults = [lose_shard]
+                    async with serve_entry(owners) as entry:
+                        await self.check_second(entry)
+                    self.assertEqual(owners.refreshes, 0)
+
+        trio.run(main)
+
     async def check_second(self, entry):
         reply = await entry.post(ISSUE, {})
         self.assertEqual(reply.headers["goldcrestvane-owner"], "second")
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -44,7 +44,8 @@
                 await self.stop(choose(running, owner))
             outcomes = [ending.outcome for ending in endings]
             self.assertEqual(outcomes, [AttemptOutcome.ANSWERED] * len(callers))
-            self.assertEqual(len(self.evidence.attempts), len(callers))
+            attempts = self.evidence.attempts
+            self.assertEqual(len(attempts), len(callers), attempts)
             await self.heal()
             await self.assert_no_breach(
                 Property.PLANNED_STOP, Property.WHOLE_ANSWERS, Property.NOT_RUN
