--- a/packages/common/src/goldcrestvane_common/logs.py
+++ b/packages/common/src/goldcrestvane_common/logs.py
@@ -2,18 +2,20 @@
 
 import logging
 import sys
+from typing import TextIO
 
 from pythonjsonlogger.json import JsonFormatter
 
 
-def configure_logs(*, level: str, process: str) -> None:
-    """Sends logs as JSON lines to standard error.
+def configure_logs(*, level: str, process: str, stream: TextIO = sys.stderr) -> None:
+    """Sends logs as JSON lines to a stream.
 
     Args:
         level: A level name of `logging`, such as ``INFO``.
         process: Name of this process, written into every line.
+        stream: Where the lines go.
     """
-    handler = logging.StreamHandler(sys.stderr)
+    handler = logging.StreamHandler(stream)
     handler.setFormatter(
         JsonFormatter(
             "%(asctime)s %(levelname)s %(message)s",
--- /dev/null
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/__init__.py
@@ -0,0 +1,1 @@
+"""The frontend role: takes clients' calls, decides, and forwards them to targets."""
--- /dev/null
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/calls.py
@@ -0,0 +1,433 @@
+"""The way of one call: queue, attempts at targets, answer."""
+
+from enum import Enum
+from typing import final
+
+import trio
+
+from goldcrestvane_common.ids import DomainId, InstanceId, ServiceId
+from goldcrestvane_common.logs import get_logger
+from goldcrestvane_daemon.frontend.events import EventSplitter
+from goldcrestvane_daemon.frontend.metrics import (
+    ATTEMPTS,
+    CALL_SECONDS,
+    CALLS,
+    FIRST_EVENT_SECONDS,
+    OPEN_SECONDS,
+    RUNNING,
+)
+from goldcrestvane_daemon.frontend.plan import PlannedCall, plan_call
+from goldcrestvane_daemon.frontend.queue import ServiceQueue
+from goldcrestvane_daemon.frontend.refusals import (
+    OutcomeUnknown,
+    Overloaded,
+    Refusal,
+    TimedOut,
+)
+from goldcrestvane_daemon.frontend.turns import TurnKeeper
+from goldcrestvane_daemon.frontend.upstream import (
+    Attempt,
+    ConnectFailed,
+    TargetBroke,
+    TargetConnections,
+)
+from goldcrestvane_daemon.http1 import ConnectionLost, RequestHead, ServerConnection
+from goldcrestvane_daemon.ledger.client import LedgerClient
+from goldcrestvane_daemon.placement.facts import PlacementOptions
+from goldcrestvane_daemon.placement.health import HealthView
+from goldcrestvane_daemon.platform.headers import (
+    AnswerHead,
+    build_refusal_headers,
+    build_target_headers,
+)
+from goldcrestvane_daemon.routes import CallKind, RouteTable
+from goldcrestvane_daemon.targets import Target, TargetTable
+
+MAX_ANSWER_BYTES = 8 * 1024 * 1024
+"""Largest answer that is held whole before it is passed on."""
+
+MAX_REJECTIONS = 40
+"""Attempts that did not run after which a call is given up."""
+
+MIN_SECONDS_LEFT = 0.02
+"""Time left under which no target is asked any more: a round trip."""
+
+MAX_PRIORITY = 9
+REJECTED_SECONDS = 0.05
+"""Pause after a target rejected a call: the time in which a slot gets free."""
+
+TIMEOUT_RETRY_SECONDS = 0.1
+
+EJECTION = PlacementOptions(eject_seconds=0.5, max_eject_seconds=4.0)
+"""Targets restart within seconds; one that is left out is tried again soon."""
+
+logger = get_logger("call")
+
+
+class AttemptResult(Enum):
+    """What became of one attempt."""
+
+    ANSWERED = "answered"
+    """The client has the whole answer."""
+
+    NOT_RUN = "not_run"
+    """The target did not run the call and never will."""
+
+    LOST = "lost"
+    """The target may have run the call."""
+
+
+@final
+class CallService:
+    """Runs clients' calls.
+
+    Attributes:
+        running: Calls under way.
+    """
+
+    def __init__(
+        self,
+        *,
+        targets: TargetTable,
+        ledger: LedgerClient,
+        domain: DomainId,
+        nursery: trio.Nursery,
+    ) -> None:
+        self._targets = targets
+        self._turns = TurnKeeper(ledger)
+        self._domain = domain
+        self._nursery = nursery
+        self._health = HealthView(EJECTION)
+        self._connections = TargetConnections()
+        self._queues: dict[ServiceId, ServiceQueue] = {}
+        self.running = 0
+
+    def get_queue(self, service: ServiceId) -> ServiceQueue:
+        """Returns the queue of a service."""
+        queue = self._queues.get(service)
+        if queue is None:
+            queue = self._queues[service] = ServiceQueue(
+                service, table=self._targets, health=self._health, domain=self._domain
+            )
+        return queue
+
+    def note_targets_changed(self, gone: Target | None) -> None:
+        """Lets waiting calls use what has changed."""
+        if gone is not None:
+            self._health.forget(gone.instance)
+            self._nursery.start_soon(self._connections.forget, gone)
+        for queue in self._queues.values():
+            queue.place_waiting()
+
+    async def handle(
+        self,
+        connection: ServerConnection,
+        head: RequestHead,
+        body: bytes,
+        routes: RouteTable | None,
+        answer_headers: list[tuple[bytes, bytes]],
+    ) -> None:
+        """Answers one call of a client.
+
+        Args:
+            connection: The client's connection.
+            head: The request.
+            body: Its body.
+            routes: The configuration in force.
+            answer_headers: Headers that concern the client's connection.
+
+        Raises:
+            ConnectionLost: The answer broke off; the connection must be closed.
+        """
+        arrived = trio.current_time()
+        call: PlannedCall | None = None
+        outcome = "client_gone"
+        self.running += 1
+        RUNNING.inc()
+        try:
+            call = plan_call(head, body, routes, arrived)
+            await self._run(connection, call, answer_headers)
+            outcome = "answered"
+        except Refusal as refusal:
+            outcome = refusal.kind
+            if call is not None and call.answer_begun:
+                raise ConnectionLost(str(refusal)) from refusal
+            _log_refusal(call, head, refusal)
+            headers = build_refusal_headers(
+                call=call.headers.call if call else None,
+                retry_after=refusal.retry_after,
+            )
+            await connection.respond(
+                refusal.status, headers + answer_headers, refusal.encode()
+            )
+        except ConnectionLost:
+            outcome = "connection_lost"
+            raise
+        finally:
+            self.running -= 1
+            RUNNING.dec()
+            _log_end(call, outcome, arrived)
+
+    async def _run(
+        self,
+        connection: ServerConnection,
+        call: PlannedCall,
+        answer_headers: list[tuple[bytes, bytes]],
+    ) -> None:
+        with trio.CancelScope(deadline=call.deadline) as scope:
+            if not call.is_turn:
+                await self._run_attempts(connection, call, answer_headers)
+                return
+            try:
+                await self._turns.open(call)
+                OPEN_SECONDS.observe(trio.current_time() - call.arrived)
+                await self._run_attempts(connection, call, answer_headers)
+            finally:
+                if not call.settled:
+                    # Also when the client has left or the time is over.
+                    self._nursery.start_soon(self._turns.settle, call)
+        if scope.cancelled_caught:
+            raise _build_timeout(call)
+
+    async def _run_attempts(
+        self,
+        connection: ServerConnection,
+        call: PlannedCall,
+        answer_headers: list[tuple[bytes, bytes]],
+    ) -> None:
+        queue = self.get_queue(call.service)
+        excluded: set[InstanceId] = set()
+        while True:
+            target = await queue.acquire(
+                key=call.affinity_key,
+                priority=call.route.priority,
+                arrived=call.arrived,
+                seconds_left=call.seconds_left,
+                excluded=frozenset(excluded),
+            )
+            result = AttemptResult.LOST
+            try:
+                result = await self._attempt(
+                    connection, call, target, queue, answer_headers
+                )
+            finally:
+                queue.release(target, ended=result is not AttemptResult.NOT_RUN)
+                ATTEMPTS.labels(result.value).inc()
+            if result is AttemptResult.ANSWERED:
+                return
+            excluded.add(target.instance)
+            if result is AttemptResult.NOT_RUN:
+                call.rejections += 1
+            failure = _find_final_failure(call, result)
+            if failure is not None:
+                raise failure
+
+    async def _attempt(
+        self,
+        connection: ServerConnection,
+        call: PlannedCall,
+        target: Target,
+        queue: ServiceQueue,
+        answer_headers: list[tuple[bytes, bytes]],
+    ) -> AttemptResult:
+        """Sends the call to one target and passes its answer on."""
+        try:
+            async with Attempt(self._connections, target) as attempt:
+                call.tried.append(target.instance)
+                head = await self._send(call, target, attempt)
+                queue.report(target, head.load)
+                if not head.executed:
+                    await attempt.read_body(MAX_ANSWER_BYTES)
+                    self._note_rejection(call, target, head)
+                    call.tried.pop()
+                    return AttemptResult.NOT_RUN
+                _check_answer(head)
+                headers = _drop_length(head.forwarded) + answer_headers
+                if call.route.kind is CallKind.STREAM and head.status == 200:
+                    await self._pass_stream(connection, call, attempt, headers)
+                else:
+                    body = await attempt.read_body(MAX_ANSWER_BYTES)
+                    call.answer_begun = True
+                    await connection.respond(head.status, headers, body)
+        except ConnectFailed as error:
+            self._note_failure(call, target, error, dead=True)
+            return AttemptResult.NOT_RUN
+        except TargetBroke as error:
+            self._note_failure(call, target, error, dead=False)
+            return AttemptResult.LOST
+        except BaseException:
+            # The client left or the time ended; neither tells whether it works.
+            self._health.note_cancelled(target.instance, now=trio.current_time())
+            raise
+        self._health.note_success(target.instance, slowness=None)
+        return AttemptResult.ANSWERED
+
+    async def _send(
+        self, call: PlannedCall, target: Target, attempt: Attempt
+    ) -> AnswerHead:
+        headers = build_target_headers(
+            call.headers,
+            instance=target.instance,
+            seconds_left=call.seconds_left,
+            body_length=len(call.body),
+            priority=min(call.route.priority, MAX_PRIORITY),
+            last_event=call.last_event,
+        )
+        head = call.head
+        logger.info(
+            "sent to a target",
+            extra={
+                "call": call.headers.call,
+                "target": target.instance,
+                "load": round(
+                    self._targets.get_load(target).estimate(trio.current_time()), 1
+                ),
+                "waited_ms": round((trio.current_time() - call.arrived) * 1000, 1),
+            },
+        )
+        return await attempt.send(
+            head.method, head.path, headers, call.body, call=call.headers.call
+        )
+
+    def _note_rejection(
+        self, call: PlannedCall, target: Target, head: AnswerHead
+    ) -> None:
+        now = trio.current_time()
+        self._targets.get_load(target).full_until = now + REJECTED_SECONDS
+        self._health.note_cancelled(target.instance, now=now)
+        logger.info(
+            "rejected by a target",
+            extra={
+                "call": call.headers.call,
+                "target": target.instance,
+                "status": head.status,
+            },
+        )
+
+    def _note_failure(
+        self, call: PlannedCall, target: Target, error: Exception, *, dead: bool
+    ) -> None:
+        self._health.note_failure(target.instance, now=trio.current_time(), dead=dead)
+        logger.warning(
+            "a target failed",
+            extra={
+                "call": call.headers.call,
+                "target": target.instance,
+                "reason": str(error),
+                "events": call.events,
+            },
+        )
+
+    async def _pass_stream(
+        self,
+        connection: ServerConnection,
+        call: PlannedCall,
+        attempt: Attempt,
+        headers: list[tuple[bytes, bytes]],
+    ) -> None:
+        splitter = EventSplitter()
+        async for chunk in attempt.read_chunks():
+            events = splitter.feed(chunk)
+            if not events:
+                continue
+            if not call.answer_begun:
+                # Begun with the first event, so that a target that breaks off
+                # before it leaves the call free for another attempt.
+                call.answer_begun = True
+                FIRST_EVENT_SECONDS.observe(trio.current_time() - call.arrived)
+                await connection.begin_answer(200, headers)
+            for event in events:
+                call.events += 1
+                call.last_event = event.number or call.last_event
+                if call.route.keeps_turns:
+                    call.output += event.data + b"\n"
+            await connection.send_body(b"".join(event.raw for event in events))
+        if splitter.remainder:
+            raise TargetBroke("The stream ended within an event.")
+        if not call.answer_begun:
+            call.answer_begun = True
+            await connection.begin_answer(200, headers)
+        if call.is_kept:
+            await self._turns.keep(call)
+        await connection.end_answer()
+
+
+def _find_final_failure(call: PlannedCall, result: AttemptResult) -> Refusal | None:
+    """Returns the refusal of a call that is not tried again, or None."""
+    in_time = call.seconds_left > MIN_SECONDS_LEFT
+    if result is AttemptResult.NOT_RUN:
+        if in_time and call.rejections < MAX_REJECTIONS:
+            return None
+    elif in_time and call.route.repeatable and len(call.tried) < call.route.attempts:
+        return None
+    if call.tried:
+        return OutcomeUnknown(
+            f"{len(call.tried)} targets broke off; the call may have run."
+        )
+    return Overloaded(
+        f"{call.rejections} targets rejected the call; come back later.",
+        retry_after=REJECTED_SECONDS,
+    )
+
+
+def _build_timeout(call: PlannedCall) -> Refusal:
+    if call.tried:
+        return TimedOut(
+            f"No answer from {call.tried[-1]} in time; the call may have run."
+        )
+    return Overloaded(
+        "The call waited for all of its time; it has not run.",
+        retry_after=TIMEOUT_RETRY_SECONDS,
+    )
+
+
+def _check_answer(head: AnswerHead) -> None:
+    """Raises TargetBroke when an answer cannot be a target's own."""
+    if 200 <= head.status < 300 and not head.signed:
+        raise TargetBroke(f"Got status {head.status} without a signature.")
+    if head.status in (408, 421, 429, 503):
+        # These promise the client that the call has not run; this target did not.
+        raise TargetBroke(f"Got status {head.status} for a call that may have run.")
+    if head.encoded:
+        raise TargetBroke("Got a body with an encoding that nobody asked for.")
+
+
+def _drop_length(headers: list[tuple[bytes, bytes]]) -> list[tuple[bytes, bytes]]:
+    return [(name, value) for name, value in headers if name != b"content-length"]
+
+
+def _log_refusal(call: PlannedCall | None, head: RequestHead, refusal: Refusal) -> None:
+    logger.warning(
+        "refused",
+        extra={
+            "call": call.headers.call if call else None,
+            "path": head.path.decode("latin-1"),
+            "refusal": refusal.kind,
+            "status": refusal.status,
+            "reason": str(refusal),
+            "retry_after": refusal.retry_after,
+        },
+    )
+
+
+def _log_end(call: PlannedCall | None, outcome: str, arrived: float) -> None:
+    kind = call.route.kind.value if call else "none"
+    CALLS.labels(kind, outcome).inc()
+    if call is None:
+        return
+    seconds = trio.current_time() - arrived
+    if outcome == "answered":
+        CALL_SECONDS.labels(kind).observe(seconds)
+    logger.info(
+        "call ended",
+        extra={
+            "call": call.headers.call,
+            "program": call.headers.program,
+            "route": call.route.name,
+            "version": call.version,
+            "outcome": outcome,
+            "targets": call.tried,
+            "events": call.events,
+            "ms": round(seconds * 1000, 1),
+        },
+    )
--- /dev/null
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/clients.py
@@ -0,0 +1,129 @@
+"""Serves clients' connections: one task a connection, one request after another."""
+
+from typing import final
+
+import trio
+
+from goldcrestvane_common.logs import get_logger
+from goldcrestvane_daemon.frontend.calls import CallService
+from goldcrestvane_daemon.frontend.directory import Directory
+from goldcrestvane_daemon.frontend.metrics import CONNECTIONS
+from goldcrestvane_daemon.frontend.stop import Stop
+from goldcrestvane_daemon.http1 import (
+    ConnectionLost,
+    ProtocolViolation,
+    ServerConnection,
+)
+from goldcrestvane_daemon.ledger.frames import enable_keepalive
+from goldcrestvane_daemon.routes import ClientLimits
+
+BODY_SECONDS = 10.0
+"""Time that a client has for a body: the longest time limit with room to spare."""
+
+logger = get_logger("client")
+
+
+@final
+class ClientServer:
+    """Serves the connections of clients.
+
+    Attributes:
+        open_count: Open connections.
+    """
+
+    def __init__(self, *, calls: CallService, directory: Directory, stop: Stop) -> None:
+        self._calls = calls
+        self._directory = directory
+        self._stop = stop
+        self.open_count = 0
+
+    async def serve(self, stream: trio.SocketStream) -> None:
+        """Serves one connection until either side closes it."""
+        limits = self._get_limits()
+        connection = ServerConnection(stream, head_bytes=limits.header_bytes)
+        enable_keepalive(stream)
+        self.open_count += 1
+        CONNECTIONS.inc()
+        try:
+            while await self._serve_request(connection):
+                connection.start_next_request()
+        except ProtocolViolation as violation:
+            await self._respond_violation(connection, violation)
+        except ConnectionLost as error:
+            logger.debug("a client's connection ended", extra={"reason": str(error)})
+        finally:
+            self.open_count -= 1
+            CONNECTIONS.dec()
+            await connection.close()
+
+    def _get_limits(self) -> ClientLimits:
+        routes = self._directory.routes
+        return routes.configuration.limits if routes else ClientLimits()
+
+    async def _serve_request(self, connection: ServerConnection) -> bool:
+        """Serves the next request; returns whether another one may follow."""
+        limits = self._get_limits()
+        head = None
+        with trio.move_on_after(limits.idle_seconds):
+            head = await self._wait_request(connection)
+        if head is None:
+            return False
+        body = None
+        with trio.move_on_after(BODY_SECONDS):
+            body = await connection.read_body(limits.body_bytes)
+        if body is None:
+            raise ProtocolViolation("The body did not arrive in time.", status=408)
+        headers = [(b"connection", b"close")] if self._stop.requested else []
+        gone = False
+        async with trio.open_nursery() as nursery:
+
+            async def watch() -> None:
+                nonlocal gone
+                await connection.wait_disconnected()
+                gone = True
+                nursery.cancel_scope.cancel()
+
+            nursery.start_soon(watch)
+            lost: ConnectionLost | None = None
+            try:
+                await self._calls.handle(
+                    connection, head, body, self._directory.routes, headers
+                )
+            except ConnectionLost as error:
+                lost = error
+            nursery.cancel_scope.cancel()
+        if lost is not None:
+            raise lost
+        return not gone and connection.may_continue
+
+    async def _wait_request(self, connection: ServerConnection):  # noqa: ANN202
+        """Returns the next request; None when the client or this process ends."""
+        head = None
+        async with trio.open_nursery() as nursery:
+
+            async def watch_stop() -> None:
+                await self._stop.closing.wait()
+                nursery.cancel_scope.cancel()
+
+            nursery.start_soon(watch_stop)
+            failure: ProtocolViolation | ConnectionLost | None = None
+            try:
+                head = await connection.read_head()
+            except (ProtocolViolation, ConnectionLost) as error:
+                failure = error
+            nursery.cancel_scope.cancel()
+        if failure is not None:
+            raise failure
+        return head
+
+    async def _respond_violation(
+        self, connection: ServerConnection, violation: ProtocolViolation
+    ) -> None:
+        logger.warning("bad request", extra={"reason": str(violation)})
+        if connection.answer_begun:
+            return
+        try:
+            with trio.move_on_after(1.0):
+                await connection.respond(violation.status, [(b"connection", b"close")])
+        except ConnectionLost:
+            return
--- /dev/null
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/directory.py
@@ -0,0 +1,202 @@
+"""Follows the platform's store: configuration, targets, and members of the ledger."""
+
+from collections.abc import Callable
+from typing import final
+
+import msgspec
+import trio
+
+from goldcrestvane_common.ids import InstanceId, Version
+from goldcrestvane_common.logs import get_logger
+from goldcrestvane_common.objects import ObjectError, RevisionTooOld
+from goldcrestvane_daemon.ledger.client import LedgerClient
+from goldcrestvane_daemon.ledger.membership import VIEW_NAME
+from goldcrestvane_daemon.ledger.view import View
+from goldcrestvane_daemon.platform.records import (
+    CONFIGURATION_NAME,
+    decode_configuration,
+    decode_target,
+)
+from goldcrestvane_daemon.platform.store import (
+    Kind,
+    StoreChanges,
+    StoreClient,
+    StoreObject,
+)
+from goldcrestvane_daemon.routes import RouteTable
+from goldcrestvane_daemon.targets import Target, TargetTable
+
+WATCH_SECONDS = 10.0
+"""A shorter watch costs more calls; a silent connection is noticed by keep-alive."""
+
+RETRY_SECONDS = 0.25
+MAX_RETRY_SECONDS = 1.0
+
+RETURN_SECONDS = 2.0
+"""After an outage, entries of live targets are back within this time."""
+
+logger = get_logger("directory")
+
+
+@final
+class Directory:
+    """What this process believes of the platform's objects.
+
+    Attributes:
+        routes: The configuration in force; None before the first one.
+    """
+
+    def __init__(
+        self,
+        *,
+        store: StoreClient,
+        targets: TargetTable,
+        ledger: LedgerClient,
+        changed: Callable[[Target | None], None],
+    ) -> None:
+        """Creates a directory; `run` fills it.
+
+        Args:
+            store: Client of the platform's store.
+            targets: Table to keep up to date.
+            ledger: Told of new members.
+            changed: Called after each change of the targets, with one that is gone.
+        """
+        self._store = store
+        self._targets = targets
+        self._ledger = ledger
+        self._changed = changed
+        self._missing: dict[InstanceId, float] = {}
+        self.routes: RouteTable | None = None
+
+    async def run(self) -> None:
+        """Follows the store until cancelled."""
+        async with trio.open_nursery() as nursery:
+            for kind in (Kind.CONFIGURATION, Kind.TARGETS, Kind.LEDGER):
+                nursery.start_soon(self._follow, kind)
+            nursery.start_soon(self._drop_missing)
+
+    async def _follow(self, kind: Kind) -> None:
+        pause = RETRY_SECONDS
+        reachable = True
+        while True:
+            try:
+                changes = await self._store.list(kind)
+                if not reachable:
+                    logger.info("the store answers again", extra={"kind": kind.value})
+                if kind is Kind.TARGETS:
+                    self._note_missing(changes, after_outage=not reachable)
+                reachable = True
+                pause = RETRY_SECONDS
+                while True:
+                    for item in changes.objects:
+                        self._take(kind, item)
+                    changes = await self._store.watch(
+                        kind, changes.revision, WATCH_SECONDS
+                    )
+            except RevisionTooOld as error:
+                logger.info("listing anew", extra={"reason": str(error)})
+            except ObjectError as error:
+                if reachable:
+                    logger.warning(
+                        "the store does not answer",
+                        extra={"kind": kind.value, "reason": str(error)},
+                    )
+                reachable = False
+                await trio.sleep(pause)
+                pause = min(2 * pause, MAX_RETRY_SECONDS)
+
+    def _take(self, kind: Kind, item: StoreObject) -> None:
+        if kind is Kind.TARGETS:
+            self._take_target(item)
+        elif kind is Kind.CONFIGURATION:
+            self._take_configuration(item)
+        else:
+            self._take_view(item)
+
+    def _take_configuration(self, item: StoreObject) -> None:
+        if item.name != CONFIGURATION_NAME or item.deleted:
+            return
+        try:
+            configuration = decode_configuration(item.value)
+        except msgspec.DecodeError as error:
+            logger.error("unreadable configuration", extra={"reason": str(error)})
+            return
+        current = self.routes.configuration.version if self.routes else Version(0)
+        if configuration.version <= current:
+            return
+        self.routes = RouteTable(configuration)
+        logger.info(
+            "configuration in force",
+            extra={
+                "version": configuration.version,
+                "before": current,
+                "routes": len(configuration.routes),
+                "revision": item.version,
+            },
+        )
+        self._changed(None)
+
+    def _take_view(self, item: StoreObject) -> None:
+        if item.name != VIEW_NAME or item.deleted:
+            return
+        try:
+            self._ledger.adopt(msgspec.json.decode(item.value, type=View))
+        except msgspec.DecodeError as error:
+            logger.error("unreadable view", extra={"reason": str(error)})
+
+    def _take_target(self, item: StoreObject) -> None:
+        instance = InstanceId(item.name)
+        self._missing.pop(instance, None)
+        if item.deleted:
+            self._remove(instance, "removed")
+            return
+        target = decode_target(item.name, item.value)
+        if target is None:
+            logger.warning("ignored a target's entry", extra={"target": instance})
+            self._remove(instance, "unreadable")
+            return
+        before = self._targets.get(instance)
+        if self._targets.put(target):
+            replaced = before if before and before.key != target.key else None
+            logger.info(
+                "target",
+                extra={
+                    "target": instance,
+                    "service": target.service,
+                    "state": target.state.value,
+                    "revision": item.version,
+                },
+            )
+            self._changed(replaced)
+
+    def _remove(self, instance: InstanceId, reason: str) -> None:
+        target = self._targets.get(instance)
+        if target is not None and self._targets.remove(instance):
+            logger.info("target gone", extra={"target": instance, "reason": reason})
+            self._changed(target)
+
+    def _note_missing(self, changes: StoreChanges, *, after_outage: bool) -> None:
+        """Notes targets that a new list lacks.
+
+        Entries lapse while the store is away, though their targets live; they get
+        the time to return. At any other time a missing target is gone.
+        """
+        listed = {item.name for item in changes.objects}
+        until = trio.current_time() + (RETURN_SECONDS if after_outage else 0.0)
+        for target in self._targets.list_all():
+            if target.instance not in listed:
+                self._missing.setdefault(target.instance, until)
+        self._expire_missing()
+
+    async def _drop_missing(self) -> None:
+        while True:
+            await trio.sleep(RETRY_SECONDS)
+            self._expire_missing()
+
+    def _expire_missing(self) -> None:
+        now = trio.current_time()
+        for instance, until in list(self._missing.items()):
+            if until <= now:
+                del self._missing[instance]
+                self._remove(instance, "not listed")
--- /dev/null
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/metrics.py
@@ -0,0 +1,32 @@
+"""Counters and histograms of a frontend."""
+
+from prometheus_client import Counter, Gauge, Histogram
+
+SECONDS_BUCKETS = (0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.75, 1, 1.5, 2, 3, 5)
+
+CALLS = Counter(
+    "goldcrestvane_calls",
+    "Calls that ended, by what became of them",
+    ["kind", "outcome"],
+)
+CALL_SECONDS = Histogram(
+    "goldcrestvane_call_seconds",
+    "Time of answered calls",
+    ["kind"],
+    buckets=SECONDS_BUCKETS,
+)
+FIRST_EVENT_SECONDS = Histogram(
+    "goldcrestvane_first_event_seconds",
+    "Time to the first event of a stream",
+    buckets=SECONDS_BUCKETS,
+)
+OPEN_SECONDS = Histogram(
+    "goldcrestvane_turn_open_seconds",
+    "Time to record a turn's reservation",
+    buckets=SECONDS_BUCKETS,
+)
+ATTEMPTS = Counter(
+    "goldcrestvane_attempts", "Attempts at targets, by what became of them", ["result"]
+)
+RUNNING = Gauge("goldcrestvane_calls_running", "Calls under way")
+CONNECTIONS = Gauge("goldcrestvane_client_connections", "Open connections of clients")
--- /dev/null
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/placement.py
@@ -0,0 +1,74 @@
+"""Which target runs a call, and in which order calls wait for one.
+
+Load patterns that this answers:
+- Programs return with ever longer prompts. A target that read the earlier turns reads
+  only the new part, so the calls of a program go to one target, ranked by a hash that
+  all frontends share without telling each other.
+- A burst fills the target that the hash names. Its calls spill to the least loaded one.
+- Calls of several priorities wait. A less urgent call counts as if it had arrived
+  later, so that it yields but never starves.
+"""
+
+from collections.abc import Sequence
+
+import msgspec
+import xxhash
+
+from goldcrestvane_common.ids import InstanceId
+
+SPILL_SHARE = 0.75
+"""Part of its slots up to which a target takes the calls that the hash gives it."""
+
+PRIORITY_SECONDS = 0.5
+"""Time by which a call of one priority lower counts as later: half a usual objective
+of 300 ms and a run of 300 ms."""
+
+
+class TargetChoice(msgspec.Struct, frozen=True):
+    """A target that may take a call, and the calls that are probably there."""
+
+    instance: InstanceId
+    load: float
+    slots: int
+    local: bool
+
+    @property
+    def share(self) -> float:
+        """Part of the slots that is taken."""
+        return self.load / self.slots
+
+
+def rank_target(key: str, instance: InstanceId) -> int:
+    """Returns the rank of a target for a key; the highest is preferred."""
+    return xxhash.xxh3_64_intdigest(f"{key}\n{instance}".encode())
+
+
+def choose_target(
+    choices: Sequence[TargetChoice], key: str | None
+) -> TargetChoice | None:
+    """Returns the target for a call, or None when all are full.
+
+    Args:
+        choices: Targets that take calls.
+        key: What the target should have seen before; None when it does not matter.
+    """
+    free = [choice for choice in choices if choice.load < choice.slots]
+    if not free:
+        return None
+    if key is not None:
+        preferred = max(free, key=lambda each: rank_target(key, each.instance))
+        if preferred.share < SPILL_SHARE:
+            return preferred
+    return min(free, key=lambda each: (each.share, not each.local))
+
+
+def order_waiting(arrived: float, priority: int) -> float:
+    """Returns the key by which calls wait; the lowest goes first."""
+    return arrived + PRIORITY_SECONDS * priority
+
+
+def estimate_wait(waiting: int, ended_a_second: float) -> float:
+    """Returns the time until a new call at the end of the queue starts, in seconds."""
+    if waiting == 0:
+        return 0.0
+    return waiting / max(ended_a_second, 1.0)
--- /dev/null
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/process.py
@@ -0,0 +1,111 @@
+"""The frontend role: its parts and their supervision."""
+
+import signal
+from typing import final
+
+import h11
+import trio
+
+from goldcrestvane_common.logs import get_logger
+from goldcrestvane_common.transport import Transport
+from goldcrestvane_daemon.frontend.calls import CallService
+from goldcrestvane_daemon.frontend.clients import ClientServer
+from goldcrestvane_daemon.frontend.directory import Directory
+from goldcrestvane_daemon.frontend.stop import Stop
+from goldcrestvane_daemon.http1 import (
+    ConnectionLost,
+    ProtocolViolation,
+    ServerConnection,
+)
+from goldcrestvane_daemon.ledger.client import LedgerClient
+from goldcrestvane_daemon.metrics import serve_metrics
+from goldcrestvane_daemon.platform.machine import MachineSettings
+from goldcrestvane_daemon.platform.store import StoreClient
+from goldcrestvane_daemon.settings import InvalidSettings
+from goldcrestvane_daemon.targets import TargetTable
+
+BACKLOG = 512
+READY_HEAD_BYTES = 8192
+READY_IDLE_SECONDS = 30.0
+
+logger = get_logger("frontend")
+
+
+@final
+class FrontendProcess:
+    """Runs one frontend until it is told to stop."""
+
+    def __init__(self, settings: MachineSettings) -> None:
+        self._settings = settings
+
+    async def run(self) -> None:
+        """Runs until SIGTERM and the end of what is under way."""
+        settings = self._settings
+        if settings.client_address is None or settings.ready_address is None:
+            raise InvalidSettings(
+                "A frontend needs addresses for clients and for readiness; "
+                "run it on a machine that serves clients."
+            )
+        stop = Stop(settings.grace_seconds)
+        targets = TargetTable()
+        async with Transport() as transport, trio.open_nursery() as nursery:
+            ledger = LedgerClient(settings.domain, nursery)
+            calls = CallService(
+                targets=targets,
+                ledger=ledger,
+                domain=settings.domain,
+                nursery=nursery,
+            )
+            directory = Directory(
+                store=StoreClient(transport, settings.store_address),
+                targets=targets,
+                ledger=ledger,
+                changed=calls.note_targets_changed,
+            )
+            clients = ClientServer(calls=calls, directory=directory, stop=stop)
+
+            def is_ready() -> bool:
+                configured = directory.routes is not None
+                return configured and ledger.is_reachable and not stop.requested
+
+            async def serve_ready(stream: trio.SocketStream) -> None:
+                await _serve_readiness(stream, is_ready)
+
+            nursery.start_soon(directory.run)
+            nursery.start_soon(serve_metrics, settings.host)
+            nursery.start_soon(_log_hangups)
+            await _listen(nursery, settings.ready_address, serve_ready)
+            await _listen(nursery, settings.client_address, clients.serve)
+            logger.info("started", extra={"clients": settings.client_address})
+            await stop.wait(lambda: calls.running)
+            nursery.cancel_scope.cancel()
+
+
+async def _listen(nursery: trio.Nursery, address: str, serve) -> None:  # noqa: ANN001
+    host, _, port = address.rpartition(":")
+    listeners = await trio.open_tcp_listeners(int(port), host=host, backlog=BACKLOG)
+    nursery.start_soon(trio.serve_listeners, serve, listeners)
+
+
+async def _serve_readiness(stream: trio.SocketStream, is_ready) -> None:  # noqa: ANN001
+    """Answers the balancer's questions on one connection."""
+    connection = ServerConnection(stream, head_bytes=READY_HEAD_BYTES)
+    try:
+        with trio.move_on_after(READY_IDLE_SECONDS):
+            while await connection.read_head() is not None:
+                await connection.read_body(0)
+                await connection.respond(200 if is_ready() else 503, [])
+                if not connection.may_continue:
+                    return
+                connection.start_next_request()
+    except (ConnectionLost, ProtocolViolation, h11.LocalProtocolError):
+        return
+    finally:
+        await connection.close()
+
+
+async def _log_hangups() -> None:
+    """Notes that the settings file has changed; what it holds is read at the start."""
+    with trio.open_signal_receiver(signal.SIGHUP) as signals:
+        async for _ in signals:
+            logger.info("settings file changed; addresses stay until the next start")
--- /dev/null
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/queue.py
@@ -0,0 +1,180 @@
+"""Calls of one service that wait in this process for a target."""
+
+from collections import deque
+from typing import final
+
+import trio
+
+from goldcrestvane_common.ids import DomainId, InstanceId, ServiceId
+from goldcrestvane_daemon.frontend.placement import (
+    TargetChoice,
+    choose_target,
+    estimate_wait,
+    order_waiting,
+)
+from goldcrestvane_daemon.frontend.refusals import NoTarget, Overloaded
+from goldcrestvane_daemon.placement.health import HealthView
+from goldcrestvane_daemon.targets import ReportedLoad, Target, TargetTable
+
+MAX_WAITING = 500
+"""Most calls that wait for one service; at 2 KB each a megabyte."""
+
+ABSENT_SECONDS = 0.3
+"""Time until a service without targets is asked for again: a watch's delay."""
+
+RATE_SECONDS = 2.0
+"""Time over which the rate of ended calls is measured."""
+
+MIN_RETRY_SECONDS = 0.05
+RECHECK_SECONDS = 0.02
+"""Pause until targets that were full are tried again."""
+
+
+@final
+class Waiter:
+    """One call that waits."""
+
+    def __init__(
+        self, order: float, key: str | None, excluded: frozenset[InstanceId]
+    ) -> None:
+        self.order = order
+        self.key = key
+        self.excluded = excluded
+        self.target: Target | None = None
+        self.placed = trio.Event()
+
+
+@final
+class ServiceQueue:
+    """Gives the targets of one service to the calls that wait for them."""
+
+    def __init__(
+        self,
+        service: ServiceId,
+        *,
+        table: TargetTable,
+        health: HealthView,
+        domain: DomainId,
+    ) -> None:
+        self._service = service
+        self._table = table
+        self._health = health
+        self._domain = domain
+        self._waiting: list[Waiter] = []
+        self._ended: deque[float] = deque(maxlen=256)
+
+    @property
+    def waiting_count(self) -> int:
+        """Calls that wait now."""
+        return len(self._waiting)
+
+    def measure_rate(self) -> float:
+        """Returns the calls that ended a second, lately."""
+        now = trio.current_time()
+        while self._ended and self._ended[0] < now - RATE_SECONDS:
+            self._ended.popleft()
+        return len(self._ended) / RATE_SECONDS
+
+    async def acquire(
+        self,
+        *,
+        key: str | None,
+        priority: int,
+        arrived: float,
+        seconds_left: float,
+        excluded: frozenset[InstanceId] = frozenset(),
+    ) -> Target:
+        """Returns a target with room, which counts the call until `release`.
+
+        Args:
+            key: What the target should have seen before.
+            priority: Rank of the call, 0 first.
+            arrived: Time on trio's clock at which the call arrived.
+            seconds_left: Time that the call has.
+            excluded: Targets not to use.
+
+        Raises:
+            NoTarget: The service has no target.
+            Overloaded: The wait would exceed the time left.
+        """
+        if not self._table.list_ready(self._service):
+            raise NoTarget(
+                f"No target of service {self._service} takes calls; come back later.",
+                retry_after=ABSENT_SECONDS,
+            )
+        wait = estimate_wait(len(self._waiting), self.measure_rate())
+        if wait > seconds_left or len(self._waiting) >= MAX_WAITING:
+            raise Overloaded(
+                f"{len(self._waiting)} calls wait for service {self._service}, "
+                f"about {wait:.2f} s; {seconds_left:.2f} s are left.",
+                retry_after=max(MIN_RETRY_SECONDS, wait - seconds_left),
+            )
+        waiter = Waiter(order_waiting(arrived, priority), key, excluded)
+        self._waiting.append(waiter)
+        try:
+            self.place_waiting()
+            while waiter.target is None:
+                with trio.move_on_after(RECHECK_SECONDS):
+                    await waiter.placed.wait()
+                if waiter.target is None:
+                    self.place_waiting()
+                    if not self._table.list_ready(self._service):
+                        raise NoTarget(
+                            f"The last target of service {self._service} has left.",
+                            retry_after=ABSENT_SECONDS,
+                        )
+        except BaseException:
+            if waiter.target is not None:
+                self.release(waiter.target, ended=False)
+            raise
+        finally:
+            if waiter in self._waiting:
+                self._waiting.remove(waiter)
+        return waiter.target
+
+    def release(self, target: Target, *, ended: bool = True) -> None:
+        """Gives back the room of a call; `ended` tells whether it ran to an end."""
+        self._table.get_load(target).running -= 1
+        if ended:
+            self._ended.append(trio.current_time())
+        self.place_waiting()
+
+    def report(self, target: Target, load: ReportedLoad | None) -> None:
+        """Takes in the load that a target stated."""
+        if load is not None:
+            self._table.get_load(target).report(load, now=trio.current_time())
+
+    def place_waiting(self) -> None:
+        """Gives targets to waiting calls for as long as there is room."""
+        for waiter in sorted(self._waiting, key=lambda each: each.order):
+            target = self._find_target(waiter)
+            if target is None:
+                return
+            self._table.get_load(target).running += 1
+            self._health.note_start(target.instance, now=trio.current_time())
+            waiter.target = target
+            self._waiting.remove(waiter)
+            waiter.placed.set()
+
+    def _find_target(self, waiter: Waiter) -> Target | None:
+        now = trio.current_time()
+        ready = self._table.list_ready(self._service)
+        usable = [
+            target
+            for target in ready
+            if target.instance not in waiter.excluded
+            and self._health.is_usable(target.instance, now=now)
+        ]
+        # With none left the exclusions are dropped, rather than the call.
+        choices = [
+            TargetChoice(
+                instance=target.instance,
+                load=load.estimate(now),
+                slots=target.slots,
+                local=target.domain == self._domain,
+            )
+            for target in usable or ready
+            if (load := self._table.get_load(target)).full_until <= now
+        ]
+        choice = choose_target(choices, waiter.key)
+        return None if choice is None else self._table.get(choice.instance)
--- /dev/null
+++ b/packages/daemon/src/goldcrestvane_daemon/http1.py
@@ -0,0 +1,303 @@
+"""HTTP/1.1 on trio streams: h11 with the few steps that both sides share.
+
+hypercorn and httpcore build on h11 as well; their cost a call exceeds what the small
+machines of an entry have (see docs/design/platform.md).
+"""
+
+from collections.abc import AsyncIterator, Sequence
+from typing import final
+
+import h11
+import msgspec
+import trio
+
+Headers = Sequence[tuple[bytes, bytes]]
+
+READ_BYTES = 65_536
+MAX_HEAD_BYTES = 32_768
+"""Most bytes of the head of a message; the platform's clients send half of it."""
+
+
+class ProtocolViolation(Exception):
+    """The peer sent bytes that are no message of the protocol.
+
+    Attributes:
+        status: Status to answer with, when the peer is a client.
+    """
+
+    def __init__(self, message: str, *, status: int = 400) -> None:
+        super().__init__(message)
+        self.status = status
+
+
+class ConnectionLost(Exception):
+    """The connection broke or ended in the middle of a message."""
+
+
+class RequestHead(msgspec.Struct, frozen=True):
+    """A request without its body; header names are in lower case."""
+
+    method: bytes
+    path: bytes
+    headers: list[tuple[bytes, bytes]]
+
+
+@final
+class ServerConnection:
+    """One client's connection."""
+
+    def __init__(self, stream: trio.SocketStream, *, head_bytes: int) -> None:
+        self._stream = stream
+        self._parser = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=head_bytes + READ_BYTES
+        )
+        self._ended = False
+
+    @property
+    def may_continue(self) -> bool:
+        """Whether another request may follow the one that was answered."""
+        states = (self._parser.our_state, self._parser.their_state)
+        return states == (h11.DONE, h11.DONE)
+
+    @property
+    def answer_begun(self) -> bool:
+        """Whether a part of the answer was sent."""
+        return self._parser.our_state is not h11.SEND_RESPONSE
+
+    @property
+    def has_pending_bytes(self) -> bool:
+        """Whether bytes of the next request have arrived."""
+        return bool(self._parser.trailing_data[0])
+
+    async def read_head(self) -> RequestHead | None:
+        """Returns the next request, or None when the client has closed.
+
+        Raises:
+            ProtocolViolation: The bytes are no request.
+            ConnectionLost: The connection broke in the middle of a request.
+        """
+        event = await self._next_event()
+        if isinstance(event, h11.ConnectionClosed):
+            return None
+        if not isinstance(event, h11.Request):
+            raise ProtocolViolation(f"Got {type(event).__name__}, expected a request.")
+        return RequestHead(event.method, event.target, list(event.headers))
+
+    async def read_body(self, limit: int) -> bytes:
+        """Returns the whole body.
+
+        Raises:
+            ProtocolViolation: The body is not well-formed or larger than `limit`.
+            ConnectionLost: The connection broke before the body's end.
+        """
+        if self._parser.they_are_waiting_for_100_continue:
+            interim = h11.InformationalResponse(status_code=100, headers=[])
+            await self._send(interim)
+        chunks = []
+        size = 0
+        while True:
+            event = await self._next_event()
+            if isinstance(event, h11.EndOfMessage):
+                return b"".join(chunks)
+            if not isinstance(event, h11.Data):
+                raise ConnectionLost("The client closed before the end of its request.")
+            size += len(event.data)
+            if size > limit:
+                raise ProtocolViolation(
+                    f"The body has more than {limit} bytes; send less.", status=413
+                )
+            chunks.append(bytes(event.data))
+
+    def start_next_request(self) -> None:
+        """Prepares for the next request on the connection."""
+        self._parser.start_next_cycle()
+
+    async def respond(self, status: int, headers: Headers, body: bytes = b"") -> None:
+        """Sends a whole answer."""
+        length = (b"content-length", b"%d" % len(body))
+        parts = [
+            self._parser.send(
+                h11.Response(status_code=status, headers=[*headers, length])
+            ),
+            self._parser.send(h11.Data(data=body)) if body else b"",
+            self._parser.send(h11.EndOfMessage()),
+        ]
+        await self._write(b"".join(part for part in parts if part))
+
+    async def begin_answer(self, status: int, headers: Headers) -> None:
+        """Sends the head of an answer."""
+        await self._send(h11.Response(status_code=status, headers=list(headers)))
+
+    async def send_body(self, data: bytes) -> None:
+        """Sends a part of the answer's body."""
+        await self._send(h11.Data(data=data))
+
+    async def end_answer(self) -> None:
+        """Ends the answer's body."""
+        await self._send(h11.EndOfMessage())
+
+    async def wait_disconnected(self) -> None:
+        """Returns when the client has closed the connection.
+
+        What the client sends meanwhile is kept for the next request.
+        """
+        while not self._ended:
+            if len(self._parser.trailing_data[0]) > READ_BYTES:
+                await trio.sleep_forever()
+            data = await self._receive()
+            self._parser.receive_data(data)
+
+    async def close(self) -> None:
+        """Closes the connection after what was sent has left."""
+        await trio.aclose_forcefully(self._stream)
+
+    async def _receive(self) -> bytes:
+        try:
+            data = await self._stream.receive_some(READ_BYTES)
+        except trio.BrokenResourceError:
+            data = b""
+        self._ended = self._ended or not data
+        return bytes(data)
+
+    async def _next_event(self) -> h11.Event:
+        try:
+            while (event := self._parser.next_event()) is h11.NEED_DATA:
+                data = b"" if self._ended else await self._receive()
+                self._parser.receive_data(data)
+        except h11.RemoteProtocolError as error:
+            if self._ended:
+                raise ConnectionLost(str(error)) from error
+            raise ProtocolViolation(
+                f"The request is not well-formed: {error}.",
+                status=error.error_status_hint,
+            ) from error
+        if event is h11.PAUSED:
+            raise ProtocolViolation("Got bytes before the answer to the last request.")
+        return event  # type: ignore[return-value]
+
+    async def _send(self, event: h11.Event) -> None:
+        await self._write(self._parser.send(event) or b"")
+
+    async def _write(self, data: bytes) -> None:
+        if not data:
+            return
+        try:
+            await self._stream.send_all(data)
+        except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
+            raise ConnectionLost("The client closed the connection.") from error
+
+
+@final
+class ClientExchange:
+    """One request and its answer on a connection to a target.
+
+    Use a new exchange for each request; `leftover` of the one before goes in.
+    """
+
+    def __init__(self, stream: trio.SocketStream, leftover: bytes = b"") -> None:
+        self._stream = stream
+        self._parser = h11.Connection(
+            h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES + READ_BYTES
+        )
+        self._ended = False
+        self._leftover = leftover
+
+    async def send(
+        self, method: bytes, path: bytes, headers: Headers, body: bytes
+    ) -> None:
+        """Sends a whole request.
+
+        Raises:
+            ConnectionLost: The connection broke; the request may have arrived.
+        """
+        request = h11.Request(method=method, target=path, headers=list(headers))
+        parts = [self._parser.send(request)]
+        if body:
+            parts.append(self._parser.send(h11.Data(data=body)))
+        parts.append(self._parser.send(h11.EndOfMessage()))
+        try:
+            await self._stream.send_all(b"".join(part for part in parts if part))
+        except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
+            raise ConnectionLost("The target closed the connection.") from error
+
+    async def read_head(self) -> h11.Response:
+        """Returns the head of the next answer.
+
+        Raises:
+            ConnectionLost: The connection ended before an answer.
+            ProtocolViolation: The bytes are no answer.
+        """
+        if self._leftover:
+            self._parser.receive_data(self._leftover)
+            self._leftover = b""
+        while True:
+            event = await self._next_event()
+            if isinstance(event, h11.Response):
+                return event
+            if not isinstance(event, h11.InformationalResponse):
+                raise ConnectionLost("The target closed before its answer.")
+
+    async def iterate_body(self) -> AsyncIterator[bytes]:
+        """Yields the parts of the body as they arrive.
+
+        Raises:
+            ConnectionLost: The body broke off before its end.
+            ProtocolViolation: The bytes are no body.
+        """
+        while True:
+            event = await self._next_event()
+            if isinstance(event, h11.EndOfMessage):
+                return
+            if not isinstance(event, h11.Data):
+                raise ConnectionLost("The target closed before the end of its answer.")
+            yield bytes(event.data)
+
+    def skip_answer(self) -> "ClientExchange":
+        """Returns an exchange that reads the answer after the one just read.
+
+        A late answer to an earlier request may stand where the next one is due.
+
+        Raises:
+            ConnectionLost: The target keeps no connection open after this answer.
+        """
+        if self._parser.their_state is not h11.DONE:
+            raise ConnectionLost("Got the answer to another request, and no other.")
+        following = ClientExchange(self._stream, bytes(self._parser.trailing_data[0]))
+        following._assume_sent()
+        return following
+
+    def _assume_sent(self) -> None:
+        self._parser.send(
+            h11.Request(method=b"GET", target=b"/", headers=[(b"host", b"-")])
+        )
+        self._parser.send(h11.EndOfMessage())
+
+    @property
+    def may_reuse(self) -> bool:
+        """Whether the connection can take another request."""
+        states = (self._parser.our_state, self._parser.their_state)
+        clean = states == (h11.DONE, h11.DONE)
+        return clean and not self._parser.trailing_data[0] and not self._ended
+
+    async def _next_event(self) -> h11.Event:
+        try:
+            while (event := self._parser.next_event()) is h11.NEED_DATA:
+                self._parser.receive_data(await self._receive())
+        except h11.RemoteProtocolError as error:
+            if self._ended:
+                raise ConnectionLost(str(error)) from error
+            raise ProtocolViolation(
+                f"The answer is not well-formed: {error}."
+            ) from error
+        if event is h11.PAUSED:
+            raise ProtocolViolation("Got bytes after the end of the answer.")
+        return event  # type: ignore[return-value]
+
+    async def _receive(self) -> bytes:
+        try:
+            data = await self._stream.receive_some(READ_BYTES)
+        except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
+            # A reset never ends a body that has no length.
+            raise ConnectionLost("The target reset the connection.") from error
+        self._ended = self._ended or not data
+        return bytes(data)
--- /dev/null
+++ b/packages/daemon/src/goldcrestvane_daemon/ledger/client.py
@@ -0,0 +1,302 @@
+"""Reads and writes the ledger by quorum, for a frontend."""
+
+from collections.abc import Callable
+from typing import Any, final
+
+import msgspec
+import trio
+
+from goldcrestvane_common.ids import CallId, ProgramId
+from goldcrestvane_common.logs import get_logger
+from goldcrestvane_daemon.ledger.frames import Peer, PeerUnreachable
+from goldcrestvane_daemon.ledger.messages import (
+    Account,
+    Chain,
+    Entry,
+    ReadChain,
+    Response,
+    Spend,
+    Stale,
+    Turn,
+    Write,
+    Written,
+)
+from goldcrestvane_daemon.ledger.view import Member, View
+
+WRITE_SECONDS = 1.0
+"""A write takes a round trip between domains and a sync; a hung disk takes seconds."""
+
+MAX_VIEW_CHANGES = 3
+CACHED_TURN_BYTES = 8 * 1024 * 1024
+"""Turns kept by a frontend to spare the way to the ledger; the rest is read again."""
+
+logger = get_logger("ledger")
+
+
+class LedgerUnavailable(Exception):
+    """No quorum answered; what was to be written may be there or not."""
+
+
+class TurnUnknown(Exception):
+    """A quorum proves that no such turn counts."""
+
+
+class OpenedTurn(msgspec.Struct, frozen=True):
+    """What the ledger knows as a turn begins.
+
+    Attributes:
+        spends: Tokens of the program's turns, this one included.
+        chain: The turns before it, newest first.
+    """
+
+    spends: dict[CallId, Spend]
+    chain: list[Turn]
+
+
+@final
+class LedgerClient:
+    """Writes to the members responsible for a key, and reads from them.
+
+    Attributes:
+        view: The newest view that is known; None before the first.
+    """
+
+    def __init__(self, domain: str, nursery: trio.Nursery) -> None:
+        self._domain = domain
+        self._nursery = nursery
+        self._peers: dict[str, Peer] = {}
+        self._cache = TurnCache(CACHED_TURN_BYTES)
+        self.view: View | None = None
+
+    @property
+    def is_reachable(self) -> bool:
+        """Whether enough members are connected for a quorum."""
+        view = self.view
+        if view is None:
+            return False
+        connected = sum(
+            1
+            for member in view.slots
+            if (peer := self._peers.get(member.address)) and peer.is_connected
+        )
+        return connected > len(view.slots) - view.read_quorum
+
+    def adopt(self, view: View) -> None:
+        """Takes over a newer view and connects to its members."""
+        if self.view is not None and view.epoch <= self.view.epoch:
+            return
+        logger.info(
+            "adopted a view",
+            extra={
+                "epoch": view.epoch,
+                "members": [member.instance for member in view.slots],
+            },
+        )
+        self.view = view
+        for member in view.slots:
+            if member.address not in self._peers:
+                peer = self._peers[member.address] = Peer(member.address, Response)
+                self._nursery.start_soon(peer.run)
+
+    async def open_turn(
+        self,
+        *,
+        account: Account,
+        previous: CallId | None,
+    ) -> OpenedTurn:
+        """Makes a turn's reservation durable and returns what it depends on.
+
+        Raises:
+            LedgerUnavailable: No quorum answered; nothing may run.
+            TurnUnknown: The previous turn does not exist.
+        """
+        chain = self._cache.get_chain(previous)
+        wanted = _find_missing(chain, previous)
+        spends: dict[CallId, Spend] = {}
+        entry = Entry(account=account)
+        for written in await self._write(account.program, entry, chain_of=wanted):
+            for spend in written.account.spends if written.account else ():
+                known = spends.get(spend.call)
+                if known is None or not known.settled:
+                    spends[spend.call] = spend
+            self._cache.put_all(written.chain)
+        chain = await self._complete_chain(previous)
+        return OpenedTurn(spends, chain)
+
+    async def settle(
+        self, program: ProgramId, spend: Spend, turn: Turn | None, retention: float
+    ) -> None:
+        """Makes the end of a turn durable.
+
+        Raises:
+            LedgerUnavailable: No quorum answered.
+        """
+        account = Account(program, [spend], retention)
+        if turn is None:
+            await self._write(program, Entry(account=account))
+            return
+        # One entry a member when the program's group also keeps the turn.
+        groups = self._list_group(program), self._list_group(turn.call)
+        if {m.instance for m in groups[0]} == {m.instance for m in groups[1]}:
+            await self._write(turn.call, Entry(account=account, turn=turn))
+        else:
+            await self._write(turn.call, Entry(turn=turn))
+            await self._write(program, Entry(account=account))
+        self._cache.put_all([turn])
+
+    def _list_group(self, key: str) -> tuple[Member, ...]:
+        return self.view.list_group(key) if self.view else ()
+
+    async def _write(
+        self, key: str, entry: Entry, chain_of: CallId | None = None
+    ) -> list[Written]:
+        for _ in range(MAX_VIEW_CHANGES):
+            view = self.view
+            if view is None:
+                raise LedgerUnavailable("The ledger has no members yet.")
+            group = view.list_group(key)
+            nearest = self._choose_nearest(group)
+
+            def build(
+                member: Member, view: View = view, near: Member = nearest
+            ) -> Write:
+                wanted = chain_of if member is near else None
+                return Write(view.epoch, entry, wanted)
+
+            answers = await self._ask(
+                group,
+                build,
+                lambda got: isinstance(got, Written) and got.votes,
+                enough=view.write_quorum,
+            )
+            newer = [answer.view for answer in answers if isinstance(answer, Stale)]
+            if newer:
+                self.adopt(max(newer, key=lambda each: each.epoch))
+                continue
+            counted = [a for a in answers if isinstance(a, Written) and a.votes]
+            if len(counted) >= view.write_quorum:
+                return [a for a in answers if isinstance(a, Written)]
+            raise LedgerUnavailable(
+                f"{len(counted)} of {len(group)} members wrote, "
+                f"{view.write_quorum} are needed."
+            )
+        raise LedgerUnavailable("The members change all the time.")
+
+    def _choose_nearest(self, group: tuple[Member, ...]) -> Member:
+        def rank(member: Member) -> tuple[bool, bool]:
+            peer = self._peers.get(member.address)
+            return (
+                peer is None or not peer.is_connected,
+                member.domain != self._domain,
+            )
+
+        return min(group, key=rank)
+
+    async def _ask(
+        self,
+        group: tuple[Member, ...],
+        build: Callable[[Member], Any],
+        counts: Callable[[Any], bool],
+        *,
+        enough: int,
+    ) -> list[Any]:
+        """Asks all members of a group and returns once enough answers count.
+
+        The requests to the others go on, so that they get the entry as well.
+        """
+        answers: list[Any] = []
+        open_count = len(group)
+        changed = trio.Event()
+
+        async def ask_member(member: Member) -> None:
+            nonlocal open_count, changed
+            peer = self._peers[member.address]
+            try:
+                answers.append(await peer.call(build(member), timeout=WRITE_SECONDS))
+            except PeerUnreachable as error:
+                logger.debug("a member does not answer", extra={"reason": str(error)})
+            open_count -= 1
+            changed.set()
+
+        for member in group:
+            self._nursery.start_soon(ask_member, member)
+        while open_count:
+            await changed.wait()
+            changed = trio.Event()
+            counted = sum(1 for answer in answers if counts(answer))
+            if counted >= enough or counted + open_count < enough:
+                break
+        return list(answers)
+
+    async def _complete_chain(self, call: CallId | None) -> list[Turn]:
+        """Returns a chain, newest first, reading what is not cached.
+
+        Raises:
+            LedgerUnavailable: Too few members answered.
+            TurnUnknown: A turn of the chain does not exist.
+        """
+        while True:
+            chain = self._cache.get_chain(call)
+            wanted = _find_missing(chain, call)
+            if wanted is None:
+                return chain
+            await self._read_turn(wanted)
+
+    async def _read_turn(self, call: CallId) -> None:
+        view = self.view
+        if view is None:
+            raise LedgerUnavailable("The ledger has no members yet.")
+        group = view.list_group(call)
+        request = ReadChain(call)
+
+        def has_turn(answer: Any) -> bool:
+            return isinstance(answer, Chain) and bool(answer.turns)
+
+        answers = await self._ask(group, lambda _: request, has_turn, enough=1)
+        found = [answer for answer in answers if has_turn(answer)]
+        if found:
+            self._cache.put_all(max((a.turns for a in found), key=len))
+            return
+        voted = [a for a in answers if isinstance(a, Chain) and a.votes]
+        if len(voted) >= view.read_quorum and self.view is view:
+            raise TurnUnknown(f"No turn {call} is kept.")
+        raise LedgerUnavailable(f"Too few members answered for turn {call}.")
+
+
+def _find_missing(chain: list[Turn], call: CallId | None) -> CallId | None:
+    """Returns the first turn that a chain lacks, or None when it is whole."""
+    return chain[-1].previous if chain else call
+
+
+@final
+class TurnCache:
+    """Turns that were read or written lately, within a bound of bytes."""
+
+    def __init__(self, limit: int) -> None:
+        self._limit = limit
+        self._turns: dict[CallId, Turn] = {}
+        self._bytes = 0
+
+    def get_chain(self, call: CallId | None) -> list[Turn]:
+        """Returns a turn and those before it, newest first, as far as cached."""
+        chain = []
+        while call is not None and (turn := self._turns.pop(call, None)) is not None:
+            self._turns[call] = turn
+            chain.append(turn)
+            call = turn.previous
+        return chain
+
+    def put_all(self, turns: list[Turn]) -> None:
+        """Adds turns and drops those used longest ago."""
+        for turn in turns:
+            if turn.call not in self._turns:
+                self._turns[turn.call] = turn
+                self._bytes += len(turn.input) + len(turn.output)
+        while self._bytes > self._limit and len(self._turns) > 1:
+            oldest = self._turns.pop(next(iter(self._turns)))
+            self._bytes -= len(oldest.input) + len(oldest.output)
+
+
+def count_committed(spends: dict[CallId, Spend]) -> int:
+    """Returns the tokens of all turns, unsettled ones at their most."""
+    return sum(spend.tokens for spend in spends.values())
--- /dev/null
+++ b/packages/daemon/src/goldcrestvane_daemon/ledger/membership.py
@@ -0,0 +1,387 @@
+"""How a process with a disk becomes a member, replaces a lost one, and leaves.
+
+Each change of the members is one conditional update of one object of the platform.
+A joining member lets its peers adopt the new view first, so that no writer with an
+older view counts their votes any more, and copies their entries after that.
+"""
+
+from typing import final
+
+import msgspec
+import trio
+
+from goldcrestvane_common.ids import InstanceId
+from goldcrestvane_common.logs import get_logger
+from goldcrestvane_common.objects import (
+    ObjectConflict,
+    ObjectError,
+    ObjectsUnavailable,
+    RevisionTooOld,
+)
+from goldcrestvane_daemon.ledger.frames import Peer, PeerUnreachable
+from goldcrestvane_daemon.ledger.log import EntryLog
+from goldcrestvane_daemon.ledger.messages import (
+    AskState,
+    MemberState,
+    Merge,
+    Merged,
+    Page,
+    Pull,
+    Response,
+)
+from goldcrestvane_daemon.ledger.service import LedgerService
+from goldcrestvane_daemon.ledger.state import LedgerState
+from goldcrestvane_daemon.ledger.view import Member, View, build_first_view
+from goldcrestvane_daemon.platform.store import Kind, StoreClient, StoreObject
+
+VIEW_NAME = "view"
+CANDIDATE_PREFIX = "candidate-"
+FOUNDING_SECONDS = 1.5
+"""Wait for the other founders; machines start within 0.3 s, a process takes a second."""
+
+FOUNDING_LIMIT_SECONDS = 5.0
+"""After this wait the members that are there found the ledger without the others."""
+
+TICK_SECONDS = 0.4
+PROBE_SECONDS = 0.5
+LOST_PROBES = 5
+"""Probes in a row without an answer after which a spare replaces a member: 2 s."""
+
+PULL_SECONDS = 3.0
+MERGE_ENTRIES = 200
+WATCH_SECONDS = 10.0
+RETRY_SECONDS = 0.5
+
+logger = get_logger("membership")
+
+
+class RetirementStatus(msgspec.Struct, frozen=True):
+    """What the operator reads of a machine that is being emptied."""
+
+    state: str
+
+
+def is_complete(listed: Member | None, log: EntryLog) -> bool:
+    """Tells whether a disk has every entry that its member must have.
+
+    Founders begin with no entries. Any other member has copied them once.
+    """
+    if listed is None or listed.disk != log.disk:
+        return False
+    return listed.since == 1 or log.read_joined() >= listed.since
+
+
+@final
+class LedgerMembership:
+    """The part of one process in the ledger's membership."""
+
+    def __init__(
+        self,
+        *,
+        own: Member,
+        tolerated_losses: int,
+        store: StoreClient,
+        service: LedgerService,
+        state: LedgerState,
+        log: EntryLog,
+        nursery: trio.Nursery,
+    ) -> None:
+        self._own = own
+        self._tolerated_losses = tolerated_losses
+        self._store = store
+        self._service = service
+        self._state = state
+        self._log = log
+        self._nursery = nursery
+        self._peers: dict[str, Peer] = {}
+        self._candidates: dict[InstanceId, Member] = {}
+        self._adopted: View | None = None
+        self._retiring: set[InstanceId] = set()
+        self._misses: dict[InstanceId, int] = {}
+        self._listed = False
+        self._started = trio.current_time()
+
+    async def run(self) -> None:
+        """Takes part until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._follow, Kind.LEDGER)
+            nursery.start_soon(self._follow, Kind.RETIREMENTS)
+            nursery.start_soon(self._act)
+            nursery.start_soon(self._probe)
+
+    # What the platform's store says
+
+    async def _follow(self, kind: Kind) -> None:
+        while True:
+            try:
+                changes = await self._store.list(kind)
+                self._begin_list(kind)
+                while True:
+                    for item in changes.objects:
+                        self._take_object(kind, item)
+                    if self._adopted is not None:
+                        await self._service.adopt_durably(self._adopted)
+                    self._listed = self._listed or kind is Kind.LEDGER
+                    changes = await self._store.watch(
+                        kind, changes.revision, WATCH_SECONDS
+                    )
+            except RevisionTooOld:
+                continue
+            except ObjectError as error:
+                logger.warning(
+                    "the object store does not answer",
+                    extra={"kind": kind.value, "reason": str(error)},
+                )
+                await trio.sleep(RETRY_SECONDS)
+
+    def _begin_list(self, kind: Kind) -> None:
+        if kind is Kind.RETIREMENTS:
+            self._retiring.clear()
+        else:
+            self._candidates.clear()
+
+    def _take_object(self, kind: Kind, item: StoreObject) -> None:
+        if kind is Kind.RETIREMENTS:
+            self._take_retirement(item)
+            return
+        try:
+            if item.name == VIEW_NAME:
+                view = msgspec.json.decode(item.value, type=View)
+                self._adopted = view
+            elif item.name.startswith(CANDIDATE_PREFIX):
+                member = msgspec.json.decode(item.value, type=Member)
+                self._candidates[member.instance] = member
+        except msgspec.DecodeError as error:
+            logger.warning(
+                "ignored an unreadable object",
+                extra={"object": item.name, "reason": str(error)},
+            )
+
+    def _take_retirement(self, item: StoreObject) -> None:
+        instance = InstanceId(item.name)
+        if item.deleted or b'"completed"' in item.status:
+            self._retiring.discard(instance)
+        elif instance not in self._retiring:
+            self._retiring.add(instance)
+            logger.info("a machine is to be emptied", extra={"machine": instance})
+
+    # Peers
+
+    def _get_peer(self, member: Member) -> Peer:
+        peer = self._peers.get(member.address)
+        if peer is None:
+            peer = self._peers[member.address] = Peer(member.address, Response)
+            self._nursery.start_soon(peer.run)
+        return peer
+
+    def _list_others(self) -> list[Member]:
+        view = self._service.view
+        slots = view.slots if view else ()
+        return [each for each in slots if each.instance != self._own.instance]
+
+    async def _probe(self) -> None:
+        """Counts the probes in a row that each other member has missed."""
+        while True:
+            others = self._list_others()
+            async with trio.open_nursery() as nursery:
+                for member in others:
+                    nursery.start_soon(self._probe_member, member)
+            self._service.unreachable = [
+                member.instance
+                for member in others
+                if self._misses.get(member.instance, 0) >= LOST_PROBES
+            ]
+            await trio.sleep(TICK_SECONDS)
+
+    async def _probe_member(self, member: Member) -> None:
+        peer = self._get_peer(member)
+        try:
+            state = await peer.call(AskState(), timeout=PROBE_SECONDS)
+        except PeerUnreachable:
+            self._misses[member.instance] = self._misses.get(member.instance, 0) + 1
+            return
+        if isinstance(state, MemberState):
+            self._misses[member.instance] = 0
+
+    # Decisions
+
+    async def _act(self) -> None:
+        while True:
+            await trio.sleep(TICK_SECONDS)
+            if not self._listed:
+                continue
+            try:
+                await self._take_step()
+            except (ObjectError, PeerUnreachable, OSError) as error:
+                logger.warning(
+                    "a step of membership failed", extra={"reason": str(error)}
+                )
+
+    async def _take_step(self) -> None:
+        if self._candidates.get(self._own.instance) != self._own:
+            await self._register()
+            return
+        view = self._service.view
+        if view is None:
+            await self._found()
+            return
+        listed = view.find(self._own.instance)
+        if listed is None:
+            await self._join_as_spare(view)
+        elif listed.disk != self._own.disk or listed.address != self._own.address:
+            await self._update_view(view, view.replace(self._own.instance, self._own))
+        elif not self._service.votes:
+            await self._complete(view, listed)
+        elif self._own.instance in self._retiring:
+            await self._leave(view)
+
+    async def _register(self) -> None:
+        name = CANDIDATE_PREFIX + self._own.instance
+        known = {item.name: item for item in (await self._list_ledger())}
+        if name in known:
+            await self._store.replace(Kind.LEDGER, name, self._own, known[name].version)
+        else:
+            await self._store.create(Kind.LEDGER, name, self._own)
+        self._candidates[self._own.instance] = self._own
+
+    async def _list_ledger(self) -> list[StoreObject]:
+        return (await self._store.list(Kind.LEDGER)).objects
+
+    async def _found(self) -> None:
+        """Creates the first view once enough members are there."""
+        waited = trio.current_time() - self._started
+        group = 2 * self._tolerated_losses + 1
+        enough = len(self._candidates) >= group and waited >= FOUNDING_SECONDS
+        if not enough and waited < FOUNDING_LIMIT_SECONDS:
+            return
+        members = list(self._candidates.values())
+        view = build_first_view(members, tolerated_losses=self._tolerated_losses)
+        try:
+            await self._store.create(Kind.LEDGER, VIEW_NAME, view)
+        except ObjectConflict:
+            return
+        logger.info("founded the ledger", extra={"members": len(members)})
+
+    async def _join_as_spare(self, view: View) -> None:
+        """Takes a free slot, or that of a member that is lost or to be emptied."""
+        if self._own.instance in self._retiring:
+            await self._report_emptied(view)
+            return
+        if len(view.slots) < 2 * self._tolerated_losses + 1:
+            await self._update_view(view, view.add(self._own))
+            return
+        for member in view.slots:
+            if member.instance in self._retiring or await self._is_lost(view, member):
+                logger.info("replacing a member", extra={"member": member.instance})
+                await self._update_view(view, view.replace(member.instance, self._own))
+                return
+
+    async def _is_lost(self, view: View, member: Member) -> bool:
+        """Tells whether a majority of the others cannot reach a member either."""
+        if self._misses.get(member.instance, 0) < LOST_PROBES:
+            return False
+        agreeing = 0
+        others = [each for each in view.slots if each.instance != member.instance]
+        for other in others:
+            state = await self._get_peer(other).call(AskState(), timeout=PROBE_SECONDS)
+            if isinstance(state, MemberState) and member.instance in state.unreachable:
+                agreeing += 1
+        return agreeing * 2 > len(others)
+
+    async def _update_view(self, view: View, changed: View) -> None:
+        """Writes the next view, unless another process was first."""
+        stored = [each for each in await self._list_ledger() if each.name == VIEW_NAME]
+        if not stored:
+            raise ObjectsUnavailable("The view is missing from the object store.")
+        current = msgspec.json.decode(stored[0].value, type=View)
+        if current.epoch != view.epoch:
+            await self._service.adopt_durably(current)
+            return
+        await self._store.replace(Kind.LEDGER, VIEW_NAME, changed, stored[0].version)
+        await self._service.adopt_durably(changed)
+
+    async def _complete(self, view: View, listed: Member) -> None:
+        """Copies what this member must have, and votes from then on."""
+        if is_complete(listed, self._log):
+            self._service.votes = True
+            logger.info("votes again", extra={"epoch": view.epoch})
+            return
+        answered = set()
+        for member in self._list_others():
+            try:
+                await self._pull(view, member)
+                answered.add(member.instance)
+            except PeerUnreachable as error:
+                logger.warning(
+                    "cannot copy from a member",
+                    extra={"member": member.instance, "reason": str(error)},
+                )
+        if not view.can_join(self._own.instance, answered):
+            return
+        if self._service.view is not view:
+            return
+        await self._log.write_joined(listed.since)
+        self._service.votes = True
+        logger.info(
+            "copied all entries and votes",
+            extra={"epoch": view.epoch, "copied_from": sorted(answered)},
+        )
+
+    async def _pull(self, view: View, member: Member) -> None:
+        position: int | None = 0
+        peer = self._get_peer(member)
+        with trio.move_on_after(PROBE_SECONDS):
+            await peer.connected.wait()
+        while position is not None:
+            page = await peer.call(Pull(view, position), timeout=PULL_SECONDS)
+            if not isinstance(page, Page) or page.epoch < view.epoch:
+                raise PeerUnreachable(f"{member.instance} answered {page!r:.80}.")
+            if page.entries and not await self._service.store(page.entries):
+                raise PeerUnreachable("The own disk refused the entries.")
+            position = page.following
+
+    async def _leave(self, view: View) -> None:
+        """Empties this machine while no spare has taken its slot."""
+        await self._store.write_status(
+            Kind.RETIREMENTS, self._own.instance, RetirementStatus("running")
+        )
+        if await self._has_live_spare(view):
+            return
+        await self._update_view(view, view.remove(self._own.instance))
+
+    async def _has_live_spare(self, view: View) -> bool:
+        """Tells whether a process that is no member could take a slot."""
+        members = {member.instance for member in view.slots}
+        for candidate in list(self._candidates.values()):
+            if candidate.instance in members or candidate.instance in self._retiring:
+                continue
+            peer = self._get_peer(candidate)
+            with trio.move_on_after(PROBE_SECONDS):
+                await peer.connected.wait()
+            if peer.is_connected:
+                return True
+        return False
+
+    async def _report_emptied(self, view: View) -> None:
+        """Hands over all entries, then tells the operator that none is left here."""
+        members = self._list_others()
+        for member in members:
+            state = await self._get_peer(member).call(AskState(), timeout=PROBE_SECONDS)
+            if not isinstance(state, MemberState) or not state.votes:
+                return
+        entries = list(self._state.iterate_entries())
+        for member in members:
+            for start in range(0, max(1, len(entries)), MERGE_ENTRIES):
+                part = entries[start : start + MERGE_ENTRIES]
+                answer = await self._get_peer(member).call(
+                    Merge(view, part), timeout=PULL_SECONDS
+                )
+                if not isinstance(answer, Merged):
+                    raise PeerUnreachable(
+                        f"{member.instance} did not take the entries."
+                    )
+        await self._store.write_status(
+            Kind.RETIREMENTS, self._own.instance, RetirementStatus("completed")
+        )
+        self._retiring.discard(self._own.instance)
+        logger.info("emptied this machine", extra={"entries": len(entries)})
--- /dev/null
+++ b/packages/daemon/src/goldcrestvane_daemon/ledger/messages.py
@@ -0,0 +1,168 @@
+"""Messages between frontends and members of the ledger, and among members."""
+
+import msgspec
+
+from goldcrestvane_common.ids import CallId, Epoch, Fingerprint, InstanceId, ProgramId
+from goldcrestvane_daemon.ledger.view import View
+
+
+class Spend(msgspec.Struct, frozen=True, array_like=True):
+    """Tokens of one turn: the most that it may generate, or what it did generate."""
+
+    call: CallId
+    tokens: int
+    settled: bool = False
+
+
+class Turn(msgspec.Struct, frozen=True, array_like=True):
+    """What was said in one turn.
+
+    Attributes:
+        call: Id of the client's attempt.
+        previous: The turn that it continues, if any.
+        input: Body of the client's request.
+        output: Data of the answer's events, each followed by a line feed.
+        retention_seconds: How long it is kept after its last use.
+    """
+
+    call: CallId
+    previous: CallId | None
+    input: bytes
+    output: bytes
+    retention_seconds: float
+
+
+class Account(msgspec.Struct, frozen=True, array_like=True):
+    """The tokens of a program, or the part of them that one entry adds."""
+
+    program: ProgramId
+    spends: list[Spend]
+    retention_seconds: float
+
+
+class Deaths(msgspec.Struct, frozen=True, array_like=True):
+    """Targets that died while they ran a request, each start counted once."""
+
+    fingerprint: Fingerprint
+    targets: list[str]
+
+
+class Entry(msgspec.Struct, frozen=True, array_like=True):
+    """One durable entry; each part may be missing."""
+
+    account: Account | None = None
+    turn: Turn | None = None
+    deaths: Deaths | None = None
+
+
+class Write(msgspec.Struct, frozen=True, tag="write", array_like=True):
+    """Makes an entry durable, and asks for what is known of its program.
+
+    Attributes:
+        epoch: Epoch of the writer's view; an older one than the member's is refused.
+        entry: The entry.
+        chain_of: A turn whose chain to return.
+    """
+
+    epoch: Epoch
+    entry: Entry
+    chain_of: CallId | None = None
+
+
+class ReadChain(msgspec.Struct, frozen=True, tag="chain", array_like=True):
+    """Asks for a turn and the turns before it, as far as the member has them."""
+
+    call: CallId
+
+
+class Pull(msgspec.Struct, frozen=True, tag="pull", array_like=True):
+    """A new member's request for entries; the peer adopts the view first."""
+
+    view: View
+    position: int = 0
+
+
+class Merge(msgspec.Struct, frozen=True, tag="merge", array_like=True):
+    """Entries that a leaving member hands over; the peer adopts the view first."""
+
+    view: View
+    entries: list[Entry]
+
+
+class AskState(msgspec.Struct, frozen=True, tag="state", array_like=True):
+    """Asks a member for its state."""
+
+
+Request = Write | ReadChain | Pull | Merge | AskState
+
+
+class Written(msgspec.Struct, frozen=True, tag="written", array_like=True):
+    """The entry is on disk.
+
+    Attributes:
+        votes: Whether the member counts towards quorums.
+        account: The program's tokens, those of the entry included.
+        deaths: Targets that died with the entry's request.
+        chain: Turns of the chain that was asked for, newest first.
+    """
+
+    votes: bool
+    account: Account | None = None
+    deaths: Deaths | None = None
+    chain: list[Turn] = []
+
+
+class Stale(msgspec.Struct, frozen=True, tag="stale", array_like=True):
+    """Nothing was written: the writer's view is older than this one."""
+
+    view: View
+
+
+class Chain(msgspec.Struct, frozen=True, tag="turns", array_like=True):
+    """Turns of a chain, newest first."""
+
+    votes: bool
+    turns: list[Turn]
+
+
+class Page(msgspec.Struct, frozen=True, tag="page", array_like=True):
+    """Some entries of a member; `following` is None after the last ones.
+
+    Attributes:
+        epoch: Epoch that the member has adopted.
+        entries: The entries.
+        following: Position of the next page.
+    """
+
+    epoch: Epoch
+    entries: list[Entry]
+    following: int | None
+
+
+class Merged(msgspec.Struct, frozen=True, tag="merged", array_like=True):
+    """The entries of a `Merge` are on disk."""
+
+
+class MemberState(msgspec.Struct, frozen=True, tag="member", array_like=True):
+    """State of a member.
+
+    Attributes:
+        instance: Its machine.
+        epoch: Epoch that it has adopted.
+        votes: Whether it counts towards quorums.
+        unreachable: Members that it cannot reach.
+    """
+
+    instance: InstanceId
+    epoch: Epoch
+    votes: bool
+    unreachable: list[InstanceId]
+
+
+class Failed(msgspec.Struct, frozen=True, tag="failed", array_like=True):
+    """The member could not do what was asked; `reason` says why."""
+
+    reason: str
+
+
+Response = Written | Stale | Chain | Page | Merged | MemberState | Failed
--- /dev/null
+++ b/packages/daemon/src/goldcrestvane_daemon/ledger/process.py
@@ -0,0 +1,85 @@
+"""The ledger role: one member, or a spare that waits to become one."""
+
+import signal
+from typing import final
+
+import trio
+
+from goldcrestvane_common.logs import get_logger
+from goldcrestvane_common.transport import Transport
+from goldcrestvane_daemon.ledger.frames import serve_frames
+from goldcrestvane_daemon.ledger.log import EntryLog
+from goldcrestvane_daemon.ledger.membership import LedgerMembership, is_complete
+from goldcrestvane_daemon.ledger.messages import Request
+from goldcrestvane_daemon.ledger.service import LedgerService
+from goldcrestvane_daemon.ledger.state import LedgerState
+from goldcrestvane_daemon.ledger.view import Member
+from goldcrestvane_daemon.metrics import serve_metrics
+from goldcrestvane_daemon.platform.machine import MachineSettings
+from goldcrestvane_daemon.platform.store import StoreClient
+
+logger = get_logger("ledger")
+
+
+@final
+class LedgerProcess:
+    """Runs one process of the ledger until it is told to stop."""
+
+    def __init__(self, settings: MachineSettings) -> None:
+        self._settings = settings
+
+    async def run(self) -> None:
+        """Runs until SIGTERM."""
+        settings = self._settings
+        if settings.data_folder is None:
+            raise ValueError(
+                "The ledger needs a disk; run it on a machine with a data folder."
+            )
+        state = LedgerState()
+        log = EntryLog(settings.data_folder)
+        count = 0
+        for entry in log.open():
+            state.apply(entry)
+            count += 1
+        service = LedgerService(settings.instance, log, state)
+        view = log.read_view()
+        if view is not None:
+            service.adopt(view)
+            service.votes = is_complete(view.find(settings.instance), log)
+        own = Member(
+            instance=settings.instance,
+            address=settings.peer_address,
+            domain=settings.domain,
+            disk=log.disk,
+        )
+        logger.info(
+            "started",
+            extra={"disk": log.disk, "entries": count, "votes": service.votes},
+        )
+        async with Transport() as transport, trio.open_nursery() as nursery:
+            membership = LedgerMembership(
+                own=own,
+                tolerated_losses=settings.tolerated_losses,
+                store=StoreClient(transport, settings.store_address),
+                service=service,
+                state=state,
+                log=log,
+                nursery=nursery,
+            )
+
+            async def serve(stream: trio.SocketStream) -> None:
+                await serve_frames(stream, Request, service.handle)
+
+            nursery.start_soon(log.run, state.iterate_entries)
+            nursery.start_soon(service.run_expiry)
+            nursery.start_soon(membership.run)
+            nursery.start_soon(serve_metrics, settings.host)
+            listeners = await trio.open_tcp_listeners(
+                settings.peer_port, host=settings.host
+            )
+            nursery.start_soon(trio.serve_listeners, serve, listeners)
+            with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+                async for _ in signals:
+                    break
+            nursery.cancel_scope.cancel()
+        logger.info("stopped")
--- /dev/null
+++ b/packages/daemon/src/goldcrestvane_daemon/ledger/service.py
@@ -0,0 +1,154 @@
+"""Answers the requests of frontends and of other members."""
+
+from functools import singledispatchmethod
+from typing import final
+
+import trio
+
+from goldcrestvane_common.ids import Epoch, InstanceId
+from goldcrestvane_common.logs import get_logger
+from goldcrestvane_daemon.ledger.log import DiskFailed, EntryLog
+from goldcrestvane_daemon.ledger.messages import (
+    AskState,
+    Chain,
+    Entry,
+    Failed,
+    MemberState,
+    Merge,
+    Merged,
+    Page,
+    Pull,
+    ReadChain,
+    Response,
+    Stale,
+    Write,
+    Written,
+)
+from goldcrestvane_daemon.ledger.state import LedgerState
+from goldcrestvane_daemon.ledger.view import View
+
+PAGE_ENTRIES = 200
+EXPIRY_SECONDS = 5.0
+
+logger = get_logger("ledger")
+
+
+@final
+class LedgerService:
+    """One member: its state, its log, and the view that it has adopted.
+
+    Attributes:
+        view: The newest view that this member knows; None before the first.
+        votes: Whether this member has every entry that it must have.
+        unreachable: Members that this one cannot reach.
+    """
+
+    def __init__(self, instance: InstanceId, log: EntryLog, state: LedgerState) -> None:
+        self._instance = instance
+        self._log = log
+        self._state = state
+        self._pages: dict[int, list[Entry]] = {}
+        self.view: View | None = None
+        self.votes = False
+        self.unreachable: list[InstanceId] = []
+
+    def adopt(self, view: View) -> bool:
+        """Takes over a newer view; writers with an older one are refused from now on."""
+        if self.view is not None and view.epoch <= self.view.epoch:
+            return False
+        logger.info(
+            "adopted a view",
+            extra={
+                "epoch": view.epoch,
+                "before": self.view.epoch if self.view else None,
+                "members": [member.instance for member in view.slots],
+            },
+        )
+        self.view = view
+        own = view.find(self._instance)
+        if own is None or own.disk != self._log.disk:
+            self.votes = False
+        return True
+
+    async def adopt_durably(self, view: View) -> None:
+        """Adopts a view and records it before anyone relies on it.
+
+        Raises:
+            OSError: The disk refused the write.
+        """
+        if self.adopt(view):
+            await self._log.write_view(view)
+
+    async def run_expiry(self) -> None:
+        """Drops expired entries until cancelled."""
+        while True:
+            await trio.sleep(EXPIRY_SECONDS)
+            dropped = self._state.drop_expired()
+            if dropped:
+                logger.info("dropped expired entries", extra={"count": dropped})
+
+    @singledispatchmethod
+    async def handle(self, request: object) -> Response:
+        """Answers one request."""
+        return Failed(f"got {type(request).__name__}, expected a ledger request")
+
+    @handle.register
+    async def _(self, request: Write) -> Response:
+        if self.view is not None and request.epoch < self.view.epoch:
+            return Stale(self.view)
+        entry = request.entry
+        if not await self.store([entry]):
+            return Failed("the disk refused the write")
+        if self.view is not None and request.epoch < self.view.epoch:
+            # A new member may have copied this one's entries meanwhile.
+            return Stale(self.view)
+        account = entry.account
+        deaths = entry.deaths
+        return Written(
+            votes=self.votes,
+            account=self._state.get_account(account.program) if account else None,
+            deaths=self._state.get_deaths(deaths.fingerprint) if deaths else None,
+            chain=self._state.list_chain(request.chain_of),
+        )
+
+    @handle.register
+    async def _(self, request: ReadChain) -> Response:
+        return Chain(self.votes, self._state.list_chain(request.call))
+
+    @handle.register
+    async def _(self, request: Pull) -> Response:
+        await self.adopt_durably(request.view)
+        if request.position == 0 or request.view.epoch not in self._pages:
+            self._pages = {request.view.epoch: list(self._state.iterate_entries())}
+        entries = self._pages[request.view.epoch]
+        end = request.position + PAGE_ENTRIES
+        assert self.view is not None
+        return Page(
+            epoch=self.view.epoch,
+            entries=entries[request.position : end],
+            following=end if end < len(entries) else None,
+        )
+
+    @handle.register
+    async def _(self, request: Merge) -> Response:
+        await self.adopt_durably(request.view)
+        if not await self.store(request.entries):
+            return Failed("the disk refused the write")
+        return Merged()
+
+    @handle.register
+    async def _(self, request: AskState) -> Response:
+        epoch = self.view.epoch if self.view else Epoch(0)
+        return MemberState(self._instance, epoch, self.votes, self.unreachable)
+
+    async def store(self, entries: list[Entry]) -> bool:
+        """Merges entries and makes them durable; returns whether the disk took them."""
+        for entry in entries:
+            # Merged before the write, so that a compaction never misses an entry.
+            self._state.apply(entry)
+        try:
+            await self._log.append(entries)
+        except DiskFailed as error:
+            logger.error("entries are not durable", extra={"reason": str(error)})
+            return False
+        return True
--- /dev/null
+++ b/packages/daemon/src/goldcrestvane_daemon/ledger/state.py
@@ -0,0 +1,120 @@
+"""What a member of the ledger holds in memory: turns, accounts and deaths.
+
+Entries may arrive in any order and more than once; each merge has the same result.
+"""
+
+from collections.abc import Iterator
+from typing import final
+
+import trio
+
+from goldcrestvane_common.ids import CallId, Fingerprint, ProgramId
+from goldcrestvane_daemon.ledger.messages import (
+    Account,
+    Deaths,
+    Entry,
+    Spend,
+    Turn,
+)
+
+MAX_CHAIN_TURNS = 1000
+"""Longest chain that is followed; the longest programs have half as many turns."""
+
+DEATHS_RETENTION_SECONDS = 600.0
+"""How long a request that crashed a target is remembered."""
+
+EXPIRY_MARGIN_SECONDS = 10.0
+"""Kept beyond the retention, for turns that arrive at its very end."""
+
+
+@final
+class LedgerState:
+    """The entries of one member, by their keys."""
+
+    def __init__(self) -> None:
+        self._spends: dict[ProgramId, dict[CallId, Spend]] = {}
+        self._turns: dict[CallId, Turn] = {}
+        self._deaths: dict[Fingerprint, set[str]] = {}
+        self._expiry: dict[tuple[str, str], tuple[float, float]] = {}
+        self.bytes_held = 0
+
+    def apply(self, entry: Entry) -> None:
+        """Merges an entry."""
+        if entry.account is not None:
+            self._apply_account(entry.account)
+        if entry.turn is not None:
+            self._apply_turn(entry.turn)
+        if entry.deaths is not None:
+            known = self._deaths.setdefault(entry.deaths.fingerprint, set())
+            known.update(entry.deaths.targets)
+            self._touch("deaths", entry.deaths.fingerprint, DEATHS_RETENTION_SECONDS)
+
+    def _apply_account(self, account: Account) -> None:
+        spends = self._spends.setdefault(account.program, {})
+        for spend in account.spends:
+            known = spends.get(spend.call)
+            # A settled amount is final, whichever arrives first.
+            if known is None or not known.settled:
+                spends[spend.call] = spend
+        self._touch("account", account.program, account.retention_seconds)
+
+    def _apply_turn(self, turn: Turn) -> None:
+        if turn.call not in self._turns:
+            self.bytes_held += len(turn.input) + len(turn.output)
+            self._turns[turn.call] = turn
+        retention = turn.retention_seconds
+        for held in self.list_chain(turn.call):
+            self._touch("turn", held.call, retention)
+
+    def _touch(self, kind: str, key: str, retention: float) -> None:
+        until = trio.current_time() + retention + EXPIRY_MARGIN_SECONDS
+        known = self._expiry.get((kind, key))
+        if known is None or known[0] < until:
+            self._expiry[kind, key] = (until, retention)
+
+    def get_account(self, program: ProgramId) -> Account | None:
+        """Returns the tokens of a program, or None when none are known."""
+        spends = self._spends.get(program)
+        if spends is None:
+            return None
+        _, retention = self._expiry["account", program]
+        return Account(program, list(spends.values()), retention)
+
+    def get_deaths(self, fingerprint: Fingerprint) -> Deaths:
+        """Returns the targets that died with a request."""
+        return Deaths(fingerprint, sorted(self._deaths.get(fingerprint, ())))
+
+    def list_chain(self, call: CallId | None) -> list[Turn]:
+        """Returns a turn and those before it, newest first, as far as known."""
+        chain: list[Turn] = []
+        while call is not None and len(chain) < MAX_CHAIN_TURNS:
+            turn = self._turns.get(call)
+            if turn is None:
+                break
+            chain.append(turn)
+            call = turn.previous
+        return chain
+
+    def iterate_entries(self) -> Iterator[Entry]:
+        """Yields every entry; merging them all gives an equal state."""
+        for program in list(self._spends):
+            yield Entry(account=self.get_account(program))
+        for turn in list(self._turns.values()):
+            yield Entry(turn=turn)
+        for fingerprint in list(self._deaths):
+            yield Entry(deaths=self.get_deaths(fingerprint))
+
+    def drop_expired(self) -> int:
+        """Drops what is past its retention, and returns how much."""
+        now = trio.current_time()
+        expired = [key for key, (until, _) in self._expiry.items() if until < now]
+        for kind, key in expired:
+            del self._expiry[kind, key]
+            if kind == "turn":
+                turn = self._turns.pop(CallId(key))
+                self.bytes_held -= len(turn.input) + len(turn.output)
+            elif kind == "account":
+                del self._spends[ProgramId(key)]
+            else:
+                del self._deaths[Fingerprint(key)]
+        return len(expired)
--- /dev/null
+++ b/packages/daemon/src/goldcrestvane_daemon/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Adapter of the Passolungo platform: its names, formats and calls, and no decision."""
--- /dev/null
+++ b/packages/daemon/src/goldcrestvane_daemon/platform/headers.py
@@ -0,0 +1,267 @@
+"""Headers of calls: decodes clients' headers and builds those for targets."""
+
+from collections.abc import Iterable
+
+import msgspec
+
+from goldcrestvane_common.ids import CallId, InstanceId, ProgramId
+from goldcrestvane_daemon.http1 import Headers
+from goldcrestvane_daemon.targets import ReportedLoad
+
+CALL_ID = b"goldcrestvane-request-id"
+DEADLINE = b"goldcrestvane-deadline-ms"
+EXPECTED_INSTANCE = b"goldcrestvane-expected-instance"
+SIGNATURE = b"goldcrestvane-response-signature"
+NOT_EXECUTED = b"goldcrestvane-not-executed"
+SERVER_LOAD = b"goldcrestvane-server-load"
+PRIORITY = b"goldcrestvane-request-priority"
+PROGRAM = b"goldcrestvane-program-id"
+SESSION = b"goldcrestvane-session-id"
+PROGRAM_DEADLINE = b"goldcrestvane-program-deadline-ms"
+TOKEN_BUDGET = b"goldcrestvane-token-budget"
+TOKEN_USAGE = b"goldcrestvane-token-usage"
+PREVIOUS_TURN = b"goldcrestvane-previous-turn"
+PROMPT_PREFIX = b"goldcrestvane-prompt-prefix"
+LAST_EVENT_ID = b"last-event-id"
+AFFINITY_COOKIE = "goldcrestvane-affinity-key"
+RETRY_AFTER = b"retry-after"
+
+_CONNECTION_HEADERS = frozenset(
+    (
+        b"connection",
+        b"keep-alive",
+        b"proxy-connection",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"expect",
+    )
+)
+_SYSTEM_HEADERS = frozenset(
+    (
+        DEADLINE,
+        EXPECTED_INSTANCE,
+        PRIORITY,
+        LAST_EVENT_ID,
+        b"goldcrestvane-expected-version",
+        b"goldcrestvane-cache-hold",
+        b"goldcrestvane-pin-ms",
+        b"goldcrestvane-kv-backup",
+        b"kv-from",
+        b"kv-fetch",
+        b"content-length",
+        b"accept-encoding",
+    )
+)
+"""Headers that only the system sets; what clients send under these names is dropped."""
+
+_HIDDEN_ANSWER_HEADERS = frozenset((SERVER_LOAD, NOT_EXECUTED))
+
+
+class CallHeaders(msgspec.Struct, frozen=True, kw_only=True):
+    """What a client's headers say of its call.
+
+    Attributes:
+        host: Host that the client named, without a port.
+        call: Id of this attempt of the client.
+        deadline_ms: How long the client waits.
+        program: Program that the call belongs to.
+        session: The program's line of turns.
+        program_deadline_ms: Time until the program should end.
+        token_budget: Tokens that all turns of the program may generate.
+        prompt_tokens: Tokens of the prompt.
+        output_tokens: Most tokens that the call generates.
+        previous_turn: The turn that this one continues.
+        last_event: Id of the last event that the client has of the stream.
+        affinity: Object that the call concerns.
+        prompt_root: First, most widely shared part of the prompt.
+        forwarded: Headers to pass on to the target.
+    """
+
+    host: str
+    call: CallId | None
+    deadline_ms: float | None
+    program: ProgramId | None
+    session: str | None
+    program_deadline_ms: float | None
+    token_budget: int | None
+    prompt_tokens: int
+    output_tokens: int
+    previous_turn: CallId | None
+    last_event: int | None
+    affinity: str | None
+    prompt_root: str | None
+    forwarded: list[tuple[bytes, bytes]]
+
+
+def decode_call_headers(headers: Headers) -> CallHeaders:
+    """Returns the typed form of a client's headers.
+
+    Raises:
+        ValueError: A header has a value that its name does not allow.
+    """
+    found: dict[bytes, str] = {}
+    named_by_connection = _list_connection_names(headers)
+    forwarded = []
+    for name, value in headers:
+        found.setdefault(name, value.decode("latin-1"))
+        if name in _CONNECTION_HEADERS or name in named_by_connection:
+            continue
+        if name not in _SYSTEM_HEADERS:
+            forwarded.append((name, value))
+    usage = (found.get(TOKEN_USAGE) or "0,0").split(",")
+    return CallHeaders(
+        host=found.get(b"host", "").partition(":")[0].lower(),
+        call=_get(found, CALL_ID, CallId),
+        deadline_ms=_get(found, DEADLINE, _read_milliseconds),
+        program=_get(found, PROGRAM, ProgramId),
+        session=found.get(SESSION),
+        program_deadline_ms=_get(found, PROGRAM_DEADLINE, float),
+        token_budget=_get(found, TOKEN_BUDGET, int),
+        prompt_tokens=int(usage[0]),
+        output_tokens=int(usage[1]) if len(usage) > 1 else 0,
+        previous_turn=_get(found, PREVIOUS_TURN, CallId),
+        last_event=_get(found, LAST_EVENT_ID, int),
+        affinity=_find_cookie(found.get(b"cookie", "")),
+        prompt_root=found.get(PROMPT_PREFIX, "").partition(":")[0] or None,
+        forwarded=forwarded,
+    )
+
+
+def _get(found, name, convert):  # noqa: ANN001, ANN202
+    value = found.get(name)
+    return None if value is None or not value.strip() else convert(value.strip())
+
+
+def _read_milliseconds(text: str) -> float:
+    value = float(text)
+    if not 0 <= value < 1e9:
+        raise ValueError(f"got {text!r}, expected milliseconds from 0 to 1e9")
+    return value
+
+
+def _find_cookie(text: str) -> str | None:
+    for part in text.split(";"):
+        name, _, value = part.strip().partition("=")
+        if name.lower() == AFFINITY_COOKIE:
+            return value
+    return None
+
+
+def _list_connection_names(headers: Headers) -> set[bytes]:
+    names: set[bytes] = set()
+    for name, value in headers:
+        if name == b"connection":
+            names.update(part.strip().lower() for part in value.split(b","))
+    return names
+
+
+def build_target_headers(
+    call: CallHeaders,
+    *,
+    instance: InstanceId,
+    seconds_left: float,
+    body_length: int,
+    priority: int | None,
+    last_event: int | None,
+) -> list[tuple[bytes, bytes]]:
+    """Returns the headers of a call for one target.
+
+    Args:
+        call: The client's headers.
+        instance: The target; any other process at its address rejects the call.
+        seconds_left: Time after which the target stops.
+        body_length: Length of the body in bytes.
+        priority: Rank at the target, 0 first; None leaves the target's default.
+        last_event: The event after which the stream goes on, if it does.
+    """
+    headers = [
+        *call.forwarded,
+        (DEADLINE, b"%d" % max(1, int(seconds_left * 1000))),
+        (EXPECTED_INSTANCE, instance.encode()),
+    ]
+    if body_length:
+        headers.append((b"content-length", b"%d" % body_length))
+    if priority is not None:
+        headers.append((PRIORITY, b"%d" % priority))
+    if last_event is not None:
+        headers.append((LAST_EVENT_ID, b"%d" % last_event))
+    return headers
+
+
+class AnswerHead(msgspec.Struct, frozen=True, kw_only=True):
+    """Status and headers of a target's answer.
+
+    Attributes:
+        status: HTTP status.
+        call: Id of the call that the answer names.
+        signed: Whether the answer bears a target's signature.
+        executed: False only if the target says that it did not run the call.
+        encoded: Whether the body has an encoding that nobody asked for.
+        load: The target's load.
+        idle_seconds: How long the target keeps an idle connection, if it says so.
+        retry_after: Seconds after which the target asks to be called again.
+        forwarded: Headers to pass on to the client.
+    """
+
+    status: int
+    call: CallId | None
+    signed: bool
+    executed: bool
+    encoded: bool
+    load: ReportedLoad | None
+    idle_seconds: float | None
+    forwarded: list[tuple[bytes, bytes]]
+
+
+def decode_answer_head(
+    status: int, headers: Iterable[tuple[bytes, bytes]]
+) -> AnswerHead:
+    """Returns the typed form of an answer's status and headers."""
+    found = dict(headers)
+    call = found.get(CALL_ID)
+    return AnswerHead(
+        status=status,
+        call=CallId(call.decode("latin-1")) if call is not None else None,
+        signed=SIGNATURE in found,
+        executed=not (NOT_EXECUTED in found or status == 421),
+        encoded=found.get(b"content-encoding", b"identity") != b"identity",
+        load=_read_load(found.get(SERVER_LOAD)),
+        idle_seconds=_read_idle_seconds(found.get(b"keep-alive", b"")),
+        forwarded=[
+            (name, value)
+            for name, value in headers
+            if name not in _CONNECTION_HEADERS and name not in _HIDDEN_ANSWER_HEADERS
+        ],
+    )
+
+
+def _read_load(value: bytes | None) -> ReportedLoad | None:
+    try:
+        running, waiting, slots = (int(part) for part in (value or b"").split(b","))
+    except ValueError:
+        return None
+    return ReportedLoad(running=running, waiting=waiting, slots=slots)
+
+
+def _read_idle_seconds(value: bytes) -> float | None:
+    for part in value.split(b","):
+        name, _, number = part.strip().partition(b"=")
+        if name.lower() == b"timeout" and number.strip().isdigit():
+            return float(number)
+    return None
+
+
+def build_refusal_headers(
+    *, call: CallId | None, retry_after: float | None
+) -> list[tuple[bytes, bytes]]:
+    """Returns the headers of an answer of the system's own."""
+    headers = [(b"content-type", b"application/json")]
+    if call is not None:
+        headers.append((CALL_ID, call.encode("latin-1")))
+    if retry_after is not None:
+        headers.append((RETRY_AFTER, b"%.3f" % retry_after))
+    return headers
--- /dev/null
+++ b/packages/daemon/src/goldcrestvane_daemon/platform/machine.py
@@ -0,0 +1,138 @@
+"""The settings file that the platform gives to each process."""
+
+import os
+import tomllib
+from collections.abc import Mapping
+from pathlib import Path
+
+import msgspec
+
+from goldcrestvane_common.ids import DomainId, InstanceId
+from goldcrestvane_daemon.settings import InvalidSettings
+
+SETTINGS_PATH_VARIABLE = "GOLDCRESTVANE_BOOT"
+
+
+class _ListenAddresses(msgspec.Struct, frozen=True):
+    frontend: str | None = None
+    ready: str | None = None
+    control_plane: str | None = None
+
+
+class _Limits(msgspec.Struct, frozen=True):
+    memory_mb: float = 0
+    file_descriptors: int = 1024
+    disk_mb: float = 0
+
+
+class _Tolerance(msgspec.Struct, frozen=True):
+    machines: int = 0
+
+
+class _Bounds(msgspec.Struct, frozen=True):
+    drain_ms: float = 2000
+    grace_s: float = 8
+    stable_window_ms: float = 3000
+
+
+class _Platform(msgspec.Struct, frozen=True):
+    address: str = ""
+
+
+class _SettingsFile(msgspec.Struct, frozen=True):
+    """The file as it is written; keys that are not listed are ignored."""
+
+    node_name: str
+    ip: str
+    zone: str
+    internal_port_range: list[int]
+    platform: _Platform
+    bootstrap: bool = False
+    data_directory: str | None = None
+    seeds: list[str] = []
+    listen_addresses: _ListenAddresses = _ListenAddresses()
+    limits: _Limits = _Limits()
+    fault_tolerance: _Tolerance = _Tolerance()
+    bounds: _Bounds = _Bounds()
+
+
+class MachineSettings(msgspec.Struct, frozen=True, kw_only=True):
+    """What the platform says of the machine and of the deployment.
+
+    Attributes:
+        instance: Name of the machine; each role runs once on a machine.
+        domain: Failure domain of the machine.
+        host: IP address of the machine.
+        peer_port: First port for traffic between our own processes.
+        peer_port_count: Number of ports for that traffic.
+        store_address: ``host:port`` of the platform's object store.
+        client_address: ``host:port`` on which clients are served, if any.
+        ready_address: ``host:port`` on which the balancer asks for readiness, if any.
+        data_folder: Folder of the machine's disk, if it has one.
+        tolerated_losses: Machines with disks that may be lost at the same time.
+        drain_seconds: Time after which a leaving target gets no new call.
+        grace_seconds: Time from the stop signal to the kill.
+        memory_mb: Memory at which the platform kills the process.
+    """
+
+    instance: InstanceId
+    domain: DomainId
+    host: str
+    peer_port: int
+    peer_port_count: int
+    store_address: str
+    client_address: str | None = None
+    ready_address: str | None = None
+    data_folder: Path | None = None
+    tolerated_losses: int = 1
+    drain_seconds: float = 2.0
+    grace_seconds: float = 8.0
+    memory_mb: float = 0
+
+    @property
+    def peer_address(self) -> str:
+        """``host:port`` on which this machine's ledger serves its peers."""
+        return f"{self.host}:{self.peer_port}"
+
+
+def read_machine_settings(
+    environment: Mapping[str, str] = os.environ,
+) -> MachineSettings:
+    """Returns the settings of this machine.
+
+    Raises:
+        InvalidSettings: The file is missing or does not have the platform's format.
+    """
+    path = environment.get(SETTINGS_PATH_VARIABLE)
+    if not path:
+        raise InvalidSettings(
+            f"{SETTINGS_PATH_VARIABLE} is not set; give it the path of the settings "
+            "file, or use the roles entry and sidecar."
+        )
+    try:
+        return decode_machine_settings(Path(path).read_text())
+    except OSError as error:
+        raise InvalidSettings(f"{path} cannot be read: {error}.") from error
+    except (tomllib.TOMLDecodeError, msgspec.ValidationError) as error:
+        raise InvalidSettings(f"{path}: {error}.") from error
+
+
+def decode_machine_settings(text: str) -> MachineSettings:
+    """Returns the settings that a file's text holds."""
+    raw = msgspec.convert(tomllib.loads(text), type=_SettingsFile)
+    first, last = raw.internal_port_range
+    return MachineSettings(
+        instance=InstanceId(raw.node_name),
+        domain=DomainId(raw.zone),
+        host=raw.ip,
+        peer_port=first,
+        peer_port_count=last - first + 1,
+        store_address=raw.platform.address,
+        client_address=raw.listen_addresses.frontend,
+        ready_address=raw.listen_addresses.ready,
+        data_folder=Path(raw.data_directory) if raw.data_directory else None,
+        tolerated_losses=raw.fault_tolerance.machines,
+        drain_seconds=raw.bounds.drain_ms / 1000,
+        grace_seconds=raw.bounds.grace_s,
+        memory_mb=raw.limits.memory_mb,
+    )
--- /dev/null
+++ b/packages/daemon/src/goldcrestvane_daemon/platform/records.py
@@ -0,0 +1,168 @@
+"""Decodes the configuration and the targets' entries."""
+
+import math
+from typing import Any
+
+import msgspec
+
+from goldcrestvane_common.ids import DomainId, InstanceId, ServiceId, Version
+from goldcrestvane_daemon.routes import (
+    CallKind,
+    ClientLimits,
+    Configuration,
+    EngineSettings,
+    Route,
+    ServiceShare,
+    ServiceSpecification,
+)
+from goldcrestvane_daemon.targets import Target, TargetState
+
+_KINDS = {
+    "streaming": CallKind.STREAM,
+    "idempotent": CallKind.IDEMPOTENT,
+    "non_idempotent": CallKind.ONCE,
+}
+
+CONFIGURATION_NAME = "main"
+
+
+class _Share(msgspec.Struct, frozen=True):
+    service: str
+    weight: float = 1.0
+
+
+class _Route(msgspec.Struct, frozen=True):
+    name: str
+    host: str
+    path_prefix: str
+    kind: str
+    timeout_ms: float = 3000
+    target_latency_ms: float = 0
+    target_gap_ms: float = 0
+    priority: int = 0
+    service: str | None = None
+    traffic_split: list[_Share] = []
+    attempts: int = 1
+    retention_enabled: bool = False  # whether the system keeps the turns' history
+    retention_s: float = 60
+    sticky: bool = False
+    resumable: bool = False
+
+
+class _Engine(msgspec.Struct, frozen=True):
+    slots: int = 1
+    kv_cache_tokens: int = 0
+    tokens_per_event: int = 1
+
+
+class _Service(msgspec.Struct, frozen=True):
+    name: str
+    connection_limit: int = 100
+    inference_engine: _Engine | None = None
+
+
+class _ClientLimits(msgspec.Struct, frozen=True):
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 4_194_304
+    header_timeout_ms: float = 3000
+    idle_timeout_ms: float = 15_000
+
+
+class _Configuration(msgspec.Struct, frozen=True):
+    version: int
+    routes: list[_Route]
+    services: list[_Service] = []
+    limits: _ClientLimits = _ClientLimits()
+
+
+class _Entry(msgspec.Struct, frozen=True):
+    service: str
+    address: str
+    zone: str
+    state: str
+    slots: int
+    cold_remaining_ms: float = 0
+    born: int = 0  # Unix millisecond of the target's start
+
+
+def decode_configuration(value: bytes) -> Configuration:
+    """Returns the configuration that an object holds.
+
+    Raises:
+        msgspec.DecodeError: The value does not have the form of a configuration.
+    """
+    raw = msgspec.json.decode(value, type=_Configuration)
+    return Configuration(
+        version=Version(raw.version),
+        routes=tuple(_convert_route(route) for route in raw.routes),
+        services={
+            ServiceId(each.name): _convert_service(each) for each in raw.services
+        },
+        limits=ClientLimits(
+            header_bytes=raw.limits.max_header_bytes,
+            body_bytes=raw.limits.max_body_bytes,
+            header_seconds=raw.limits.header_timeout_ms / 1000,
+            idle_seconds=raw.limits.idle_timeout_ms / 1000,
+        ),
+    )
+
+
+def _convert_route(raw: _Route) -> Route:
+    shares = [_Share(raw.service)] if raw.service else raw.traffic_split
+    return Route(
+        name=raw.name,
+        host=raw.host.lower(),
+        path_prefix=raw.path_prefix,
+        # An unknown kind is taken for the one that allows least.
+        kind=_KINDS.get(raw.kind, CallKind.ONCE),
+        timeout_seconds=raw.timeout_ms / 1000,
+        target_seconds=raw.target_latency_ms / 1000,
+        priority=raw.priority,
+        shares=tuple(ServiceShare(ServiceId(s.service), s.weight) for s in shares),
+        attempts=raw.attempts,
+        keeps_turns=raw.retention_enabled,
+        retention_seconds=raw.retention_s,
+        sticky=raw.sticky,
+        resumable=raw.resumable,
+        gap_seconds=raw.target_gap_ms / 1000 or math.inf,
+    )
+
+
+def _convert_service(raw: _Service) -> ServiceSpecification:
+    engine = raw.inference_engine
+    return ServiceSpecification(
+        service=ServiceId(raw.name),
+        connection_limit=raw.connection_limit,
+        engine=None
+        if engine is None
+        else EngineSettings(
+            slots=engine.slots,
+            cache_tokens=engine.kv_cache_tokens,
+            tokens_per_event=engine.tokens_per_event,
+        ),
+    )
+
+
+def decode_target(name: str, value: bytes) -> Target | None:
+    """Returns the target that an entry names, or None when it names none to use.
+
+    Entries of other writers may lack fields or hold other types.
+    """
+    try:
+        raw: Any = msgspec.json.decode(value, type=_Entry)
+        state = TargetState(raw.state)
+        host, _, port = raw.address.rpartition(":")
+        if not host or not port.isdigit() or raw.slots < 1:
+            return None
+    except (msgspec.DecodeError, UnicodeDecodeError, ValueError):
+        return None
+    return Target(
+        instance=InstanceId(name),
+        service=ServiceId(raw.service),
+        host=host,
+        port=int(port),
+        domain=DomainId(raw.zone),
+        slots=raw.slots,
+        state=state,
+        born_ms=raw.born,
+    )
--- /dev/null
+++ b/packages/daemon/src/goldcrestvane_daemon/platform/store.py
@@ -0,0 +1,212 @@
+"""Client of the platform's object store: lists, watches and conditional updates."""
+
+from enum import Enum
+from typing import Any, final
+from urllib.parse import quote
+
+import msgspec
+
+from goldcrestvane_common.ids import Version
+from goldcrestvane_common.objects import (
+    ObjectConflict,
+    ObjectsUnavailable,
+    RevisionTooOld,
+    WriteUncertain,
+)
+from goldcrestvane_common.transport import (
+    ConnectFailed,
+    ExchangeBroken,
+    Reply,
+    Transport,
+)
+
+CALL_TIMEOUT_SECONDS = 2.0
+"""A healthy store answers in milliseconds."""
+
+WATCH_MARGIN_SECONDS = 2.0
+
+
+class Kind(Enum):
+    """Kinds of objects that the system reads or writes."""
+
+    CONFIGURATION = "config"
+    TARGETS = "servers"
+    RETIREMENTS = "retirements"
+    LEDGER = "goldcrestvane-ledger"
+
+
+class _Metadata(msgspec.Struct, frozen=True):
+    name: str
+    revision: int = 0
+    deletion_pending: bool = False
+
+
+class _WireObject(msgspec.Struct, frozen=True):
+    """`specification` and `status` are whatever their writers put there."""
+
+    metadata: _Metadata
+    specification: msgspec.Raw = msgspec.Raw(b"null")
+    status: msgspec.Raw = msgspec.Raw(b"null")
+
+
+class _WireList(msgspec.Struct, frozen=True):
+    items: list[_WireObject]
+    at: int
+    has_more: bool = False
+
+
+class _WireEvent(msgspec.Struct, frozen=True):
+    object: _WireObject
+    deleted: bool = False
+
+
+class _WireEvents(msgspec.Struct, frozen=True):
+    events: list[_WireEvent]
+    at: int
+
+
+class StoreObject(msgspec.Struct, frozen=True):
+    """One object; `value` and `status` are undecoded JSON.
+
+    Attributes:
+        name: Its name within its kind.
+        version: Revision of its last change.
+        value: What its owner declared.
+        status: What was reported of it.
+        deleted: Whether it no longer exists or is about to go.
+    """
+
+    name: str
+    version: Version
+    value: bytes = b"null"
+    status: bytes = b"null"
+    deleted: bool = False
+
+
+class StoreChanges(msgspec.Struct, frozen=True):
+    """Objects, and the revision of the store up to which they are complete."""
+
+    objects: list[StoreObject]
+    revision: Version
+
+
+@final
+class StoreClient:
+    """Calls the object store at one address."""
+
+    def __init__(self, transport: Transport, address: str) -> None:
+        self._transport = transport
+        self._address = address
+        self.call_count = 0
+
+    async def list(self, kind: Kind) -> StoreChanges:
+        """Returns all objects of a kind.
+
+        Raises:
+            ObjectsUnavailable: The store does not answer.
+        """
+        objects: list[StoreObject] = []
+        revision: Version | None = None
+        path = _build_path(kind)
+        while True:
+            suffix = f"?after={quote(objects[-1].name, safe='')}" if objects else ""
+            page = _decode(await self._read(path + suffix), _WireList)
+            # Later pages may be newer; watching from the first page's revision
+            # delivers what changed in between once more and misses nothing.
+            revision = Version(page.at) if revision is None else revision
+            objects += [_convert(item) for item in page.items]
+            if not page.has_more or not page.items:
+                return StoreChanges(objects, revision)
+
+    async def watch(self, kind: Kind, since: Version, seconds: float) -> StoreChanges:
+        """Waits for changes of a kind after a revision.
+
+        Raises:
+            ObjectsUnavailable: The store does not answer.
+            RevisionTooOld: Changes after the revision are no longer kept.
+        """
+        path = f"{_build_path(kind)}?watch={since}&wait_ms={int(seconds * 1000)}"
+        reply = await self._read(path, timeout=seconds + WATCH_MARGIN_SECONDS)
+        if reply.status == 410:
+            raise RevisionTooOld(f"Revision {since} of {kind.value} is gone.")
+        changes = _decode(reply, _WireEvents)
+        objects = [_convert(each.object, each.deleted) for each in changes.events]
+        return StoreChanges(objects, Version(changes.at))
+
+    async def create(self, kind: Kind, name: str, value: Any) -> None:
+        """Creates an object; errors as for `replace`."""
+        body = {"metadata": {"name": name}, "specification": value}
+        await self._write("POST", _build_path(kind), name, body)
+
+    async def replace(
+        self, kind: Kind, name: str, value: Any, expected: Version
+    ) -> None:
+        """Replaces an object's value on condition of its version.
+
+        Raises:
+            ObjectConflict: The version differs, or the object does not exist.
+            ObjectsUnavailable: Nothing was written.
+            WriteUncertain: The write may take effect, also later.
+        """
+        metadata = {"name": name, "revision": expected}
+        body = {"metadata": metadata, "specification": value}
+        await self._write("PUT", _build_path(kind, name), name, body)
+
+    async def write_status(self, kind: Kind, name: str, status: Any) -> None:
+        """Replaces an object's status; errors as for `replace`."""
+        path = _build_path(kind, name) + "/status"
+        body = {"metadata": {"name": name}, "status": status}
+        await self._write("PUT", path, name, body)
+
+    async def _write(self, method: str, path: str, name: str, body: Any) -> None:
+        self.call_count += 1
+        try:
+            reply = await self._transport.send(
+                method, self._address, path, value=body, timeout=CALL_TIMEOUT_SECONDS
+            )
+        except ConnectFailed as error:
+            raise ObjectsUnavailable(str(error)) from error
+        except ExchangeBroken as error:
+            raise WriteUncertain(f"The answer for {name} was lost: {error}") from error
+        if reply.status in (404, 409):
+            raise ObjectConflict(f"Object {name} has another version; read it again.")
+        if reply.status in (429, 503):
+            raise ObjectsUnavailable(f"The object store answered {reply.status}.")
+        if reply.status >= 400:
+            raise WriteUncertain(f"The write of {name} got status {reply.status}.")
+
+    async def _read(self, path: str, timeout: float = CALL_TIMEOUT_SECONDS) -> Reply:
+        self.call_count += 1
+        try:
+            reply = await self._transport.send(
+                "GET", self._address, path, timeout=timeout
+            )
+        except (ConnectFailed, ExchangeBroken) as error:
+            raise ObjectsUnavailable(str(error)) from error
+        if reply.status not in (200, 410):
+            raise ObjectsUnavailable(f"The object store answered {reply.status}.")
+        return reply
+
+
+def _build_path(kind: Kind, name: str | None = None) -> str:
+    path = f"/v1/objects/{kind.value}"
+    return path if name is None else f"{path}/{quote(name, safe='')}"
+
+
+def _convert(item: _WireObject, deleted: bool = False) -> StoreObject:
+    return StoreObject(
+        name=item.metadata.name,
+        version=Version(item.metadata.revision),
+        value=bytes(item.specification),
+        status=bytes(item.status),
+        deleted=deleted or item.metadata.deletion_pending,
+    )
+
+
+def _decode(reply: Reply, body_type: type[Any]) -> Any:
+    try:
+        return msgspec.json.decode(reply.body, type=body_type)
+    except msgspec.DecodeError as error:
+        raise ObjectsUnavailable(
+            f"The object store's answer does not have its form: {error}."
+        ) from error
--- /dev/null
+++ b/packages/daemon/src/goldcrestvane_daemon/targets.py
@@ -0,0 +1,132 @@
+"""Targets of the services as one process sees them, with what it sent to each."""
+
+from enum import Enum
+from typing import final
+
+import msgspec
+
+from goldcrestvane_common.ids import DomainId, InstanceId, ServiceId
+
+
+class TargetState(Enum):
+    """What a target says of itself."""
+
+    READY = "ready"
+    DRAINING = "draining"
+
+
+class Target(msgspec.Struct, frozen=True, kw_only=True):
+    """One start of a target.
+
+    Attributes:
+        instance: Its id, which another start may have had before.
+        service: The service that it belongs to.
+        host: IP address.
+        port: Port.
+        domain: Failure domain.
+        slots: Calls that it runs at a time.
+        state: Whether it takes new calls.
+        born_ms: Unix millisecond of its start; tells starts of one id apart.
+    """
+
+    instance: InstanceId
+    service: ServiceId
+    host: str
+    port: int
+    domain: DomainId
+    slots: int
+    state: TargetState
+    born_ms: int = 0
+
+    @property
+    def key(self) -> tuple[InstanceId, str, int, int]:
+        """Identifies this start at this address."""
+        return (self.instance, self.host, self.port, self.born_ms)
+
+
+class ReportedLoad(msgspec.Struct, frozen=True, kw_only=True):
+    """Calls that a target runs and keeps waiting, of all callers."""
+
+    running: int
+    waiting: int
+    slots: int
+
+
+LOAD_REPORT_SECONDS = 0.5
+"""Age at which a reported load no longer says anything: the run time of a call."""
+
+FULL_SECONDS = 0.05
+"""Pause after a target rejected a call as full: the time in which a slot gets free."""
+
+
+@final
+class TargetLoad:
+    """What one process knows of the load of one target.
+
+    Attributes:
+        running: Calls of this process that are at the target.
+        full_until: Time on trio's clock until which the target takes no call.
+    """
+
+    __slots__ = ("_others", "_reported_at", "full_until", "running")
+
+    def __init__(self) -> None:
+        self.running = 0
+        self.full_until = 0.0
+        self._others = 0.0
+        self._reported_at = float("-inf")
+
+    def report(self, load: ReportedLoad, *, now: float) -> None:
+        """Takes in the load that the target stated with an answer."""
+        self._others = max(0, load.running + load.waiting - self.running)
+        self._reported_at = now
+
+    def estimate(self, now: float) -> float:
+        """Returns the calls that are probably at the target."""
+        age = now - self._reported_at
+        weight = max(0.0, 1.0 - age / LOAD_REPORT_SECONDS)
+        return self.running + self._others * weight
+
+
+@final
+class TargetTable:
+    """The current targets, by service."""
+
+    def __init__(self) -> None:
+        self._targets: dict[InstanceId, Target] = {}
+        self._loads: dict[InstanceId, TargetLoad] = {}
+
+    def put(self, target: Target) -> bool:
+        """Adds or replaces a target; returns whether anything changed."""
+        known = self._targets.get(target.instance)
+        if known == target:
+            return False
+        if known is None or known.key != target.key:
+            self._loads[target.instance] = TargetLoad()
+        self._targets[target.instance] = target
+        return True
+
+    def remove(self, instance: InstanceId) -> bool:
+        """Drops a target that is gone; returns whether it was known."""
+        self._loads.pop(instance, None)
+        return self._targets.pop(instance, None) is not None
+
+    def get(self, instance: InstanceId) -> Target | None:
+        """Returns a target, or None when it is gone."""
+        return self._targets.get(instance)
+
+    def get_load(self, target: Target) -> TargetLoad:
+        """Returns the load of a target; one that is gone has an empty load."""
+        return self._loads.get(target.instance) or TargetLoad()
+
+    def list_ready(self, service: ServiceId) -> list[Target]:
+        """Returns the targets of a service that take new calls."""
+        return [
+            target
+            for target in self._targets.values()
+            if target.service == service and target.state is TargetState.READY
+        ]
+
+    def list_all(self) -> list[Target]:
+        """Returns all targets."""
+        return list(self._targets.values())
