Bound the logs of the platform roles and test ledger, queue and connections

Cause: a log line could block on its reader, and the new parts had no tests. Found by a test: the estimate of the wait took one ended call a second as its least rate and refused calls of a cold queue; it now counts running calls.

--- a/packages/common/src/goldcrestvane_common/logs.py
+++ b/packages/common/src/goldcrestvane_common/logs.py
@@ -2,20 +2,32 @@
 
 import logging
 import sys
-from typing import TextIO
 
 from pythonjsonlogger.json import JsonFormatter
 
+from goldcrestvane_common.bounded_output import BoundedHandler
 
-def configure_logs(*, level: str, process: str, stream: TextIO = sys.stderr) -> None:
-    """Sends logs as JSON lines to a stream.
+
+def configure_logs(*, level: str, process: str) -> None:
+    """Sends logs as JSON lines to standard error.
 
     Args:
         level: A level name of `logging`, such as ``INFO``.
         process: Name of this process, written into every line.
-        stream: Where the lines go.
     """
-    handler = logging.StreamHandler(stream)
+    _install(logging.StreamHandler(sys.stderr), level=level, process=process)
+
+
+def configure_bounded_logs(*, level: str, process: str) -> None:
+    """Sends logs as JSON lines to standard output, bounded and without blocking.
+
+    The arguments are those of `configure_logs`.
+    """
+    handler = BoundedHandler(sys.stdout.fileno())
+    _install(handler, level=level, process=process)
+
+
+def _install(handler: logging.Handler, *, level: str, process: str) -> None:
     handler.setFormatter(
         JsonFormatter(
             "%(asctime)s %(levelname)s %(message)s",
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/calls.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/calls.py
@@ -206,12 +206,15 @@
                 excluded=frozenset(excluded),
             )
             result = AttemptResult.LOST
+            started = trio.current_time()
             try:
                 result = await self._attempt(
                     connection, call, target, queue, answer_headers
                 )
             finally:
-                queue.release(target, ended=result is not AttemptResult.NOT_RUN)
+                ran = result is not AttemptResult.NOT_RUN
+                seconds = trio.current_time() - started
+                queue.release(target, run_seconds=seconds if ran else None)
                 ATTEMPTS.labels(result.value).inc()
             if result is AttemptResult.ANSWERED:
                 return
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/placement.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/placement.py
@@ -71,4 +71,4 @@
     """Returns the time until a new call at the end of the queue starts, in seconds."""
     if waiting == 0:
         return 0.0
-    return waiting / max(ended_a_second, 1.0)
+    return waiting / ended_a_second
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/queue.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/queue.py
@@ -25,6 +25,10 @@
 RATE_SECONDS = 2.0
 """Time over which the rate of ended calls is measured."""
 
+FIRST_RUN_SECONDS = 0.3
+"""Run time assumed before a call has ended: a turn on an idle target."""
+
+RUN_SMOOTHING = 0.1
 MIN_RETRY_SECONDS = 0.05
 RECHECK_SECONDS = 0.02
 """Pause until targets that were full are tried again."""
@@ -62,6 +66,7 @@
         self._domain = domain
         self._waiting: list[Waiter] = []
         self._ended: deque[float] = deque(maxlen=256)
+        self._run_seconds = FIRST_RUN_SECONDS
 
     @property
     def waiting_count(self) -> int:
@@ -69,11 +74,16 @@
         return len(self._waiting)
 
     def measure_rate(self) -> float:
-        """Returns the calls that ended a second, lately."""
+        """Returns the calls a second that end, by the last ones and those that run."""
         now = trio.current_time()
         while self._ended and self._ended[0] < now - RATE_SECONDS:
             self._ended.popleft()
-        return len(self._ended) / RATE_SECONDS
+        running = sum(
+            self._table.get_load(target).running
+            for target in self._table.list_ready(self._service)
+        )
+        expected = max(running, 1) / self._run_seconds
+        return max(len(self._ended) / RATE_SECONDS, expected)
 
     async def acquire(
         self,
@@ -125,18 +135,24 @@
                         )
         except BaseException:
             if waiter.target is not None:
-                self.release(waiter.target, ended=False)
+                self.release(waiter.target)
             raise
         finally:
             if waiter in self._waiting:
                 self._waiting.remove(waiter)
         return waiter.target
 
-    def release(self, target: Target, *, ended: bool = True) -> None:
-        """Gives back the room of a call; `ended` tells whether it ran to an end."""
+    def release(self, target: Target, *, run_seconds: float | None = None) -> None:
+        """Gives back the room of a call.
+
+        Args:
+            target: Where the call was.
+            run_seconds: How long it ran; None if it did not run.
+        """
         self._table.get_load(target).running -= 1
-        if ended:
+        if run_seconds is not None:
             self._ended.append(trio.current_time())
+            self._run_seconds += RUN_SMOOTHING * (run_seconds - self._run_seconds)
         self.place_waiting()
 
     def report(self, target: Target, load: ReportedLoad | None) -> None:
--- a/packages/daemon/src/goldcrestvane_daemon/main.py
+++ b/packages/daemon/src/goldcrestvane_daemon/main.py
@@ -7,7 +7,7 @@
 import trio
 from absl import app, flags
 
-from goldcrestvane_common.logs import configure_logs
+from goldcrestvane_common.logs import configure_bounded_logs, configure_logs
 from goldcrestvane_daemon.frontend.process import FrontendProcess
 from goldcrestvane_daemon.ledger.process import LedgerProcess
 from goldcrestvane_daemon.platform.machine import read_machine_settings
@@ -50,7 +50,7 @@
         InvalidSettings: The file is missing, or does not fit the role.
     """
     settings = read_machine_settings()
-    configure_logs(level=FLAGS.log_level, process=settings.instance, stream=sys.stdout)
+    configure_bounded_logs(level=FLAGS.log_level, process=settings.instance)
     logging.getLogger("goldcrestvane").setLevel(FLAGS.log_level)
     trio.run(PLATFORM_ROLES[role](settings).run)
 
--- /dev/null
+++ b/packages/daemon/tests/frontend/support.py
@@ -0,0 +1,92 @@
+"""Scripted targets on loopback, and what a call needs to reach them."""
+
+import re
+
+import trio
+
+from goldcrestvane_daemon.targets import Target, TargetState
+
+CALL_ID = re.compile(rb"goldcrestvane-request-id: *([^\r]+)", re.IGNORECASE)
+
+
+def build_target(
+    port, *, instance="i-1", slots=4, domain="d1", state=TargetState.READY
+):
+    return Target(
+        instance=instance,
+        service="s1",
+        host="127.0.0.1",
+        port=port,
+        domain=domain,
+        slots=slots,
+        state=state,
+    )
+
+
+def build_answer(body, *, status="200 OK", call=b"c1", signed=True, extra=b""):
+    lines = [b"HTTP/1.1 " + status.encode(), b"content-length: %d" % len(body)]
+    if call:
+        lines.append(b"Goldcrestvane-Request-Id: " + call)
+    if signed:
+        lines.append(b"Goldcrestvane-Response-Signature: s")
+    return b"\r\n".join(lines) + b"\r\n" + extra + b"\r\n" + body
+
+
+class ScriptedTarget:
+    """Answers the n-th request on any connection with the n-th piece of a script.
+
+    A piece is the bytes to send; None closes the connection, `RESET` resets it.
+    """
+
+    RESET = object()
+
+    def __init__(self, script):
+        self.script = list(script)
+        self.requests = []
+        self.connections = 0
+        self.port = 0
+
+    async def run(self, *, task_status):
+        listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        self.port = listeners[0].socket.getsockname()[1]
+        task_status.started(self)
+        await trio.serve_listeners(self._serve, listeners)
+
+    async def _serve(self, stream):
+        self.connections += 1
+        buffer = b""
+        while True:
+            while not _is_whole(buffer):
+                data = await stream.receive_some()
+                if not data:
+                    return
+                buffer += data
+            self.requests.append(buffer)
+            buffer = b""
+            for piece in self.script.pop(0):
+                if piece is None:
+                    await stream.aclose()
+                    return
+                if piece is self.RESET:
+                    _reset(stream)
+                    return
+                if isinstance(piece, float):
+                    await trio.sleep(piece)
+                else:
+                    await stream.send_all(piece)
+
+
+def _is_whole(buffer):
+    head, separator, body = buffer.partition(b"\r\n\r\n")
+    if not separator:
+        return False
+    length = re.search(rb"content-length: *(\d+)", head, re.IGNORECASE)
+    return len(body) >= (int(length.group(1)) if length else 0)
+
+
+def _reset(stream):
+    import socket
+    import struct
+
+    stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    stream.socket.close()
--- /dev/null
+++ b/packages/daemon/tests/frontend/test_events.py
@@ -0,0 +1,25 @@
+import unittest
+
+from goldcrestvane_daemon.frontend.events import EventSplitter
+
+STREAM = b"id: 1\ndata: a\n\ngoldcrestvane-weight-versions: 2\nid: 2\ndata: b\n\n"
+
+
+class EventSplitterTests(unittest.TestCase):
+    def test_any_cut_gives_the_same_events(self):
+        for cut in range(len(STREAM)):
+            splitter = EventSplitter()
+            events = splitter.feed(STREAM[:cut]) + splitter.feed(STREAM[cut:])
+            self.assertEqual([event.number for event in events], [1, 2])
+            self.assertEqual([event.data for event in events], [b"a", b"b"])
+            self.assertEqual(b"".join(event.raw for event in events), STREAM)
+            self.assertEqual(splitter.remainder, b"")
+
+    def test_an_unfinished_event_is_held_back(self):
+        splitter = EventSplitter()
+        self.assertEqual(len(splitter.feed(STREAM + b"id: 3\ndata: c")), 2)
+        self.assertEqual(splitter.remainder, b"id: 3\ndata: c")
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/packages/daemon/tests/frontend/test_placement.py
@@ -0,0 +1,60 @@
+import unittest
+
+from goldcrestvane_daemon.frontend.placement import (
+    TargetChoice,
+    choose_target,
+    order_waiting,
+)
+
+
+def build_choices(loads, slots=16):
+    return [
+        TargetChoice(instance=f"t{n}", load=load, slots=slots, local=n == 0)
+        for n, load in enumerate(loads)
+    ]
+
+
+class ChooseTargetTests(unittest.TestCase):
+    def test_a_program_returns_to_the_target_that_read_its_turns(self):
+        first = choose_target(build_choices([0] * 7), "program").instance
+        later = choose_target(build_choices([5, 4, 3, 2, 5, 4, 3]), "program").instance
+        self.assertEqual(first, later)
+
+    def test_programs_spread_over_all_targets(self):
+        choices = build_choices([0] * 7)
+        used = {choose_target(choices, f"p{n}").instance for n in range(200)}
+        self.assertEqual(len(used), 7)
+
+    def test_a_target_that_leaves_moves_only_its_own_programs(self):
+        choices = build_choices([0] * 7)
+        for n in range(100):
+            before = choose_target(choices, f"p{n}").instance
+            rest = [choice for choice in choices if choice.instance != "t3"]
+            after = choose_target(rest, f"p{n}").instance
+            if before != "t3":
+                self.assertEqual(before, after)
+
+    def test_a_burst_spills_before_the_preferred_target_is_full(self):
+        preferred = choose_target(build_choices([0] * 7), "p").instance
+        loads = [15 if f"t{n}" == preferred else 2 for n in range(7)]
+        self.assertNotEqual(
+            choose_target(build_choices(loads), "p").instance, preferred
+        )
+
+    def test_full_targets_take_nothing(self):
+        self.assertIsNone(choose_target(build_choices([16, 17, 16]), "p"))
+
+    def test_without_a_key_the_least_loaded_takes_the_call(self):
+        self.assertEqual(choose_target(build_choices([3, 1, 2]), None).instance, "t1")
+
+
+class OrderWaitingTests(unittest.TestCase):
+    def test_urgent_calls_of_a_burst_go_first(self):
+        self.assertLess(order_waiting(10.3, 0), order_waiting(10.0, 1))
+
+    def test_a_less_urgent_call_never_starves(self):
+        self.assertLess(order_waiting(10.0, 2), order_waiting(11.2, 0))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/packages/daemon/tests/frontend/test_queue.py
@@ -0,0 +1,124 @@
+import unittest
+
+import trio
+import trio.testing
+
+from frontend.support import build_target
+from goldcrestvane_daemon.frontend.queue import ServiceQueue
+from goldcrestvane_daemon.frontend.refusals import NoTarget, Overloaded
+from goldcrestvane_daemon.placement.facts import PlacementOptions
+from goldcrestvane_daemon.placement.health import HealthView
+from goldcrestvane_daemon.targets import ReportedLoad, TargetState, TargetTable
+
+
+class ServiceQueueTests(unittest.TestCase):
+    def setUp(self):
+        self.table = TargetTable()
+        self.health = HealthView(PlacementOptions())
+        self.queue = ServiceQueue(
+            "s1", table=self.table, health=self.health, domain="d1"
+        )
+
+    def run_script(self, script):
+        trio.run(script, clock=trio.testing.MockClock(autojump_threshold=0))
+
+    def add_targets(self, count, slots=1):
+        for n in range(count):
+            self.table.put(build_target(1000 + n, instance=f"t{n}", slots=slots))
+
+    async def acquire(self, *, priority=0, seconds_left=3.0, key=None):
+        return await self.queue.acquire(
+            key=key,
+            priority=priority,
+            arrived=trio.current_time(),
+            seconds_left=seconds_left,
+        )
+
+    async def acquire_long(self):
+        return await self.acquire(seconds_left=60.0)
+
+    def test_without_targets_the_call_is_refused_at_once(self):
+        async def script():
+            with self.assertRaises(NoTarget) as caught:
+                await self.acquire()
+            self.assertGreater(caught.exception.retry_after, 0)
+            self.assertEqual(trio.current_time(), 0)
+
+        self.run_script(script)
+
+    def test_draining_targets_get_no_call(self):
+        async def script():
+            draining = build_target(1, state=TargetState.DRAINING)
+            self.table.put(draining)
+            with self.assertRaises(NoTarget):
+                await self.acquire()
+
+        self.run_script(script)
+
+    def test_waiting_calls_go_by_priority(self):
+        async def script():
+            self.add_targets(1)
+            held = await self.acquire()
+            order = []
+
+            async def wait(name, priority):
+                target = await self.acquire(priority=priority)
+                order.append(name)
+                self.queue.release(target)
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(wait, "late", 2)
+                await trio.sleep(0.01)
+                nursery.start_soon(wait, "urgent", 0)
+                await trio.sleep(0.01)
+                self.queue.release(held)
+            self.assertEqual(order, ["urgent", "late"])
+
+        self.run_script(script)
+
+    def test_room_is_given_back_when_a_waiting_call_is_cancelled(self):
+        async def script():
+            self.add_targets(1)
+            target = await self.acquire()
+            with trio.move_on_after(0.5):
+                await self.acquire()
+            self.queue.release(target)
+            self.assertEqual(self.queue.waiting_count, 0)
+            with trio.fail_after(0.1):
+                await self.acquire()
+
+        self.run_script(script)
+
+    def test_a_queue_longer_than_the_time_left_refuses_at_once(self):
+        async def script():
+            self.add_targets(1)
+            held = await self.acquire()
+            async with trio.open_nursery() as nursery:
+                for _ in range(20):
+                    nursery.start_soon(self.acquire_long)
+                await trio.sleep(0.01)
+                # A call is taken to run 0.3 s, so twenty take longer than 3 s.
+                with self.assertRaises(Overloaded) as caught:
+                    await self.acquire(seconds_left=3.0)
+                self.assertAlmostEqual(caught.exception.retry_after, 3.0)
+                nursery.cancel_scope.cancel()
+            self.queue.release(held)
+
+        self.run_script(script)
+
+    def test_load_of_other_frontends_counts_until_it_is_old(self):
+        async def script():
+            self.add_targets(2, slots=4)
+            first = self.table.get("t0")
+            load = ReportedLoad(running=4, waiting=2, slots=4)
+            self.queue.report(first, load)
+            for _ in range(3):
+                self.assertEqual((await self.acquire()).instance, "t1")
+            await trio.sleep(1.0)
+            self.assertEqual((await self.acquire()).instance, "t0")
+
+        self.run_script(script)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/packages/daemon/tests/frontend/test_upstream.py
@@ -0,0 +1,130 @@
+import unittest
+
+import trio
+
+from frontend.support import ScriptedTarget, build_answer, build_target
+from goldcrestvane_daemon.frontend.upstream import (
+    Attempt,
+    ConnectFailed,
+    TargetBroke,
+    TargetConnections,
+)
+
+HEADERS = [(b"host", b"h"), (b"goldcrestvane-request-id", b"c1")]
+UNFRAMED = b"HTTP/1.1 200 OK\r\nGoldcrestvane-Response-Signature: s\r\n\r\nhalf"
+
+
+class AttemptTests(unittest.TestCase):
+    def run_calls(self, script, *, calls=1, body=b""):
+        """Returns a body or error for each call, and the target."""
+        results = []
+
+        async def main():
+            target = ScriptedTarget(script)
+            connections = TargetConnections()
+            with trio.fail_after(5):
+                async with trio.open_nursery() as nursery:
+                    await nursery.start(target.run)
+                    for _ in range(calls):
+                        results.append(await self.call(connections, target, body))
+                    nursery.cancel_scope.cancel()
+            return target
+
+        return results, trio.run(main)
+
+    async def call(self, connections, target, body):
+        headers = list(HEADERS)
+        if body:
+            headers.append((b"content-length", b"%d" % len(body)))
+        try:
+            async with Attempt(connections, build_target(target.port)) as attempt:
+                await attempt.send(b"POST", b"/a", headers, body, call="c1")
+                return await attempt.read_body(1_000_000)
+        except TargetBroke:
+            return TargetBroke
+
+    def test_connection_is_used_again(self):
+        script = [[build_answer(b"one")], [build_answer(b"two")]]
+        results, target = self.run_calls(script, calls=2)
+        self.assertEqual(results, [b"one", b"two"])
+        self.assertEqual(target.connections, 1)
+
+    def test_extra_bytes_belong_to_no_call(self):
+        script = [
+            [build_answer(b"one") + b"HTTP/1.1 200 OK\r\n"],
+            [build_answer(b"two")],
+        ]
+        results, target = self.run_calls(script, calls=2)
+        self.assertEqual(results, [b"one", b"two"])
+        self.assertEqual(target.connections, 2)
+
+    def test_late_answer_to_another_call_is_read_past(self):
+        late = build_answer(b"late", call=b"c0")
+        results, _ = self.run_calls([[late + build_answer(b"own")]])
+        self.assertEqual(results, [b"own"])
+
+    def test_late_answer_alone_is_no_answer(self):
+        late = build_answer(b"late", call=b"c0")
+        results, _ = self.run_calls([[late, None]])
+        self.assertEqual(results, [TargetBroke])
+
+    def test_cut_body_is_no_answer(self):
+        results, _ = self.run_calls([[build_answer(b"whole")[:-2], None]])
+        self.assertEqual(results, [TargetBroke])
+
+    def test_unframed_body_ends_with_its_connection(self):
+        results, _ = self.run_calls([[UNFRAMED, None]])
+        self.assertEqual(results, [b"half"])
+
+    def test_unframed_body_that_is_reset_is_no_answer(self):
+        results, _ = self.run_calls([[UNFRAMED, 0.05, ScriptedTarget.RESET]])
+        self.assertEqual(results, [TargetBroke])
+
+    def test_bytes_that_are_no_answer(self):
+        results, _ = self.run_calls([[b"\x00\x01garbage\r\n\r\n", None]])
+        self.assertEqual(results, [TargetBroke])
+
+    def test_unreachable_target_was_sent_nothing(self):
+        async def main():
+            attempt = Attempt(TargetConnections(), build_target(1))
+            with self.assertRaises(ConnectFailed):
+                async with attempt:
+                    pass
+
+        trio.run(main)
+
+    def test_answer_before_a_long_body_ends_the_connection(self):
+        """A target that answers early must not get other bytes as the body's rest."""
+
+        async def main():
+            async def serve(stream):
+                nonlocal connections
+                connections += 1
+                await stream.receive_some(100)
+                await stream.send_all(build_answer(b"early", status="413 Too Large"))
+                await trio.sleep_forever()
+
+            connections = 0
+            pool = TargetConnections()
+            async with trio.open_nursery() as nursery:
+                listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+                port = listeners[0].socket.getsockname()[1]
+                nursery.start_soon(trio.serve_listeners, serve, listeners)
+                body = b"x" * 20_000_000
+                headers = [*HEADERS, (b"content-length", b"%d" % len(body))]
+                for _ in range(2):
+                    with trio.fail_after(5):
+                        async with Attempt(pool, build_target(port)) as attempt:
+                            head = await attempt.send(
+                                b"POST", b"/", headers, body, call="c1"
+                            )
+                            self.assertEqual(head.status, 413)
+                            self.assertEqual(await attempt.read_body(100), b"early")
+                nursery.cancel_scope.cancel()
+            self.assertEqual(connections, 2)
+
+        trio.run(main)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/packages/daemon/tests/ledger/test_state.py
@@ -0,0 +1,92 @@
+import itertools
+import unittest
+
+import trio
+import trio.testing
+
+from goldcrestvane_daemon.ledger.messages import Account, Deaths, Entry, Spend, Turn
+from goldcrestvane_daemon.ledger.state import EXPIRY_MARGIN_SECONDS, LedgerState
+
+RESERVED = Entry(account=Account("p", [Spend("c1", 500)], 60.0))
+SETTLED = Entry(account=Account("p", [Spend("c1", 120, True)], 60.0))
+OTHER = Entry(account=Account("p", [Spend("c2", 300)], 60.0))
+
+
+def build_turn(call, previous=None, retention=60.0):
+    return Entry(turn=Turn(call, previous, b"in-" + call.encode(), b"out\n", retention))
+
+
+class LedgerStateTests(unittest.TestCase):
+    def run_at(self, script):
+        trio.run(script, clock=trio.testing.MockClock(autojump_threshold=0))
+
+    def test_order_of_arrival_does_not_matter(self):
+        async def script():
+            for order in itertools.permutations([RESERVED, SETTLED, OTHER, SETTLED]):
+                state = LedgerState()
+                for entry in order:
+                    state.apply(entry)
+                spends = {s.call: s for s in state.get_account("p").spends}
+                self.assertEqual(spends["c1"], Spend("c1", 120, True))
+                self.assertEqual(spends["c2"], Spend("c2", 300))
+
+        self.run_at(script)
+
+    def test_copying_all_entries_gives_an_equal_state(self):
+        async def script():
+            state, copy = LedgerState(), LedgerState()
+            entries = [RESERVED, SETTLED, OTHER, build_turn("t1")]
+            entries += [build_turn("t2", "t1"), Entry(deaths=Deaths("f", ["s1"]))]
+            for entry in entries:
+                state.apply(entry)
+            for entry in state.iterate_entries():
+                copy.apply(entry)
+            self.assertEqual(copy.list_chain("t2"), state.list_chain("t2"))
+            self.assertEqual(copy.get_account("p"), state.get_account("p"))
+            self.assertEqual(copy.get_deaths("f"), Deaths("f", ["s1"]))
+
+        self.run_at(script)
+
+    def test_chain_ends_where_a_turn_is_unknown(self):
+        async def script():
+            state = LedgerState()
+            state.apply(build_turn("t2", "t1"))
+            state.apply(build_turn("t3", "t2"))
+            chain = [turn.call for turn in state.list_chain("t3")]
+            self.assertEqual(chain, ["t3", "t2"])
+            self.assertEqual(state.list_chain("t0"), [])
+
+        self.run_at(script)
+
+    def test_a_turn_keeps_the_turns_before_it(self):
+        async def script():
+            state = LedgerState()
+            state.apply(build_turn("t1"))
+            await trio.sleep(50)
+            state.apply(build_turn("t2", "t1"))
+            await trio.sleep(50)
+            state.drop_expired()
+            self.assertEqual(len(state.list_chain("t2")), 2)
+            await trio.sleep(30 + EXPIRY_MARGIN_SECONDS)
+            state.drop_expired()
+            self.assertEqual(state.list_chain("t2"), [])
+            self.assertEqual(state.bytes_held, 0)
+
+        self.run_at(script)
+
+    def test_an_account_lives_for_the_retention_after_its_last_turn(self):
+        async def script():
+            state = LedgerState()
+            state.apply(RESERVED)
+            await trio.sleep(59)
+            state.drop_expired()
+            self.assertIsNotNone(state.get_account("p"))
+            await trio.sleep(2 + EXPIRY_MARGIN_SECONDS)
+            state.drop_expired()
+            self.assertIsNone(state.get_account("p"))
+
+        self.run_at(script)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/packages/daemon/tests/platform_/test_headers.py
@@ -0,0 +1,100 @@
+import unittest
+
+from goldcrestvane_daemon.platform.headers import (
+    build_target_headers,
+    decode_answer_head,
+    decode_call_headers,
+)
+
+CALL = [
+    (b"host", b"Shop.example:80"),
+    (b"goldcrestvane-request-id", b"c1"),
+    (b"goldcrestvane-deadline-ms", b"3000"),
+    (b"goldcrestvane-program-id", b"p1"),
+    (b"goldcrestvane-token-budget", b"4600"),
+    (b"goldcrestvane-token-usage", b"1840,575"),
+    (b"cookie", b"a=b; Goldcrestvane-Affinity-Key=17"),
+    (b"x-own", b"kept"),
+]
+
+
+def build(headers, **changes):
+    options = {
+        "instance": "i-1",
+        "seconds_left": 1.5,
+        "body_length": 3,
+        "priority": None,
+        "last_event": None,
+    }
+    return build_target_headers(decode_call_headers(headers), **{**options, **changes})
+
+
+class CallHeadersTests(unittest.TestCase):
+    def test_decoded_values(self):
+        call = decode_call_headers(CALL)
+        self.assertEqual(call.host, "shop.example")
+        self.assertEqual((call.prompt_tokens, call.output_tokens), (1840, 575))
+        self.assertEqual(call.token_budget, 4600)
+        self.assertEqual(call.affinity, "17")
+
+    def test_headers_of_the_system_are_not_taken_from_clients(self):
+        for name in (
+            b"goldcrestvane-cache-hold",
+            b"goldcrestvane-pin-ms",
+            b"goldcrestvane-kv-backup",
+            b"kv-from",
+            b"kv-fetch",
+            b"goldcrestvane-expected-version",
+            b"goldcrestvane-request-priority",
+        ):
+            with self.subTest(name):
+                names = [key for key, _ in build([*CALL, (name, b"x")])]
+                self.assertNotIn(name, names)
+
+    def test_instance_and_deadline_are_always_set_once(self):
+        forged = (b"goldcrestvane-expected-instance", b"other")
+        headers = build([*CALL, forged])
+        instances = [v for k, v in headers if k == b"goldcrestvane-expected-instance"]
+        deadlines = [v for k, v in headers if k == b"goldcrestvane-deadline-ms"]
+        self.assertEqual(instances, [b"i-1"])
+        self.assertEqual(deadlines, [b"1500"])
+
+    def test_connection_headers_stay_on_their_connection(self):
+        extra = [(b"connection", b"close, X-Hop"), (b"x-hop", b"1"), (b"te", b"gzip")]
+        names = {key for key, _ in build(CALL + extra)}
+        self.assertFalse(names & {b"connection", b"x-hop", b"te"})
+        self.assertIn(b"x-own", names)
+
+    def test_wrong_values_are_refused(self):
+        for name, value in (
+            (b"goldcrestvane-deadline-ms", b"soon"),
+            (b"goldcrestvane-deadline-ms", b"nan"),
+            (b"goldcrestvane-token-usage", b"a,b"),
+            (b"last-event-id", b"x"),
+        ):
+            with self.subTest(value), self.assertRaises(ValueError):
+                decode_call_headers([(b"host", b"h"), (name, value)])
+
+
+class AnswerHeadTests(unittest.TestCase):
+    def test_only_the_target_says_that_a_call_did_not_run(self):
+        plain = decode_answer_head(503, [])
+        marked = decode_answer_head(503, [(b"goldcrestvane-not-executed", b"1")])
+        other = decode_answer_head(421, [])
+        self.assertTrue(plain.executed)
+        self.assertFalse(marked.executed)
+        self.assertFalse(other.executed)
+
+    def test_load(self):
+        head = decode_answer_head(200, [(b"goldcrestvane-server-load", b"3,0,8")])
+        self.assertEqual((head.load.running, head.load.slots), (3, 8))
+        bad = decode_answer_head(200, [(b"goldcrestvane-server-load", b"3,x")])
+        self.assertIsNone(bad.load)
+
+    def test_idle_time(self):
+        head = decode_answer_head(200, [(b"keep-alive", b"timeout=5, max=3")])
+        self.assertEqual(head.idle_seconds, 5.0)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/packages/daemon/tests/platform_/test_records.py
@@ -0,0 +1,95 @@
+import unittest
+
+import msgspec
+
+from goldcrestvane_daemon.platform.records import decode_configuration, decode_target
+from goldcrestvane_daemon.routes import CallKind
+from goldcrestvane_daemon.targets import TargetState
+
+ENTRY = {
+    "service": "s1",
+    "address": "10.0.0.9:8080",
+    "zone": "z1",
+    "version": "v1",
+    "slots": 16,
+    "state": "ready",
+    "cold_remaining_ms": 0,
+    "sequence": 4,
+    "born": 1717171717000,
+}
+ROUTE = {
+    "name": "r1",
+    "host": "Shop.example",
+    "path_prefix": "/a/",
+    "kind": "streaming",
+    "timeout_ms": 3000,
+    "target_latency_ms": 300,
+    "service": "s1",
+    "attempts": 2,
+    "retention_enabled": True,
+    "retention_s": 60.0,
+    "resumable": False,
+    "target_gap_ms": 250,
+}
+
+
+class DecodeTargetTests(unittest.TestCase):
+    def decode(self, **changes):
+        return decode_target("i-1", msgspec.json.encode({**ENTRY, **changes}))
+
+    def test_entry(self):
+        target = self.decode()
+        self.assertEqual((target.host, target.port), ("10.0.0.9", 8080))
+        self.assertEqual(target.state, TargetState.READY)
+
+    def test_entries_of_other_writers_name_no_target(self):
+        wrong = (
+            {"state": "sleeping"},
+            {"slots": "many"},
+            {"slots": 0},
+            {"address": "nowhere"},
+            {"address": None},
+            {"service": 7},
+            {"zone": None},
+        )
+        for changes in wrong:
+            with self.subTest(changes):
+                self.assertIsNone(self.decode(**changes))
+        for value in (b"", b"null", b"[]", b"\xff\xfe", b"{"):
+            with self.subTest(value):
+                self.assertIsNone(decode_target("i-1", value))
+
+    def test_missing_fields_name_no_target(self):
+        for name in ("service", "address", "zone", "slots", "state"):
+            entry = {key: value for key, value in ENTRY.items() if key != name}
+            with self.subTest(name):
+                self.assertIsNone(decode_target("i-1", msgspec.json.encode(entry)))
+
+    def test_another_start_under_the_same_id_differs(self):
+        self.assertNotEqual(self.decode().key, self.decode(born=1717171799000).key)
+
+
+class DecodeConfigurationTests(unittest.TestCase):
+    def decode(self, **changes):
+        value = {"version": 7, "routes": [{**ROUTE, **changes}], "services": []}
+        return decode_configuration(msgspec.json.encode(value)).routes[0]
+
+    def test_route(self):
+        route = self.decode()
+        self.assertEqual(route.host, "shop.example")
+        self.assertEqual(route.kind, CallKind.STREAM)
+        self.assertEqual(route.timeout_seconds, 3.0)
+        self.assertTrue(route.keeps_turns)
+        self.assertFalse(route.repeatable)
+
+    def test_unknown_kind_may_run_once_only(self):
+        self.assertEqual(self.decode(kind="new").kind, CallKind.ONCE)
+
+    def test_traffic_split(self):
+        shares = [{"service": "a", "weight": 90}, {"service": "b", "weight": 10}]
+        route = self.decode(service=None, traffic_split=shares)
+        self.assertEqual([s.weight for s in route.shares], [90, 10])
+
+
+if __name__ == "__main__":
+    unittest.main()
