Let frontends help each other where the store or the ledger is out of reach

Change: frontends learn of a few others from the ledger's members, relay requests to members for them, give copies of the platform's objects, and pass on which requests killed targets. A silent member is given up after 0.5 s. An idle limit that changes while a connection is idle applies at once.

--- a/packages/daemon/src/goldcrestvane_daemon/frontend/calls.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/calls.py
@@ -8,6 +8,7 @@
 from goldcrestvane_common.ids import DomainId, InstanceId, ServiceId
 from goldcrestvane_common.logs import get_logger
 from goldcrestvane_daemon.frontend.events import EventSplitter
+from goldcrestvane_daemon.frontend.ledger_client import LedgerClient
 from goldcrestvane_daemon.frontend.metrics import (
     ATTEMPTS,
     CALL_SECONDS,
@@ -16,14 +17,17 @@
     OPEN_SECONDS,
     RUNNING,
 )
+from goldcrestvane_daemon.frontend.peers import FrontendPeers
 from goldcrestvane_daemon.frontend.plan import PlannedCall, plan_call
 from goldcrestvane_daemon.frontend.queue import ServiceQueue
 from goldcrestvane_daemon.frontend.refusals import (
+    CrashedTargets,
     OutcomeUnknown,
     Overloaded,
     Refusal,
     TimedOut,
 )
+from goldcrestvane_daemon.frontend.suspects import Suspects, build_fingerprint
 from goldcrestvane_daemon.frontend.turns import TurnKeeper
 from goldcrestvane_daemon.frontend.upstream import (
     Attempt,
@@ -32,7 +36,6 @@
     TargetConnections,
 )
 from goldcrestvane_daemon.http1 import ConnectionLost, RequestHead, ServerConnection
-from goldcrestvane_daemon.ledger.client import LedgerClient
 from goldcrestvane_daemon.placement.facts import PlacementOptions
 from goldcrestvane_daemon.placement.health import HealthView
 from goldcrestvane_daemon.platform.headers import (
@@ -79,11 +82,7 @@
 
 @final
 class CallService:
-    """Runs clients' calls.
-
-    Attributes:
-        running: Calls under way.
-    """
+    """Runs clients' calls."""
 
     def __init__(
         self,
@@ -91,8 +90,12 @@
         targets: TargetTable,
         ledger: LedgerClient,
         domain: DomainId,
+        suspects: Suspects,
+        frontends: FrontendPeers,
         nursery: trio.Nursery,
     ) -> None:
+        self._suspects = suspects
+        self._frontends = frontends
         self._targets = targets
         self._turns = TurnKeeper(ledger)
         self._domain = domain
@@ -100,7 +103,6 @@
         self._health = HealthView(EJECTION)
         self._connections = TargetConnections()
         self._queues: dict[ServiceId, ServiceQueue] = {}
-        self.running = 0
 
     def get_queue(self, service: ServiceId) -> ServiceQueue:
         """Returns the queue of a service."""
@@ -142,10 +144,10 @@
         arrived = trio.current_time()
         call: PlannedCall | None = None
         outcome = "client_gone"
-        self.running += 1
         RUNNING.inc()
         try:
             call = plan_call(head, body, routes, arrived)
+            self._check_suspect(call)
             await self._run(connection, call, answer_headers)
             outcome = "answered"
         except Refusal as refusal:
@@ -164,10 +166,41 @@
             outcome = "connection_lost"
             raise
         finally:
-            self.running -= 1
             RUNNING.dec()
             _log_end(call, outcome, arrived)
 
+    def _check_suspect(self, call: PlannedCall) -> None:
+        """Raises CrashedTargets when too many targets died with the request."""
+        if self._suspects.is_empty:
+            return
+        head = call.head
+        fingerprint = build_fingerprint(head.method, head.path, call.client_body)
+        if self._suspects.is_refused(fingerprint):
+            raise CrashedTargets(
+                "Targets died each time they ran this request; do not send it again."
+            )
+
+    async def _note_death(self, call: PlannedCall, target: Target) -> None:
+        """Finds out whether a target that broke off has died, and tells the others."""
+        try:
+            stream = await self._connections.connect(target)
+        except ConnectFailed:
+            head = call.head
+            fingerprint = build_fingerprint(head.method, head.path, call.client_body)
+            deaths = [target.instance]
+            self._suspects.note(fingerprint, deaths)
+            self._frontends.report_deaths(fingerprint, deaths)
+            logger.warning(
+                "a target died with a request",
+                extra={
+                    "call": call.headers.call,
+                    "target": target.instance,
+                    "fingerprint": fingerprint,
+                },
+            )
+        else:
+            await trio.aclose_forcefully(stream)
+
     async def _run(
         self,
         connection: ServerConnection,
@@ -257,6 +290,8 @@
             return AttemptResult.NOT_RUN
         except TargetBroke as error:
             self._note_failure(call, target, error, dead=False)
+            if error.unanswered:
+                self._nursery.start_soon(self._note_death, call, target)
             return AttemptResult.LOST
         except BaseException:
             # The client left or the time ended; neither tells whether it works.
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/clients.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/clients.py
@@ -12,6 +12,7 @@
 from goldcrestvane_daemon.http1 import (
     ConnectionLost,
     ProtocolViolation,
+    RequestHead,
     ServerConnection,
 )
 from goldcrestvane_daemon.ledger.frames import enable_keepalive
@@ -28,21 +29,20 @@
     """Serves the connections of clients.
 
     Attributes:
-        open_count: Open connections.
+        busy_count: Connections on which a request has begun and is not answered.
     """
 
     def __init__(self, *, calls: CallService, directory: Directory, stop: Stop) -> None:
         self._calls = calls
         self._directory = directory
         self._stop = stop
-        self.open_count = 0
+        self.busy_count = 0
 
     async def serve(self, stream: trio.SocketStream) -> None:
         """Serves one connection until either side closes it."""
         limits = self._get_limits()
         connection = ServerConnection(stream, head_bytes=limits.header_bytes)
         enable_keepalive(stream)
-        self.open_count += 1
         CONNECTIONS.inc()
         try:
             while await self._serve_request(connection):
@@ -52,7 +52,6 @@
         except ConnectionLost as error:
             logger.debug("a client's connection ended", extra={"reason": str(error)})
         finally:
-            self.open_count -= 1
             CONNECTIONS.dec()
             await connection.close()
 
@@ -62,12 +61,17 @@
 
     async def _serve_request(self, connection: ServerConnection) -> bool:
         """Serves the next request; returns whether another one may follow."""
-        limits = self._get_limits()
-        head = None
-        with trio.move_on_after(limits.idle_seconds):
-            head = await self._wait_request(connection)
+        head = await self._wait_request(connection)
         if head is None:
             return False
+        self.busy_count += 1
+        try:
+            return await self._answer(connection, head)
+        finally:
+            self.busy_count -= 1
+
+    async def _answer(self, connection: ServerConnection, head: RequestHead) -> bool:
+        limits = self._get_limits()
         body = None
         with trio.move_on_after(BODY_SECONDS):
             body = await connection.read_body(limits.body_bytes)
@@ -96,17 +100,12 @@
             raise lost
         return not gone and connection.may_continue
 
-    async def _wait_request(self, connection: ServerConnection):  # noqa: ANN202
+    async def _wait_request(self, connection: ServerConnection) -> RequestHead | None:
         """Returns the next request; None when the client or this process ends."""
         head = None
+        failure: ProtocolViolation | ConnectionLost | None = None
         async with trio.open_nursery() as nursery:
-
-            async def watch_stop() -> None:
-                await self._stop.closing.wait()
-                nursery.cancel_scope.cancel()
-
-            nursery.start_soon(watch_stop)
-            failure: ProtocolViolation | ConnectionLost | None = None
+            nursery.start_soon(self._end_idle, nursery.cancel_scope)
             try:
                 head = await connection.read_head()
             except (ProtocolViolation, ConnectionLost) as error:
@@ -116,6 +115,15 @@
             raise failure
         return head
 
+    async def _end_idle(self, scope: trio.CancelScope) -> None:
+        """Ends the wait at the idle limit, which may change meanwhile, or at a stop."""
+        began = trio.current_time()
+        while trio.current_time() < began + self._get_limits().idle_seconds:
+            with trio.move_on_at(began + self._get_limits().idle_seconds):
+                await self._stop.closing.wait()
+                break
+        scope.cancel()
+
     async def _respond_violation(
         self, connection: ServerConnection, violation: ProtocolViolation
     ) -> None:
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/directory.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/directory.py
@@ -9,7 +9,8 @@
 from goldcrestvane_common.ids import InstanceId, Version
 from goldcrestvane_common.logs import get_logger
 from goldcrestvane_common.objects import ObjectError, RevisionTooOld
-from goldcrestvane_daemon.ledger.client import LedgerClient
+from goldcrestvane_daemon.frontend.ledger_client import LedgerClient
+from goldcrestvane_daemon.frontend.peers import FrontendPeers
 from goldcrestvane_daemon.ledger.membership import VIEW_NAME
 from goldcrestvane_daemon.ledger.view import View
 from goldcrestvane_daemon.platform.records import (
@@ -32,12 +33,23 @@
 RETRY_SECONDS = 0.25
 MAX_RETRY_SECONDS = 1.0
 
+FOLLOWED = (Kind.CONFIGURATION, Kind.TARGETS, Kind.LEDGER)
+
 RETURN_SECONDS = 2.0
 """After an outage, entries of live targets are back within this time."""
 
 logger = get_logger("directory")
 
 
+@final
+class _Copy:
+    """The objects of one kind, complete up to a revision of the store."""
+
+    def __init__(self) -> None:
+        self.objects: dict[str, StoreObject] = {}
+        self.revision = Version(0)
+
+
 @final
 class Directory:
     """What this process believes of the platform's objects.
@@ -52,6 +64,7 @@
         store: StoreClient,
         targets: TargetTable,
         ledger: LedgerClient,
+        frontends: FrontendPeers,
         changed: Callable[[Target | None], None],
     ) -> None:
         """Creates a directory; `run` fills it.
@@ -60,19 +73,22 @@
             store: Client of the platform's store.
             targets: Table to keep up to date.
             ledger: Told of new members.
+            frontends: Asked while the store does not answer.
             changed: Called after each change of the targets, with one that is gone.
         """
         self._store = store
         self._targets = targets
         self._ledger = ledger
         self._changed = changed
+        self._frontends = frontends
+        self._copies = {kind: _Copy() for kind in FOLLOWED}
         self._missing: dict[InstanceId, float] = {}
         self.routes: RouteTable | None = None
 
     async def run(self) -> None:
         """Follows the store until cancelled."""
         async with trio.open_nursery() as nursery:
-            for kind in (Kind.CONFIGURATION, Kind.TARGETS, Kind.LEDGER):
+            for kind in FOLLOWED:
                 nursery.start_soon(self._follow, kind)
             nursery.start_soon(self._drop_missing)
 
@@ -84,16 +100,14 @@
                 changes = await self._store.list(kind)
                 if not reachable:
                     logger.info("the store answers again", extra={"kind": kind.value})
-                if kind is Kind.TARGETS:
-                    self._note_missing(changes, after_outage=not reachable)
+                self._take_list(kind, changes, after_outage=not reachable)
                 reachable = True
                 pause = RETRY_SECONDS
                 while True:
-                    for item in changes.objects:
-                        self._take(kind, item)
                     changes = await self._store.watch(
-                        kind, changes.revision, WATCH_SECONDS
+                        kind, self._copies[kind].revision, WATCH_SECONDS
                     )
+                    self._take_changes(kind, changes)
             except RevisionTooOld as error:
                 logger.info("listing anew", extra={"reason": str(error)})
             except ObjectError as error:
@@ -103,9 +117,47 @@
                         extra={"kind": kind.value, "reason": str(error)},
                     )
                 reachable = False
+                await self._ask_frontends(kind)
                 await trio.sleep(pause)
                 pause = min(2 * pause, MAX_RETRY_SECONDS)
 
+    async def _ask_frontends(self, kind: Kind) -> None:
+        """Takes over a newer copy from a frontend that the store does answer."""
+        copy = await self._frontends.ask_objects(kind, self._copies[kind].revision)
+        if copy is not None and copy.revision > self._copies[kind].revision:
+            logger.info(
+                "took over a frontend's copy",
+                extra={"kind": kind.value, "revision": copy.revision},
+            )
+            self._take_list(kind, copy, after_outage=True)
+
+    def copy_objects(self, kind: Kind, since: Version) -> StoreChanges | None:
+        """Returns all objects of a kind, or None when no newer ones are known."""
+        copy = self._copies[kind]
+        if copy.revision <= since:
+            return None
+        return StoreChanges(list(copy.objects.values()), copy.revision)
+
+    def _take_list(
+        self, kind: Kind, changes: StoreChanges, *, after_outage: bool
+    ) -> None:
+        copy = self._copies[kind]
+        copy.objects = {item.name: item for item in changes.objects}
+        copy.revision = max(copy.revision, changes.revision)
+        if kind is Kind.TARGETS:
+            self._note_missing(changes, after_outage=after_outage)
+        for item in changes.objects:
+            self._take(kind, item)
+
+    def _take_changes(self, kind: Kind, changes: StoreChanges) -> None:
+        copy = self._copies[kind]
+        for item in changes.objects:
+            copy.objects.pop(item.name, None)
+            if not item.deleted:
+                copy.objects[item.name] = item
+            self._take(kind, item)
+        copy.revision = max(copy.revision, changes.revision)
+
     def _take(self, kind: Kind, item: StoreObject) -> None:
         if kind is Kind.TARGETS:
             self._take_target(item)
--- a/packages/daemon/src/goldcrestvane_daemon/ledger/client.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/ledger_client.py
@@ -8,11 +8,15 @@
 
 from goldcrestvane_common.ids import CallId, ProgramId
 from goldcrestvane_common.logs import get_logger
+from goldcrestvane_daemon.frontend.peers import FrontendPeers
 from goldcrestvane_daemon.ledger.frames import Peer, PeerUnreachable
 from goldcrestvane_daemon.ledger.messages import (
     Account,
+    Announce,
     Chain,
     Entry,
+    Frontend,
+    Frontends,
     ReadChain,
     Response,
     Spend,
@@ -23,9 +27,14 @@
 )
 from goldcrestvane_daemon.ledger.view import Member, View
 
-WRITE_SECONDS = 1.0
-"""A write takes a round trip between domains and a sync; a hung disk takes seconds."""
+WRITE_SECONDS = 0.5
+"""A write takes a round trip between domains and a sync, 20 ms in all; a request that
+is lost on the way is sent again within a second, a hung disk takes longer."""
 
+ANNOUNCE_SECONDS = 3.0
+"""A new frontend is known to the others within this time."""
+
+RECONNECT_SECONDS = 0.5
 MAX_VIEW_CHANGES = 3
 CACHED_TURN_BYTES = 8 * 1024 * 1024
 """Turns kept by a frontend to spare the way to the ledger; the rest is read again."""
@@ -61,8 +70,11 @@
         view: The newest view that is known; None before the first.
     """
 
-    def __init__(self, domain: str, nursery: trio.Nursery) -> None:
-        self._domain = domain
+    def __init__(
+        self, own: Frontend, frontends: FrontendPeers, nursery: trio.Nursery
+    ) -> None:
+        self._own = own
+        self._frontends = frontends
         self._nursery = nursery
         self._peers: dict[str, Peer] = {}
         self._cache = TurnCache(CACHED_TURN_BYTES)
@@ -187,7 +199,7 @@
             peer = self._peers.get(member.address)
             return (
                 peer is None or not peer.is_connected,
-                member.domain != self._domain,
+                member.domain != self._own.domain,
             )
 
         return min(group, key=rank)
@@ -210,9 +222,8 @@
 
         async def ask_member(member: Member) -> None:
             nonlocal open_count, changed
-            peer = self._peers[member.address]
             try:
-                answers.append(await peer.call(build(member), timeout=WRITE_SECONDS))
+                answers.append(await self._call(member.address, build(member)))
             except PeerUnreachable as error:
                 logger.debug("a member does not answer", extra={"reason": str(error)})
             open_count -= 1
@@ -228,6 +239,42 @@
                 break
         return list(answers)
 
+    async def _call(self, address: str, request: Any) -> Any:
+        """Asks a member, through another frontend if this one does not reach it."""
+        peer = self._peers[address]
+        if peer.is_connected:
+            try:
+                return await peer.call(request, timeout=WRITE_SECONDS)
+            except PeerUnreachable:
+                if peer.is_connected:
+                    raise
+        return await self._frontends.relay(address, request, WRITE_SECONDS)
+
+    async def call_member(self, address: str, request: Any, timeout: float) -> Any:
+        """Asks a member for another frontend.
+
+        Raises:
+            PeerUnreachable: The member is not known here, or does not answer.
+        """
+        peer = self._peers.get(address)
+        if peer is None:
+            raise PeerUnreachable(f"{address} is no member that is known here.")
+        return await peer.call(request, timeout=timeout)
+
+    async def run(self) -> None:
+        """Announces this frontend to the members until cancelled."""
+        while True:
+            connected = [peer for peer in self._peers.values() if peer.is_connected]
+            for peer in connected:
+                try:
+                    answer = await peer.call(Announce(self._own), timeout=WRITE_SECONDS)
+                except PeerUnreachable as error:
+                    logger.info("not announced", extra={"reason": str(error)})
+                    continue
+                if isinstance(answer, Frontends):
+                    self._frontends.note_frontends(answer.frontends, self._own.domain)
+            await trio.sleep(ANNOUNCE_SECONDS if connected else RECONNECT_SECONDS)
+
     async def _complete_chain(self, call: CallId | None) -> list[Turn]:
         """Returns a chain, newest first, reading what is not cached.
 
--- /dev/null
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/peer_messages.py
@@ -0,0 +1,57 @@
+"""Messages between frontends."""
+
+import msgspec
+
+from goldcrestvane_common.ids import Fingerprint, Version
+from goldcrestvane_daemon.ledger.messages import Request as LedgerRequest
+from goldcrestvane_daemon.ledger.messages import Response as LedgerResponse
+from goldcrestvane_daemon.platform.store import StoreChanges
+
+
+class Relay(msgspec.Struct, frozen=True, tag="relay", array_like=True):
+    """Asks a frontend to pass a request on to a member of the ledger."""
+
+    address: str
+    request: LedgerRequest
+    timeout_seconds: float
+
+
+class AskObjects(msgspec.Struct, frozen=True, tag="objects", array_like=True):
+    """Asks for a frontend's copy of the platform's objects of one kind.
+
+    Attributes:
+        kind: Name of the kind.
+        since: Revision that the asker has; an older copy is of no use to it.
+    """
+
+    kind: str
+    since: Version
+
+
+class ReportDeaths(msgspec.Struct, frozen=True, tag="deaths", array_like=True):
+    """Tells of targets that died while they ran a request."""
+
+    fingerprint: Fingerprint
+    targets: list[str]
+
+
+FrontendRequest = Relay | AskObjects | ReportDeaths
+
+
+class Relayed(msgspec.Struct, frozen=True, tag="relayed", array_like=True):
+    """The member's response; None when the relay does not reach it either."""
+
+    response: LedgerResponse | None
+
+
+class Objects(msgspec.Struct, frozen=True, tag="copy", array_like=True):
+    """All objects of a kind; None when the copy is not newer than the asker's."""
+
+    changes: StoreChanges | None
+
+
+class Noted(msgspec.Struct, frozen=True, tag="noted", array_like=True):
+    """The report was taken in."""
+
+
+FrontendResponse = Relayed | Objects | Noted
--- /dev/null
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/peers.py
@@ -0,0 +1,165 @@
+"""Connections to a few other frontends, for what this one cannot reach itself.
+
+A frontend that is cut off from members of the ledger sends its requests through
+another one. One that the platform's store turns away takes over a copy of the
+platform's objects. Frontends learn of each other from the ledger's members.
+"""
+
+from collections.abc import Awaitable, Callable
+from functools import singledispatchmethod
+from typing import Any, final
+
+import trio
+
+from goldcrestvane_common.ids import Fingerprint, Version
+from goldcrestvane_common.logs import get_logger
+from goldcrestvane_daemon.frontend.peer_messages import (
+    AskObjects,
+    FrontendRequest,
+    FrontendResponse,
+    Noted,
+    Objects,
+    Relay,
+    Relayed,
+    ReportDeaths,
+)
+from goldcrestvane_daemon.frontend.suspects import Suspects
+from goldcrestvane_daemon.ledger.frames import Peer, PeerUnreachable, serve_frames
+from goldcrestvane_daemon.ledger.messages import Frontend
+from goldcrestvane_daemon.platform.store import Kind, StoreChanges
+
+MAX_PEERS = 3
+"""Frontends that are kept connected; news reaches the others through them."""
+
+ASK_SECONDS = 1.0
+RELAY_MARGIN_SECONDS = 0.2
+
+logger = get_logger("peers")
+
+CallMember = Callable[[str, Any, float], Awaitable[Any]]
+CopyObjects = Callable[[Kind, Version], StoreChanges | None]
+
+
+@final
+class FrontendPeers:
+    """The other frontends that this one is connected to."""
+
+    def __init__(
+        self, own_address: str, suspects: Suspects, nursery: trio.Nursery
+    ) -> None:
+        self._own_address = own_address
+        self._suspects = suspects
+        self._nursery = nursery
+        self._peers: dict[str, tuple[Peer, trio.CancelScope]] = {}
+        self._call_member: CallMember | None = None
+        self._copy_objects: CopyObjects | None = None
+
+    def serve_with(self, call_member: CallMember, copy_objects: CopyObjects) -> None:
+        """Sets what this frontend does for the others.
+
+        Args:
+            call_member: Sends a request to a member of the ledger by its address.
+            copy_objects: Returns the objects of a kind, if newer than a revision.
+        """
+        self._call_member = call_member
+        self._copy_objects = copy_objects
+
+    def note_frontends(self, frontends: list[Frontend], domain: str) -> None:
+        """Connects to some of the frontends, those of other domains first."""
+        others = [each for each in frontends if each.address != self._own_address]
+        others.sort(key=lambda each: (each.domain == domain, each.address))
+        wanted = {each.address for each in others[:MAX_PEERS]}
+        for address in set(self._peers) - wanted:
+            _, scope = self._peers.pop(address)
+            scope.cancel()
+        for address in wanted - set(self._peers):
+            peer = Peer(address, FrontendResponse)
+            scope = trio.CancelScope()
+            self._peers[address] = (peer, scope)
+            self._nursery.start_soon(self._run_peer, peer, scope)
+
+    async def _run_peer(self, peer: Peer, scope: trio.CancelScope) -> None:
+        with scope:
+            await peer.run()
+
+    def _list_connected(self) -> list[Peer]:
+        return [peer for peer, _ in self._peers.values() if peer.is_connected]
+
+    async def relay(self, address: str, request: Any, timeout: float) -> Any:
+        """Sends a request to a member of the ledger through another frontend.
+
+        Raises:
+            PeerUnreachable: No frontend passed on a response.
+        """
+        message = Relay(address, request, timeout)
+        for peer in self._list_connected():
+            answer = await peer.call(message, timeout=timeout + RELAY_MARGIN_SECONDS)
+            if isinstance(answer, Relayed) and answer.response is not None:
+                return answer.response
+        raise PeerUnreachable(f"No frontend reaches {address} either.")
+
+    async def ask_objects(self, kind: Kind, since: Version) -> StoreChanges | None:
+        """Returns the newest copy that another frontend has, or None."""
+        newest: StoreChanges | None = None
+        for peer in self._list_connected():
+            try:
+                answer = await peer.call(
+                    AskObjects(kind.value, since), timeout=ASK_SECONDS
+                )
+            except PeerUnreachable as error:
+                logger.info("a frontend does not answer", extra={"reason": str(error)})
+                continue
+            if isinstance(answer, Objects) and answer.changes is not None:
+                newest = answer.changes
+                since = newest.revision
+        return newest
+
+    def report_deaths(self, fingerprint: Fingerprint, targets: list[str]) -> None:
+        """Tells the other frontends of targets that died with a request."""
+        for peer in self._list_connected():
+            report = ReportDeaths(fingerprint, targets)
+            self._nursery.start_soon(self._send_report, peer, report)
+
+    async def _send_report(self, peer: Peer, report: ReportDeaths) -> None:
+        try:
+            await peer.call(report, timeout=ASK_SECONDS)
+        except PeerUnreachable as error:
+            logger.warning(
+                "a frontend did not hear of a death",
+                extra={"peer": peer.address, "reason": str(error)},
+            )
+
+    async def serve(self, stream: trio.SocketStream) -> None:
+        """Serves one connection of another frontend."""
+        await serve_frames(stream, FrontendRequest, self.handle)
+
+    @singledispatchmethod
+    async def handle(self, request: object) -> FrontendResponse:
+        """Answers one request of another frontend."""
+        raise TypeError(f"got {type(request).__name__}, expected a frontend's request")
+
+    @handle.register
+    async def _(self, request: Relay) -> FrontendResponse:
+        if self._call_member is None:
+            return Relayed(None)
+        try:
+            return Relayed(
+                await self._call_member(
+                    request.address, request.request, request.timeout_seconds
+                )
+            )
+        except PeerUnreachable:
+            return Relayed(None)
+
+    @handle.register
+    async def _(self, request: AskObjects) -> FrontendResponse:
+        if self._copy_objects is None:
+            return Objects(None)
+        return Objects(self._copy_objects(Kind(request.kind), request.since))
+
+    @handle.register
+    async def _(self, request: ReportDeaths) -> FrontendResponse:
+        if self._suspects.note(request.fingerprint, request.targets):
+            # Each frontend passes news on once, so that all of them hear it.
+            self.report_deaths(request.fingerprint, request.targets)
+        return Noted()
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/process.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/process.py
@@ -11,13 +11,16 @@
 from goldcrestvane_daemon.frontend.calls import CallService
 from goldcrestvane_daemon.frontend.clients import ClientServer
 from goldcrestvane_daemon.frontend.directory import Directory
+from goldcrestvane_daemon.frontend.ledger_client import LedgerClient
+from goldcrestvane_daemon.frontend.peers import FrontendPeers
 from goldcrestvane_daemon.frontend.stop import Stop
+from goldcrestvane_daemon.frontend.suspects import Suspects
 from goldcrestvane_daemon.http1 import (
     ConnectionLost,
     ProtocolViolation,
     ServerConnection,
 )
-from goldcrestvane_daemon.ledger.client import LedgerClient
+from goldcrestvane_daemon.ledger.messages import Frontend
 from goldcrestvane_daemon.metrics import serve_metrics
 from goldcrestvane_daemon.platform.machine import MachineSettings
 from goldcrestvane_daemon.platform.store import StoreClient
@@ -49,17 +52,23 @@
         stop = Stop(settings.grace_seconds)
         targets = TargetTable()
         async with Transport() as transport, trio.open_nursery() as nursery:
-            ledger = LedgerClient(settings.domain, nursery)
+            own = Frontend(settings.peer_address, settings.domain)
+            suspects = Suspects()
+            frontends = FrontendPeers(own.address, suspects, nursery)
+            ledger = LedgerClient(own, frontends, nursery)
             calls = CallService(
                 targets=targets,
                 ledger=ledger,
                 domain=settings.domain,
+                suspects=suspects,
+                frontends=frontends,
                 nursery=nursery,
             )
             directory = Directory(
                 store=StoreClient(transport, settings.store_address),
                 targets=targets,
                 ledger=ledger,
+                frontends=frontends,
                 changed=calls.note_targets_changed,
             )
             clients = ClientServer(calls=calls, directory=directory, stop=stop)
@@ -71,13 +80,16 @@
             async def serve_ready(stream: trio.SocketStream) -> None:
                 await _serve_readiness(stream, is_ready)
 
+            frontends.serve_with(ledger.call_member, directory.copy_objects)
             nursery.start_soon(directory.run)
+            nursery.start_soon(ledger.run)
             nursery.start_soon(serve_metrics, settings.host)
             nursery.start_soon(_log_hangups)
             await _listen(nursery, settings.ready_address, serve_ready)
+            await _listen(nursery, own.address, frontends.serve)
             await _listen(nursery, settings.client_address, clients.serve)
             logger.info("started", extra={"clients": settings.client_address})
-            await stop.wait(lambda: calls.running)
+            await stop.wait(lambda: clients.busy_count)
             nursery.cancel_scope.cancel()
 
 
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/refusals.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/refusals.py
@@ -80,8 +80,6 @@
 class CrashedTargets(Refusal):
     """Targets die with this call; it is not run again."""
 
-    status = 400
-
 
 class OutcomeUnknown(Refusal):
     """The target broke off; the call may have run and is not run again."""
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/turns.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/turns.py
@@ -5,14 +5,14 @@
 import trio
 
 from goldcrestvane_common.logs import get_logger
-from goldcrestvane_daemon.frontend.plan import PlannedCall, build_prompt
-from goldcrestvane_daemon.frontend.refusals import BudgetSpent, LedgerDown, UnknownTurn
-from goldcrestvane_daemon.ledger.client import (
+from goldcrestvane_daemon.frontend.ledger_client import (
     LedgerClient,
     LedgerUnavailable,
     TurnUnknown,
     count_committed,
 )
+from goldcrestvane_daemon.frontend.plan import PlannedCall, build_prompt
+from goldcrestvane_daemon.frontend.refusals import BudgetSpent, LedgerDown, UnknownTurn
 from goldcrestvane_daemon.ledger.messages import Account, Spend, Turn
 
 LEDGER_RETRY_SECONDS = 0.3
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/upstream.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/upstream.py
@@ -39,14 +39,24 @@
 
 
 class TargetBroke(Exception):
-    """The target broke off or sent bytes that are no answer; the call may have run."""
+    """The target broke off or sent bytes that are no answer; the call may have run.
+
+    Attributes:
+        unanswered: Whether the connection ended before any answer.
+    """
+
+    def __init__(self, message: str, *, unanswered: bool = False) -> None:
+        super().__init__(message)
+        self.unanswered = unanswered
 
 
 @contextmanager
-def _translate_errors() -> Iterator[None]:
+def _translate_errors(*, unanswered: bool = False) -> Iterator[None]:
     try:
         yield
-    except (ConnectionLost, ProtocolViolation) as error:
+    except ConnectionLost as error:
+        raise TargetBroke(str(error), unanswered=unanswered) from error
+    except ProtocolViolation as error:
         raise TargetBroke(str(error)) from error
 
 
@@ -86,6 +96,10 @@
             if connection.is_usable(trio.current_time()):
                 return connection.stream
             await trio.aclose_forcefully(connection.stream)
+        return await self.connect(target)
+
+    async def connect(self, target: Target) -> trio.SocketStream:
+        """Returns a new connection; errors as for `open`."""
         self.opened_count += 1
         try:
             with trio.fail_after(CONNECT_SECONDS):
@@ -192,7 +206,7 @@
     async def _read_head(self, call: str | None) -> AnswerHead:
         assert self._exchange is not None
         for _ in range(MAX_SKIPPED_ANSWERS):
-            with _translate_errors():
+            with _translate_errors(unanswered=True):
                 response = await self._exchange.read_head()
             head = decode_answer_head(response.status_code, list(response.headers))
             if head.call is None or call is None or head.call == call:
--- a/packages/daemon/src/goldcrestvane_daemon/ledger/frames.py
+++ b/packages/daemon/src/goldcrestvane_daemon/ledger/frames.py
@@ -96,6 +96,7 @@
         self._waiting: dict[int, _Pending] = {}
         self._stream: trio.SocketStream | None = None
         self._write_lock = trio.Lock()
+        self._heard_at = 0.0
         self.connected = trio.Event()
 
     @property
@@ -110,7 +111,12 @@
             try:
                 await self._run_connection()
                 backoff = MIN_BACKOFF_SECONDS
-            except (OSError, trio.TooSlowError, trio.BrokenResourceError):
+            except (
+                OSError,
+                trio.TooSlowError,
+                trio.BrokenResourceError,
+                trio.ClosedResourceError,
+            ):
                 backoff = min(2 * backoff, MAX_BACKOFF_SECONDS)
             await trio.sleep(backoff)
 
@@ -125,6 +131,7 @@
             self.connected.set()
             reader = FrameReader(stream)
             while (frame := await reader.read()) is not None:
+                self._heard_at = trio.current_time()
                 number, response = self._decoder.decode(frame)
                 pending = self._waiting.get(number)
                 if pending is not None:
@@ -153,6 +160,7 @@
         stream = self._stream
         if stream is None:
             raise PeerUnreachable(f"No connection to {self.address}.")
+        started = trio.current_time()
         number = next(self._numbers)
         pending = self._waiting[number] = _Pending()
         try:
@@ -164,6 +172,10 @@
         finally:
             del self._waiting[number]
         if pending.response is None:
+            if self._heard_at < started and self._stream is stream:
+                # A silent connection is given up before keep-alive notices it.
+                await trio.aclose_forcefully(stream)
+                self._stream = None
             raise PeerUnreachable(f"{self.address} did not answer within {timeout} s.")
         return pending.response
 
--- a/packages/daemon/src/goldcrestvane_daemon/ledger/messages.py
+++ b/packages/daemon/src/goldcrestvane_daemon/ledger/messages.py
@@ -2,7 +2,13 @@
 
 import msgspec
 
-from goldcrestvane_common.ids import CallId, Epoch, Fingerprint, InstanceId, ProgramId
+from goldcrestvane_common.ids import (
+    CallId,
+    DomainId,
+    Epoch,
+    InstanceId,
+    ProgramId,
+)
 from goldcrestvane_daemon.ledger.view import View
 
 
@@ -40,19 +46,11 @@
     retention_seconds: float
 
 
-class Deaths(msgspec.Struct, frozen=True, array_like=True):
-    """Targets that died while they ran a request, each start counted once."""
-
-    fingerprint: Fingerprint
-    targets: list[str]
-
-
 class Entry(msgspec.Struct, frozen=True, array_like=True):
     """One durable entry; each part may be missing."""
 
     account: Account | None = None
     turn: Turn | None = None
-    deaths: Deaths | None = None
 
 
 class Write(msgspec.Struct, frozen=True, tag="write", array_like=True):
@@ -89,11 +87,24 @@
     entries: list[Entry]
 
 
+class Frontend(msgspec.Struct, frozen=True, array_like=True):
+    """A frontend that other frontends can reach."""
+
+    address: str
+    domain: DomainId
+
+
+class Announce(msgspec.Struct, frozen=True, tag="announce", array_like=True):
+    """A frontend tells where it is, and asks for others."""
+
+    frontend: Frontend
+
+
 class AskState(msgspec.Struct, frozen=True, tag="state", array_like=True):
     """Asks a member for its state."""
 
 
-Request = Write | ReadChain | Pull | Merge | AskState
+Request = Write | ReadChain | Pull | Merge | AskState | Announce
 
 
 class Written(msgspec.Struct, frozen=True, tag="written", array_like=True):
@@ -102,13 +113,11 @@
     Attributes:
         votes: Whether the member counts towards quorums.
         account: The program's tokens, those of the entry included.
-        deaths: Targets that died with the entry's request.
         chain: Turns of the chain that was asked for, newest first.
     """
 
     votes: bool
     account: Account | None = None
-    deaths: Deaths | None = None
     chain: list[Turn] = []
 
 
@@ -143,6 +152,12 @@
     """The entries of a `Merge` are on disk."""
 
 
+class Frontends(msgspec.Struct, frozen=True, tag="frontends", array_like=True):
+    """Frontends that announced themselves lately."""
+
+    frontends: list[Frontend]
+
+
 class MemberState(msgspec.Struct, frozen=True, tag="member", array_like=True):
     """State of a member.
 
@@ -165,4 +180,4 @@
     reason: str
 
 
-Response = Written | Stale | Chain | Page | Merged | MemberState | Failed
+Response = Written | Stale | Chain | Page | Merged | MemberState | Frontends | Failed
--- a/packages/daemon/src/goldcrestvane_daemon/ledger/service.py
+++ b/packages/daemon/src/goldcrestvane_daemon/ledger/service.py
@@ -9,10 +9,13 @@
 from goldcrestvane_common.logs import get_logger
 from goldcrestvane_daemon.ledger.log import DiskFailed, EntryLog
 from goldcrestvane_daemon.ledger.messages import (
+    Announce,
     AskState,
     Chain,
     Entry,
     Failed,
+    Frontend,
+    Frontends,
     MemberState,
     Merge,
     Merged,
@@ -29,6 +32,12 @@
 
 PAGE_ENTRIES = 200
 EXPIRY_SECONDS = 5.0
+FRONTEND_SECONDS = 8.0
+"""Time after its last announcement at which a frontend is taken as gone."""
+
+MAX_FRONTENDS = 16
+"""Frontends that one answer names; each asker keeps connections to a few."""
+
 
 logger = get_logger("ledger")
 
@@ -47,6 +56,7 @@
         self._instance = instance
         self._log = log
         self._state = state
+        self._frontends: dict[Frontend, float] = {}
         self._pages: dict[int, list[Entry]] = {}
         self.view: View | None = None
         self.votes = False
@@ -103,11 +113,9 @@
             # A new member may have copied this one's entries meanwhile.
             return Stale(self.view)
         account = entry.account
-        deaths = entry.deaths
         return Written(
             votes=self.votes,
             account=self._state.get_account(account.program) if account else None,
-            deaths=self._state.get_deaths(deaths.fingerprint) if deaths else None,
             chain=self._state.list_chain(request.chain_of),
         )
 
@@ -136,6 +144,16 @@
             return Failed("the disk refused the write")
         return Merged()
 
+    @handle.register
+    async def _(self, request: Announce) -> Response:
+        now = trio.current_time()
+        self._frontends.pop(request.frontend, None)
+        self._frontends[request.frontend] = now
+        for frontend, seen in list(self._frontends.items()):
+            if seen < now - FRONTEND_SECONDS:
+                del self._frontends[frontend]
+        return Frontends(list(self._frontends)[-MAX_FRONTENDS:])
+
     @handle.register
     async def _(self, request: AskState) -> Response:
         epoch = self.view.epoch if self.view else Epoch(0)
--- a/packages/daemon/src/goldcrestvane_daemon/ledger/state.py
+++ b/packages/daemon/src/goldcrestvane_daemon/ledger/state.py
@@ -1,4 +1,4 @@
-"""What a member of the ledger holds in memory: turns, accounts and deaths.
+"""What a member of the ledger holds in memory: turns and accounts.
 
 Entries may arrive in any order and more than once; each merge has the same result.
 """
@@ -8,10 +8,9 @@
 
 import trio
 
-from goldcrestvane_common.ids import CallId, Fingerprint, ProgramId
+from goldcrestvane_common.ids import CallId, ProgramId
 from goldcrestvane_daemon.ledger.messages import (
     Account,
-    Deaths,
     Entry,
     Spend,
     Turn,
@@ -20,9 +19,6 @@
 MAX_CHAIN_TURNS = 1000
 """Longest chain that is followed; the longest programs have half as many turns."""
 
-DEATHS_RETENTION_SECONDS = 600.0
-"""How long a request that crashed a target is remembered."""
-
 EXPIRY_MARGIN_SECONDS = 10.0
 """Kept beyond the retention, for turns that arrive at its very end."""
 
@@ -34,7 +30,6 @@
     def __init__(self) -> None:
         self._spends: dict[ProgramId, dict[CallId, Spend]] = {}
         self._turns: dict[CallId, Turn] = {}
-        self._deaths: dict[Fingerprint, set[str]] = {}
         self._expiry: dict[tuple[str, str], tuple[float, float]] = {}
         self.bytes_held = 0
 
@@ -44,10 +39,6 @@
             self._apply_account(entry.account)
         if entry.turn is not None:
             self._apply_turn(entry.turn)
-        if entry.deaths is not None:
-            known = self._deaths.setdefault(entry.deaths.fingerprint, set())
-            known.update(entry.deaths.targets)
-            self._touch("deaths", entry.deaths.fingerprint, DEATHS_RETENTION_SECONDS)
 
     def _apply_account(self, account: Account) -> None:
         spends = self._spends.setdefault(account.program, {})
@@ -80,10 +71,6 @@
         _, retention = self._expiry["account", program]
         return Account(program, list(spends.values()), retention)
 
-    def get_deaths(self, fingerprint: Fingerprint) -> Deaths:
-        """Returns the targets that died with a request."""
-        return Deaths(fingerprint, sorted(self._deaths.get(fingerprint, ())))
-
     def list_chain(self, call: CallId | None) -> list[Turn]:
         """Returns a turn and those before it, newest first, as far as known."""
         chain: list[Turn] = []
@@ -101,8 +88,6 @@
             yield Entry(account=self.get_account(program))
         for turn in list(self._turns.values()):
             yield Entry(turn=turn)
-        for fingerprint in list(self._deaths):
-            yield Entry(deaths=self.get_deaths(fingerprint))
 
     def drop_expired(self) -> int:
         """Drops what is past its retention, and returns how much."""
@@ -113,8 +98,6 @@
             if kind == "turn":
                 turn = self._turns.pop(CallId(key))
                 self.bytes_held -= len(turn.input) + len(turn.output)
-            elif kind == "account":
-                del self._spends[ProgramId(key)]
             else:
-                del self._deaths[Fingerprint(key)]
+                del self._spends[ProgramId(key)]
         return len(expired)
