Prove the ledger's members by tests on loopback with a stand-in of the store

Change: a stand-in of the platform's store; 13 tests that run real members and a frontend's client over loopback.

--- /dev/null
+++ b/packages/daemon/tests/ledger/support.py
@@ -0,0 +1,152 @@
+"""A ledger of members in one process, over loopback, with the platform's stand-in."""
+
+import shutil
+import tempfile
+from pathlib import Path
+
+import trio
+
+from goldcrestvane_common.server import Application, serve_http
+from goldcrestvane_common.transport import Transport
+from goldcrestvane_daemon.frontend.ledger_client import LedgerClient
+from goldcrestvane_daemon.frontend.peers import FrontendPeers
+from goldcrestvane_daemon.frontend.suspects import Suspects
+from goldcrestvane_daemon.ledger.frames import serve_frames
+from goldcrestvane_daemon.ledger.log import EntryLog
+from goldcrestvane_daemon.ledger.membership import LedgerMembership, is_complete
+from goldcrestvane_daemon.ledger.messages import Account, Frontend, Request, Spend, Turn
+from goldcrestvane_daemon.ledger.service import LedgerService
+from goldcrestvane_daemon.ledger.state import LedgerState
+from goldcrestvane_daemon.ledger.view import Member
+from goldcrestvane_daemon.platform.store import Kind, StoreClient
+from goldcrestvane_standins.platformstore import PlatformStore
+
+HOST = "127.0.0.1"
+
+
+class RunningMember:
+    """One member's parts; `stop` is a kill, `wipe` empties its disk."""
+
+    def __init__(self, ledger, name, port=0):
+        self.ledger = ledger
+        self.name = name
+        self.port = port
+        self.folder = ledger.folder / name
+        self.scope = None
+        self.service = None
+
+    async def start(self):
+        self.scope = trio.CancelScope()
+        await self.ledger.nursery.start(self._run)
+
+    async def _run(self, *, task_status):
+        state = LedgerState()
+        log = EntryLog(self.folder)
+        for entry in log.open():
+            state.apply(entry)
+        self.service = service = LedgerService(self.name, log, state)
+        view = log.read_view()
+        if view is not None:
+            service.adopt(view)
+            service.votes = is_complete(view.find(self.name), log)
+        with self.scope:
+            async with trio.open_nursery() as nursery:
+                listeners = await trio.open_tcp_listeners(self.port, host=HOST)
+                self.port = listeners[0].socket.getsockname()[1]
+
+                async def serve(stream):
+                    await serve_frames(stream, Request, service.handle)
+
+                nursery.start_soon(trio.serve_listeners, serve, listeners)
+                nursery.start_soon(log.run, state.iterate_entries)
+                membership = LedgerMembership(
+                    own=Member(
+                        instance=self.name,
+                        address=f"{HOST}:{self.port}",
+                        domain=self.name,
+                        disk=log.disk,
+                    ),
+                    tolerated_losses=1,
+                    store=StoreClient(self.ledger.transport, self.ledger.store_address),
+                    service=service,
+                    state=state,
+                    log=log,
+                    nursery=nursery,
+                )
+                nursery.start_soon(membership.run)
+                task_status.started()
+
+    async def stop(self):
+        self.scope.cancel()
+        await trio.sleep(0.05)
+
+    async def wipe(self):
+        await self.stop()
+        shutil.rmtree(self.folder)
+
+
+class Ledger:
+    """Members, the platform's store and one frontend's client."""
+
+    def __init__(self, folder):
+        self.folder = Path(folder)
+        self.platform = PlatformStore()
+        self.members = {}
+
+    def add(self, name):
+        member = self.members[name] = RunningMember(self, name)
+        return member
+
+    async def wait(self, condition, seconds=15):
+        with trio.fail_after(seconds):
+            while not condition():
+                await trio.sleep(0.05)
+
+    async def wait_votes(self, *names):
+        await self.wait(lambda: all(self.members[name].service.votes for name in names))
+
+    async def refresh(self):
+        """Gives the client the view that the store holds."""
+        from goldcrestvane_daemon.frontend.directory import VIEW_NAME, View, msgspec
+
+        for item in (await self.store.list(Kind.LEDGER)).objects:
+            if item.name == VIEW_NAME:
+                self.client.adopt(msgspec.json.decode(item.value, type=View))
+        await self.wait(lambda: self.client.is_reachable)
+
+    def build_client(self):
+        frontends = FrontendPeers("none", Suspects(), self.nursery)
+        return LedgerClient(Frontend("none", "d"), frontends, self.nursery)
+
+    async def open_turn(self, program, call, tokens, previous=None):
+        account = Account(program, [Spend(call, tokens)], 60.0)
+        return await self.client.open_turn(account=account, previous=previous)
+
+    async def keep_turn(self, program, call, previous=None):
+        turn = Turn(call, previous, f"in-{call}\n".encode(), b"out\n", 60.0)
+        await self.client.settle(program, Spend(call, 10, True), turn, 60.0)
+
+
+def run_ledger(script, members=("a", "b", "c")):
+    """Runs a script on a ledger whose members vote."""
+
+    async def main():
+        with tempfile.TemporaryDirectory() as folder:
+            ledger = Ledger(folder)
+            async with Transport() as transport, trio.open_nursery() as nursery:
+                ledger.nursery = nursery
+                ledger.transport = transport
+                ledger.store_address = await nursery.start(
+                    serve_http, Application(ledger.platform.build_router()), f"{HOST}:0"
+                )
+                ledger.store = StoreClient(transport, ledger.store_address)
+                ledger.client = ledger.build_client()
+                for name in members:
+                    await ledger.add(name).start()
+                await ledger.wait_votes(*members)
+                await ledger.refresh()
+                with trio.fail_after(60):
+                    await script(ledger)
+                nursery.cancel_scope.cancel()
+
+    trio.run(main)
--- /dev/null
+++ b/packages/daemon/tests/ledger/test_members.py
@@ -0,0 +1,210 @@
+import unittest
+
+import trio
+
+from goldcrestvane_daemon.frontend.ledger_client import (
+    LedgerUnavailable,
+    TurnUnknown,
+    count_committed,
+)
+from goldcrestvane_daemon.platform.store import Kind
+from ledger.support import run_ledger
+
+
+class MembersTests(unittest.TestCase):
+    def test_each_turn_counts_in_the_program_whichever_member_is_down(self):
+        async def script(ledger):
+            await ledger.open_turn("p", "c1", 100)
+            for name in ("a", "b", "c"):
+                await ledger.members[name].stop()
+                opened = await ledger.open_turn("p", f"without-{name}", 100)
+                self.assertIn("c1", opened.spends)
+                await ledger.members[name].start()
+                await ledger.wait_votes(name)
+                await ledger.refresh()
+                await trio.sleep(0.3)
+            opened = await ledger.open_turn("p", "last", 100)
+            self.assertEqual(count_committed(opened.spends), 500)
+
+        run_ledger(script)
+
+    def test_two_turns_at_once_cannot_both_overlook_each_other(self):
+        async def script(ledger):
+            seen = []
+
+            async def open_turn(call):
+                opened = await ledger.open_turn("p", call, 100)
+                seen.append(len(opened.spends))
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(open_turn, "c1")
+                nursery.start_soon(open_turn, "c2")
+            self.assertIn(2, seen)
+
+        run_ledger(script)
+
+    def test_without_a_quorum_nothing_opens(self):
+        async def script(ledger):
+            await ledger.members["a"].stop()
+            await ledger.members["b"].stop()
+            with self.assertRaises(LedgerUnavailable):
+                await ledger.open_turn("p", "c1", 100)
+
+        run_ledger(script)
+
+    def test_turns_survive_loss_of_power_of_all_members(self):
+        async def script(ledger):
+            await ledger.keep_turn("p", "t1")
+            await ledger.keep_turn("p", "t2", "t1")
+            for member in ledger.members.values():
+                await member.stop()
+            for member in ledger.members.values():
+                await member.start()
+            await ledger.wait_votes("a", "b", "c")
+            ledger.client = ledger.build_client()
+            await ledger.refresh()
+            opened = await ledger.open_turn("other", "c9", 10, previous="t2")
+            self.assertEqual([turn.call for turn in opened.chain], ["t2", "t1"])
+
+        run_ledger(script)
+
+    def test_an_emptied_disk_is_filled_before_its_member_votes(self):
+        async def script(ledger):
+            # Only two members get the turn; one of these loses its disk.
+            await ledger.members["c"].stop()
+            await ledger.keep_turn("p", "t1")
+            await ledger.members["c"].start()
+            await ledger.wait_votes("c")
+            await ledger.members["a"].wipe()
+            await ledger.members["a"].start()
+            self.assertFalse(ledger.members["a"].service.votes)
+            await ledger.wait_votes("a")
+            await ledger.members["b"].stop()
+            ledger.client = ledger.build_client()
+            await ledger.refresh()
+            opened = await ledger.open_turn("p", "c9", 10, previous="t1")
+            self.assertEqual([turn.call for turn in opened.chain], ["t1"])
+            self.assertIn("t1", opened.spends)
+
+        run_ledger(script)
+
+    def test_an_emptied_member_does_not_vote_while_it_cannot_copy(self):
+        async def script(ledger):
+            await ledger.keep_turn("p", "t1")
+            await ledger.members["b"].stop()
+            await ledger.members["a"].wipe()
+            await ledger.members["a"].start()
+            await trio.sleep(2.5)
+            self.assertFalse(ledger.members["a"].service.votes)
+            await ledger.members["b"].start()
+            await ledger.wait_votes("a", "b")
+
+        run_ledger(script)
+
+    def test_a_spare_replaces_a_member_that_is_gone_for_good(self):
+        async def script(ledger):
+            await ledger.keep_turn("p", "t1")
+            await ledger.members["c"].stop()
+            await ledger.add("d").start()
+            await ledger.wait_votes("d")
+            await ledger.refresh()
+            await ledger.members["a"].stop()
+            opened = await ledger.open_turn("p", "c9", 10, previous="t1")
+            self.assertIn("t1", opened.spends)
+
+        run_ledger(script)
+
+    def test_a_replaced_member_that_returns_does_not_vote(self):
+        async def script(ledger):
+            old = ledger.client
+            await ledger.members["c"].stop()
+            await ledger.add("d").start()
+            await ledger.wait_votes("d")
+            await ledger.members["c"].start()
+            # A frontend that still has the old view is told of the new one.
+            await ledger.open_turn("p", "c1", 10)
+            self.assertEqual(old.view.find("c"), None)
+            await trio.sleep(1.0)
+            self.assertFalse(ledger.members["c"].service.votes)
+
+        run_ledger(script)
+
+    def test_an_unknown_turn_is_only_denied_by_a_quorum(self):
+        async def script(ledger):
+            with self.assertRaises(TurnUnknown):
+                await ledger.open_turn("p", "c1", 10, previous="never")
+            await ledger.members["a"].stop()
+            await ledger.members["b"].stop()
+            with self.assertRaises(LedgerUnavailable):
+                await ledger.open_turn("p", "c2", 10, previous="never")
+
+        run_ledger(script)
+
+    def test_a_member_is_emptied_without_a_spare(self):
+        async def script(ledger):
+            await ledger.members["b"].stop()
+            await ledger.keep_turn("p", "t1")
+            await ledger.members["b"].start()
+            await ledger.wait_votes("b")
+            ledger.platform.put(Kind.RETIREMENTS.value, "a", {"duration_s": 10})
+            await ledger.wait(
+                lambda: (
+                    ledger.platform.read(Kind.RETIREMENTS.value, "a")["status"]
+                    == {"state": "completed"}
+                )
+            )
+            await ledger.members["a"].wipe()
+            await ledger.members["c"].wipe()
+            await ledger.members["c"].start()
+            await ledger.wait_votes("c", "b")
+            ledger.client = ledger.build_client()
+            await ledger.refresh()
+            opened = await ledger.open_turn("p", "c9", 10, previous="t1")
+            self.assertEqual([turn.call for turn in opened.chain], ["t1"])
+
+        run_ledger(script)
+
+    def test_a_spare_takes_the_slot_of_a_member_to_be_emptied(self):
+        async def script(ledger):
+            await ledger.keep_turn("p", "t1")
+            await ledger.add("d").start()
+            await trio.sleep(1.5)
+            ledger.platform.put(Kind.RETIREMENTS.value, "a", {"duration_s": 10})
+            await ledger.wait(
+                lambda: (
+                    ledger.platform.read(Kind.RETIREMENTS.value, "a")["status"]
+                    == {"state": "completed"}
+                )
+            )
+            self.assertTrue(ledger.members["d"].service.votes)
+
+        run_ledger(script)
+
+    def test_members_vote_after_a_restart_while_the_store_is_out(self):
+        async def script(ledger):
+            await ledger.keep_turn("p", "t1")
+            ledger.platform.faults.outage = True
+            for member in ledger.members.values():
+                await member.stop()
+            for member in ledger.members.values():
+                await member.start()
+            await ledger.wait(lambda: ledger.client.is_reachable)
+            opened = await ledger.open_turn("p", "c9", 10, previous="t1")
+            self.assertIn("t1", opened.spends)
+
+        run_ledger(script)
+
+    def test_a_lost_answer_of_the_store_does_not_found_two_ledgers(self):
+        async def script(ledger):
+            ledger.platform.faults.lost_answers = 1
+            await ledger.members["a"].wipe()
+            await ledger.members["a"].start()
+            await ledger.wait_votes("a")
+            await ledger.refresh()
+            self.assertEqual(len(ledger.client.view.slots), 3)
+
+        run_ledger(script)
+
+
+if __name__ == "__main__":
+    unittest.main()
