Resume at targets that were tried when the attempts are used up

Cause: a stream that broke at the last allowed target was left to the client, though it may go on at a target that it has tried, or when one of them ended. An idempotent call that was lost and then found no target was answered 503, which promises that it has not run (found by a test). Ruled out: more targets than the route's attempts. Change: targets that ended do not count; at the bound only tried targets are used, twice at most; a 503 becomes 502 once a target may have run the call.

--- a/packages/daemon/src/goldcrestvane_daemon/frontend/calls.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/calls.py
@@ -52,6 +52,9 @@
 MAX_REJECTIONS = 40
 """Attempts that did not run after which a call is given up."""
 
+MAX_REPEATS = 2
+"""Attempts of a repeatable call beyond its route's, at targets that it tried before."""
+
 MIN_SECONDS_LEFT = 0.02
 """Time left under which no target is asked any more: a round trip."""
 
@@ -150,7 +153,8 @@
             self._check_suspect(call)
             await self._run(connection, call, answer_headers)
             outcome = "answered"
-        except Refusal as refusal:
+        except Refusal as error:
+            refusal = _correct_promise(call, error)
             outcome = refusal.kind
             if call is not None and call.answer_begun:
                 raise ConnectionLost(str(refusal)) from refusal
@@ -237,6 +241,7 @@
                 arrived=call.arrived,
                 seconds_left=call.seconds_left,
                 excluded=frozenset(excluded),
+                allowed=self._find_allowed(call),
             )
             result = AttemptResult.LOST
             started = trio.current_time()
@@ -258,6 +263,15 @@
             if failure is not None:
                 raise failure
 
+    def _find_allowed(self, call: PlannedCall) -> frozenset[InstanceId] | None:
+        """Returns the targets that a call may still use; None if it may use any."""
+        for instance in call.counted:
+            if self._targets.get(instance) is None:
+                call.ended.add(instance)
+        if len(call.counted) < call.route.attempts:
+            return None
+        return frozenset(call.counted)
+
     async def _attempt(
         self,
         connection: ServerConnection,
@@ -287,6 +301,8 @@
                     await connection.respond(head.status, headers, body)
         except ConnectFailed as error:
             self._note_failure(call, target, error, dead=True)
+            if target.instance in call.tried:
+                call.ended.add(target.instance)
             return AttemptResult.NOT_RUN
         except TargetBroke as error:
             self._note_failure(call, target, error, dead=False)
@@ -396,7 +412,11 @@
     if result is AttemptResult.NOT_RUN:
         if in_time and call.rejections < MAX_REJECTIONS:
             return None
-    elif in_time and call.route.repeatable and len(call.tried) < call.route.attempts:
+    elif (
+        in_time
+        and call.route.repeatable
+        and len(call.tried) < call.route.attempts + MAX_REPEATS
+    ):
         return None
     if call.tried:
         return OutcomeUnknown(
@@ -408,6 +428,13 @@
     )
 
 
+def _correct_promise(call: PlannedCall | None, refusal: Refusal) -> Refusal:
+    """Returns a refusal that does not promise "not run" of a call that may have run."""
+    if call is None or not call.tried or refusal.status != Refusal.status:
+        return refusal
+    return OutcomeUnknown(f"{call.tried[-1]} may have run the call. {refusal}")
+
+
 def _build_timeout(call: PlannedCall) -> Refusal:
     if call.tried:
         return TimedOut(
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/plan.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/plan.py
@@ -37,6 +37,7 @@
         last_event: Id of the last of them, or the one that the client named.
         output: Data of the events, for a turn that is kept.
         tried: Targets that may have run the call.
+        ended: Those of them that have died or left since.
         rejections: Attempts that did not run.
         answer_begun: Whether the client has a part of the answer.
         settled: Whether the turn's tokens are final in the ledger.
@@ -56,6 +57,7 @@
     last_event: int | None = None
     output: bytearray = msgspec.field(default_factory=bytearray)
     tried: list[InstanceId] = msgspec.field(default_factory=list)
+    ended: set[InstanceId] = msgspec.field(default_factory=set)
     rejections: int = 0
     answer_begun: bool = False
     settled: bool = False
@@ -83,6 +85,11 @@
             return None
         return self.headers.program or self.headers.affinity
 
+    @property
+    def counted(self) -> set[InstanceId]:
+        """Targets that count towards the route's attempts."""
+        return set(self.tried) - self.ended
+
     @property
     def seconds_left(self) -> float:
         """Time until the call must be answered."""
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/queue.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/queue.py
@@ -39,11 +39,16 @@
     """One call that waits."""
 
     def __init__(
-        self, order: float, key: str | None, excluded: frozenset[InstanceId]
+        self,
+        order: float,
+        key: str | None,
+        excluded: frozenset[InstanceId],
+        allowed: frozenset[InstanceId] | None,
     ) -> None:
         self.order = order
         self.key = key
         self.excluded = excluded
+        self.allowed = allowed
         self.target: Target | None = None
         self.placed = trio.Event()
 
@@ -93,6 +98,7 @@
         arrived: float,
         seconds_left: float,
         excluded: frozenset[InstanceId] = frozenset(),
+        allowed: frozenset[InstanceId] | None = None,
     ) -> Target:
         """Returns a target with room, which counts the call until `release`.
 
@@ -101,7 +107,8 @@
             priority: Rank of the call, 0 first.
             arrived: Time on trio's clock at which the call arrived.
             seconds_left: Time that the call has.
-            excluded: Targets not to use.
+            excluded: Targets to use only if there is no other.
+            allowed: The only targets to use, if not all.
 
         Raises:
             NoTarget: The service has no target.
@@ -119,7 +126,7 @@
                 f"about {wait:.2f} s; {seconds_left:.2f} s are left.",
                 retry_after=max(MIN_RETRY_SECONDS, wait - seconds_left),
             )
-        waiter = Waiter(order_waiting(arrived, priority), key, excluded)
+        waiter = Waiter(order_waiting(arrived, priority), key, excluded, allowed)
         self._waiting.append(waiter)
         try:
             self.place_waiting()
@@ -165,7 +172,9 @@
         for waiter in sorted(self._waiting, key=lambda each: each.order):
             target = self._find_target(waiter)
             if target is None:
-                return
+                if waiter.allowed is None:
+                    return
+                continue
             self._table.get_load(target).running += 1
             self._health.note_start(target.instance, now=trio.current_time())
             waiter.target = target
@@ -174,7 +183,11 @@
 
     def _find_target(self, waiter: Waiter) -> Target | None:
         now = trio.current_time()
-        ready = self._table.list_ready(self._service)
+        ready = [
+            target
+            for target in self._table.list_ready(self._service)
+            if waiter.allowed is None or target.instance in waiter.allowed
+        ]
         usable = [
             target
             for target in ready
--- /dev/null
+++ b/packages/daemon/tests/frontend/frontend_case.py
@@ -0,0 +1,268 @@
+"""A frontend in one process: real directory, calls and connections, scripted targets."""
+
+import unittest
+
+import msgspec
+import trio
+
+from frontend.support import ScriptedTarget
+from goldcrestvane_common.server import Application, serve_http
+from goldcrestvane_common.transport import Transport
+from goldcrestvane_daemon.frontend.calls import CallService
+from goldcrestvane_daemon.frontend.clients import ClientServer
+from goldcrestvane_daemon.frontend.directory import Directory
+from goldcrestvane_daemon.frontend.ledger_client import (
+    LedgerUnavailable,
+    OpenedTurn,
+    TurnUnknown,
+)
+from goldcrestvane_daemon.frontend.peers import FrontendPeers
+from goldcrestvane_daemon.frontend.stop import Stop
+from goldcrestvane_daemon.frontend.suspects import Suspects
+from goldcrestvane_daemon.platform.store import StoreClient
+from goldcrestvane_daemon.targets import TargetTable
+from goldcrestvane_standins.platformstore import PlatformStore
+
+HOST = "127.0.0.1"
+EVENT = b"id: %d\ndata: d%d\n\n"
+
+
+def build_route(name, kind, **changes):
+    route = {
+        "name": name,
+        "host": "shop.example",
+        "path_prefix": f"/{name}/",
+        "kind": kind,
+        "timeout_ms": 1500,
+        "target_latency_ms": 300,
+        "priority": 0,
+        "service": "s1",
+        "attempts": 2,
+    }
+    return {**route, **changes}
+
+
+CONFIGURATION = {
+    "version": 4,
+    "routes": [
+        build_route("get", "idempotent"),
+        build_route("once", "non_idempotent"),
+        build_route("turn", "streaming", attempts=1),
+        build_route("kept", "streaming", attempts=1, retention_enabled=True),
+        build_route("resume", "streaming", resumable=True),
+        build_route("quick", "non_idempotent", timeout_ms=200),
+    ],
+    "services": [
+        {"name": "s1", "inference_engine": {"slots": 4, "tokens_per_event": 10}}
+    ],
+}
+
+
+class FakeLedger:
+    """The ledger as a frontend sees it, in memory."""
+
+    def __init__(self):
+        self.spends = {}
+        self.turns = {}
+        self.available = True
+
+    def adopt(self, view):
+        raise AssertionError("no view is stored")
+
+    async def open_turn(self, *, account, previous):
+        await trio.lowlevel.checkpoint()
+        if not self.available:
+            raise LedgerUnavailable("out")
+        chain = []
+        while previous is not None:
+            if previous not in self.turns:
+                raise TurnUnknown(previous)
+            chain.append(self.turns[previous])
+            previous = chain[-1].previous
+        program = self.spends.setdefault(account.program, {})
+        program.update({spend.call: spend for spend in account.spends})
+        return OpenedTurn(dict(program), chain)
+
+    async def settle(self, program, spend, turn, retention):
+        await trio.lowlevel.checkpoint()
+        if not self.available:
+            raise LedgerUnavailable("out")
+        self.spends.setdefault(program, {})[spend.call] = spend
+        if turn is not None:
+            self.turns[turn.call] = turn
+
+
+class Answer(msgspec.Struct):
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    whole: bool
+
+
+class Frontend:
+    def __init__(self, nursery):
+        self.nursery = nursery
+        self.platform = PlatformStore()
+        self.ledger = FakeLedger()
+        self.stop = Stop(8.0)
+        self.targets = []
+
+    async def start(self, transport, scripts, configuration):
+        for script in scripts:
+            target = ScriptedTarget(script)
+            await self.nursery.start(target.run)
+            self.targets.append(target)
+            self.list_target(target)
+        if configuration is not None:
+            self.platform.put("config", "main", configuration)
+        store_address = await self.nursery.start(
+            serve_http, Application(self.platform.build_router()), f"{HOST}:0"
+        )
+        suspects = Suspects()
+        frontends = FrontendPeers("none", suspects, self.nursery)
+        table = TargetTable()
+        self.calls = CallService(
+            targets=table,
+            ledger=self.ledger,
+            domain="d1",
+            suspects=suspects,
+            frontends=frontends,
+            nursery=self.nursery,
+        )
+        self.suspects = suspects
+        self.directory = Directory(
+            store=StoreClient(transport, store_address),
+            targets=table,
+            ledger=self.ledger,
+            frontends=frontends,
+            changed=self.calls.note_targets_changed,
+        )
+        self.nursery.start_soon(self.directory.run)
+        clients = ClientServer(
+            calls=self.calls, directory=self.directory, stop=self.stop
+        )
+        self.clients = clients
+        listeners = await trio.open_tcp_listeners(0, host=HOST)
+        self.port = listeners[0].socket.getsockname()[1]
+        self.nursery.start_soon(trio.serve_listeners, clients.serve, listeners)
+        with trio.fail_after(5):
+            while len(table.list_all()) < len(scripts) or (
+                configuration is not None and self.directory.routes is None
+            ):
+                await trio.sleep(0.01)
+
+    def list_target(self, target, state="ready", **changes):
+        entry = {
+            "service": "s1",
+            "address": f"{HOST}:{target.port}",
+            "zone": "d1",
+            "slots": 4,
+            "state": state,
+            **changes,
+        }
+        self.platform.put("servers", f"i-{target.port}", entry)
+
+    def build_request(self, path, *, method="POST", body=b"in", call="c1", **headers):
+        lines = [
+            f"{method} {path} HTTP/1.1",
+            "Host: shop.example",
+            f"Goldcrestvane-Request-Id: {call}",
+            f"Content-Length: {len(body)}",
+        ]
+        lines += [f"{k.replace('_', '-')}: {v}" for k, v in headers.items()]
+        return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+
+    async def send(self, path, **options):
+        """Sends one request on a connection of its own and returns the answer."""
+        stream = await trio.open_tcp_stream(HOST, self.port)
+        async with stream:
+            await stream.send_all(self.build_request(path, **options))
+            return await read_answer(stream)
+
+    async def send_turn(self, path="/turn/x", *, call="c1", program="p1", **headers):
+        options = {
+            "Goldcrestvane_Program_Id": program,
+            "Goldcrestvane_Token_Budget": 100,
+            "Goldcrestvane_Token_Usage": "10,40",
+        }
+        return await self.send(path, call=call, **{**options, **headers})
+
+    @property
+    def requests(self):
+        return [request for target in self.targets for request in target.requests]
+
+
+async def read_answer(stream):
+    """Reads one answer with a length or chunks; `whole` tells whether it ended."""
+    data = b""
+    while b"\r\n\r\n" not in data:
+        part = await stream.receive_some()
+        if not part:
+            return Answer(0, {}, data, False)
+        data += part
+    head, _, rest = data.partition(b"\r\n\r\n")
+    lines = head.decode().split("\r\n")
+    headers = {}
+    for line in lines[1:]:
+        name, _, value = line.partition(":")
+        headers[name.lower()] = value.strip()
+    status = int(lines[0].split()[1])
+    while True:
+        body, whole = parse_body(headers, rest)
+        if whole:
+            return Answer(status, headers, body, True)
+        try:
+            part = await stream.receive_some()
+        except trio.BrokenResourceError:
+            part = b""
+        if not part:
+            return Answer(status, headers, body, False)
+        rest += part
+
+
+def parse_body(headers, data):
+    if "content-length" in headers:
+        return data, len(data) >= int(headers["content-length"])
+    body = b""
+    while b"\r\n" in data:
+        size, _, data = data.partition(b"\r\n")
+        if int(size, 16) == 0:
+            return body, data.startswith(b"\r\n")
+        if len(data) < int(size, 16) + 2:
+            break
+        body += data[: int(size, 16)]
+        data = data[int(size, 16) + 2 :]
+    return body, False
+
+
+def build_stream(numbers, *, call=b"c1", end=True):
+    """Returns the pieces of a streamed answer, for a scripted target."""
+    head = (
+        b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n"
+        b"content-type: text/event-stream\r\nGoldcrestvane-Request-Id: " + call
+    )
+    pieces = [head + b"\r\nGoldcrestvane-Response-Signature: s\r\n\r\n"]
+    for number in numbers:
+        event = EVENT % (number, number)
+        pieces.append(b"%x\r\n%s\r\n" % (len(event), event))
+    pieces.append(b"0\r\n\r\n" if end else None)
+    return pieces
+
+
+def build_events(numbers):
+    return b"".join(EVENT % (number, number) for number in numbers)
+
+
+class FrontendCase(unittest.TestCase):
+    """Runs a script against a frontend before scripted targets."""
+
+    def run_frontend(self, script, *targets, configuration=CONFIGURATION):
+        async def main():
+            async with Transport() as transport, trio.open_nursery() as nursery:
+                frontend = Frontend(nursery)
+                await frontend.start(transport, targets, configuration)
+                with trio.fail_after(10):
+                    await script(frontend)
+                nursery.cancel_scope.cancel()
+
+        trio.run(main)
