--- /dev/null
+++ b/bench/cost/frontend.py
@@ -0,0 +1,230 @@
+"""Measures what a call and a streamed event cost a frontend of the platform.
+
+A frontend and a ledger run as processes of their own. The clients, one target and the
+platform's store run in this one. A bare forwarder of bytes is measured in the same run.
+"""
+
+import os
+import subprocess
+import sys
+from pathlib import Path
+
+import h11
+import trio
+
+from cost.report import Target, print_rows
+from cost.usage import Meter
+from goldcrestvane_common.server import Application, serve_http
+from goldcrestvane_standins.platformstore import PlatformStore
+
+HOST = "127.0.0.1"
+FRONTEND_HOST = "127.0.0.3"
+LEDGER_HOST = "127.0.0.2"
+PEER_PORT = 18_380
+CLIENT_PORT = 18_390
+READY_PORT = 18_391
+CALLS = 600
+STREAMS = 30
+EVENTS = 100
+EVENT_SECONDS = 0.005
+WORKERS = 4
+MAX_CALL_MS = 2.0
+MAX_EVENT_MS = 0.05
+START_SECONDS = 20.0
+
+SETTINGS = """
+node_name = "{name}"
+ip = "{host}"
+zone = "d1"
+internal_port_range = [{port}, {port}]
+data_directory = "{folder}"
+[listen_addresses]
+frontend = "{host}:{client}"
+ready = "{host}:{ready}"
+[platform]
+address = "{store}"
+[fault_tolerance]
+machines = 0
+"""
+
+
+def build_configuration() -> dict:
+    """Returns a configuration with a lookup and a stream."""
+    common = {"host": "h", "service": "s", "timeout_ms": 20_000, "attempts": 1}
+    return {
+        "version": 1,
+        "routes": [
+            {"name": "get", "path_prefix": "/get/", "kind": "idempotent", **common},
+            {"name": "turn", "path_prefix": "/turn/", "kind": "streaming", **common},
+        ],
+        "services": [{"name": "s", "inference_engine": {"tokens_per_event": 1}}],
+    }
+
+
+async def serve_target(stream: trio.SocketStream) -> None:
+    """Answers lookups whole and turns with events, on one connection."""
+    parser = h11.Connection(h11.SERVER)
+    headers = [(b"Goldcrestvane-Response-Signature", b"s")]
+    while True:
+        path = await _read_request(stream, parser)
+        if path is None:
+            return
+        if path.startswith(b"/get/"):
+            headers_whole = [*headers, (b"content-length", b"800")]
+            parts = [
+                parser.send(h11.Response(status_code=200, headers=headers_whole)),
+                parser.send(h11.Data(data=b"x" * 800)),
+            ]
+            await stream.send_all(b"".join(part for part in parts if part))
+        else:
+            head = h11.Response(status_code=200, headers=headers)
+            await stream.send_all(parser.send(head) or b"")
+            for number in range(1, int(path.rpartition(b"/")[2]) + 1):
+                event = b"id: %d\ndata: %s\n\n" % (number, b"x" * 140)
+                await stream.send_all(parser.send(h11.Data(data=event)) or b"")
+                await trio.sleep(EVENT_SECONDS)
+        await stream.send_all(parser.send(h11.EndOfMessage()) or b"")
+        parser.start_next_cycle()
+
+
+async def _read_request(
+    stream: trio.SocketStream, parser: h11.Connection
+) -> bytes | None:
+    path = None
+    while True:
+        event = parser.next_event()
+        if event is h11.NEED_DATA:
+            parser.receive_data(await stream.receive_some())
+        elif isinstance(event, h11.Request):
+            path = event.target
+        elif isinstance(event, h11.EndOfMessage):
+            return path
+        elif isinstance(event, h11.ConnectionClosed):
+            return None
+
+
+async def run_client(address: str, paths: list[str]) -> None:
+    """Sends calls one after another on one connection."""
+    host, _, port = address.rpartition(":")
+    stream = await trio.open_tcp_stream(host, int(port))
+    async with stream:
+        parser = h11.Connection(h11.CLIENT)
+        for number, path in enumerate(paths):
+            headers = [
+                ("host", "h"),
+                ("goldcrestvane-request-id", f"{id(stream)}-{number}"),
+                ("goldcrestvane-program-id", f"p{id(stream)}-{number}"),
+                ("goldcrestvane-token-budget", "100000"),
+                ("goldcrestvane-token-usage", "10,1000"),
+            ]
+            request = h11.Request(method="GET", target=path, headers=headers)
+            await stream.send_all(parser.send(request) or b"")
+            parser.send(h11.EndOfMessage())
+            while not isinstance(event := parser.next_event(), h11.EndOfMessage):
+                if event is h11.NEED_DATA:
+                    parser.receive_data(await stream.receive_some())
+                elif isinstance(event, h11.Response) and event.status_code != 200:
+                    raise RuntimeError(f"Got status {event.status_code} for {path}.")
+            parser.start_next_cycle()
+
+
+async def measure_cpu(address: str, pid: int, paths: list[str]) -> float:
+    """Returns the processor seconds of one process for some calls by all workers."""
+    await run_client(address, paths[:2])
+    meter = Meter({"process": pid})
+    async with trio.open_nursery() as nursery:
+        for _ in range(WORKERS):
+            nursery.start_soon(run_client, address, paths)
+    return meter.read_cpu()["process"]
+
+
+async def measure_path(address: str, pid: int) -> tuple[float, float]:
+    """Returns milliseconds a whole call and a streamed event."""
+    calls = await measure_cpu(address, pid, ["/get/x"] * CALLS)
+    short = await measure_cpu(address, pid, ["/turn/1"] * STREAMS)
+    long = await measure_cpu(address, pid, [f"/turn/{EVENTS}"] * STREAMS)
+    events = WORKERS * STREAMS * (EVENTS - 1)
+    return calls / (WORKERS * CALLS) * 1000, (long - short) / events * 1000
+
+
+def start_role(role: str, host: str, store: str, folder: Path) -> subprocess.Popen:
+    """Starts one process of the platform form."""
+    path = folder / f"{role}.toml"
+    path.write_text(
+        SETTINGS.format(
+            name=role,
+            host=host,
+            port=PEER_PORT,
+            folder=folder / "data",
+            client=CLIENT_PORT,
+            ready=READY_PORT,
+            store=store,
+        )
+    )
+    return subprocess.Popen(
+        [sys.executable, "-m", "goldcrestvane_daemon.main", f"--role={role}"],
+        env={**os.environ, "GOLDCRESTVANE_BOOT": str(path)},
+        stdout=subprocess.DEVNULL,
+    )
+
+
+async def wait_serving(address: str) -> None:
+    """Waits until a frontend answers calls."""
+    with trio.fail_after(START_SECONDS):
+        while True:
+            try:
+                await run_client(address, ["/get/x", "/turn/1"])
+            except (OSError, RuntimeError, h11.RemoteProtocolError):
+                await trio.sleep(0.2)
+            else:
+                return
+
+
+async def run_frontend(folder: Path) -> list[Target]:
+    """Prints what the frontend and a bare forwarder cost, and returns the targets."""
+    folder.mkdir(parents=True)
+    platform = PlatformStore()
+    processes: list[subprocess.Popen] = []
+    async with trio.open_nursery() as nursery:
+        listeners = await trio.open_tcp_listeners(0, host=HOST)
+        port = listeners[0].socket.getsockname()[1]
+        nursery.start_soon(trio.serve_listeners, serve_target, listeners)
+        router = platform.build_router()
+        store = await nursery.start(serve_http, Application(router), f"{HOST}:0")
+        platform.put("config", "main", build_configuration())
+        entry = {"service": "s", "address": f"{HOST}:{port}", "zone": "d1"}
+        platform.put("servers", "i-1", {**entry, "slots": 64, "state": "ready"})
+        try:
+            processes.append(start_role("ledger", LEDGER_HOST, store, folder))
+            processes.append(start_role("frontend", FRONTEND_HOST, store, folder))
+            bare = subprocess.Popen(
+                [sys.executable, "-m", "cost.bare_frontend", f"{HOST}:{port}"],
+                env={**os.environ, "PYTHONPATH": str(Path(__file__).parent.parent)},
+                stdout=subprocess.PIPE,
+                text=True,
+            )
+            processes.append(bare)
+            assert bare.stdout is not None
+            bare_address = (await trio.to_thread.run_sync(bare.stdout.readline)).strip()
+            address = f"{FRONTEND_HOST}:{CLIENT_PORT}"
+            await wait_serving(address)
+            own = await measure_path(address, processes[1].pid)
+            plain = await measure_path(bare_address, bare.pid)
+        finally:
+            for process in processes:
+                process.terminate()
+                process.wait()
+        nursery.cancel_scope.cancel()
+    print_rows(
+        "frontend of the platform against a bare forwarder of bytes, CPU",
+        ["path", "ms a whole call", "ms a streamed event"],
+        [
+            ["bare forwarder", f"{plain[0]:.2f}", f"{plain[1]:.3f}"],
+            ["frontend", f"{own[0]:.2f}", f"{own[1]:.3f}"],
+            ["ratio", f"{own[0] / plain[0]:.1f}", f"{own[1] / plain[1]:.1f}"],
+        ],
+    )
+    return [
+        Target(name="frontend, call", value=own[0], limit=MAX_CALL_MS, unit="ms"),
+        Target(name="frontend, event", value=own[1], limit=MAX_EVENT_MS, unit="ms"),
+    ]
--- a/bench/path.py
+++ b/bench/path.py
@@ -12,6 +12,7 @@
 import msgspec
 import trio
 
+from cost.frontend import run_frontend
 from cost.hops import (
     FEW_TOKENS,
     MANY_TOKENS,
@@ -207,7 +208,7 @@
 async def main() -> int:
     """Runs the bench; a target that is not met does not change the exit code."""
     print(f"load of the machine before: {os.getloadavg()[0]:.1f} of {os.cpu_count()}")
-    sections = sys.argv[1:] or ["hops", "paced", "idle"]
+    sections = sys.argv[1:] or ["hops", "paced", "idle", "frontend"]
     targets: list[Target] = []
     with tempfile.TemporaryDirectory(prefix="goldcrestvane-cost-") as folder:
         if "hops" in sections:
@@ -216,6 +217,8 @@
             await run_paced(Path(folder) / "paced")
         if "idle" in sections:
             targets += await run_idle(Path(folder) / "idle")
+        if "frontend" in sections:
+            targets += await run_frontend(Path(folder) / "frontend")
     print_targets(targets)
     print(f"load of the machine after: {os.getloadavg()[0]:.1f} of {os.cpu_count()}")
     return 0
