--- a/bench/cost/frontend.py
+++ b/bench/cost/frontend.py
@@ -168,6 +168,18 @@
     )
 
 
+def start_bare(target: str) -> tuple[subprocess.Popen, str]:
+    """Starts a bare forwarder and returns it with its address."""
+    process = subprocess.Popen(
+        [sys.executable, "-m", "cost.bare_frontend", target],
+        env={**os.environ, "PYTHONPATH": str(Path(__file__).parent.parent)},
+        stdout=subprocess.PIPE,
+        text=True,
+    )
+    assert process.stdout is not None
+    return process, process.stdout.readline().strip()
+
+
 async def wait_serving(address: str) -> None:
     """Waits until a frontend answers calls."""
     with trio.fail_after(START_SECONDS):
@@ -182,7 +194,7 @@
 
 async def run_frontend(folder: Path) -> list[Target]:
     """Prints what the frontend and a bare forwarder cost, and returns the targets."""
-    folder.mkdir(parents=True)
+    await trio.Path(folder).mkdir(parents=True)
     platform = PlatformStore()
     processes: list[subprocess.Popen] = []
     async with trio.open_nursery() as nursery:
@@ -197,15 +209,10 @@
         try:
             processes.append(start_role("ledger", LEDGER_HOST, store, folder))
             processes.append(start_role("frontend", FRONTEND_HOST, store, folder))
-            bare = subprocess.Popen(
-                [sys.executable, "-m", "cost.bare_frontend", f"{HOST}:{port}"],
-                env={**os.environ, "PYTHONPATH": str(Path(__file__).parent.parent)},
-                stdout=subprocess.PIPE,
-                text=True,
+            bare, bare_address = await trio.to_thread.run_sync(
+                start_bare, f"{HOST}:{port}"
             )
             processes.append(bare)
-            assert bare.stdout is not None
-            bare_address = (await trio.to_thread.run_sync(bare.stdout.readline)).strip()
             address = f"{FRONTEND_HOST}:{CLIENT_PORT}"
             await wait_serving(address)
             own = await measure_path(address, processes[1].pid)
