Keep a ledger process alive through SIGHUP

Ruled out: a fault of the log or of memory; the exit code is 128 + 1. Change: one function waits for the stop signals of both roles and logs a hang-up.

--- a/packages/daemon/src/goldcrestvane_daemon/frontend/process.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/process.py
@@ -1,6 +1,5 @@
 """The frontend role: its parts and their supervision."""
 
-import signal
 from typing import final
 
 import h11
@@ -84,7 +83,6 @@
             nursery.start_soon(directory.run)
             nursery.start_soon(ledger.run)
             nursery.start_soon(serve_metrics, settings.host)
-            nursery.start_soon(_log_hangups)
             await _listen(nursery, settings.ready_address, serve_ready)
             await _listen(nursery, own.address, frontends.serve)
             await _listen(nursery, settings.client_address, clients.serve)
@@ -114,10 +112,3 @@
         return
     finally:
         await connection.close()
-
-
-async def _log_hangups() -> None:
-    """Notes that the settings file has changed; what it holds is read at the start."""
-    with trio.open_signal_receiver(signal.SIGHUP) as signals:
-        async for _ in signals:
-            logger.info("settings file changed; addresses stay until the next start")
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/stop.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/stop.py
@@ -1,12 +1,12 @@
 """Planned stop of a frontend: leave the rotation, finish what runs, end."""
 
-import signal
 from collections.abc import Callable
 from typing import final
 
 import trio
 
 from goldcrestvane_common.logs import get_logger
+from goldcrestvane_daemon.stops import wait_for_stop
 
 ROTATION_SECONDS = 2.5
 """The balancer asks once a second and takes a process out after two misses."""
@@ -35,9 +35,7 @@
 
     async def wait(self, count_running: Callable[[], int]) -> None:
         """Returns when the process was told to stop and nothing runs any more."""
-        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-            async for _ in signals:
-                break
+        await wait_for_stop()
         logger.info("told to stop", extra={"running": count_running()})
         self.requested = True
         end = trio.current_time() + self._grace_seconds - END_MARGIN_SECONDS
--- a/packages/daemon/src/goldcrestvane_daemon/ledger/process.py
+++ b/packages/daemon/src/goldcrestvane_daemon/ledger/process.py
@@ -1,6 +1,5 @@
 """The ledger role: one member, or a spare that waits to become one."""
 
-import signal
 from typing import final
 
 import trio
@@ -17,6 +16,7 @@
 from goldcrestvane_daemon.metrics import serve_metrics
 from goldcrestvane_daemon.platform.machine import MachineSettings
 from goldcrestvane_daemon.platform.store import StoreClient
+from goldcrestvane_daemon.stops import wait_for_stop
 
 logger = get_logger("ledger")
 
@@ -78,8 +78,6 @@
                 settings.peer_port, host=settings.host
             )
             nursery.start_soon(trio.serve_listeners, serve, listeners)
-            with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-                async for _ in signals:
-                    break
+            await wait_for_stop()
             nursery.cancel_scope.cancel()
         logger.info("stopped")
