Try a lookup elsewhere when its target stays silent

Ruled out: the same for streams and calls that run once, which must not run at two targets. Change: an idempotent call leaves a silent target after twice its objective while its attempts allow another; a second of silence counts as a failure of the target. Test: fails before with 504, passes after.

--- a/packages/daemon/src/goldcrestvane_daemon/frontend/calls.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/calls.py
@@ -1,5 +1,6 @@
 """The way of one call: queue, attempts at targets, answer."""
 
+import math
 from enum import Enum
 from typing import final
 
@@ -58,6 +59,15 @@
 MIN_SECONDS_LEFT = 0.02
 """Time left under which no target is asked any more: a round trip."""
 
+LOOKUP_TARGETS = 2.0
+"""Multiple of its objective after which a lookup is tried at another target."""
+
+MIN_LOOKUP_SECONDS = 0.25
+"""Shortest time that a target has for a lookup; healthy ones take 0.11 s at most."""
+
+SILENT_SECONDS = 1.0
+"""Time without an answer that counts as a failure of the target."""
+
 MAX_PRIORITY = 9
 REJECTED_SECONDS = 0.05
 """Pause after a target rejected a call: the time in which a slot gets free."""
@@ -281,24 +291,14 @@
         answer_headers: list[tuple[bytes, bytes]],
     ) -> AttemptResult:
         """Sends the call to one target and passes its answer on."""
+        began = trio.current_time()
         try:
-            async with Attempt(self._connections, target) as attempt:
-                call.tried.append(target.instance)
-                head = await self._send(call, target, attempt)
-                queue.report(target, head.load)
-                if not head.executed:
-                    await attempt.read_body(MAX_ANSWER_BYTES)
-                    self._note_rejection(call, target, head)
-                    call.tried.pop()
-                    return AttemptResult.NOT_RUN
-                _check_answer(head)
-                headers = _drop_length(head.forwarded) + answer_headers
-                if call.route.kind is CallKind.STREAM and head.status == 200:
-                    await self._pass_stream(connection, call, attempt, headers)
-                else:
-                    body = await attempt.read_body(MAX_ANSWER_BYTES)
-                    call.answer_begun = True
-                    await connection.respond(head.status, headers, body)
+            with _limit_attempt(call) as limit:
+                result = await self._exchange(
+                    connection, call, target, queue, answer_headers, limit
+                )
+            if limit.cancelled_caught:
+                raise TargetBroke("No answer; a lookup may run elsewhere as well.")
         except ConnectFailed as error:
             self._note_failure(call, target, error, dead=True)
             if target.instance in call.tried:
@@ -310,10 +310,52 @@
                 self._nursery.start_soon(self._note_death, call, target)
             return AttemptResult.LOST
         except BaseException:
-            # The client left or the time ended; neither tells whether it works.
-            self._health.note_cancelled(target.instance, now=trio.current_time())
+            # The client left, or the time ended; only a long silence says something.
+            now = trio.current_time()
+            if not call.answer_begun and now - began > SILENT_SECONDS:
+                self._health.note_failure(target.instance, now=now, dead=False)
+            else:
+                self._health.note_cancelled(target.instance, now=now)
             raise
-        self._health.note_success(target.instance, slowness=None)
+        if result is AttemptResult.ANSWERED:
+            self._health.note_success(target.instance, slowness=None)
+        return result
+
+    async def _exchange(
+        self,
+        connection: ServerConnection,
+        call: PlannedCall,
+        target: Target,
+        queue: ServiceQueue,
+        answer_headers: list[tuple[bytes, bytes]],
+        limit: trio.CancelScope,
+    ) -> AttemptResult:
+        """Sends the call on one connection and passes the answer on.
+
+        Once the answer is whole, `limit` is lifted.
+
+        Raises:
+            ConnectFailed: Nothing was sent.
+            TargetBroke: The target may have run the call.
+        """
+        async with Attempt(self._connections, target) as attempt:
+            call.tried.append(target.instance)
+            head = await self._send(call, target, attempt)
+            queue.report(target, head.load)
+            if not head.executed:
+                await attempt.read_body(MAX_ANSWER_BYTES)
+                self._note_rejection(call, target, head)
+                call.tried.pop()
+                return AttemptResult.NOT_RUN
+            _check_answer(head)
+            headers = _drop_length(head.forwarded) + answer_headers
+            if call.route.kind is CallKind.STREAM and head.status == 200:
+                await self._pass_stream(connection, call, attempt, headers)
+            else:
+                body = await attempt.read_body(MAX_ANSWER_BYTES)
+                limit.deadline = math.inf
+                call.answer_begun = True
+                await connection.respond(head.status, headers, body)
         return AttemptResult.ANSWERED
 
     async def _send(
@@ -406,6 +448,16 @@
         await connection.end_answer()
 
 
+def _limit_attempt(call: PlannedCall) -> trio.CancelScope:
+    """Returns a scope that ends the attempt of a lookup that may go elsewhere."""
+    if call.route.kind is not CallKind.IDEMPOTENT:
+        return trio.CancelScope()
+    if len(call.counted) + 1 >= call.route.attempts:
+        return trio.CancelScope()
+    seconds = max(MIN_LOOKUP_SECONDS, LOOKUP_TARGETS * call.route.target_seconds)
+    return trio.CancelScope(deadline=trio.current_time() + seconds)
+
+
 def _find_final_failure(call: PlannedCall, result: AttemptResult) -> Refusal | None:
     """Returns the refusal of a call that is not tried again, or None."""
     in_time = call.seconds_left > MIN_SECONDS_LEFT
--- a/packages/daemon/tests/frontend/support.py
+++ b/packages/daemon/tests/frontend/support.py
@@ -32,6 +32,16 @@
     return b"\r\n".join(lines) + b"\r\n" + extra + b"\r\n" + body
 
 
+class Shared:
+    """One script for several targets: each request takes the next piece."""
+
+    def __init__(self, pieces):
+        self._pieces = list(pieces)
+
+    def pop(self, _):
+        return self._pieces.pop(0)
+
+
 class ScriptedTarget:
     """Answers the n-th request on any connection with the n-th piece of a script.
 
@@ -41,7 +51,7 @@
     RESET = object()
 
     def __init__(self, script):
-        self.script = list(script)
+        self.script = script if isinstance(script, Shared) else list(script)
         self.requests = []
         self.connections = 0
         self.port = 0
--- a/packages/daemon/tests/frontend/test_calls.py
+++ b/packages/daemon/tests/frontend/test_calls.py
@@ -11,7 +11,7 @@
     build_stream,
     read_answer,
 )
-from frontend.support import ScriptedTarget, build_answer
+from frontend.support import ScriptedTarget, Shared, build_answer
 from goldcrestvane_daemon.frontend.suspects import MAX_DEATHS, build_fingerprint
 
 FULL = build_answer(
@@ -76,6 +76,17 @@
         ok = [build_answer(b"ok")]
         self.run_frontend(script, [[RESET], ok], [[RESET], ok])
 
+    def test_a_lookup_does_not_wait_for_a_silent_target(self):
+        async def script(frontend):
+            began = trio.current_time()
+            answer = await frontend.send("/get/x", method="GET", body=b"")
+            self.assertEqual((answer.status, answer.body), (200, b"ok"))
+            self.assertLess(trio.current_time() - began, 1.4)
+
+        # The first target that is asked hangs; the route has 1.5 s.
+        shared = Shared([[5.0], [build_answer(b"ok")]])
+        self.run_frontend(script, shared, shared)
+
     def test_other_process_at_the_address_does_not_run_the_call(self):
         async def script(frontend):
             answer = await frontend.send("/once/x")
