Keep using a ready target whose entry vanishes until its drain bound

At 22.0 s the store came back from a silent outage in which leases had run out; the frontends' watches, never broken, delivered the removals, and all targets of fitting-llm were dropped at once (frontend-milano-1: 'target gone, removed'; 9 calls refused NoTarget). Ruled out: the path after a noticed outage, which waits two seconds (no line 'the store does not answer' before it for these watches). Change: the removal of a target that did not say it drains takes effect 0.4 s before the drain bound, unless its entry returns; a draining one goes at once.

--- a/packages/daemon/src/goldcrestvane_daemon/frontend/directory.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/directory.py
@@ -25,19 +25,24 @@
     StoreObject,
 )
 from goldcrestvane_daemon.routes import RouteTable
-from goldcrestvane_daemon.targets import Target, TargetTable
+from goldcrestvane_daemon.targets import Target, TargetState, TargetTable
 
 WATCH_SECONDS = 10.0
 """A shorter watch costs more calls; a silent connection is noticed by keep-alive."""
 
 RETRY_SECONDS = 0.25
 MAX_RETRY_SECONDS = 1.0
+MISSING_CHECK_SECONDS = 0.1
 
 FOLLOWED = (Kind.CONFIGURATION, Kind.TARGETS, Kind.LEDGER)
 
 RETURN_SECONDS = 2.0
 """After an outage, entries of live targets are back within this time."""
 
+REMOVAL_MARGIN_SECONDS = 0.4
+"""How much sooner than its bound a removed target is dropped: the delay of a watch, a
+check of the missing ones and the way to the target."""
+
 logger = get_logger("directory")
 
 
@@ -65,6 +70,7 @@
         targets: TargetTable,
         ledger: LedgerClient,
         frontends: FrontendPeers,
+        drain_seconds: float,
         changed: Callable[[Target | None], None],
     ) -> None:
         """Creates a directory; `run` fills it.
@@ -74,6 +80,7 @@
             targets: Table to keep up to date.
             ledger: Told of new members.
             frontends: Asked while the store does not answer.
+            drain_seconds: Time after which a leaving target gets no new call.
             changed: Called after each change of the targets, with one that is gone.
         """
         self._store = store
@@ -81,6 +88,7 @@
         self._ledger = ledger
         self._changed = changed
         self._frontends = frontends
+        self._removal_seconds = max(0.0, drain_seconds - REMOVAL_MARGIN_SECONDS)
         self._copies = {kind: _Copy() for kind in FOLLOWED}
         self._missing: dict[InstanceId, float] = {}
         self.routes: RouteTable | None = None
@@ -201,7 +209,7 @@
         instance = InstanceId(item.name)
         self._missing.pop(instance, None)
         if item.deleted:
-            self._remove(instance, "removed")
+            self._take_removal(instance)
             return
         target = decode_target(item.name, item.value)
         if target is None:
@@ -222,6 +230,20 @@
             )
             self._changed(replaced)
 
+    def _take_removal(self, instance: InstanceId) -> None:
+        """Drops a target that leaves, and gives any other one the time to return.
+
+        The removal of a ready target may be a lapse of its entry during an outage that
+        this process has not noticed. A target that leaves without saying so serves on
+        for at least the same time.
+        """
+        target = self._targets.get(instance)
+        if target is None or target.state is TargetState.DRAINING:
+            self._remove(instance, "removed")
+            return
+        logger.info("a ready target is no longer listed", extra={"target": instance})
+        self._missing[instance] = trio.current_time() + self._removal_seconds
+
     def _remove(self, instance: InstanceId, reason: str) -> None:
         target = self._targets.get(instance)
         if target is not None and self._targets.remove(instance):
@@ -243,7 +265,7 @@
 
     async def _drop_missing(self) -> None:
         while True:
-            await trio.sleep(RETRY_SECONDS)
+            await trio.sleep(MISSING_CHECK_SECONDS)
             self._expire_missing()
 
     def _expire_missing(self) -> None:
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/process.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/process.py
@@ -68,6 +68,7 @@
                 targets=targets,
                 ledger=ledger,
                 frontends=frontends,
+                drain_seconds=settings.drain_seconds,
                 changed=calls.note_targets_changed,
             )
             clients = ClientServer(calls=calls, directory=directory, stop=stop)
--- a/packages/daemon/tests/frontend/frontend_case.py
+++ b/packages/daemon/tests/frontend/frontend_case.py
@@ -135,6 +135,7 @@
             targets=table,
             ledger=self.ledger,
             frontends=frontends,
+            drain_seconds=2.0,
             changed=self.calls.note_targets_changed,
         )
         self.nursery.start_soon(self.directory.run)
