--- a/packages/daemon/tests/frontend/test_calls.py
+++ b/packages/daemon/tests/frontend/test_calls.py
@@ -299,6 +299,28 @@
 
         self.run_frontend(script, [[build_answer(b"ok")]])
 
+    def test_changes_in_a_compacted_history_are_found_by_listing_anew(self):
+        async def script(frontend):
+            platform = frontend.platform
+            platform.faults.deaf_watches = True
+            newer = {**CONFIGURATION, "version": 9}
+            newer["routes"] = [
+                *CONFIGURATION["routes"],
+                build_route("new", "idempotent"),
+            ]
+            platform.put("config", "main", newer)
+            frontend.list_target(frontend.targets[0], state="draining")
+            await trio.sleep(0.3)
+            platform.faults.deaf_watches = False
+            platform.store.wake()
+            await trio.sleep(0.3)
+            answer = await frontend.send("/new/x", method="GET", body=b"")
+            self.assertEqual(answer.status, 200)
+            self.assertEqual(frontend.targets[0].requests, [])
+
+        answers = [[build_answer(b"ok")]]
+        self.run_frontend(script, answers, answers)
+
     def test_unknown_route_is_denied(self):
         async def script(frontend):
             self.assertEqual((await frontend.send("/none/x")).status, 404)
--- a/standins/src/goldcrestvane_standins/platformstore.py
+++ b/standins/src/goldcrestvane_standins/platformstore.py
@@ -27,11 +27,14 @@
         outage: Every call gets status 503.
         lost_answers: Number of writes to come that are done but not answered.
         delay: Seconds by which each answer is late.
+        deaf_watches: Watches hear of no change and end with status 410, as after a
+            compaction, when this is set back.
     """
 
     outage: bool = False
     lost_answers: int = 0
     delay: float = 0.0
+    deaf_watches: bool = False
 
 
 @final
@@ -101,9 +104,15 @@
         if not self.store.keeps_changes_since(since):
             return JsonResponse(value={"error": "history is gone"}, status=410)
         prefix = f"{kind}/"
+        deaf = False
         with trio.move_on_after(wait / 1000):
-            while not self.store.list_changed(prefix, since):
+            while self.faults.deaf_watches or not self.store.list_changed(
+                prefix, since
+            ):
+                deaf = deaf or self.faults.deaf_watches
                 await self.store.wait_for_change()
+                if deaf and not self.faults.deaf_watches:
+                    return JsonResponse(value={"error": "history is gone"}, status=410)
         changed = self.store.list_changed(prefix, since)
         events = [{"object": _show(item), "deleted": item.deleted} for item in changed]
         return JsonResponse(value={"events": events, "at": self.store.revision})
