Bound the load that the hash of a program gives a target

Change: consistent hashing with bounded loads, 1.25 times the mean and two. Test: twelve turns with one hash; 12 at one target before, 5 at most after.

--- a/packages/daemon/src/goldcrestvane_daemon/frontend/placement.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/placement.py
@@ -4,7 +4,9 @@
 - Programs return with ever longer prompts. A target that read the earlier turns reads
   only the new part, so the calls of a program go to one target, ranked by a hash that
   all frontends share without telling each other.
-- A burst fills the target that the hash names. Its calls spill to the least loaded one.
+- A hash spreads programs unevenly, and a burst makes it worse: one target of five gets
+  twice the mean and slows all of its calls. No target takes more by the hash than a
+  bound above the mean load (consistent hashing with bounded loads).
 - Calls of several priorities wait. A less urgent call counts as if it had arrived
   later, so that it yields but never starves.
 """
@@ -16,8 +18,13 @@
 
 from goldcrestvane_common.ids import InstanceId
 
-SPILL_SHARE = 0.75
-"""Part of its slots up to which a target takes the calls that the hash gives it."""
+LOAD_FACTOR = 1.25
+"""Load above the mean up to which a target takes the calls that the hash gives it; the
+usual figure for consistent hashing with bounded loads."""
+
+FREE_LOAD = 2.0
+"""Calls that a target takes by the hash whatever the mean is; they slow each other by
+a twentieth."""
 
 PRIORITY_SECONDS = 0.5
 """Time by which a call of one priority lower counts as later: half a usual objective
@@ -56,9 +63,14 @@
     if not free:
         return None
     if key is not None:
-        preferred = max(free, key=lambda each: rank_target(key, each.instance))
-        if preferred.share < SPILL_SHARE:
-            return preferred
+        mean = sum(choice.share for choice in choices) / len(choices)
+        by_rank = sorted(
+            free, key=lambda each: rank_target(key, each.instance), reverse=True
+        )
+        for choice in by_rank:
+            bound = LOAD_FACTOR * mean * choice.slots + FREE_LOAD
+            if choice.load < bound:
+                return choice
     return min(free, key=lambda each: (each.share, not each.local))
 
 
--- a/packages/daemon/tests/frontend/test_placement.py
+++ b/packages/daemon/tests/frontend/test_placement.py
@@ -41,6 +41,18 @@
             choose_target(build_choices(loads), "p").instance, preferred
         )
 
+    def test_no_target_gets_far_more_than_the_mean(self):
+        """Replays twelve turns whose programs all hash to the same target."""
+        idle = build_choices([0] * 5)
+        names = [f"p{n}" for n in range(200)]
+        names = [n for n in names if choose_target(idle, n).instance == "t0"][:12]
+        loads = [0] * 5
+        for name in names:
+            choice = choose_target(build_choices(loads), name)
+            loads[int(choice.instance[1:])] += 1
+        mean = len(names) / len(loads)
+        self.assertLessEqual(max(loads), 1.25 * mean + 2)
+
     def test_full_targets_take_nothing(self):
         self.assertIsNone(choose_target(build_choices([16, 17, 16]), "p"))
 
