Hand a shard only to its first owner when shards are balanced

A frozen sidecar stays in the platform's list. Each owner of its shard sees it rank first, asks it to adopt the shard (3 s without an answer, no call admitted), then hands the shard to the next in the ranking, which does the same: shard 15 went app-2, llm-0, llm-1, llm-0 in 14 s (logs of a run that failed), and call 3 and 4 ended as unknown at the caller's 20 s. Change: balancing asks the first owner whether it answers, hands over to it alone, and leaves a silent one out for 10 s. A leaving owner still tries all. Test: owner/test_manager.py with a frozen first owner; the shard leaves its holder before, stays after.

--- a/packages/daemon/src/goldcrestvane_daemon/owner/manager.py
+++ b/packages/daemon/src/goldcrestvane_daemon/owner/manager.py
@@ -25,6 +25,7 @@
 from goldcrestvane_common.objects import ObjectClient, ObjectsUnavailable
 from goldcrestvane_common.paths import (
     ADOPT_PATH,
+    PING_PATH,
 )
 from goldcrestvane_common.routing import (
     JsonResponse,
@@ -58,6 +59,10 @@
 HEIR_PATIENCE_SECONDS = 3.0
 ADOPT_TIMEOUT_SECONDS = 3.0
 REBALANCE_SECONDS = 1.0
+PING_TIMEOUT_SECONDS = 1.0
+SILENT_SECONDS = 10.0
+"""Time for which a peer that did not answer gets no shard; the list lags as long."""
+
 MAX_OPENINGS = 16
 SETTLED_SECONDS = 3.0
 
@@ -98,6 +103,7 @@
         self._opening: set[ShardId] = set()
         self._open_limiter = trio.CapacityLimiter(MAX_OPENINGS)
         self._handing_over: set[ShardId] = set()
+        self._silent_until: dict[InstanceId, float] = {}
         self._members: frozenset[InstanceId] = frozenset()
         self._members_since = 0.0
         self._nursery: trio.Nursery | None = None
@@ -264,11 +270,12 @@
 
     async def hand_over_all(self) -> None:
         """Gives every shard to another sidecar, before this one leaves."""
+        live = self._membership.list_live(Role.SIDECAR)
         async with trio.open_nursery() as nursery:
             for shard in list(self.owned):
-                nursery.start_soon(self._hand_over, shard)
+                nursery.start_soon(self._hand_over, shard, rank_owners(shard, live))
 
-    async def _hand_over(self, shard: ShardId) -> None:
+    async def _hand_over(self, shard: ShardId, heirs: list[Instance]) -> None:
         owned = self.owned.get(shard)
         if owned is None or shard in self._handing_over:
             return
@@ -277,15 +284,16 @@
             owned.stop_admitting()
             # The next owner joins running calls by the starts that it finds.
             await owned.wait_durable(owned.append(), wait=FLUSH_WAIT_SECONDS)
-            await self._find_adopter(shard, owned)
+            await self._find_adopter(shard, owned, heirs)
         except WrongOwner:
             logger.info("shard %s was taken over before its hand-over", shard)
         finally:
             self._handing_over.discard(shard)
 
-    async def _find_adopter(self, shard: ShardId, owned: OwnedShard) -> None:
-        live = self._membership.list_live(Role.SIDECAR)
-        for heir in rank_owners(shard, live):
+    async def _find_adopter(
+        self, shard: ShardId, owned: OwnedShard, heirs: list[Instance]
+    ) -> None:
+        for heir in heirs:
             if heir == self._own:
                 continue
             if await self._send_order(heir, ADOPT_PATH, AdoptRequest(shard)):
@@ -307,16 +315,39 @@
                 self._members_since = trio.current_time()
             if trio.current_time() - self._members_since < SETTLED_SECONDS:
                 continue
-            shard = self._find_misplaced(live)
-            if shard is not None:
-                await self._hand_over(shard)
+            await self._move_misplaced(live)
+
+    async def _move_misplaced(self, live: list[Instance]) -> None:
+        """Hands one shard to its first owner, if that one answers.
 
-    def _find_misplaced(self, live: list[Instance]) -> ShardId | None:
+        Only the first owner will do: a shard that goes to a lower rank comes back, and
+        its calls wait meanwhile.
+        """
+        now = trio.current_time()
+        answering = [
+            item for item in live if self._silent_until.get(item.instance, 0.0) <= now
+        ]
         for shard, owned in self.owned.items():
-            first = find_first_owner(shard, live)
-            if first != self._own and not owned.journal.down:
-                return shard
-        return None
+            if not answering or owned.journal.down:
+                continue
+            first = find_first_owner(shard, answering)
+            if first == self._own:
+                continue
+            if await self._answers(first):
+                await self._hand_over(shard, [first])
+            else:
+                self._silent_until[first.instance] = now + SILENT_SECONDS
+            return
+
+    async def _answers(self, peer: Instance) -> bool:
+        """Tells whether a peer that the list still names answers now."""
+        try:
+            reply = await self._transport.send(
+                "GET", peer.address, PING_PATH, timeout=PING_TIMEOUT_SECONDS
+            )
+        except (ConnectFailed, ExchangeBroken):
+            return False
+        return reply.status == 200
 
     async def _publish_owned(self, shard_map: ShardMap) -> None:
         missing = {}
--- /dev/null
+++ b/packages/daemon/tests/owner/test_manager.py
@@ -0,0 +1,114 @@
+import random
+import unittest
+
+import trio
+import trio.testing
+
+from goldcrestvane_common.messages import Instance, Role, ShardMap
+from goldcrestvane_common.paths import ADOPT_PATH
+from goldcrestvane_common.transport import ExchangeBroken, Reply
+from goldcrestvane_daemon.owner.manager import ShardManager
+from goldcrestvane_daemon.owner.ranking import rank_owners
+
+SHARDS = 64
+
+
+def build_instance(name):
+    return Instance(name, Role.SIDECAR, f"{name}:1", f"d-{name}", service="s")
+
+
+class FakeMembership:
+    """Lists all sidecars, as a platform's list that lags behind a frozen one."""
+
+    def __init__(self, own, live):
+        self.own = own
+        self.live = live
+        self.ready = trio.Event()
+
+    def list_live(self, role):
+        return self.live
+
+
+class FakeTransport:
+    """Peers that are frozen never answer; the others do."""
+
+    def __init__(self, frozen):
+        self.frozen = frozen
+        self.orders = []
+
+    async def send(self, method, peer, path, *, value=None, timeout=None):
+        if path == ADOPT_PATH:
+            self.orders.append(peer)
+        if peer in self.frozen:
+            await trio.sleep(timeout)
+            raise ExchangeBroken("timeout")
+        await trio.lowlevel.checkpoint()
+        return Reply(status=200, headers={}, body=b"{}")
+
+
+class FakeJournal:
+    down = False
+
+    def depose(self):
+        pass
+
+
+class FakeShard:
+    def __init__(self):
+        self.admitting = True
+        self.stops = 0
+        self.journal = FakeJournal()
+
+    def stop_admitting(self):
+        self.admitting = False
+        self.stops += 1
+
+    def append(self):
+        return 0
+
+    async def wait_durable(self, position, *, wait):
+        await trio.lowlevel.checkpoint()
+
+
+class RebalanceTests(unittest.TestCase):
+    def run_rebalance(self, *, frozen):
+        """Rebalances for a minute; returns the shard, its holder and the orders."""
+        live = [build_instance(name) for name in ("first", "own", "last")]
+        first, own, _ = live
+        ranked = {n: rank_owners(n, live) for n in range(SHARDS)}
+        shard = next(n for n in ranked if ranked[n][:2] == [first, own])
+        transport = FakeTransport({"first:1"} if frozen else set())
+        held = FakeShard()
+
+        async def main():
+            manager = ShardManager(
+                objects=None,
+                transport=transport,
+                membership=FakeMembership(own, live),
+                recovery=None,
+                read_map=lambda: ShardMap([]),
+                shard_count=SHARDS,
+                generator=random.Random(0),
+            )
+            manager.owned[shard] = held
+            with trio.move_on_after(60):
+                await manager._rebalance()
+            return shard in manager.owned
+
+        clock = trio.testing.MockClock(autojump_threshold=0)
+        return trio.run(main, clock=clock), held, transport.orders
+
+    def test_shard_goes_to_its_first_owner(self):
+        kept, _, orders = self.run_rebalance(frozen=False)
+        self.assertFalse(kept)
+        self.assertEqual(orders, ["first:1"])
+
+    def test_shard_stays_while_its_first_owner_is_frozen(self):
+        kept, held, orders = self.run_rebalance(frozen=True)
+        self.assertTrue(kept)
+        self.assertEqual(orders, [])
+        self.assertEqual(held.stops, 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
