Leave out targets that fail often, and give slow ones fewer calls

Change: a moving share of failures, status 500 included, leaves a target out from a quarter on; an answer to an earlier call no longer brings it back. The pace of streams against the service's mean makes a slow target count as more loaded. A repeatable call that a target answers with 5xx goes to another one. Tests: replays of both patterns, failing before (no such share; even split) and passing after; one error of tests/frontend in five runs while the machine was busy is not traced yet.

--- a/packages/daemon/src/goldcrestvane_daemon/frontend/calls.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/calls.py
@@ -4,6 +4,7 @@
 from enum import Enum
 from typing import final
 
+import msgspec
 import trio
 
 from goldcrestvane_common.ids import DomainId, InstanceId, ServiceId
@@ -74,12 +75,27 @@
 
 TIMEOUT_RETRY_SECONDS = 0.1
 
-EJECTION = PlacementOptions(eject_seconds=0.5, max_eject_seconds=4.0)
-"""Targets restart within seconds; one that is left out is tried again soon."""
+EJECTION = PlacementOptions(eject_share=0.25, eject_seconds=0.5, max_eject_seconds=4.0)
+"""Targets restart within seconds; one that is left out is tried again soon. Healthy
+targets fail one call of a hundred, so two of the latest dozen are an outlier."""
 
 logger = get_logger("call")
 
 
+class AttemptReport(msgspec.Struct, frozen=True):
+    """How one attempt ended.
+
+    Attributes:
+        result: What became of it.
+        healthy: Whether the target did its work.
+        pace: Seconds an event, or a whole answer, took; None if that is not known.
+    """
+
+    result: "AttemptResult"
+    healthy: bool = True
+    pace: float | None = None
+
+
 class AttemptResult(Enum):
     """What became of one attempt."""
 
@@ -294,7 +310,7 @@
         began = trio.current_time()
         try:
             with _limit_attempt(call) as limit:
-                result = await self._exchange(
+                report = await self._exchange(
                     connection, call, target, queue, answer_headers, limit
                 )
             if limit.cancelled_caught:
@@ -317,9 +333,19 @@
             else:
                 self._health.note_cancelled(target.instance, now=now)
             raise
-        if result is AttemptResult.ANSWERED:
-            self._health.note_success(target.instance, slowness=None)
-        return result
+        if report.result is AttemptResult.ANSWERED:
+            self._note_answer(target, queue, report)
+        return report.result
+
+    def _note_answer(
+        self, target: Target, queue: ServiceQueue, report: AttemptReport
+    ) -> None:
+        if not report.healthy:
+            now = trio.current_time()
+            self._health.note_failure(target.instance, now=now, dead=False)
+            return
+        slowness = queue.rate_pace(report.pace)
+        self._health.note_success(target.instance, slowness=slowness)
 
     async def _exchange(
         self,
@@ -329,7 +355,7 @@
         queue: ServiceQueue,
         answer_headers: list[tuple[bytes, bytes]],
         limit: trio.CancelScope,
-    ) -> AttemptResult:
+    ) -> AttemptReport:
         """Sends the call on one connection and passes the answer on.
 
         Once the answer is whole, `limit` is lifted.
@@ -346,17 +372,21 @@
                 await attempt.read_body(MAX_ANSWER_BYTES)
                 self._note_rejection(call, target, head)
                 call.tried.pop()
-                return AttemptResult.NOT_RUN
+                return AttemptReport(AttemptResult.NOT_RUN)
             _check_answer(head)
+            if head.status >= 500 and _may_try_another(call):
+                raise TargetBroke(f"Got status {head.status}.")
             headers = _drop_length(head.forwarded) + answer_headers
             if call.route.kind is CallKind.STREAM and head.status == 200:
-                await self._pass_stream(connection, call, attempt, headers)
+                pace = await self._pass_stream(connection, call, attempt, headers)
             else:
                 body = await attempt.read_body(MAX_ANSWER_BYTES)
                 limit.deadline = math.inf
                 call.answer_begun = True
+                pace = None
                 await connection.respond(head.status, headers, body)
-        return AttemptResult.ANSWERED
+        healthy = head.status < 500
+        return AttemptReport(AttemptResult.ANSWERED, healthy=healthy, pace=pace)
 
     async def _send(
         self, call: PlannedCall, target: Target, attempt: Attempt
@@ -420,12 +450,17 @@
         call: PlannedCall,
         attempt: Attempt,
         headers: list[tuple[bytes, bytes]],
-    ) -> None:
+    ) -> float | None:
+        """Passes events on as they arrive; returns the seconds an event took."""
         splitter = EventSplitter()
+        events_before = call.events
+        first_at = 0.0
         async for chunk in attempt.read_chunks():
             events = splitter.feed(chunk)
             if not events:
                 continue
+            if call.events == events_before:
+                first_at = trio.current_time()
             if not call.answer_begun:
                 # Begun with the first event, so that a target that breaks off
                 # before it leaves the call free for another attempt.
@@ -440,12 +475,22 @@
             await connection.send_body(b"".join(event.raw for event in events))
         if splitter.remainder:
             raise TargetBroke("The stream ended within an event.")
+        pauses = call.events - events_before - 1
+        pace = (trio.current_time() - first_at) / pauses if pauses > 0 else None
         if not call.answer_begun:
             call.answer_begun = True
             await connection.begin_answer(200, headers)
         if call.is_kept:
             await self._turns.keep(call)
         await connection.end_answer()
+        return pace
+
+
+def _may_try_another(call: PlannedCall) -> bool:
+    """Tells whether a call that a target failed may run at a further target."""
+    if call.answer_begun or not call.route.repeatable:
+        return False
+    return len(call.counted) < call.route.attempts
 
 
 def _limit_attempt(call: PlannedCall) -> trio.CancelScope:
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/queue.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/queue.py
@@ -29,6 +29,16 @@
 """Run time assumed before a call has ended: a turn on an idle target."""
 
 RUN_SMOOTHING = 0.1
+PACE_SMOOTHING = 0.02
+"""Weight of the latest pace in the service's mean, which follows some dozen calls."""
+
+MAX_PACE_RATIO = 1.5
+"""Ratio to the mean beyond which a pace counts no more in it."""
+
+SLOW_FACTOR = 1.6
+"""Slowness from which a target counts as more loaded than it is; the load alone makes
+a factor of 1.5 between an idle and a full engine."""
+
 MIN_RETRY_SECONDS = 0.05
 RECHECK_SECONDS = 0.02
 """Pause until targets that were full are tried again."""
@@ -72,6 +82,7 @@
         self._waiting: list[Waiter] = []
         self._ended: deque[float] = deque(maxlen=256)
         self._run_seconds = FIRST_RUN_SECONDS
+        self._pace: float | None = None
 
     @property
     def waiting_count(self) -> int:
@@ -162,6 +173,18 @@
             self._run_seconds += RUN_SMOOTHING * (run_seconds - self._run_seconds)
         self.place_waiting()
 
+    def rate_pace(self, pace: float | None) -> float | None:
+        """Returns a pace against the mean of the service, and learns from it."""
+        if pace is None:
+            return None
+        if self._pace is None:
+            self._pace = pace
+        ratio = pace / self._pace if self._pace > 0 else 1.0
+        # Slow targets must not pull the mean up to themselves.
+        counted = min(pace, MAX_PACE_RATIO * self._pace)
+        self._pace += PACE_SMOOTHING * (counted - self._pace)
+        return ratio
+
     def report(self, target: Target, load: ReportedLoad | None) -> None:
         """Takes in the load that a target stated."""
         if load is not None:
@@ -181,6 +204,11 @@
             self._waiting.remove(waiter)
             waiter.placed.set()
 
+    def _weigh(self, target: Target) -> float:
+        """Returns how much heavier each call weighs on a slow target."""
+        slowness = self._health.get(target.instance).slowness
+        return slowness if slowness >= SLOW_FACTOR else 1.0
+
     def _find_target(self, waiter: Waiter) -> Target | None:
         now = trio.current_time()
         ready = [
@@ -198,7 +226,7 @@
         choices = [
             TargetChoice(
                 instance=target.instance,
-                load=load.estimate(now),
+                load=load.estimate(now) * self._weigh(target),
                 slots=target.slots,
                 local=target.domain == self._domain,
             )
--- a/packages/daemon/src/goldcrestvane_daemon/placement/facts.py
+++ b/packages/daemon/src/goldcrestvane_daemon/placement/facts.py
@@ -48,6 +48,9 @@
         max_programs: Programs whose cache affinity is remembered.
         random_choices: Targets drawn at random for each call.
         eject_failures: Failures in a row after which a target is left out.
+        eject_share: Share of failures among the latest results from which a target is
+            left out, once it has `eject_results` of them; above 1 never.
+        eject_results: Results that a share needs.
         eject_seconds: First time that a target is left out; doubles each time.
         max_eject_seconds: Longest time that a target is left out.
     """
@@ -58,5 +61,7 @@
     max_programs: int = 20_000
     random_choices: int = 2
     eject_failures: int = 3
+    eject_share: float = 1.1
+    eject_results: int = 5
     eject_seconds: float = 1.0
     max_eject_seconds: float = 30.0
--- a/packages/daemon/src/goldcrestvane_daemon/placement/health.py
+++ b/packages/daemon/src/goldcrestvane_daemon/placement/health.py
@@ -7,6 +7,12 @@
 from goldcrestvane_daemon.placement.facts import PlacementOptions
 
 SLOWNESS_SMOOTHING = 0.1
+SHARE_SMOOTHING = 0.15
+"""Weight of the latest result: the share follows the last dozen."""
+
+HEALTHY_SHARE = 0.2
+"""Share of failures below which a target starts anew; one failure and a success."""
+
 MIN_SLOWNESS = 0.5
 MAX_SLOWNESS = 20.0
 
@@ -34,9 +40,19 @@
         ejections: Times left out since the last success.
         until: Time on trio's clock at which a probe may go.
         slowness: Moving average of run time against the service's expectation.
+        failure_share: Moving average of results, 1 for a failure.
+        results: Results since the target was last left out.
     """
 
-    __slots__ = ("ejections", "failures", "slowness", "state", "until")
+    __slots__ = (
+        "ejections",
+        "failure_share",
+        "failures",
+        "results",
+        "slowness",
+        "state",
+        "until",
+    )
 
     def __init__(self) -> None:
         self.state = HealthState.CLOSED
@@ -44,6 +60,13 @@
         self.ejections = 0
         self.until = 0.0
         self.slowness = 1.0
+        self.failure_share = 0.0
+        self.results = 0
+
+    def count_result(self, *, failed: bool) -> None:
+        """Takes a result into the share of failures."""
+        self.results += 1
+        self.failure_share += SHARE_SMOOTHING * (failed - self.failure_share)
 
 
 @final
@@ -83,9 +106,13 @@
     def note_success(self, target: InstanceId, *, slowness: float | None) -> None:
         """Notes an answer; `slowness` is its run time against the expectation."""
         health = self.get(target)
-        health.state = HealthState.CLOSED
+        health.count_result(failed=False)
+        if health.state is not HealthState.OPEN:
+            # A call that was sent before the target was left out proves nothing.
+            health.state = HealthState.CLOSED
         health.failures = 0
-        health.ejections = 0
+        if health.failure_share < HEALTHY_SHARE:
+            health.ejections = 0
         if slowness is None:
             return
         bounded = min(max(slowness, MIN_SLOWNESS), MAX_SLOWNESS)
@@ -95,8 +122,14 @@
         """Notes a failed call; `dead` leaves the target out at once."""
         health = self.get(target)
         health.failures += 1
+        health.count_result(failed=True)
         probed = health.state is HealthState.PROBING
-        if not (dead or probed or health.failures >= self._options.eject_failures):
+        often = (
+            health.results >= self._options.eject_results
+            and health.failure_share >= self._options.eject_share
+        )
+        in_a_row = health.failures >= self._options.eject_failures
+        if not (dead or probed or in_a_row or often):
             return
         if health.state is HealthState.OPEN:
             return
@@ -115,6 +148,7 @@
         self._targets.pop(target, None)
 
     def _eject(self, health: TargetHealth, *, now: float) -> None:
+        health.results = 0
         seconds = self._options.eject_seconds * 2**health.ejections
         health.state = HealthState.OPEN
         health.ejections = min(health.ejections + 1, 16)
--- a/packages/daemon/tests/frontend/test_calls.py
+++ b/packages/daemon/tests/frontend/test_calls.py
@@ -90,6 +90,15 @@
         shared = Shared([[5.0], [build_answer(b"ok")]])
         self.run_frontend(script, shared, shared)
 
+    def test_a_lookup_that_a_target_fails_goes_to_another(self):
+        async def script(frontend):
+            answer = await frontend.send("/get/x", method="GET", body=b"")
+            self.assertEqual((answer.status, answer.body), (200, b"ok"))
+
+        failed = [build_answer(b"broken", status="500 Error")]
+        shared = Shared([failed, [build_answer(b"ok")]])
+        self.run_frontend(script, shared, shared)
+
     def test_other_process_at_the_address_does_not_run_the_call(self):
         async def script(frontend):
             answer = await frontend.send("/once/x")
--- a/packages/daemon/tests/frontend/test_queue.py
+++ b/packages/daemon/tests/frontend/test_queue.py
@@ -106,6 +106,23 @@
 
         self.run_script(script)
 
+    def test_a_slow_target_gets_fewer_calls(self):
+        """Replays a replica that takes four times as long as the others."""
+
+        async def script():
+            self.add_targets(2, slots=12)
+            for number in range(60):
+                slow = 0.05 if number < 20 else 0.2
+                for name, pace in (("t0", slow), ("t1", 0.05)):
+                    slowness = self.queue.rate_pace(pace)
+                    self.health.note_success(name, slowness=slowness)
+            counts = {"t0": 0, "t1": 0}
+            for _ in range(10):
+                counts[(await self.acquire()).instance] += 1
+            self.assertLessEqual(counts["t0"], 4)
+
+        self.run_script(script)
+
     def test_load_of_other_frontends_counts_until_it_is_old(self):
         async def script():
             self.add_targets(2, slots=4)
--- /dev/null
+++ b/packages/daemon/tests/placement/test_health.py
@@ -0,0 +1,50 @@
+import unittest
+
+from goldcrestvane_daemon.placement.facts import PlacementOptions
+from goldcrestvane_daemon.placement.health import HealthState, HealthView
+
+OPTIONS = PlacementOptions(eject_share=0.25, eject_seconds=0.5, max_eject_seconds=4.0)
+
+
+class FailureShareTests(unittest.TestCase):
+    def setUp(self):
+        self.health = HealthView(OPTIONS)
+        self.now = 0.0
+
+    def run_calls(self, count, *, failing_each):
+        """Runs calls of which every n-th fails; returns how many were let through."""
+        passed = 0
+        for number in range(count):
+            self.now += 0.02
+            if not self.health.is_usable("t", now=self.now):
+                continue
+            passed += 1
+            self.health.note_start("t", now=self.now)
+            if number % failing_each == failing_each - 1:
+                self.health.note_failure("t", now=self.now, dead=False)
+            else:
+                self.health.note_success("t", slowness=None)
+        return passed
+
+    def test_target_that_fails_two_of_five_is_mostly_left_out(self):
+        """Replays a replica whose health check is good and whose answers are not."""
+        passed = sum(self.run_calls(5, failing_each=2) for _ in range(100))
+        self.assertLess(passed, 125)
+
+    def test_target_that_fails_one_of_a_hundred_stays(self):
+        self.assertEqual(self.run_calls(1000, failing_each=100), 1000)
+
+    def test_target_that_recovers_is_used_again(self):
+        self.run_calls(200, failing_each=2)
+        self.now += OPTIONS.max_eject_seconds
+        self.run_calls(60, failing_each=10_000)
+        self.assertGreater(self.run_calls(100, failing_each=10_000), 95)
+
+    def test_answer_of_an_earlier_call_does_not_bring_a_target_back(self):
+        self.health.note_failure("t", now=0.0, dead=True)
+        self.health.note_success("t", slowness=None)
+        self.assertIs(self.health.get("t").state, HealthState.OPEN)
+
+
+if __name__ == "__main__":
+    unittest.main()
