Let a frontend that starts while the store is away learn from the others

Ruled out: the ledger, whose members voted all the time until 19.8 s. Change: the frontend serves the control address, so that the settings' seeds name frontends; a process without news for 0.3 s takes over their copies. Test: a store that hangs at the start; no target before, the copy's after.

--- a/packages/daemon/src/goldcrestvane_daemon/frontend/directory.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/directory.py
@@ -30,6 +30,9 @@
 WATCH_SECONDS = 10.0
 """A shorter watch costs more calls; a silent connection is noticed by keep-alive."""
 
+FIRST_ANSWER_SECONDS = 0.3
+"""Time after its start at which a process stops relying on the store alone."""
+
 RETRY_SECONDS = 0.25
 MAX_RETRY_SECONDS = 1.0
 MISSING_CHECK_SECONDS = 0.1
@@ -101,6 +104,15 @@
             for kind in FOLLOWED:
                 nursery.start_soon(self._follow, kind)
             nursery.start_soon(self._drop_missing)
+            nursery.start_soon(self._ask_at_start)
+
+    async def _ask_at_start(self) -> None:
+        """Asks other frontends while a store that hangs leaves this one without news."""
+        while any(copy.revision == 0 for copy in self._copies.values()):
+            await trio.sleep(FIRST_ANSWER_SECONDS)
+            for kind, copy in self._copies.items():
+                if copy.revision == 0:
+                    await self._ask_frontends(kind)
 
     async def _follow(self, kind: Kind) -> None:
         pause = RETRY_SECONDS
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/peers.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/peers.py
@@ -5,13 +5,13 @@
 platform's objects. Frontends learn of each other from the ledger's members.
 """
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 from functools import singledispatchmethod
 from typing import Any, final
 
 import trio
 
-from goldcrestvane_common.ids import Fingerprint, Version
+from goldcrestvane_common.ids import DomainId, Fingerprint, Version
 from goldcrestvane_common.logs import get_logger
 from goldcrestvane_daemon.frontend.peer_messages import (
     AskObjects,
@@ -64,9 +64,16 @@
         self._call_member = call_member
         self._copy_objects = copy_objects
 
+    def note_seeds(self, addresses: Sequence[str]) -> None:
+        """Connects to frontends that the settings name, until better ones are known."""
+        seeds = [Frontend(address, DomainId("")) for address in addresses]
+        self.note_frontends(seeds, "")
+
     def note_frontends(self, frontends: list[Frontend], domain: str) -> None:
         """Connects to some of the frontends, those of other domains first."""
         others = [each for each in frontends if each.address != self._own_address]
+        if not others:
+            return
         others.sort(key=lambda each: (each.domain == domain, each.address))
         wanted = {each.address for each in others[:MAX_PEERS]}
         for address in set(self._peers) - wanted:
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/process.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/process.py
@@ -51,9 +51,11 @@
         stop = Stop(settings.grace_seconds)
         targets = TargetTable()
         async with Transport() as transport, trio.open_nursery() as nursery:
-            own = Frontend(settings.peer_address, settings.domain)
+            address = settings.frontend_peer_address or settings.peer_address
+            own = Frontend(address, settings.domain)
             suspects = Suspects()
             frontends = FrontendPeers(own.address, suspects, nursery)
+            frontends.note_seeds(settings.frontend_seeds)
             ledger = LedgerClient(own, frontends, nursery)
             calls = CallService(
                 targets=targets,
--- a/packages/daemon/src/goldcrestvane_daemon/platform/machine.py
+++ b/packages/daemon/src/goldcrestvane_daemon/platform/machine.py
@@ -67,6 +67,8 @@
         peer_port_count: Number of ports for that traffic.
         store_address: ``host:port`` of the platform's object store.
         client_address: ``host:port`` on which clients are served, if any.
+        frontend_peer_address: ``host:port`` on which other frontends are served.
+        frontend_seeds: Such addresses of a few frontends; some may be stale.
         ready_address: ``host:port`` on which the balancer asks for readiness, if any.
         data_folder: Folder of the machine's disk, if it has one.
         tolerated_losses: Machines with disks that may be lost at the same time.
@@ -82,6 +84,8 @@
     peer_port_count: int
     store_address: str
     client_address: str | None = None
+    frontend_peer_address: str | None = None
+    frontend_seeds: tuple[str, ...] = ()
     ready_address: str | None = None
     data_folder: Path | None = None
     tolerated_losses: int = 1
@@ -129,6 +133,9 @@
         peer_port_count=last - first + 1,
         store_address=raw.platform.address,
         client_address=raw.listen_addresses.frontend,
+        # The control address is free for traffic between our own processes.
+        frontend_peer_address=raw.listen_addresses.control_plane,
+        frontend_seeds=tuple(raw.seeds),
         ready_address=raw.listen_addresses.ready,
         data_folder=Path(raw.data_directory) if raw.data_directory else None,
         tolerated_losses=raw.fault_tolerance.machines,
--- a/packages/daemon/tests/frontend/test_directory.py
+++ b/packages/daemon/tests/frontend/test_directory.py
@@ -25,7 +25,7 @@
         self.entries = {"i-1": ENTRY}
         self.revision = 1
         self.outage = False
-        self.silent = False
+        self.hangs = False
         self._events = []
         self._changed = trio.Event()
 
@@ -57,6 +57,8 @@
 
     async def list(self, kind):
         await trio.sleep(0.004)
+        if self.hangs:
+            await trio.sleep_forever()
         if self.outage:
             raise ObjectsUnavailable("out")
         names = self.entries if kind is Kind.TARGETS else ()
@@ -68,28 +70,34 @@
                 if self.outage:
                     raise ObjectsUnavailable("out")
                 found = [item for at, item in self._events if at > since]
-                if found and kind is Kind.TARGETS and not self.silent:
+                if found and kind is Kind.TARGETS:
                     return StoreChanges(found, self.revision)
                 await self._changed.wait()
         return StoreChanges([], since)
 
 
 class FakeFrontends:
+    """Other frontends; `copy` is what they hold of the targets."""
+
+    def __init__(self, copy=None):
+        self.copy = copy
+
     async def ask_objects(self, kind, since):
         await trio.lowlevel.checkpoint()
-        return None
+        return self.copy if kind is Kind.TARGETS else None
 
 
 class DirectoryTests(unittest.TestCase):
-    def run_script(self, script):
+    def run_script(self, script, *, hangs=False, copy=None):
         async def main():
             store = FakeStore()
+            store.hangs = hangs
             table = TargetTable()
             directory = Directory(
                 store=store,
                 targets=table,
                 ledger=None,
-                frontends=FakeFrontends(),
+                frontends=FakeFrontends(copy),
                 drain_seconds=2.0,
                 changed=lambda gone: None,
             )
@@ -149,6 +157,13 @@
 
         self.run_script(script)
 
+    def test_process_that_starts_while_the_store_hangs_takes_over_a_copy(self):
+        async def script(store, is_used):
+            self.assertTrue(is_used())
+
+        entry = StoreObject("i-1", 7, msgspec.json.encode(ENTRY))
+        self.run_script(script, hangs=True, copy=StoreChanges([entry], 9))
+
     def test_entry_that_becomes_unreadable_names_no_target(self):
         async def script(store, is_used):
             store.put("i-1", slots="many")
