Note the first configuration also when it comes by a watch

Ruled out: placement (ms an event unchanged at 32) and the ledger (11 ms a turn) by the log of a frontend that was listed after the write. Change: the event follows lists and watches. Test: a first configuration after the start; hangs before, passes after.

--- a/packages/daemon/src/goldcrestvane_daemon/frontend/directory.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/directory.py
@@ -170,8 +170,7 @@
             self._note_missing(changes, after_outage=after_outage)
         for item in changes.objects:
             self._take(kind, item)
-        if self.routes is not None and self._copies[Kind.TARGETS].revision:
-            self.complete.set()
+        self._check_complete()
 
     def _take_changes(self, kind: Kind, changes: StoreChanges) -> None:
         copy = self._copies[kind]
@@ -181,6 +180,11 @@
                 copy.objects[item.name] = item
             self._take(kind, item)
         copy.revision = max(copy.revision, changes.revision)
+        self._check_complete()
+
+    def _check_complete(self) -> None:
+        if self.routes is not None and self._copies[Kind.TARGETS].revision:
+            self.complete.set()
 
     def _take(self, kind: Kind, item: StoreObject) -> None:
         if kind is Kind.TARGETS:
--- a/packages/daemon/tests/frontend/test_calls.py
+++ b/packages/daemon/tests/frontend/test_calls.py
@@ -281,6 +281,15 @@
 
         self.run_frontend(script, configuration=None)
 
+    def test_first_configuration_may_come_after_the_start(self):
+        async def script(frontend):
+            await frontend.wait_synced(Kind.CONFIGURATION)
+            frontend.platform.put("config", "main", CONFIGURATION)
+            await frontend.directory.complete.wait()
+            self.assertEqual((await frontend.send("/once/x")).status, 200)
+
+        self.run_frontend(script, [[build_answer(b"ok")]], configuration=None)
+
     def test_versions_never_go_back(self):
         async def script(frontend):
             newer = {**CONFIGURATION, "version": 9}
