Answer a lookup once when its time ends together with its answer

The scope that ends a silent lookup also covered the writing of the answer; expired at the moment the answer came, it cancelled the writing after the answer had been handed to the connection, and the call was tried elsewhere. Ruled out: the route's timeout, which never answers a second time. Change: the scope covers sending and reading alone. A fault in one connection is logged with its traceback and closes that connection only. Tests: both fail before (no answer; the process's nursery ends) and pass after.

--- a/packages/daemon/src/goldcrestvane_daemon/frontend/calls.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/calls.py
@@ -1,6 +1,5 @@
 """The way of one call: queue, attempts at targets, answer."""
 
-import math
 from enum import Enum
 from typing import final
 
@@ -309,12 +308,9 @@
         """Sends the call to one target and passes its answer on."""
         began = trio.current_time()
         try:
-            with _limit_attempt(call) as limit:
-                report = await self._exchange(
-                    connection, call, target, queue, answer_headers, limit
-                )
-            if limit.cancelled_caught:
-                raise TargetBroke("No answer; a lookup may run elsewhere as well.")
+            report = await self._exchange(
+                connection, call, target, queue, answer_headers
+            )
         except ConnectFailed as error:
             self._note_failure(call, target, error, dead=True)
             if target.instance in call.tried:
@@ -354,36 +350,36 @@
         target: Target,
         queue: ServiceQueue,
         answer_headers: list[tuple[bytes, bytes]],
-        limit: trio.CancelScope,
     ) -> AttemptReport:
         """Sends the call on one connection and passes the answer on.
 
-        Once the answer is whole, `limit` is lifted.
-
         Raises:
             ConnectFailed: Nothing was sent.
             TargetBroke: The target may have run the call.
         """
         async with Attempt(self._connections, target) as attempt:
             call.tried.append(target.instance)
-            head = await self._send(call, target, attempt)
-            queue.report(target, head.load)
+            body: bytes | None = None
+            with _limit_attempt(call) as limit:
+                head = await self._send(call, target, attempt)
+                queue.report(target, head.load)
+                if not _is_stream(call, head):
+                    body = await attempt.read_body(MAX_ANSWER_BYTES)
+            if limit.cancelled_caught:
+                raise TargetBroke("No answer; a lookup may run elsewhere as well.")
             if not head.executed:
-                await attempt.read_body(MAX_ANSWER_BYTES)
                 self._note_rejection(call, target, head)
                 call.tried.pop()
                 return AttemptReport(AttemptResult.NOT_RUN)
             _check_answer(head)
             if head.status >= 500 and _may_try_another(call):
                 raise TargetBroke(f"Got status {head.status}.")
+            pace = None
             headers = _drop_length(head.forwarded) + answer_headers
-            if call.route.kind is CallKind.STREAM and head.status == 200:
+            if body is None:
                 pace = await self._pass_stream(connection, call, attempt, headers)
             else:
-                body = await attempt.read_body(MAX_ANSWER_BYTES)
-                limit.deadline = math.inf
                 call.answer_begun = True
-                pace = None
                 await connection.respond(head.status, headers, body)
         healthy = head.status < 500
         return AttemptReport(AttemptResult.ANSWERED, healthy=healthy, pace=pace)
@@ -486,6 +482,11 @@
         return pace
 
 
+def _is_stream(call: PlannedCall, head: AnswerHead) -> bool:
+    """Tells whether an answer is passed on while it arrives."""
+    return call.route.kind is CallKind.STREAM and head.status == 200
+
+
 def _may_try_another(call: PlannedCall) -> bool:
     """Tells whether a call that a target failed may run at a further target."""
     if call.answer_begun or not call.route.repeatable:
@@ -497,7 +498,7 @@
     """Returns a scope that ends the attempt of a lookup that may go elsewhere."""
     if call.route.kind is not CallKind.IDEMPOTENT:
         return trio.CancelScope()
-    if len(call.counted) + 1 >= call.route.attempts:
+    if len(call.counted) >= call.route.attempts:
         return trio.CancelScope()
     seconds = max(MIN_LOOKUP_SECONDS, LOOKUP_TARGETS * call.route.target_seconds)
     return trio.CancelScope(deadline=trio.current_time() + seconds)
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/clients.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/clients.py
@@ -55,6 +55,9 @@
             await self._respond_violation(connection, violation)
         except ConnectionLost as error:
             logger.debug("a client's connection ended", extra={"reason": str(error)})
+        except Exception:
+            # A fault in one call must not end the calls of all other clients.
+            logger.exception("a connection failed; it is closed")
         finally:
             CONNECTIONS.dec()
             await connection.close()
--- a/packages/daemon/tests/frontend/test_calls.py
+++ b/packages/daemon/tests/frontend/test_calls.py
@@ -1,4 +1,5 @@
 import unittest
+from unittest import mock
 
 import trio
 
@@ -13,6 +14,7 @@
 )
 from frontend.support import ScriptedTarget, Shared, build_answer
 from goldcrestvane_daemon.frontend.suspects import MAX_DEATHS, build_fingerprint
+from goldcrestvane_daemon.frontend.upstream import Attempt
 from goldcrestvane_daemon.platform.store import Kind
 
 FULL = build_answer(
@@ -98,6 +100,32 @@
         shared = Shared([failed, [build_answer(b"ok")]])
         self.run_frontend(script, shared, shared)
 
+    def test_a_lookup_whose_time_ends_with_its_answer_is_answered_once(self):
+        async def read_slowly(attempt, limit):
+            body = await read_body(attempt, limit)
+            with trio.CancelScope(shield=True):
+                await trio.sleep(0.8)
+            return body
+
+        async def script(frontend):
+            with mock.patch.object(Attempt, "read_body", read_slowly):
+                answer = await frontend.send("/get/x", method="GET", body=b"")
+            self.assertEqual((answer.status, answer.body), (200, b"ok"))
+            self.assertEqual(len(frontend.requests), 1)
+
+        read_body = Attempt.read_body
+        shared = Shared([[build_answer(b"ok")]] * 2)
+        self.run_frontend(script, shared, shared)
+
+    def test_a_fault_in_one_call_ends_no_other(self):
+        async def script(frontend):
+            with mock.patch.object(frontend.calls, "handle", side_effect=KeyError("x")):
+                answer = await frontend.send("/once/x")
+            self.assertEqual(answer.status, 0)
+            self.assertEqual((await frontend.send("/once/x")).status, 200)
+
+        self.run_frontend(script, [[build_answer(b"ok")]])
+
     def test_other_process_at_the_address_does_not_run_the_call(self):
         async def script(frontend):
             answer = await frontend.send("/once/x")
