Keep an emptied member from taking a slot again

A machine that was to be emptied left the view, reported completion, and, with the view short of members, joined it again as a spare; then it was taken away. When another member lost its disk, two of three slots were dead and no quorum came back: no turn ran from 20 s to the end. The log of the members in test_a_member_is_emptied_without_a_spare shows epoch 3 with the emptied member. Change: a machine whose emptying was completed joins no more, and a process acts only once it knows both lists. A leaving member hands its entries over before it leaves the view as well, so that no entry is uncounted in between. A spare replaces a silent member before it adds itself.

--- a/packages/daemon/src/goldcrestvane_daemon/ledger/membership.py
+++ b/packages/daemon/src/goldcrestvane_daemon/ledger/membership.py
@@ -34,6 +34,7 @@
 from goldcrestvane_daemon.ledger.view import Member, View, build_first_view
 from goldcrestvane_daemon.platform.store import Kind, StoreClient, StoreObject
 
+FOLLOWED = (Kind.LEDGER, Kind.RETIREMENTS)
 VIEW_NAME = "view"
 CANDIDATE_PREFIX = "candidate-"
 FOUNDING_SECONDS = 1.5
@@ -97,15 +98,18 @@
         self._candidates: dict[InstanceId, Member] = {}
         self._adopted: View | None = None
         self._retiring: set[InstanceId] = set()
+        self._emptied: set[InstanceId] = set()
         self._misses: dict[InstanceId, int] = {}
-        self._listed = False
+        self._listed: set[Kind] = set()
+        self._news = trio.Event()
+        self._reported_running = False
         self._started = trio.current_time()
 
     async def run(self) -> None:
         """Takes part until cancelled."""
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._follow, Kind.LEDGER)
-            nursery.start_soon(self._follow, Kind.RETIREMENTS)
+            for kind in FOLLOWED:
+                nursery.start_soon(self._follow, kind)
             nursery.start_soon(self._act)
             nursery.start_soon(self._probe)
 
@@ -121,7 +125,8 @@
                         self._take_object(kind, item)
                     if self._adopted is not None:
                         await self._service.adopt_durably(self._adopted)
-                    self._listed = self._listed or kind is Kind.LEDGER
+                    self._listed.add(kind)
+                    self._news.set()
                     changes = await self._store.watch(
                         kind, changes.revision, WATCH_SECONDS
                     )
@@ -137,6 +142,7 @@
     def _begin_list(self, kind: Kind) -> None:
         if kind is Kind.RETIREMENTS:
             self._retiring.clear()
+            self._emptied.clear()
         else:
             self._candidates.clear()
 
@@ -159,8 +165,12 @@
 
     def _take_retirement(self, item: StoreObject) -> None:
         instance = InstanceId(item.name)
-        if item.deleted or b'"completed"' in item.status:
+        if item.deleted:
             self._retiring.discard(instance)
+            self._emptied.discard(instance)
+        elif b'"completed"' in item.status:
+            self._retiring.discard(instance)
+            self._emptied.add(instance)
         elif instance not in self._retiring:
             self._retiring.add(instance)
             logger.info("a machine is to be emptied", extra={"machine": instance})
@@ -207,8 +217,10 @@
 
     async def _act(self) -> None:
         while True:
-            await trio.sleep(TICK_SECONDS)
-            if not self._listed:
+            with trio.move_on_after(TICK_SECONDS):
+                await self._news.wait()
+            self._news = trio.Event()
+            if len(self._listed) < len(FOLLOWED):
                 continue
             try:
                 await self._take_step()
@@ -216,6 +228,7 @@
                 logger.warning(
                     "a step of membership failed", extra={"reason": str(error)}
                 )
+                await trio.sleep(TICK_SECONDS)
 
     async def _take_step(self) -> None:
         if self._candidates.get(self._own.instance) != self._own:
@@ -267,14 +280,19 @@
         if self._own.instance in self._retiring:
             await self._report_emptied(view)
             return
-        if len(view.slots) < 2 * self._tolerated_losses + 1:
-            await self._update_view(view, view.add(self._own))
+        if self._own.instance in self._emptied:
+            # The operator takes this machine away; a slot would be lost with it.
             return
         for member in view.slots:
             if member.instance in self._retiring or await self._is_lost(view, member):
                 logger.info("replacing a member", extra={"member": member.instance})
                 await self._update_view(view, view.replace(member.instance, self._own))
                 return
+        missing = len(view.slots) < 2 * self._tolerated_losses + 1
+        silent = any(self._misses.get(member.instance) for member in view.slots)
+        if missing and not silent:
+            # A member that does not answer is replaced, or back, before one is added.
+            await self._update_view(view, view.add(self._own))
 
     async def _is_lost(self, view: View, member: Member) -> bool:
         """Tells whether a majority of the others cannot reach a member either."""
@@ -299,6 +317,7 @@
             return
         await self._store.replace(Kind.LEDGER, VIEW_NAME, changed, stored[0].version)
         await self._service.adopt_durably(changed)
+        self._news.set()
 
     async def _complete(self, view: View, listed: Member) -> None:
         """Copies what this member must have, and votes from then on."""
@@ -342,18 +361,24 @@
 
     async def _leave(self, view: View) -> None:
         """Empties this machine while no spare has taken its slot."""
-        await self._store.write_status(
-            Kind.RETIREMENTS, self._own.instance, RetirementStatus("running")
-        )
+        if not self._reported_running:
+            await self._store.write_status(
+                Kind.RETIREMENTS, self._own.instance, RetirementStatus("running")
+            )
+            self._reported_running = True
         if await self._has_live_spare(view):
             return
-        await self._update_view(view, view.remove(self._own.instance))
+        # Entries that only this member and one other have must not go uncounted
+        # between its leaving and its last hand-over.
+        if await self._hand_over(view):
+            await self._update_view(view, view.remove(self._own.instance))
 
     async def _has_live_spare(self, view: View) -> bool:
         """Tells whether a process that is no member could take a slot."""
         members = {member.instance for member in view.slots}
         for candidate in list(self._candidates.values()):
-            if candidate.instance in members or candidate.instance in self._retiring:
+            leaving = self._retiring | self._emptied
+            if candidate.instance in members | leaving:
                 continue
             peer = self._get_peer(candidate)
             with trio.move_on_after(PROBE_SECONDS):
@@ -364,11 +389,26 @@
 
     async def _report_emptied(self, view: View) -> None:
         """Hands over all entries, then tells the operator that none is left here."""
+        if not await self._hand_over(view):
+            return
+        await self._store.write_status(
+            Kind.RETIREMENTS, self._own.instance, RetirementStatus("completed")
+        )
+        self._retiring.discard(self._own.instance)
+        self._emptied.add(self._own.instance)
+        logger.info("emptied this machine", extra={"epoch": view.epoch})
+
+    async def _hand_over(self, view: View) -> bool:
+        """Gives all entries to every other member; returns whether all have them.
+
+        Raises:
+            PeerUnreachable: A member did not answer.
+        """
         members = self._list_others()
         for member in members:
             state = await self._get_peer(member).call(AskState(), timeout=PROBE_SECONDS)
             if not isinstance(state, MemberState) or not state.votes:
-                return
+                return False
         entries = list(self._state.iterate_entries())
         for member in members:
             for start in range(0, max(1, len(entries)), MERGE_ENTRIES):
@@ -380,8 +420,4 @@
                     raise PeerUnreachable(
                         f"{member.instance} did not take the entries."
                     )
-        await self._store.write_status(
-            Kind.RETIREMENTS, self._own.instance, RetirementStatus("completed")
-        )
-        self._retiring.discard(self._own.instance)
-        logger.info("emptied this machine", extra={"entries": len(entries)})
+        return True
--- a/packages/daemon/tests/ledger/test_members.py
+++ b/packages/daemon/tests/ledger/test_members.py
@@ -164,6 +164,21 @@
 
         run_ledger(script)
 
+    def test_an_emptied_member_takes_no_slot_again(self):
+        async def script(ledger):
+            ledger.platform.put(Kind.RETIREMENTS.value, "a", {"duration_s": 10})
+            await ledger.wait(
+                lambda: (
+                    ledger.platform.read(Kind.RETIREMENTS.value, "a")["status"]
+                    == {"state": "completed"}
+                )
+            )
+            await trio.sleep(1.5)
+            view = ledger.members["b"].service.view
+            self.assertEqual([m.instance for m in view.slots], ["b", "c"])
+
+        run_ledger(script)
+
     def test_a_spare_takes_the_slot_of_a_member_to_be_emptied(self):
         async def script(ledger):
             await ledger.keep_turn("p", "t1")
