--- /dev/null
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/call_log.py
@@ -0,0 +1,50 @@
+"""Log lines and metrics of the end of each call."""
+
+import trio
+
+from goldcrestvane_common.logs import get_logger
+from goldcrestvane_daemon.frontend.metrics import CALL_SECONDS, CALLS
+from goldcrestvane_daemon.frontend.plan import PlannedCall
+from goldcrestvane_daemon.frontend.refusals import Refusal
+from goldcrestvane_daemon.http1 import RequestHead
+
+logger = get_logger("call")
+
+
+def log_refusal(call: PlannedCall | None, head: RequestHead, refusal: Refusal) -> None:
+    """Logs an answer of our own with what decided it."""
+    logger.warning(
+        "refused",
+        extra={
+            "call": call.headers.call if call else None,
+            "path": head.path.decode("latin-1"),
+            "refusal": refusal.kind,
+            "status": refusal.status,
+            "reason": str(refusal),
+            "retry_after": refusal.retry_after,
+        },
+    )
+
+
+def log_end(call: PlannedCall | None, outcome: str, arrived: float) -> None:
+    """Counts and logs the end of a call."""
+    kind = call.route.kind.value if call else "none"
+    CALLS.labels(kind, outcome).inc()
+    if call is None:
+        return
+    seconds = trio.current_time() - arrived
+    if outcome == "answered":
+        CALL_SECONDS.labels(kind).observe(seconds)
+    logger.info(
+        "call ended",
+        extra={
+            "call": call.headers.call,
+            "program": call.headers.program,
+            "route": call.route.name,
+            "version": call.version,
+            "outcome": outcome,
+            "targets": call.tried,
+            "events": call.events,
+            "ms": round(seconds * 1000, 1),
+        },
+    )
--- a/packages/daemon/src/goldcrestvane_daemon/ledger/membership.py
+++ b/packages/daemon/src/goldcrestvane_daemon/ledger/membership.py
@@ -16,7 +16,6 @@
     ObjectConflict,
     ObjectError,
     ObjectsUnavailable,
-    RevisionTooOld,
 )
 from goldcrestvane_daemon.ledger.frames import Peer, PeerUnreachable
 from goldcrestvane_daemon.ledger.log import EntryLog
@@ -29,14 +28,12 @@
     Pull,
     Response,
 )
+from goldcrestvane_daemon.ledger.roster import CANDIDATE_PREFIX, VIEW_NAME, Roster
 from goldcrestvane_daemon.ledger.service import LedgerService
 from goldcrestvane_daemon.ledger.state import LedgerState
 from goldcrestvane_daemon.ledger.view import Member, View, build_first_view
 from goldcrestvane_daemon.platform.store import Kind, StoreClient, StoreObject
 
-FOLLOWED = (Kind.LEDGER, Kind.RETIREMENTS)
-VIEW_NAME = "view"
-CANDIDATE_PREFIX = "candidate-"
 FOUNDING_SECONDS = 1.5
 """Wait for the other founders; machines start within 0.3 s, a process takes a second."""
 
@@ -50,8 +47,6 @@
 
 PULL_SECONDS = 3.0
 MERGE_ENTRIES = 200
-WATCH_SECONDS = 10.0
-RETRY_SECONDS = 0.5
 
 logger = get_logger("membership")
 
@@ -94,87 +89,19 @@
         self._state = state
         self._log = log
         self._nursery = nursery
+        self._roster = Roster(store, service)
         self._peers: dict[str, Peer] = {}
-        self._candidates: dict[InstanceId, Member] = {}
-        self._adopted: View | None = None
-        self._retiring: set[InstanceId] = set()
-        self._emptied: set[InstanceId] = set()
         self._misses: dict[InstanceId, int] = {}
-        self._listed: set[Kind] = set()
-        self._news = trio.Event()
         self._reported_running = False
         self._started = trio.current_time()
 
     async def run(self) -> None:
         """Takes part until cancelled."""
         async with trio.open_nursery() as nursery:
-            for kind in FOLLOWED:
-                nursery.start_soon(self._follow, kind)
+            nursery.start_soon(self._roster.run)
             nursery.start_soon(self._act)
             nursery.start_soon(self._probe)
 
-    # What the platform's store says
-
-    async def _follow(self, kind: Kind) -> None:
-        while True:
-            try:
-                changes = await self._store.list(kind)
-                self._begin_list(kind)
-                while True:
-                    for item in changes.objects:
-                        self._take_object(kind, item)
-                    if self._adopted is not None:
-                        await self._service.adopt_durably(self._adopted)
-                    self._listed.add(kind)
-                    self._news.set()
-                    changes = await self._store.watch(
-                        kind, changes.revision, WATCH_SECONDS
-                    )
-            except RevisionTooOld:
-                continue
-            except ObjectError as error:
-                logger.warning(
-                    "the object store does not answer",
-                    extra={"kind": kind.value, "reason": str(error)},
-                )
-                await trio.sleep(RETRY_SECONDS)
-
-    def _begin_list(self, kind: Kind) -> None:
-        if kind is Kind.RETIREMENTS:
-            self._retiring.clear()
-            self._emptied.clear()
-        else:
-            self._candidates.clear()
-
-    def _take_object(self, kind: Kind, item: StoreObject) -> None:
-        if kind is Kind.RETIREMENTS:
-            self._take_retirement(item)
-            return
-        try:
-            if item.name == VIEW_NAME:
-                view = msgspec.json.decode(item.value, type=View)
-                self._adopted = view
-            elif item.name.startswith(CANDIDATE_PREFIX):
-                member = msgspec.json.decode(item.value, type=Member)
-                self._candidates[member.instance] = member
-        except msgspec.DecodeError as error:
-            logger.warning(
-                "ignored an unreadable object",
-                extra={"object": item.name, "reason": str(error)},
-            )
-
-    def _take_retirement(self, item: StoreObject) -> None:
-        instance = InstanceId(item.name)
-        if item.deleted:
-            self._retiring.discard(instance)
-            self._emptied.discard(instance)
-        elif b'"completed"' in item.status:
-            self._retiring.discard(instance)
-            self._emptied.add(instance)
-        elif instance not in self._retiring:
-            self._retiring.add(instance)
-            logger.info("a machine is to be emptied", extra={"machine": instance})
-
     # Peers
 
     def _get_peer(self, member: Member) -> Peer:
@@ -217,10 +144,8 @@
 
     async def _act(self) -> None:
         while True:
-            with trio.move_on_after(TICK_SECONDS):
-                await self._news.wait()
-            self._news = trio.Event()
-            if len(self._listed) < len(FOLLOWED):
+            await self._roster.wait_news(TICK_SECONDS)
+            if not self._roster.is_known:
                 continue
             try:
                 await self._take_step()
@@ -231,7 +156,7 @@
                 await trio.sleep(TICK_SECONDS)
 
     async def _take_step(self) -> None:
-        if self._candidates.get(self._own.instance) != self._own:
+        if self._roster.candidates.get(self._own.instance) != self._own:
             await self._register()
             return
         view = self._service.view
@@ -245,7 +170,7 @@
             await self._update_view(view, view.replace(self._own.instance, self._own))
         elif not self._service.votes:
             await self._complete(view, listed)
-        elif self._own.instance in self._retiring:
+        elif self._own.instance in self._roster.retiring:
             await self._leave(view)
 
     async def _register(self) -> None:
@@ -255,7 +180,7 @@
             await self._store.replace(Kind.LEDGER, name, self._own, known[name].version)
         else:
             await self._store.create(Kind.LEDGER, name, self._own)
-        self._candidates[self._own.instance] = self._own
+        self._roster.candidates[self._own.instance] = self._own
 
     async def _list_ledger(self) -> list[StoreObject]:
         return (await self._store.list(Kind.LEDGER)).objects
@@ -264,10 +189,10 @@
         """Creates the first view once enough members are there."""
         waited = trio.current_time() - self._started
         group = 2 * self._tolerated_losses + 1
-        enough = len(self._candidates) >= group and waited >= FOUNDING_SECONDS
+        enough = len(self._roster.candidates) >= group and waited >= FOUNDING_SECONDS
         if not enough and waited < FOUNDING_LIMIT_SECONDS:
             return
-        members = list(self._candidates.values())
+        members = list(self._roster.candidates.values())
         view = build_first_view(members, tolerated_losses=self._tolerated_losses)
         try:
             await self._store.create(Kind.LEDGER, VIEW_NAME, view)
@@ -277,14 +202,16 @@
 
     async def _join_as_spare(self, view: View) -> None:
         """Takes a free slot, or that of a member that is lost or to be emptied."""
-        if self._own.instance in self._retiring:
+        if self._own.instance in self._roster.retiring:
             await self._report_emptied(view)
             return
-        if self._own.instance in self._emptied:
+        if self._own.instance in self._roster.emptied:
             # The operator takes this machine away; a slot would be lost with it.
             return
         for member in view.slots:
-            if member.instance in self._retiring or await self._is_lost(view, member):
+            if member.instance in self._roster.retiring or await self._is_lost(
+                view, member
+            ):
                 logger.info("replacing a member", extra={"member": member.instance})
                 await self._update_view(view, view.replace(member.instance, self._own))
                 return
@@ -317,7 +244,7 @@
             return
         await self._store.replace(Kind.LEDGER, VIEW_NAME, changed, stored[0].version)
         await self._service.adopt_durably(changed)
-        self._news.set()
+        self._roster.news.set()
 
     async def _complete(self, view: View, listed: Member) -> None:
         """Copies what this member must have, and votes from then on."""
@@ -376,8 +303,8 @@
     async def _has_live_spare(self, view: View) -> bool:
         """Tells whether a process that is no member could take a slot."""
         members = {member.instance for member in view.slots}
-        for candidate in list(self._candidates.values()):
-            leaving = self._retiring | self._emptied
+        for candidate in list(self._roster.candidates.values()):
+            leaving = self._roster.retiring | self._roster.emptied
             if candidate.instance in members | leaving:
                 continue
             peer = self._get_peer(candidate)
@@ -394,8 +321,8 @@
         await self._store.write_status(
             Kind.RETIREMENTS, self._own.instance, RetirementStatus("completed")
         )
-        self._retiring.discard(self._own.instance)
-        self._emptied.add(self._own.instance)
+        self._roster.retiring.discard(self._own.instance)
+        self._roster.emptied.add(self._own.instance)
         logger.info("emptied this machine", extra={"epoch": view.epoch})
 
     async def _hand_over(self, view: View) -> bool:
--- /dev/null
+++ b/packages/daemon/src/goldcrestvane_daemon/ledger/roster.py
@@ -0,0 +1,121 @@
+"""What the platform's store says of the ledger's members and candidates."""
+
+from typing import final
+
+import msgspec
+import trio
+
+from goldcrestvane_common.ids import InstanceId
+from goldcrestvane_common.logs import get_logger
+from goldcrestvane_common.objects import ObjectError, RevisionTooOld
+from goldcrestvane_daemon.ledger.service import LedgerService
+from goldcrestvane_daemon.ledger.view import Member, View
+from goldcrestvane_daemon.platform.store import Kind, StoreClient, StoreObject
+
+FOLLOWED = (Kind.LEDGER, Kind.RETIREMENTS)
+VIEW_NAME = "view"
+CANDIDATE_PREFIX = "candidate-"
+WATCH_SECONDS = 10.0
+RETRY_SECONDS = 0.5
+
+logger = get_logger("membership")
+
+
+@final
+class Roster:
+    """Candidates for membership, and machines that are to be emptied.
+
+    Attributes:
+        candidates: Processes with disks that have registered.
+        retiring: Machines that are to be emptied.
+        emptied: Machines whose emptying is completed; they take no slot again.
+        listed: Kinds of objects that were read at least once.
+        news: Set when something has changed.
+    """
+
+    def __init__(self, store: StoreClient, service: LedgerService) -> None:
+        self._store = store
+        self._service = service
+        self._adopted: View | None = None
+        self.candidates: dict[InstanceId, Member] = {}
+        self.retiring: set[InstanceId] = set()
+        self.emptied: set[InstanceId] = set()
+        self.listed: set[Kind] = set()
+        self.news = trio.Event()
+
+    @property
+    def is_known(self) -> bool:
+        """Whether all kinds were read, so that decisions can rely on them."""
+        return len(self.listed) == len(FOLLOWED)
+
+    async def run(self) -> None:
+        """Follows the store until cancelled."""
+        async with trio.open_nursery() as nursery:
+            for kind in FOLLOWED:
+                nursery.start_soon(self._follow, kind)
+
+    async def wait_news(self, seconds: float) -> None:
+        """Returns at the next change, or after a time."""
+        with trio.move_on_after(seconds):
+            await self.news.wait()
+        self.news = trio.Event()
+
+    async def _follow(self, kind: Kind) -> None:
+        while True:
+            try:
+                changes = await self._store.list(kind)
+                self._begin_list(kind)
+                while True:
+                    for item in changes.objects:
+                        self._take_object(kind, item)
+                    if self._adopted is not None:
+                        await self._service.adopt_durably(self._adopted)
+                    self.listed.add(kind)
+                    self.news.set()
+                    changes = await self._store.watch(
+                        kind, changes.revision, WATCH_SECONDS
+                    )
+            except RevisionTooOld:
+                continue
+            except ObjectError as error:
+                logger.warning(
+                    "the object store does not answer",
+                    extra={"kind": kind.value, "reason": str(error)},
+                )
+                await trio.sleep(RETRY_SECONDS)
+
+    def _begin_list(self, kind: Kind) -> None:
+        if kind is Kind.RETIREMENTS:
+            self.retiring.clear()
+            self.emptied.clear()
+        else:
+            self.candidates.clear()
+
+    def _take_object(self, kind: Kind, item: StoreObject) -> None:
+        if kind is Kind.RETIREMENTS:
+            self._take_retirement(item)
+            return
+        try:
+            if item.name == VIEW_NAME:
+                view = msgspec.json.decode(item.value, type=View)
+                self._adopted = view
+            elif item.name.startswith(CANDIDATE_PREFIX):
+                member = msgspec.json.decode(item.value, type=Member)
+                self.candidates[member.instance] = member
+        except msgspec.DecodeError as error:
+            logger.warning(
+                "ignored an unreadable object",
+                extra={"object": item.name, "reason": str(error)},
+            )
+
+    def _take_retirement(self, item: StoreObject) -> None:
+        instance = InstanceId(item.name)
+        if item.deleted:
+            self.retiring.discard(instance)
+            self.emptied.discard(instance)
+        elif b'"completed"' in item.status:
+            self.retiring.discard(instance)
+            self.emptied.add(instance)
+        elif instance not in self.retiring:
+            self.retiring.add(instance)
+            logger.info("a machine is to be emptied", extra={"machine": instance})
