--- a/packages/daemon/src/goldcrestvane_daemon/settings.py
+++ b/packages/daemon/src/goldcrestvane_daemon/settings.py
@@ -23,7 +23,11 @@
 
 FLAGS = flags.FLAGS
 
-flags.DEFINE_string("role", None, "What this process does: entry or sidecar.")
+flags.DEFINE_string(
+    "role",
+    None,
+    "What this process does: entry or sidecar; on the platform frontend or ledger.",
+)
 flags.DEFINE_string("instance", None, "Unique id of this instance.")
 flags.DEFINE_string("domain", None, "Failure domain of this instance.")
 flags.DEFINE_string("listen", "127.0.0.1:0", "host:port to listen on.")
