Remove what nothing uses and state the last types

Change: a constant, a refusal and a property that nothing used; annotations in place of three exceptions from the linter; a doc text that named a field that is not there. No decision changes.

--- a/packages/daemon/src/goldcrestvane_daemon/frontend/process.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/process.py
@@ -1,5 +1,6 @@
 """The frontend role: its parts and their supervision."""
 
+from collections.abc import Awaitable, Callable
 from typing import final
 
 import h11
@@ -26,7 +27,11 @@
 from goldcrestvane_daemon.settings import InvalidSettings
 from goldcrestvane_daemon.targets import TargetTable
 
+ServeConnection = Callable[[trio.SocketStream], Awaitable[None]]
+
 BACKLOG = 512
+"""New connections that may wait; a full queue costs a client seconds."""
+
 READY_HEAD_BYTES = 8192
 READY_IDLE_SECONDS = 30.0
 
@@ -94,13 +99,15 @@
             nursery.cancel_scope.cancel()
 
 
-async def _listen(nursery: trio.Nursery, address: str, serve) -> None:  # noqa: ANN001
+async def _listen(nursery: trio.Nursery, address: str, serve: ServeConnection) -> None:
     host, _, port = address.rpartition(":")
     listeners = await trio.open_tcp_listeners(int(port), host=host, backlog=BACKLOG)
     nursery.start_soon(trio.serve_listeners, serve, listeners)
 
 
-async def _serve_readiness(stream: trio.SocketStream, is_ready) -> None:  # noqa: ANN001
+async def _serve_readiness(
+    stream: trio.SocketStream, is_ready: Callable[[], bool]
+) -> None:
     """Answers the balancer's questions on one connection."""
     connection = ServerConnection(stream, head_bytes=READY_HEAD_BYTES)
     try:
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/refusals.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/refusals.py
@@ -73,10 +73,6 @@
     """The call cannot be served in the time that it has."""
 
 
-class Stopping(Refusal):
-    """This process is about to end."""
-
-
 class CrashedTargets(Refusal):
     """Targets die with this call; it is not run again."""
 
--- a/packages/daemon/src/goldcrestvane_daemon/http1.py
+++ b/packages/daemon/src/goldcrestvane_daemon/http1.py
@@ -64,11 +64,6 @@
         """Whether a part of the answer was sent."""
         return self._parser.our_state is not h11.SEND_RESPONSE
 
-    @property
-    def has_pending_bytes(self) -> bool:
-        """Whether bytes of the next request have arrived."""
-        return bool(self._parser.trailing_data[0])
-
     async def read_head(self) -> RequestHead | None:
         """Returns the next request, or None when the client has closed.
 
--- a/packages/daemon/src/goldcrestvane_daemon/platform/headers.py
+++ b/packages/daemon/src/goldcrestvane_daemon/platform/headers.py
@@ -1,6 +1,7 @@
 """Headers of calls: decodes clients' headers and builds those for targets."""
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable, Mapping
+from typing import TypeVar
 
 import msgspec
 
@@ -8,6 +9,8 @@
 from goldcrestvane_daemon.http1 import Headers
 from goldcrestvane_daemon.targets import ReportedLoad
 
+Value = TypeVar("Value")
+
 CALL_ID = b"goldcrestvane-request-id"
 DEADLINE = b"goldcrestvane-deadline-ms"
 EXPECTED_INSTANCE = b"goldcrestvane-expected-instance"
@@ -131,7 +134,9 @@
     )
 
 
-def _get(found, name, convert):  # noqa: ANN001, ANN202
+def _get(
+    found: Mapping[bytes, str], name: bytes, convert: Callable[[str], Value]
+) -> Value | None:
     value = found.get(name)
     return None if value is None or not value.strip() else convert(value.strip())
 
@@ -203,7 +208,6 @@
         encoded: Whether the body has an encoding that nobody asked for.
         load: The target's load.
         idle_seconds: How long the target keeps an idle connection, if it says so.
-        retry_after: Seconds after which the target asks to be called again.
         forwarded: Headers to pass on to the client.
     """
 
--- a/packages/daemon/src/goldcrestvane_daemon/targets.py
+++ b/packages/daemon/src/goldcrestvane_daemon/targets.py
@@ -55,9 +55,6 @@
 LOAD_REPORT_SECONDS = 0.5
 """Age at which a reported load no longer says anything: the run time of a call."""
 
-FULL_SECONDS = 0.05
-"""Pause after a target rejected a call as full: the time in which a slot gets free."""
-
 
 @final
 class TargetLoad:
