--- a/standins/src/goldcrestvane_standins/engine.py
+++ b/standins/src/goldcrestvane_standins/engine.py
@@ -17,6 +17,7 @@
     Router,
     StreamResponse,
 )
+from goldcrestvane_standins.answers import AnswerLost
 from goldcrestvane_standins.batch import Batch, BatchSettings
 from goldcrestvane_standins.completions import (
     END_OF_STREAM,
@@ -29,7 +30,7 @@
 from goldcrestvane_standins.lag import LaggedValue
 from goldcrestvane_standins.orders import OrderBody, OrderBook, ReleaseBody
 from goldcrestvane_standins.prefixes import PrefixCache
-from goldcrestvane_standins.programs import AnswerLost, run_program
+from goldcrestvane_standins.programs import run_program
 from goldcrestvane_standins.runs import Message, Run, RunState
 
 STREAM_PATH = "/v1/streams/"
--- a/standins/src/goldcrestvane_standins/objectapi.py
+++ b/standins/src/goldcrestvane_standins/objectapi.py
@@ -23,8 +23,9 @@
     Response,
     Router,
 )
+from goldcrestvane_standins.answers import close_without_answer
 from goldcrestvane_standins.objectstore import ObjectStore
-from goldcrestvane_standins.programs import close_without_answer, run_program
+from goldcrestvane_standins.programs import run_program
 
 OBJECT_PATH = "/v1/objects/"
 DEFAULT_WATCH_WINDOW = 100_000
--- a/standins/src/goldcrestvane_standins/platformstore.py
+++ b/standins/src/goldcrestvane_standins/platformstore.py
@@ -10,8 +10,8 @@
 from goldcrestvane_common.ids import Version
 from goldcrestvane_common.objects import StoredObject
 from goldcrestvane_common.routing import JsonResponse, Request, Response, Router
+from goldcrestvane_standins.answers import close_without_answer
 from goldcrestvane_standins.objectstore import ObjectStore
-from goldcrestvane_standins.programs import close_without_answer, run_program
 
 OBJECT_PATH = "/v1/objects/"
 PAGE_ITEMS = 500
@@ -184,4 +184,7 @@
 
 
 if __name__ == "__main__":
+    # Imported here, since its flags clash with those of a daemon in the same process.
+    from goldcrestvane_standins.programs import run_program
+
     run_program("platformstore", build_router)
--- a/standins/src/goldcrestvane_standins/programs.py
+++ b/standins/src/goldcrestvane_standins/programs.py
@@ -1,16 +1,12 @@
-"""Start-up and the faults that all stand-ins share."""
+"""Start-up that all stand-ins share."""
 
-from collections.abc import AsyncIterator, Callable
-from typing import final
+from collections.abc import Callable
 
 import trio
 from absl import app, flags
 
 from goldcrestvane_common.logs import configure_logs
-from goldcrestvane_common.routing import (
-    Router,
-    StreamResponse,
-)
+from goldcrestvane_common.routing import Router
 from goldcrestvane_common.server import (
     Application,
     serve_http,
@@ -23,11 +19,6 @@
 RouterBuilder = Callable[[trio.Nursery], Router]
 
 
-@final
-class AnswerLost(Exception):
-    """Ends a connection on purpose, without an answer."""
-
-
 async def serve_router(
     build_router: RouterBuilder,
     address: str,
@@ -69,13 +60,3 @@
         trio.run(serve)
 
     app.run(main)
-
-
-def close_without_answer() -> StreamResponse:
-    """Returns a response that closes the connection after its head."""
-    return StreamResponse(chunks=_lose_answer())
-
-
-async def _lose_answer() -> AsyncIterator[bytes]:
-    yield b""
-    raise AnswerLost("The answer is lost on purpose.")
--- a/standins/src/goldcrestvane_standins/tool.py
+++ b/standins/src/goldcrestvane_standins/tool.py
@@ -16,7 +16,8 @@
     Response,
     Router,
 )
-from goldcrestvane_standins.programs import close_without_answer, run_program
+from goldcrestvane_standins.answers import close_without_answer
+from goldcrestvane_standins.programs import run_program
 
 OPERATION_PATH = "/v1/"
 CALL_HEADER = "goldcrestvane-call"
