--- a/packages/daemon/tests/frontend/support.py
+++ b/packages/daemon/tests/frontend/support.py
@@ -1,6 +1,8 @@
 """Scripted targets on loopback, and what a call needs to reach them."""
 
 import re
+import socket
+import struct
 
 import trio
 
@@ -112,8 +114,5 @@
 
 
 def _reset(stream):
-    import socket
-    import struct
-
     stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
     stream.socket.close()
--- a/packages/daemon/tests/ledger/support.py
+++ b/packages/daemon/tests/ledger/support.py
@@ -4,6 +4,7 @@
 import tempfile
 from pathlib import Path
 
+import msgspec
 import trio
 
 from goldcrestvane_common.server import Application, serve_http
@@ -15,9 +16,10 @@
 from goldcrestvane_daemon.ledger.log import EntryLog
 from goldcrestvane_daemon.ledger.membership import LedgerMembership, is_complete
 from goldcrestvane_daemon.ledger.messages import Account, Frontend, Request, Spend, Turn
+from goldcrestvane_daemon.ledger.roster import VIEW_NAME
 from goldcrestvane_daemon.ledger.service import LedgerService
 from goldcrestvane_daemon.ledger.state import LedgerState
-from goldcrestvane_daemon.ledger.view import Member
+from goldcrestvane_daemon.ledger.view import Member, View
 from goldcrestvane_daemon.platform.store import Kind, StoreClient
 from goldcrestvane_standins.platformstore import PlatformStore
 
@@ -107,8 +109,6 @@
 
     async def refresh(self):
         """Gives the client the view that the store holds."""
-        from goldcrestvane_daemon.frontend.directory import VIEW_NAME, View, msgspec
-
         for item in (await self.store.list(Kind.LEDGER)).objects:
             if item.name == VIEW_NAME:
                 self.client.adopt(msgspec.json.decode(item.value, type=View))
