Compare a target's slowness with the other targets, not with a learnt mean

One frontend of four sent each target three calls at most while calls waited two seconds, for 25 s. Change: the weight of a call is the target's slowness against the lower median of the targets now, four at most; events that arrive together tell no pace. Tests: targets that slow down together keep their room; fails before (36 calls do not fit), passes after.

--- a/packages/daemon/src/goldcrestvane_daemon/frontend/queue.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/queue.py
@@ -33,12 +33,18 @@
 PACE_SMOOTHING = 0.02
 """Weight of the latest pace in the service's mean, which follows some dozen calls."""
 
+MIN_PACE_SECONDS = 0.001
+"""Time of an event below which events have arrived together and tell no pace."""
+
 MAX_PACE_RATIO = 1.5
 """Ratio to the mean beyond which a pace counts no more in it."""
 
 SLOW_FACTOR = 1.6
-"""Slowness from which a target counts as more loaded than it is; the load alone makes
-a factor of 1.5 between an idle and a full engine."""
+"""Slowness against the usual one from which a target counts as more loaded than it is;
+the load alone makes a factor of 1.5 between an idle and a full engine."""
+
+MAX_WEIGHT = 4.0
+"""Most that a call counts for; a slow target must be seen to recover."""
 
 MIN_RETRY_SECONDS = 0.05
 RECHECK_SECONDS = 0.02
@@ -179,7 +185,7 @@
 
     def rate_pace(self, pace: float | None) -> float | None:
         """Returns a pace against the mean of the service, and learns from it."""
-        if pace is None:
+        if pace is None or pace < MIN_PACE_SECONDS:
             return None
         if self._pace is None:
             self._pace = pace
@@ -221,10 +227,18 @@
         self._waiting.remove(waiter)
         waiter.placed.set()
 
-    def _weigh(self, target: Target) -> float:
-        """Returns how much heavier each call weighs on a slow target."""
-        slowness = self._health.get(target.instance).slowness
-        return slowness if slowness >= SLOW_FACTOR else 1.0
+    def _measure_slowness(self, targets: list[Target]) -> float:
+        """Returns the usual slowness of the targets now: their lower median.
+
+        Under load all targets slow down together, which is no fault of any of them.
+        """
+        values = sorted(self._health.get(each.instance).slowness for each in targets)
+        return values[(len(values) - 1) // 2] if values else 1.0
+
+    def _weigh(self, target: Target, usual: float) -> float:
+        """Returns how much heavier each call weighs on a target slower than usual."""
+        ratio = self._health.get(target.instance).slowness / usual
+        return min(ratio, MAX_WEIGHT) if ratio >= SLOW_FACTOR else 1.0
 
     def _find_target(self, waiter: Waiter) -> Target | None:
         now = trio.current_time()
@@ -237,11 +251,12 @@
             if target.instance not in waiter.excluded
             and self._health.is_usable(target.instance, now=now)
         ]
+        usual = self._measure_slowness(usable or ready)
         # With none left the exclusions are dropped, rather than the call.
         choices = [
             TargetChoice(
                 instance=target.instance,
-                load=load.estimate(now) * self._weigh(target),
+                load=load.estimate(now) * self._weigh(target, usual),
                 slots=target.slots,
                 local=target.domain == self._domain,
             )
--- a/packages/daemon/tests/frontend/test_queue.py
+++ b/packages/daemon/tests/frontend/test_queue.py
@@ -123,6 +123,26 @@
 
         self.run_script(script)
 
+    def test_targets_that_slow_down_together_keep_their_room(self):
+        """Replays a burst: each event takes four times as long at every target."""
+
+        async def script():
+            self.add_targets(3, slots=12)
+            for number in range(60):
+                pace = 0.03 if number < 30 else 0.12
+                for name in ("t0", "t1", "t2"):
+                    slowness = self.queue.rate_pace(pace)
+                    self.health.note_success(name, slowness=slowness)
+            with trio.fail_after(0.1):
+                for _ in range(36):
+                    await self.acquire()
+
+        self.run_script(script)
+
+    def test_events_that_arrive_together_tell_no_pace(self):
+        self.assertIsNone(self.queue.rate_pace(0.00001))
+        self.assertEqual(self.queue.rate_pace(0.03), 1.0)
+
     def test_load_of_other_frontends_counts_until_it_is_old(self):
         async def script():
             self.add_targets(2, slots=4)
