--- a/packages/daemon/src/goldcrestvane_daemon/entry/_attempts.py
+++ b/packages/daemon/src/goldcrestvane_daemon/entry/_attempts.py
@@ -9,6 +9,7 @@
 from goldcrestvane_common.errors import (
     AnswerIncomplete,
     DeadlineExceeded,
+    NotFound,
     Outcome,
     OutcomeUnknown,
     ServiceError,
@@ -116,12 +117,21 @@
         For a call that must not be repeated the present owner's word holds for every
         attempt: it has read the durable claims of all former owners, and has closed
         those that never reached a target. A repeatable call has no such claim, so an
-        earlier attempt may have run.
+        earlier attempt may have run. Nor does an owner that does not know the
+        program know its claims.
         """
-        open_outcome = isinstance(error, WrongOwner) or self._repeatable
-        not_run = error.call_outcome is Outcome.NOT_RUN
-        if self.may_have_reached and not_run and open_outcome:
+        informed = not isinstance(error, WrongOwner | NotFound)
+        if not self.may_have_reached or (informed and not self._repeatable):
+            return error
+        if error.call_outcome is Outcome.NOT_RUN:
             return self._build_uncertain(error.message)
+        if error.call_outcome is Outcome.REFUSED_FINAL:
+            return type(error)(
+                error.message,
+                field=error.field,
+                retry_after=error.retry_after,
+                outcome=Outcome.INCOMPLETE if self._repeatable else Outcome.UNKNOWN,
+            )
         return error
 
     def _choose_pause(self) -> float:
--- a/packages/daemon/src/goldcrestvane_daemon/owner/shard.py
+++ b/packages/daemon/src/goldcrestvane_daemon/owner/shard.py
@@ -44,6 +44,9 @@
 ABANDONED_HASH = "abandoned"
 OUTAGE_RETRY_SECONDS = 2.0
 COMMIT_WAIT_SECONDS = 0.5
+KEEP_WAIT_SECONDS = 2.0
+"""Time for which a record waits for the journal or a witness, one outage retry."""
+
 RETENTION_SECONDS = 600.0
 
 logger = get_logger("shard")
@@ -53,7 +56,7 @@
     """Holds queued records while the platform cannot."""
 
     async def replicate(self, journal: Journal) -> int:
-        """Copies queued records to peers; returns how many hold them."""
+        """Copies queued records to peers; returns how many hold them all."""
         ...
 
     async def collect(self, journal: Journal) -> list[records.Record]:
@@ -159,18 +162,46 @@
         durable = self.append(*new_records)
         return await self.wait_durable(durable, wait=wait)
 
-    async def commit_or_witness(self, record: records.Record) -> None:
-        """Commits a record, or copies it to witnesses while the platform is down.
+    async def commit_or_witness(self, *new_records: records.Record) -> bool:
+        """Commits records, or copies them to witnesses while the platform is down.
+
+        Without new records, does so for those that are queued.
+
+        Returns:
+            Whether the records outlive this owner; if not, they stay queued.
 
         Raises:
             WrongOwner: The shard has another owner.
         """
+        durable = self.append(*new_records)
         wait = 0.0 if self.journal.down else COMMIT_WAIT_SECONDS
-        if await self.commit(record, wait=wait) or self._witness is None:
-            return
-        await self._witness.replicate(self.journal)
-        if self.journal.deposed.is_set():
-            raise build_wrong_owner(self.shard)
+        give_up_at = trio.current_time() + KEEP_WAIT_SECONDS
+        while not await self.wait_durable(durable, wait=wait):
+            if self._witness is not None and await self._witness.replicate(
+                self.journal
+            ):
+                if self.journal.deposed.is_set():
+                    raise build_wrong_owner(self.shard)
+                return True
+            if trio.current_time() >= give_up_at:
+                logger.warning("nothing else keeps the records of shard %s", self.shard)
+                return False
+            wait = COMMIT_WAIT_SECONDS
+        return True
+
+    async def _keep(self, *new_records: records.Record) -> None:
+        """Commits or witnesses records.
+
+        Raises:
+            Unavailable: They would be lost with this owner.
+            WrongOwner: The shard has another owner.
+        """
+        if not await self.commit_or_witness(*new_records):
+            raise Unavailable(
+                "Neither the platform nor a witness answers, so the change could be "
+                "lost. Send it again later.",
+                retry_after=OUTAGE_RETRY_SECONDS,
+            )
 
     async def wait_durable(self, durable: trio.Event, *, wait: float) -> bool:
         """Waits up to `wait` seconds for records that were appended.
@@ -222,7 +253,7 @@
                 priority=settings.priority,
                 history=settings.history,
             )
-            await self.commit_or_witness(record)
+            await self._keep(record)
             return self.show_program(ProgramQuery(*key))
         if not known.is_open:
             raise build_ended(key)
@@ -232,8 +263,14 @@
                 "Choose another id.",
                 field="kind",
             )
+        await self._keep_queued()
         return self.show_program(ProgramQuery(*key))
 
+    async def _keep_queued(self) -> None:
+        """Keeps what is queued, before it is acknowledged once more."""
+        if self.journal.queued:
+            await self._keep()
+
     def _check_parent(self, key: ProgramKey) -> None:
         parent = get_parent(key[1])
         if parent is None:
@@ -253,7 +290,9 @@
             )
             self.cancel_calls(key)
             self.notify_tree(key)
-            await self.commit_or_witness(record)
+            await self._keep(record)
+        else:
+            await self._keep_queued()
         return self.show_program(ProgramQuery(*key))
 
     def show_program(self, query: ProgramQuery) -> ProgramView:
--- a/packages/daemon/tests/entry/test_calls.py
+++ b/packages/daemon/tests/entry/test_calls.py
@@ -19,6 +19,7 @@
     wait_until,
 )
 from goldcrestvane_common.errors import (
+    NotFound,
     Outcome,
     Overloaded,
     ProgramEnded,
@@ -162,6 +163,16 @@
 
         run_with_owner(check)
 
+    def test_owner_that_lost_the_program_does_not_speak_for_earlier_attempts(self):
+        async def check(entry, owner, owners):
+            for path, outcome in ((LOOK_UP, "incomplete"), (ISSUE, "unknown")):
+                owner.faults = [break_exchange, raise_later(NotFound("not known"))]
+                reply = await entry.post(path, {})
+                self.assertEqual(read_error(reply)["kind"], "not_found")
+                self.assertEqual(read_error(reply)["outcome"], outcome)
+
+        run_with_owner(check)
+
     def test_deposed_owner_leaves_the_outcome_open_until_the_present_one_answers(self):
         async def check(entry, owner, owners):
             deposed = WrongOwner("deposed", outcome=Outcome.UNKNOWN)
--- a/packages/daemon/tests/owner/test_witness.py
+++ b/packages/daemon/tests/owner/test_witness.py
@@ -3,7 +3,9 @@
 import trio
 import trio.testing
 
-from goldcrestvane_common.errors import WrongOwner
+from goldcrestvane_common.errors import Unavailable, WrongOwner
+from goldcrestvane_common.programs import ProgramBegin, ProgramEnd, ProgramQuery
+from goldcrestvane_common.settings import ProgramSettings
 from goldcrestvane_daemon.owner.journal import Journal
 from goldcrestvane_daemon.owner.records import TeamAllotted
 from goldcrestvane_daemon.owner.shard import (
@@ -27,9 +29,12 @@
 
     def __init__(self):
         self.store = WitnessStore()
+        self.reachable = True
 
     async def replicate(self, journal):
         await trio.lowlevel.checkpoint()
+        if not self.reachable:
+            return 0
         first, records = journal.list_queued()
         copy = WitnessCopy(journal.shard, journal.epoch, first, records)
         self.store.hold(copy)
@@ -61,7 +66,7 @@
                 return shard
 
             async with trio.open_nursery() as nursery:
-                await check(objects, open_shard)
+                await check(objects, witness, open_shard)
                 nursery.cancel_scope.cancel()
 
         trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
@@ -70,7 +75,7 @@
         return shard.state.get_account("acme").allotted_tokens
 
     def test_records_of_an_outage_reach_the_next_owner_once(self):
-        async def check(objects, open_shard):
+        async def check(objects, witness, open_shard):
             former = await open_shard("former")
             await former.commit_or_witness(*build_records(1))
             objects.down = True
@@ -86,8 +91,55 @@
 
         self.run_check(check)
 
+    def test_program_that_nothing_keeps_is_not_acknowledged(self):
+        begin = ProgramBegin("acme", "review", "close")
+
+        async def check(objects, witness, open_shard):
+            former = await open_shard("former")
+            objects.down, witness.reachable = True, False
+            for _ in range(2):
+                with self.assertRaises(Unavailable):
+                    await former.begin_program(begin, ProgramSettings())
+            witness.reachable = True
+            await former.begin_program(begin, ProgramSettings())
+            former.journal.depose()
+            objects.down = False
+            present = await open_shard("present")
+            present.show_program(ProgramQuery("acme", "review"))
+
+        self.run_check(check)
+
+    def test_program_end_that_nothing_keeps_is_not_acknowledged(self):
+        async def check(objects, witness, open_shard):
+            former = await open_shard("former")
+            await former.begin_program(
+                ProgramBegin("acme", "review", "close"), ProgramSettings()
+            )
+            objects.down, witness.reachable = True, False
+            for _ in range(2):
+                with self.assertRaises(Unavailable):
+                    await former.end_program(ProgramEnd("acme", "review"), reason="")
+
+        self.run_check(check)
+
+    def test_record_waits_for_the_journal_when_no_witness_answers(self):
+        async def check(objects, witness, open_shard):
+            former = await open_shard("former")
+            objects.down, witness.reachable = True, False
+
+            async def return_platform():
+                await trio.sleep(1.0)
+                objects.down = False
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(return_platform)
+                kept = await former.commit_or_witness(*build_records(1))
+            self.assertTrue(kept)
+
+        self.run_check(check)
+
     def test_copy_that_became_durable_meanwhile_is_not_applied_again(self):
-        async def check(objects, open_shard):
+        async def check(objects, witness, open_shard):
             former = await open_shard("former")
             objects.down = True
             await former.commit_or_witness(*build_records(1))
@@ -115,7 +167,7 @@
         self.assertEqual(missing, build_records(3, 4))
 
     def test_take_over_that_fails_half_way_leaves_the_copies_to_the_next_one(self):
-        async def check(objects, open_shard):
+        async def check(objects, witness, open_shard):
             former = await open_shard("former")
             await former.commit_or_witness(*build_records(1))
             objects.down = True
