Begin programs only where those under way leave room

Cause: a queue by arrival and priority lets every program begin.

Change: a call waits by its program's standing (under way, new, returned, late); beginnings leave two fifths of a target's slots free, wait a tenth of their program's time and are refused otherwise, each told its own time to come back.

--- /dev/null
+++ b/bench/load_replay/patterns.py
@@ -0,0 +1,85 @@
+"""The load patterns that the decisions answer, by the figures of the users' sheets."""
+
+from load_replay.programs import Burst, LoadPattern, ProgramKind, TargetEvent
+
+DRAFT = ProgramKind(name="draft", rate=12.7, turns=3.2, input_tokens=1680.0, priority=1)
+REVIEW = ProgramKind(
+    name="review",
+    rate=4.76,
+    turns=10.0,
+    think_seconds=0.12,
+    slack_factor=1.3,
+    worth=10.0,
+    late_worth=1.0,
+)
+CALM = LoadPattern(name="calm", kinds=(DRAFT, REVIEW))
+BURST_OF_ONE_KIND = LoadPattern(
+    name="burst of one kind",
+    kinds=(DRAFT, REVIEW),
+    bursts=(Burst(begin=8.0, end=14.0, factor=4.0, kind="draft"),),
+)
+BURST_OF_ALL = LoadPattern(
+    name="burst of all kinds",
+    kinds=(DRAFT, REVIEW),
+    bursts=(Burst(begin=8.0, end=14.0, factor=3.0),),
+)
+HALF_LEAVE = LoadPattern(
+    name="half of the engines leave",
+    kinds=(DRAFT, REVIEW),
+    changes=tuple(
+        TargetEvent(at=at, engine=number, leaves=True)
+        for number, at in enumerate((8.0, 14.0, 20.0))
+    ),
+)
+ALL_BUT_ONE_LEAVE = LoadPattern(
+    name="all engines but one leave",
+    kinds=(DRAFT, REVIEW),
+    seconds=36.0,
+    changes=tuple(
+        TargetEvent(at=at, engine=number, leaves=True)
+        for number, at in enumerate((5.0, 10.0, 18.0, 25.0))
+    ),
+)
+DOMAIN_GONE = LoadPattern(
+    name="a failure domain gone",
+    kinds=(DRAFT, REVIEW),
+    changes=tuple(
+        TargetEvent(at=10.0, engine=number, leaves=True) for number in (0, 3)
+    ),
+)
+SLOW_BY_TURNS = LoadPattern(
+    name="engines slow by turns",
+    kinds=(DRAFT, REVIEW),
+    changes=tuple(
+        change
+        for number in range(5)
+        for change in (
+            TargetEvent(at=3.0 + 5 * number, engine=number, slow_factor=3.0),
+            TargetEvent(at=8.0 + 5 * number, engine=number, slow_factor=1.0),
+        )
+    ),
+)
+ENDLESS = LoadPattern(
+    name="programs that never end",
+    kinds=(DRAFT, REVIEW),
+    runaway_share=0.1,
+)
+RETURNING = LoadPattern(
+    name="programs return after a fault",
+    kinds=(DRAFT, REVIEW),
+    bursts=(
+        Burst(begin=10.0, end=12.0, factor=0.02),
+        Burst(begin=12.0, end=13.0, factor=5.0),
+    ),
+)
+PATTERNS = (
+    CALM,
+    BURST_OF_ONE_KIND,
+    BURST_OF_ALL,
+    HALF_LEAVE,
+    ALL_BUT_ONE_LEAVE,
+    DOMAIN_GONE,
+    SLOW_BY_TURNS,
+    ENDLESS,
+    RETURNING,
+)
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/attempts.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/attempts.py
@@ -208,6 +208,7 @@
                     self._targets.get_load(target).estimate(trio.current_time()), 1
                 ),
                 "waited_ms": round((trio.current_time() - call.arrived) * 1000, 1),
+                "standing": call.standing.value,
             },
         )
         return await attempt.send(
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/calls.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/calls.py
@@ -194,6 +194,8 @@
                 seconds_left=call.seconds_left,
                 excluded=frozenset(excluded),
                 allowed=self._find_allowed(call),
+                standing=call.standing,
+                program_seconds=call.program_seconds,
             )
             result = AttemptResult.LOST
             started = trio.current_time()
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/placement.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/placement.py
@@ -1,4 +1,4 @@
-"""Which target runs a call, and in which order calls wait for one.
+"""Which target runs a call.
 
 Load patterns that this answers:
 - Programs return with ever longer prompts. A target that read the earlier turns reads
@@ -7,8 +7,6 @@
 - A hash spreads programs unevenly, and a burst makes it worse: one target of five gets
   twice the mean and slows all of its calls. No target takes more by the hash than a
   bound above the mean load (consistent hashing with bounded loads).
-- Calls of several priorities wait. A less urgent call counts as if it had arrived
-  later, so that it yields but never starves.
 """
 
 import functools
@@ -30,17 +28,22 @@
 MAX_CACHED_SEEDS = 8192
 """Targets whose hash is kept; twice those of the planned size."""
 
-PRIORITY_SECONDS = 0.5
-"""Time by which a call of one priority lower counts as later: half a usual objective
-of 300 ms and a run of 300 ms."""
-
 
 class TargetChoice(msgspec.Struct, frozen=True):
-    """A target that may take a call, and the calls that are probably there."""
+    """A target that may take a call.
+
+    Attributes:
+        instance: Its id.
+        load: Calls that are probably there.
+        slots: Calls that it runs at a time.
+        headroom: Slots that the call must leave free.
+        local: Whether it is in this failure domain.
+    """
 
     instance: InstanceId
     load: float
     slots: int
+    headroom: int
     local: bool
 
     @property
@@ -68,7 +71,9 @@
         choices: Targets that take calls.
         key: What the target should have seen before; None when it does not matter.
     """
-    free = [choice for choice in choices if choice.load < choice.slots]
+    free = [
+        choice for choice in choices if choice.load < choice.slots - choice.headroom
+    ]
     if not free:
         return None
     if key is not None:
@@ -81,15 +86,3 @@
             encoded = key.encode()
             return max(lightest, key=lambda each: rank_target(encoded, each.instance))
     return min(free, key=lambda each: (each.share, not each.local))
-
-
-def order_waiting(arrived: float, priority: int) -> float:
-    """Returns the key by which calls wait; the lowest goes first."""
-    return arrived + PRIORITY_SECONDS * priority
-
-
-def estimate_wait(waiting: int, ended_a_second: float) -> float:
-    """Returns the time until a new call at the end of the queue starts, in seconds."""
-    if waiting == 0:
-        return 0.0
-    return waiting / ended_a_second
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/plan.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/plan.py
@@ -4,6 +4,7 @@
 import trio
 
 from goldcrestvane_common.ids import InstanceId, ServiceId, Version
+from goldcrestvane_daemon.frontend.admission import Standing, find_standing
 from goldcrestvane_daemon.frontend.refusals import (
     InvalidCall,
     NoTarget,
@@ -39,6 +40,7 @@
         tried: Targets that may have run the call.
         ended: Those of them that have died or left since.
         rejections: Attempts that did not run.
+        standing: How far the call's program has come.
         answer_begun: Whether the client has a part of the answer.
         settled: Whether the turn's tokens are final in the ledger.
     """
@@ -59,6 +61,7 @@
     tried: list[InstanceId] = msgspec.field(default_factory=list)
     ended: set[InstanceId] = msgspec.field(default_factory=set)
     rejections: int = 0
+    standing: Standing = Standing.UNDER_WAY
     answer_begun: bool = False
     settled: bool = False
 
@@ -78,6 +81,14 @@
         """Whether the turn's input and output are kept."""
         return self.is_turn and self.route.keeps_turns
 
+    @property
+    def program_seconds(self) -> float:
+        """Time until the program should end, as of the call's arrival."""
+        milliseconds = self.headers.program_deadline_ms
+        if milliseconds is None:
+            return self.deadline - self.arrived
+        return milliseconds / 1000
+
     @property
     def affinity_key(self) -> str | None:
         """What the target should have seen before."""
@@ -142,6 +153,9 @@
         deadline=arrived + seconds,
         body=body,
         tokens_per_event=engine.tokens_per_event if engine else 1,
+        standing=find_standing(
+            begun=True, turned_away=False, program_ms=headers.program_deadline_ms
+        ),
         last_event=headers.last_event,
     )
 
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/queue.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/queue.py
@@ -1,5 +1,6 @@
 """Calls of one service that wait in this process for a target."""
 
+import math
 from collections import deque
 from typing import final
 
@@ -7,12 +8,17 @@
 from sortedcontainers import SortedKeyList
 
 from goldcrestvane_common.ids import DomainId, InstanceId, ServiceId
-from goldcrestvane_daemon.frontend.placement import (
-    TargetChoice,
-    choose_target,
+from goldcrestvane_daemon.frontend.admission import (
+    BEGINNINGS,
+    RATE_SECONDS,
+    ReturnSchedule,
+    Standing,
+    count_headroom,
     estimate_wait,
+    limit_patience,
     order_waiting,
 )
+from goldcrestvane_daemon.frontend.placement import TargetChoice, choose_target
 from goldcrestvane_daemon.frontend.refusals import NoTarget, Overloaded
 from goldcrestvane_daemon.placement.health import HealthView
 from goldcrestvane_daemon.targets import ReportedLoad, Target, TargetTable
@@ -23,9 +29,6 @@
 ABSENT_SECONDS = 0.3
 """Time until a service without targets is asked for again: a watch's delay."""
 
-RATE_SECONDS = 2.0
-"""Time over which the rate of ended calls is measured."""
-
 FIRST_RUN_SECONDS = 0.3
 """Run time assumed before a call has ended: a turn on an idle target."""
 
@@ -61,8 +64,10 @@
         key: str | None,
         excluded: frozenset[InstanceId],
         allowed: frozenset[InstanceId] | None,
+        standing: Standing,
     ) -> None:
         self.order = order
+        self.standing = standing
         self.key = key
         self.excluded = excluded
         self.allowed = allowed
@@ -91,6 +96,7 @@
         self._run_seconds = FIRST_RUN_SECONDS
         self._pace: float | None = None
         self._running = 0
+        self._returns = ReturnSchedule()
 
     @property
     def waiting_count(self) -> int:
@@ -114,6 +120,8 @@
         seconds_left: float,
         excluded: frozenset[InstanceId] = frozenset(),
         allowed: frozenset[InstanceId] | None = None,
+        standing: Standing = Standing.UNDER_WAY,
+        program_seconds: float = 0.0,
     ) -> Target:
         """Returns a target with room, which counts the call until `release`.
 
@@ -124,10 +132,12 @@
             seconds_left: Time that the call has.
             excluded: Targets to use only if there is no other.
             allowed: The only targets to use, if not all.
+            standing: How far the call's program has come.
+            program_seconds: Time that the call's program has, in seconds.
 
         Raises:
             NoTarget: The service has no target.
-            Overloaded: The wait would exceed the time left.
+            Overloaded: The wait would exceed the time left, or a new program's patience.
         """
         if not self._table.list_ready(self._service):
             raise NoTarget(
@@ -141,21 +151,18 @@
                 f"about {wait:.2f} s; {seconds_left:.2f} s are left.",
                 retry_after=max(MIN_RETRY_SECONDS, wait - seconds_left),
             )
-        waiter = Waiter(order_waiting(arrived, priority), key, excluded, allowed)
+        waiter = Waiter(
+            order_waiting(arrived, priority, standing),
+            key,
+            excluded,
+            allowed,
+            standing,
+        )
         self._waiting.add(waiter)
         try:
             if self._waiting[0] is waiter:
                 self.place_waiting(most=1)
-            while waiter.target is None:
-                with trio.move_on_after(self._get_recheck_seconds(waiter)):
-                    await waiter.placed.wait()
-                if waiter.target is None:
-                    self.place_waiting()
-                    if not self._table.list_ready(self._service):
-                        raise NoTarget(
-                            f"The last target of service {self._service} has left.",
-                            retry_after=ABSENT_SECONDS,
-                        )
+            await self._wait_placed(waiter, program_seconds)
         except BaseException:
             if waiter.target is not None:
                 self.release(waiter.target)
@@ -165,6 +172,38 @@
                 self._waiting.remove(waiter)
         return waiter.target
 
+    async def _wait_placed(self, waiter: Waiter, program_seconds: float) -> None:
+        """Returns once a waiting call has a target.
+
+        Raises:
+            NoTarget: The last target has left.
+            Overloaded: The service is full, and the call would begin a program.
+        """
+        give_up_at = math.inf
+        if waiter.standing in BEGINNINGS:
+            patience = limit_patience(program_seconds)
+            ahead = self._waiting.index(waiter) if waiter.target is None else 0
+            if estimate_wait(ahead, self.measure_rate()) > patience:
+                patience = 0.0
+            give_up_at = trio.current_time() + patience
+        while waiter.target is None:
+            if trio.current_time() >= give_up_at:
+                raise Overloaded(
+                    f"Programs under way need all targets of service {self._service}; "
+                    "begin later.",
+                    retry_after=self._returns.book(trio.current_time()),
+                )
+            recheck_at = trio.current_time() + self._get_recheck_seconds(waiter)
+            with trio.move_on_at(min(recheck_at, give_up_at)):
+                await waiter.placed.wait()
+            if waiter.target is None:
+                self.place_waiting()
+                if not self._table.list_ready(self._service):
+                    raise NoTarget(
+                        f"The last target of service {self._service} has left.",
+                        retry_after=ABSENT_SECONDS,
+                    )
+
     def _get_recheck_seconds(self, waiter: Waiter) -> float:
         """Returns when a waiting call looks again; later ones look less often."""
         return RECHECK_SECONDS * (1 + self._waiting.index(waiter))
@@ -207,14 +246,20 @@
             most: Calls for which room has become free.
         """
         position = 0
+        full_for_beginnings = False
         while position < len(self._waiting) and most > 0:
             waiter = self._waiting[position]
+            is_beginning = waiter.standing in BEGINNINGS
+            if is_beginning and full_for_beginnings:
+                position += 1
+                continue
             target = self._find_target(waiter)
             if target is not None:
                 self._place(waiter, target)
                 most -= 1
-            elif waiter.allowed is not None:
-                # Others may use targets that this call may not.
+            elif is_beginning or waiter.allowed is not None:
+                # Others may use targets and slots that this call may not.
+                full_for_beginnings = is_beginning
                 position += 1
             else:
                 return
@@ -222,7 +267,10 @@
     def _place(self, waiter: Waiter, target: Target) -> None:
         self._table.get_load(target).running += 1
         self._running += 1
-        self._health.note_start(target.instance, now=trio.current_time())
+        now = trio.current_time()
+        if waiter.standing in BEGINNINGS:
+            self._returns.note_admission(now)
+        self._health.note_start(target.instance, now=now)
         waiter.target = target
         self._waiting.remove(waiter)
         waiter.placed.set()
@@ -258,6 +306,7 @@
                 instance=target.instance,
                 load=load.estimate(now) * self._weigh(target, usual),
                 slots=target.slots,
+                headroom=count_headroom(target.slots, waiter.standing),
                 local=target.domain == self._domain,
             )
             for target in usable or ready
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/turns.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/turns.py
@@ -5,6 +5,7 @@
 import trio
 
 from goldcrestvane_common.logs import get_logger
+from goldcrestvane_daemon.frontend.admission import Standing, find_standing
 from goldcrestvane_daemon.frontend.ledger_client import (
     LedgerClient,
     LedgerUnavailable,
@@ -60,6 +61,7 @@
                 f"The program has {headers.token_budget} tokens; its turns take up to "
                 f"{committed}. Begin a new program."
             )
+        call.standing = _find_standing(call, opened)
         if call.is_kept:
             call.body = build_prompt(opened.chain, call.client_body)
 
@@ -122,3 +124,16 @@
         spend = Spend(headers.call, call.events * call.tokens_per_event, settled=True)
         retention = call.route.retention_seconds
         await self._ledger.settle(headers.program, spend, turn, retention)
+
+
+def _find_standing(call: PlannedCall, opened: OpenedTurn) -> Standing:
+    """Returns how far a turn's program has come, by what its turns have spent."""
+    others = [
+        spend for spend in opened.spends.values() if spend.call != call.headers.call
+    ]
+    ran = any(spend.tokens > 0 or not spend.settled for spend in others)
+    return find_standing(
+        begun=ran or call.headers.previous_turn is not None,
+        turned_away=bool(others),
+        program_ms=call.headers.program_deadline_ms,
+    )
