Pass large turns on from the nearest member of the ledger

Their processors were idle enough (calls of tools were sent after 0.7 ms) but each way over their links took 50 ms and more (tools took 130 ms in place of 35): each first turn of 14 KB left five times, each chain came back up to five times, and what was not acknowledged in time was sent again to all.

Ruled out: engines (at most 10 of 16 slots), members (0.19 of 1.29 cores).

Change: the nearest member writes an entry with a turn of 1 KB or more, passes it on and answers when a majority has it; without an answer in 0.25 s the frontend writes to all itself, and asks that member no more for 2 s. A chain is asked of the nearest member first. The waiting for a quorum has one copy (ledger/quorum.py).

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 SEED ?= 1
 TRACE ?= bench/traces/passolungo-rush.jsonl
 
-.PHONY: setup format lint test demo faults bench bench-path bench-decisions bench-slopes replay
+.PHONY: setup format lint test demo faults bench bench-path bench-decisions bench-loads bench-slopes replay
 
 setup: .venv/.installed
 
@@ -40,6 +40,9 @@
 bench-decisions: setup
 	PYTHONPATH=bench $(PYTHON) bench/decisions.py
 
+bench-loads: setup
+	PYTHONPATH=bench $(PYTHON) bench/loads.py
+
 bench-slopes: setup
 	$(PYTHON) bench/slopes.py
 
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/ledger_client.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/ledger_client.py
@@ -1,5 +1,6 @@
 """Reads and writes the ledger by quorum, for a frontend."""
 
+import functools
 from collections.abc import Callable
 from typing import Any, final
 
@@ -15,8 +16,11 @@
     Announce,
     Chain,
     Entry,
+    Failed,
     Frontend,
     Frontends,
+    PassedOn,
+    PassOn,
     ReadChain,
     Response,
     Spend,
@@ -25,6 +29,7 @@
     Write,
     Written,
 )
+from goldcrestvane_daemon.ledger.quorum import ask_members
 from goldcrestvane_daemon.ledger.view import Member, View
 
 WRITE_SECONDS = 0.5
@@ -34,6 +39,18 @@
 ANNOUNCE_SECONDS = 3.0
 """A new frontend is known to the others within this time."""
 
+MIN_PASSED_BYTES = 1024
+"""Size of a turn from which a member passes it on; a packet holds smaller ones."""
+
+PASS_ON_SECONDS = 0.25
+"""A write takes two round trips between domains and a sync, 30 ms in all."""
+
+AVOIDED_SECONDS = 2.0
+"""Time for which a member that did not pass an entry on is not asked to."""
+
+NEAREST_SECONDS = 0.15
+"""Time after which all members of a group are asked for a chain."""
+
 RECONNECT_SECONDS = 0.5
 MAX_VIEW_CHANGES = 3
 CACHED_TURN_BYTES = 8 * 1024 * 1024
@@ -77,6 +94,7 @@
         self._frontends = frontends
         self._nursery = nursery
         self._peers: dict[str, Peer] = {}
+        self._avoided: dict[str, float] = {}
         self._cache = TurnCache(CACHED_TURN_BYTES)
         self.view: View | None = None
 
@@ -175,21 +193,23 @@
                 wanted = chain_of if member is near else None
                 return Write(view.epoch, entry, wanted)
 
-            answers = await self._ask(
-                group,
-                build,
-                lambda got: isinstance(got, Written) and got.votes,
-                enough=view.write_quorum,
-            )
+            answers: list[Any] = []
+            if _measure_turn(entry) >= MIN_PASSED_BYTES:
+                answers = await self._write_through(view, group, entry)
+            stale = any(isinstance(answer, Stale) for answer in answers)
+            if not stale and not _has_quorum(answers, view):
+                # Asked anew, so that no member counts twice.
+                answers = await self._ask(
+                    group, build, _votes, enough=view.write_quorum
+                )
             newer = [answer.view for answer in answers if isinstance(answer, Stale)]
             if newer:
                 self.adopt(max(newer, key=lambda each: each.epoch))
                 continue
-            counted = [a for a in answers if isinstance(a, Written) and a.votes]
-            if len(counted) >= view.write_quorum:
+            if _has_quorum(answers, view):
                 return [a for a in answers if isinstance(a, Written)]
             raise LedgerUnavailable(
-                f"{len(counted)} of {len(group)} members wrote, "
+                f"{sum(map(_votes, answers))} of {len(group)} members wrote, "
                 f"{view.write_quorum} are needed."
             )
         raise LedgerUnavailable("The members change all the time.")
@@ -212,32 +232,48 @@
         *,
         enough: int,
     ) -> list[Any]:
-        """Asks all members of a group and returns once enough answers count.
+        """Asks all members of a group and returns once enough answers count."""
+        calls = [
+            functools.partial(self._call, member.address, build(member))
+            for member in group
+        ]
+        return await ask_members(calls, counts, enough=enough, nursery=self._nursery)
+
+    async def _write_through(
+        self, view: View, group: tuple[Member, ...], entry: Entry
+    ) -> list[Any]:
+        """Has the nearest member pass an entry on; returns the members' answers.
 
-        The requests to the others go on, so that they get the entry as well.
+        One copy of a turn leaves this process in place of one for each member, which a
+        frontend on a small link could not send in time. Returns no answers if the
+        member fails; the entry is then written directly.
         """
-        answers: list[Any] = []
-        open_count = len(group)
-        changed = trio.Event()
-
-        async def ask_member(member: Member) -> None:
-            nonlocal open_count, changed
-            try:
-                answers.append(await self._call(member.address, build(member)))
-            except PeerUnreachable as error:
-                logger.debug("a member does not answer", extra={"reason": str(error)})
-            open_count -= 1
-            changed.set()
-
-        for member in group:
-            self._nursery.start_soon(ask_member, member)
-        while open_count:
-            await changed.wait()
-            changed = trio.Event()
-            counted = sum(1 for answer in answers if counts(answer))
-            if counted >= enough or counted + open_count < enough:
-                break
-        return list(answers)
+        nearest = self._choose_nearest(group)
+        peer = self._peers[nearest.address]
+        now = trio.current_time()
+        if not peer.is_connected or self._avoided.get(nearest.address, 0.0) > now:
+            return []
+        others = [each.address for each in group if each is not nearest]
+        request = PassOn(Write(view.epoch, entry), others, view.write_quorum)
+        try:
+            answer = await peer.call(request, timeout=PASS_ON_SECONDS)
+        except PeerUnreachable as error:
+            answer = Failed(str(error))
+        if isinstance(answer, PassedOn):
+            return list(answer.answers)
+        self._avoided[nearest.address] = now + AVOIDED_SECONDS
+        logger.info("a member did not pass an entry on", extra={"answer": str(answer)})
+        return []
+
+    async def _ask_nearest(self, group: tuple[Member, ...], request: Any) -> list[Any]:
+        """Asks the nearest member alone, so that one copy of a chain comes back."""
+        nearest = self._choose_nearest(group)
+        try:
+            with trio.move_on_after(NEAREST_SECONDS):
+                return [await self._call(nearest.address, request)]
+        except PeerUnreachable as error:
+            logger.debug("a member does not answer", extra={"reason": str(error)})
+        return []
 
     async def _call(self, address: str, request: Any) -> Any:
         """Asks a member, through another frontend if this one does not reach it."""
@@ -299,7 +335,9 @@
         def has_turn(answer: Any) -> bool:
             return isinstance(answer, Chain) and bool(answer.turns)
 
-        answers = await self._ask(group, lambda _: request, has_turn, enough=1)
+        answers = await self._ask_nearest(group, request)
+        if not any(map(has_turn, answers)):
+            answers = await self._ask(group, lambda _: request, has_turn, enough=1)
         found = [answer for answer in answers if has_turn(answer)]
         if found:
             self._cache.put_all(max((a.turns for a in found), key=len))
@@ -310,6 +348,20 @@
         raise LedgerUnavailable(f"Too few members answered for turn {call}.")
 
 
+def _votes(answer: Any) -> bool:
+    """Tells whether an answer counts towards a quorum of writes."""
+    return isinstance(answer, Written) and answer.votes
+
+
+def _has_quorum(answers: list[Any], view: View) -> bool:
+    return sum(map(_votes, answers)) >= view.write_quorum
+
+
+def _measure_turn(entry: Entry) -> int:
+    turn = entry.turn
+    return 0 if turn is None else len(turn.input) + len(turn.output)
+
+
 def _find_missing(chain: list[Turn], call: CallId | None) -> CallId | None:
     """Returns the first turn that a chain lacks, or None when it is whole."""
     return chain[-1].previous if chain else call
--- a/packages/daemon/src/goldcrestvane_daemon/ledger/membership.py
+++ b/packages/daemon/src/goldcrestvane_daemon/ledger/membership.py
@@ -5,7 +5,7 @@
 older view counts their votes any more, and copies their entries after that.
 """
 
-from typing import final
+from typing import Any, final
 
 import msgspec
 import trio
@@ -27,6 +27,7 @@
     Page,
     Pull,
     Response,
+    Write,
 )
 from goldcrestvane_daemon.ledger.roster import CANDIDATE_PREFIX, VIEW_NAME, Roster
 from goldcrestvane_daemon.ledger.service import LedgerService
@@ -45,6 +46,9 @@
 LOST_PROBES = 5
 """Probes in a row without an answer after which a spare replaces a member: 2 s."""
 
+WRITE_SECONDS = 0.5
+"""Time for which another member is asked to write an entry; 20 ms are usual."""
+
 PULL_SECONDS = 3.0
 MERGE_ENTRIES = 200
 
@@ -104,13 +108,21 @@
 
     # Peers
 
-    def _get_peer(self, member: Member) -> Peer:
-        peer = self._peers.get(member.address)
+    def _get_peer(self, address: str) -> Peer:
+        peer = self._peers.get(address)
         if peer is None:
-            peer = self._peers[member.address] = Peer(member.address, Response)
+            peer = self._peers[address] = Peer(address, Response)
             self._nursery.start_soon(peer.run)
         return peer
 
+    async def call_member(self, address: str, request: Write) -> Any:
+        """Sends a write to another member.
+
+        Raises:
+            PeerUnreachable: It did not answer; it may have written the entry.
+        """
+        return await self._get_peer(address).call(request, timeout=WRITE_SECONDS)
+
     def _list_others(self) -> list[Member]:
         view = self._service.view
         slots = view.slots if view else ()
@@ -131,7 +143,7 @@
             await trio.sleep(TICK_SECONDS)
 
     async def _probe_member(self, member: Member) -> None:
-        peer = self._get_peer(member)
+        peer = self._get_peer(member.address)
         try:
             state = await peer.call(AskState(), timeout=PROBE_SECONDS)
         except PeerUnreachable:
@@ -228,7 +240,9 @@
         agreeing = 0
         others = [each for each in view.slots if each.instance != member.instance]
         for other in others:
-            state = await self._get_peer(other).call(AskState(), timeout=PROBE_SECONDS)
+            state = await self._get_peer(other.address).call(
+                AskState(), timeout=PROBE_SECONDS
+            )
             if isinstance(state, MemberState) and member.instance in state.unreachable:
                 agreeing += 1
         return agreeing * 2 > len(others)
@@ -275,7 +289,7 @@
 
     async def _pull(self, view: View, member: Member) -> None:
         position: int | None = 0
-        peer = self._get_peer(member)
+        peer = self._get_peer(member.address)
         with trio.move_on_after(PROBE_SECONDS):
             await peer.connected.wait()
         while position is not None:
@@ -307,7 +321,7 @@
             leaving = self._roster.retiring | self._roster.emptied
             if candidate.instance in members | leaving:
                 continue
-            peer = self._get_peer(candidate)
+            peer = self._get_peer(candidate.address)
             with trio.move_on_after(PROBE_SECONDS):
                 await peer.connected.wait()
             if peer.is_connected:
@@ -333,14 +347,16 @@
         """
         members = self._list_others()
         for member in members:
-            state = await self._get_peer(member).call(AskState(), timeout=PROBE_SECONDS)
+            state = await self._get_peer(member.address).call(
+                AskState(), timeout=PROBE_SECONDS
+            )
             if not isinstance(state, MemberState) or not state.votes:
                 return False
         entries = list(self._state.iterate_entries())
         for member in members:
             for start in range(0, max(1, len(entries)), MERGE_ENTRIES):
                 part = entries[start : start + MERGE_ENTRIES]
-                answer = await self._get_peer(member).call(
+                answer = await self._get_peer(member.address).call(
                     Merge(view, part), timeout=PULL_SECONDS
                 )
                 if not isinstance(answer, Merged):
--- a/packages/daemon/src/goldcrestvane_daemon/ledger/messages.py
+++ b/packages/daemon/src/goldcrestvane_daemon/ledger/messages.py
@@ -67,6 +67,20 @@
     chain_of: CallId | None = None
 
 
+class PassOn(msgspec.Struct, frozen=True, tag="pass_on", array_like=True):
+    """Asks a member to write an entry and to have other members write it.
+
+    Attributes:
+        write: What each of them is to write.
+        others: Addresses of the other members.
+        enough: Voting members that must have written it before the answer.
+    """
+
+    write: Write
+    others: list[str]
+    enough: int
+
+
 class ReadChain(msgspec.Struct, frozen=True, tag="chain", array_like=True):
     """Asks for a turn and the turns before it, as far as the member has them."""
 
@@ -104,7 +118,7 @@
     """Asks a member for its state."""
 
 
-Request = Write | ReadChain | Pull | Merge | AskState | Announce
+Request = Write | PassOn | ReadChain | Pull | Merge | AskState | Announce
 
 
 class Written(msgspec.Struct, frozen=True, tag="written", array_like=True):
@@ -127,6 +141,12 @@
     view: View
 
 
+class PassedOn(msgspec.Struct, frozen=True, tag="passed_on", array_like=True):
+    """Answers of the members that an entry was passed on to, as far as they came."""
+
+    answers: list[Written | Stale]
+
+
 class Chain(msgspec.Struct, frozen=True, tag="turns", array_like=True):
     """Turns of a chain, newest first."""
 
@@ -180,4 +200,14 @@
     reason: str
 
 
-Response = Written | Stale | Chain | Page | Merged | MemberState | Frontends | Failed
+Response = (
+    Written
+    | Stale
+    | PassedOn
+    | Chain
+    | Page
+    | Merged
+    | MemberState
+    | Frontends
+    | Failed
+)
--- a/packages/daemon/src/goldcrestvane_daemon/ledger/service.py
+++ b/packages/daemon/src/goldcrestvane_daemon/ledger/service.py
@@ -1,11 +1,13 @@
 """Answers the requests of frontends and of other members."""
 
+import functools
+from collections.abc import Awaitable, Callable
 from functools import singledispatchmethod
-from typing import final
+from typing import Any, final
 
 import trio
 
-from goldcrestvane_common.ids import Epoch, InstanceId
+from goldcrestvane_common.ids import CallId, Epoch, InstanceId
 from goldcrestvane_common.logs import get_logger
 from goldcrestvane_daemon.ledger.log import DiskFailed, EntryLog
 from goldcrestvane_daemon.ledger.messages import (
@@ -20,13 +22,17 @@
     Merge,
     Merged,
     Page,
+    PassedOn,
+    PassOn,
     Pull,
     ReadChain,
     Response,
     Stale,
+    Turn,
     Write,
     Written,
 )
+from goldcrestvane_daemon.ledger.quorum import ask_members
 from goldcrestvane_daemon.ledger.state import LedgerState
 from goldcrestvane_daemon.ledger.view import View
 
@@ -41,6 +47,8 @@
 
 logger = get_logger("ledger")
 
+CallMember = Callable[[str, Write], Awaitable[Any]]
+
 
 @final
 class LedgerService:
@@ -58,10 +66,22 @@
         self._state = state
         self._frontends: dict[Frontend, float] = {}
         self._pages: dict[int, list[Entry]] = {}
+        self._call_member: CallMember | None = None
+        self._nursery: trio.Nursery | None = None
         self.view: View | None = None
         self.votes = False
         self.unreachable: list[InstanceId] = []
 
+    def pass_on_with(self, call_member: CallMember, nursery: trio.Nursery) -> None:
+        """Lets this member have other members write entries.
+
+        Args:
+            call_member: Sends a request to a member by its address.
+            nursery: Runs the requests that nobody waits for any more.
+        """
+        self._call_member = call_member
+        self._nursery = nursery
+
     def adopt(self, view: View) -> bool:
         """Takes over a newer view; writers with an older one are refused from now on."""
         if self.view is not None and view.epoch <= self.view.epoch:
@@ -119,6 +139,25 @@
             chain=self._state.list_chain(request.chain_of),
         )
 
+    @handle.register
+    async def _(self, request: PassOn) -> Response:
+        if self._call_member is None or self._nursery is None:
+            return Failed("this member does not reach the others yet")
+        calls = [
+            functools.partial(self.handle, request.write),
+            *(
+                functools.partial(self._call_member, address, request.write)
+                for address in request.others
+            ),
+        ]
+        answers = await ask_members(
+            calls,
+            lambda got: isinstance(got, Written) and got.votes,
+            enough=request.enough,
+            nursery=self._nursery,
+        )
+        return PassedOn([got for got in answers if isinstance(got, Written | Stale)])
+
     @handle.register
     async def _(self, request: ReadChain) -> Response:
         return Chain(self.votes, self._state.list_chain(request.call))
@@ -159,6 +198,10 @@
         epoch = self.view.epoch if self.view else Epoch(0)
         return MemberState(self._instance, epoch, self.votes, self.unreachable)
 
+    def list_chain(self, call: CallId) -> list[Turn]:
+        """Returns a turn and those before it, as far as this member has them."""
+        return self._state.list_chain(call)
+
     async def store(self, entries: list[Entry]) -> bool:
         """Merges entries and makes them durable; returns whether the disk took them."""
         for entry in entries:
--- a/packages/daemon/tests/ledger/support.py
+++ b/packages/daemon/tests/ledger/support.py
@@ -75,6 +75,7 @@
                     log=log,
                     nursery=nursery,
                 )
+                service.pass_on_with(membership.call_member, nursery)
                 nursery.start_soon(membership.run)
                 task_status.started()
 
--- a/packages/daemon/tests/ledger/test_members.py
+++ b/packages/daemon/tests/ledger/test_members.py
@@ -1,5 +1,7 @@
 import unittest
+from unittest import mock
 
+import msgspec
 import trio
 
 from goldcrestvane_daemon.frontend.ledger_client import (
@@ -7,10 +9,95 @@
     TurnUnknown,
     count_committed,
 )
+from goldcrestvane_daemon.ledger.frames import Peer
+from goldcrestvane_daemon.ledger.messages import Spend, Turn
 from goldcrestvane_daemon.platform.store import Kind
 from ledger.support import run_ledger
 
 
+def count_bytes(call, sent):
+    """Returns a call that notes the size of each request and who sends it."""
+
+    async def counted(self, request, *, timeout):
+        sent.append((self, len(msgspec.msgpack.encode(request))))
+        return await call(self, request, timeout=timeout)
+
+    return counted
+
+
+def sum_sizes(sent, senders):
+    return sum(size for sender, size in sent if sender in senders)
+
+
+async def hang(*_):
+    await trio.sleep_forever()
+
+
+class PassOnTests(unittest.TestCase):
+    """Large turns leave a frontend once; the nearest member passes them on."""
+
+    big = b"x" * 5000
+
+    async def keep(self, ledger, call):
+        turn = Turn(call, None, self.big, b"out\n", 60.0)
+        await ledger.client.settle("p", Spend(call, 10, True), turn, 60.0)
+
+    def list_holders(self, ledger, call):
+        return [
+            name
+            for name, member in ledger.members.items()
+            if member.service.list_chain(call)
+        ]
+
+    def test_a_large_turn_is_sent_once_and_kept_by_all(self):
+        async def script(ledger):
+            own = set(ledger.client._peers.values())
+            sent = []
+            number = 0
+            with mock.patch.object(Peer, "call", count_bytes(Peer.call, sent)):
+                # Members connect to each other soon after they vote.
+                while number == 0 or sum_sizes(sent, own) > 2 * len(self.big):
+                    sent.clear()
+                    number += 1
+                    await self.keep(ledger, f"t{number}")
+            last = f"t{number}"
+            await ledger.wait(lambda: len(self.list_holders(ledger, last)) == 3)
+
+        run_ledger(script)
+
+    def test_a_turn_is_kept_while_the_nearest_member_is_dead_or_silent(self):
+        async def script(ledger):
+            group = ledger.client.view.list_group("t1")
+            nearest = ledger.members[ledger.client._choose_nearest(group).instance]
+            nearest.service.pass_on_with(hang, ledger.nursery)
+            await self.keep(ledger, "t1")
+            await nearest.stop()
+            await self.keep(ledger, "t2")
+            self.assertEqual(len(self.list_holders(ledger, "t2")), 3 - 1)
+
+        run_ledger(script)
+
+    def test_one_member_alone_is_no_quorum_however_often_it_writes(self):
+        async def script(ledger):
+            await ledger.members["a"].stop()
+            await ledger.members["b"].stop()
+            with self.assertRaises(LedgerUnavailable):
+                await self.keep(ledger, "t1")
+
+        run_ledger(script)
+
+    def test_a_writer_with_an_old_view_is_told_through_the_nearest_member(self):
+        async def script(ledger):
+            old = ledger.client.view
+            newer = msgspec.structs.replace(old, epoch=old.epoch + 1)
+            for member in ledger.members.values():
+                member.service.adopt(newer)
+            await self.keep(ledger, "t1")
+            self.assertEqual(ledger.client.view.epoch, newer.epoch)
+
+        run_ledger(script)
+
+
 class MembersTests(unittest.TestCase):
     def test_each_turn_counts_in_the_program_whichever_member_is_down(self):
         async def script(ledger):
