Spread the relays of frontends that are cut off, one copy a turn

Cause: each frontend kept the same three others as peers, the lowest addresses of other domains, and a frontend that reached no member sent a large turn through them once for each member.

Change: peers are ranked by a hash of both addresses, four each; a relay carries the request to pass on, not one write for each member.

--- a/packages/daemon/src/goldcrestvane_daemon/frontend/ledger_client.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/ledger_client.py
@@ -249,14 +249,13 @@
         member fails; the entry is then written directly.
         """
         nearest = self._choose_nearest(group)
-        peer = self._peers[nearest.address]
         now = trio.current_time()
-        if not peer.is_connected or self._avoided.get(nearest.address, 0.0) > now:
+        if self._avoided.get(nearest.address, 0.0) > now:
             return []
         others = [each.address for each in group if each is not nearest]
         request = PassOn(Write(view.epoch, entry), others, view.write_quorum)
         try:
-            answer = await peer.call(request, timeout=PASS_ON_SECONDS)
+            answer = await self._call(nearest.address, request, PASS_ON_SECONDS)
         except PeerUnreachable as error:
             answer = Failed(str(error))
         if isinstance(answer, PassedOn):
@@ -275,16 +274,18 @@
             logger.debug("a member does not answer", extra={"reason": str(error)})
         return []
 
-    async def _call(self, address: str, request: Any) -> Any:
+    async def _call(
+        self, address: str, request: Any, timeout: float = WRITE_SECONDS
+    ) -> Any:
         """Asks a member, through another frontend if this one does not reach it."""
         peer = self._peers[address]
         if peer.is_connected:
             try:
-                return await peer.call(request, timeout=WRITE_SECONDS)
+                return await peer.call(request, timeout=timeout)
             except PeerUnreachable:
                 if peer.is_connected:
                     raise
-        return await self._frontends.relay(address, request, WRITE_SECONDS)
+        return await self._frontends.relay(address, request, timeout)
 
     async def call_member(self, address: str, request: Any, timeout: float) -> Any:
         """Asks a member for another frontend.
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/peers.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/peers.py
@@ -11,7 +11,7 @@
 
 import trio
 
-from goldcrestvane_common.ids import DomainId, Fingerprint, Version
+from goldcrestvane_common.ids import DomainId, Fingerprint, Version, hash_text
 from goldcrestvane_common.logs import get_logger
 from goldcrestvane_daemon.frontend.peer_messages import (
     AskObjects,
@@ -28,7 +28,7 @@
 from goldcrestvane_daemon.ledger.messages import Frontend
 from goldcrestvane_daemon.platform.store import Kind, StoreChanges
 
-MAX_PEERS = 3
+MAX_PEERS = 4
 """Frontends that are kept connected; news reaches the others through them."""
 
 ASK_SECONDS = 1.0
@@ -74,7 +74,13 @@
         others = [each for each in frontends if each.address != self._own_address]
         if not others:
             return
-        others.sort(key=lambda each: (each.domain == domain, each.address))
+        # Each frontend has others as peers, so that relays share the work.
+        others.sort(
+            key=lambda each: (
+                each.domain == domain,
+                hash_text(f"{self._own_address} {each.address}"),
+            )
+        )
         wanted = {each.address for each in others[:MAX_PEERS]}
         for address in set(self._peers) - wanted:
             _, scope = self._peers.pop(address)
@@ -89,6 +95,10 @@
         with scope:
             await peer.run()
 
+    def list_addresses(self) -> list[str]:
+        """Returns the addresses of the frontends that this one connects to."""
+        return list(self._peers)
+
     def _list_connected(self) -> list[Peer]:
         return [peer for peer, _ in self._peers.values() if peer.is_connected]
 
--- a/packages/daemon/tests/frontend/test_turns.py
+++ b/packages/daemon/tests/frontend/test_turns.py
@@ -5,10 +5,12 @@
 import trio.testing
 
 from frontend.frontend_case import CONFIGURATION, FakeLedger
+from goldcrestvane_daemon.frontend.admission import Standing
 from goldcrestvane_daemon.frontend.plan import plan_call
 from goldcrestvane_daemon.frontend.refusals import LedgerDown
 from goldcrestvane_daemon.frontend.turns import TurnKeeper
 from goldcrestvane_daemon.http1 import RequestHead
+from goldcrestvane_daemon.ledger.messages import Spend
 from goldcrestvane_daemon.platform.records import decode_configuration
 from goldcrestvane_daemon.routes import RouteTable
 
@@ -23,12 +25,12 @@
 
 
 class OpenTests(unittest.TestCase):
-    def run_script(self, script):
+    def run_script(self, script, headers=()):
         async def main():
             routes = RouteTable(
                 decode_configuration(msgspec.json.encode(CONFIGURATION))
             )
-            head = RequestHead(b"POST", b"/turn/x", HEADERS)
+            head = RequestHead(b"POST", b"/turn/x", [*HEADERS, *headers])
             call = plan_call(head, b"in", routes, trio.current_time())
             ledger = FakeLedger()
             await script(ledger, TurnKeeper(ledger), call)
@@ -58,6 +60,26 @@
 
         self.run_script(script)
 
+    def check_standing(self, expected, *spends, headers=()):
+        async def script(ledger, keeper, call):
+            ledger.spends["p1"] = {spend.call: spend for spend in spends}
+            await keeper.open(call)
+            self.assertIs(call.standing, expected)
+
+        self.run_script(script, headers)
+
+    def test_standing_follows_from_what_the_program_has_spent(self):
+        self.check_standing(Standing.NEW)
+        refused = Spend("c0", 0, settled=True)
+        self.check_standing(Standing.RETURNED, refused)
+        ran = Spend("c0", 25, settled=True)
+        self.check_standing(Standing.UNDER_WAY, ran)
+        running = Spend("c0", 40)
+        self.check_standing(Standing.UNDER_WAY, running)
+        over = (b"goldcrestvane-program-deadline-ms", b"-20")
+        self.check_standing(Standing.LATE, ran, headers=[over])
+        self.check_standing(Standing.NEW, headers=[over])
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/packages/daemon/tests/ledger/test_members.py
+++ b/packages/daemon/tests/ledger/test_members.py
@@ -10,7 +10,7 @@
     count_committed,
 )
 from goldcrestvane_daemon.ledger.frames import Peer
-from goldcrestvane_daemon.ledger.messages import Spend, Turn
+from goldcrestvane_daemon.ledger.messages import PassOn, Spend, Turn
 from goldcrestvane_daemon.platform.store import Kind
 from ledger.support import run_ledger
 
@@ -77,6 +77,29 @@
 
         run_ledger(script)
 
+    def test_a_frontend_that_is_cut_off_sends_a_turn_once_to_a_relay(self):
+        async def script(ledger):
+            cut_off = ledger.build_client()
+            cut_off.view = ledger.client.view
+            cut_off._peers = {
+                member.address: mock.Mock(is_connected=False)
+                for member in cut_off.view.slots
+            }
+            relayed = []
+
+            async def relay(address, request, timeout):
+                relayed.append(request)
+                return await ledger.client.call_member(address, request, timeout)
+
+            cut_off._frontends.relay = relay
+            turn = Turn("t1", None, self.big, b"out\n", 60.0)
+            spend = Spend("t1", 10, True)
+            await cut_off.settle("p", spend, turn, 60.0)
+            self.assertIsInstance(relayed[0], PassOn)
+            self.assertTrue(self.list_holders(ledger, "t1"))
+
+        run_ledger(script)
+
     def test_one_member_alone_is_no_quorum_however_often_it_writes(self):
         async def script(ledger):
             await ledger.members["a"].stop()
