Say where the headroom's figure comes from

Cause: a threshold without its source, and a metaphor in place of the term. Ruled out: nothing. Change: two comments in frontend/admission.py, no code.

--- a/packages/daemon/src/goldcrestvane_daemon/frontend/admission.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/admission.py
@@ -6,8 +6,7 @@
   programs are turned away as long as those under way need the targets, so that the
   programs that have begun end in time.
 - Programs under way return after a pause that others could use. The last places of
-  each target are kept for them, as telephone exchanges keep trunks for calls that are
-  handed over.
+  each target are kept for them (trunk reservation).
 - Calls of several priorities wait. A less urgent call counts as if it had arrived
   later, so that it yields but never starves; so do calls of programs that are late.
 - Many callers are turned away at once. Each is told another time to come back, at the
@@ -24,7 +23,8 @@
 of 300 ms and a run of 300 ms."""
 
 HEADROOM_SHARE = 0.4
-"""Part of a target's slots that is kept for programs under way."""
+"""Part of a target's slots that is kept for programs under way; the replay of loads in
+docs/explanation/policy.md."""
 
 PATIENCE_SHARE = 0.1
 """Part of its program's time for which a first turn waits: a third of the slack of a
