Add a member of the ledger only when every present one answers

Change: a spare is added only when it has heard each member. Otherwise it replaces the lost one, and copies from the other.

Before: test_a_fresh_spare_replaces_a_lost_one_of_two_members failed (no vote in 15 s). After: it passes in 4.5 s; tests of the ledger passed.

--- a/packages/daemon/src/goldcrestvane_daemon/ledger/membership.py
+++ b/packages/daemon/src/goldcrestvane_daemon/ledger/membership.py
@@ -228,9 +228,12 @@
                 await self._update_view(view, view.replace(member.instance, self._own))
                 return
         missing = len(view.slots) < 2 * self._tolerated_losses + 1
-        silent = any(self._misses.get(member.instance) for member in view.slots)
-        if missing and not silent:
-            # A member that does not answer is replaced, or back, before one is added.
+        all_answer = all(
+            self._misses.get(member.instance) == 0 for member in view.slots
+        )
+        if missing and all_answer:
+            # A member that does not answer, or was not asked yet, is replaced, or back,
+            # before one is added.
             await self._update_view(view, view.add(self._own))
 
     async def _is_lost(self, view: View, member: Member) -> bool:
--- a/packages/daemon/tests/ledger/test_members.py
+++ b/packages/daemon/tests/ledger/test_members.py
@@ -274,6 +274,35 @@
 
         run_ledger(script)
 
+    def test_a_fresh_spare_replaces_a_lost_one_of_two_members(self):
+        """Replays the retirement of one of three disks, then the loss of another.
+
+        Were the spare added beside the lost member, it could never copy what that
+        member had, and no quorum would come back.
+        """
+
+        async def script(ledger):
+            ledger.platform.put(Kind.RETIREMENTS.value, "a", {"duration_s": 10})
+            await ledger.wait(
+                lambda: (
+                    ledger.platform.read(Kind.RETIREMENTS.value, "a")["status"]
+                    == {"state": "completed"}
+                )
+            )
+            await ledger.members["a"].stop()
+            ledger.client = ledger.build_client()
+            await ledger.refresh()
+            await ledger.keep_turn("p", "t1")
+            await ledger.members["b"].stop()
+            await ledger.add("d").start()
+            await ledger.wait_votes("d")
+            ledger.client = ledger.build_client()
+            await ledger.refresh()
+            opened = await ledger.open_turn("p", "c9", 10, previous="t1")
+            self.assertEqual([turn.call for turn in opened.chain], ["t1"])
+
+        run_ledger(script)
+
     def test_an_emptied_member_takes_no_slot_again(self):
         async def script(ledger):
             ledger.platform.put(Kind.RETIREMENTS.value, "a", {"duration_s": 10})
