Refuse a call that gets its target at its deadline

Cause: a call that its targets reject waits 50 ms for each rejection. The time left was checked after a rejection, not after that wait, so an attempt could start with less than a round trip left. It was still running at the deadline, and the client got 504, which promises nothing, in place of 503. Ruled out: slow exchanges (the longest took 10 ms). Change: the time left is checked once a target is assigned; the slot is given back. A new test assigns the target 10 ms before the deadline; it fails before the change and passes after it.

--- a/packages/daemon/src/goldcrestvane_daemon/frontend/calls.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/calls.py
@@ -204,6 +204,11 @@
                 admission_class=call.admission_class,
                 program_seconds_left=call.program_seconds_left,
             )
+            if call.seconds_left <= MIN_SECONDS_LEFT:
+                # An attempt would still run at the deadline, so that the client could
+                # not be told that the call has not run.
+                queue.release(target)
+                raise _build_timeout(call)
             result = AttemptResult.LOST
             started = trio.current_time()
             try:
@@ -272,6 +277,6 @@
             "the call may have run."
         )
     return Overloaded(
-        "The call waited in the queue until its deadline; it has not run.",
+        "The call waited for a target until its deadline; it has not run.",
         retry_after=TIMEOUT_RETRY_SECONDS,
     )
--- a/packages/daemon/tests/frontend/test_calls.py
+++ b/packages/daemon/tests/frontend/test_calls.py
@@ -14,6 +14,7 @@
 )
 from frontend.support import ScriptedTarget, SharedScript, build_response
 from goldcrestvane_daemon.frontend.crash_tracker import MAX_DEATHS, build_fingerprint
+from goldcrestvane_daemon.frontend.queue import ServiceQueue
 from goldcrestvane_daemon.frontend.upstream import TargetRequest
 from goldcrestvane_daemon.platform.store import ObjectKind
 
@@ -48,6 +49,21 @@
 
         self.run_frontend(script, [[FULL]] * 50)
 
+    def test_call_that_gets_a_target_at_its_deadline_is_refused_as_not_run(self):
+        async def acquire_late(queue, **options):
+            await trio.sleep(options["seconds_left"] - 0.01)
+            return await acquire(queue, **options)
+
+        async def script(frontend):
+            with mock.patch.object(ServiceQueue, "acquire", acquire_late):
+                response = await frontend.send("/quick/x")
+            self.assertEqual(response.status, 503)
+            self.assertIn("retry-after", response.headers)
+            self.assertEqual(frontend.requests, [])
+
+        acquire = ServiceQueue.acquire
+        self.run_frontend(script, [[ScriptedTarget.WAIT]])
+
     def test_status_503_of_a_call_that_ran_is_not_forwarded(self):
         async def script(frontend):
             response = await frontend.send("/once/x")
