Refuse bodies that are declared too long and requests with two framings

Cause: a body was measured as it arrived, so a declared length of 10^15 bytes waited ten seconds for its end (408); a request with both a length and chunks was passed on by its chunks, and its connection stayed open. Change: the declared length is compared before the body is read (413, connection closed); a request with both headers gets 400 and its connection is closed.

--- a/packages/daemon/src/goldcrestvane_daemon/http1.py
+++ b/packages/daemon/src/goldcrestvane_daemon/http1.py
@@ -42,6 +42,11 @@
     headers: list[tuple[bytes, bytes]]
 
 
+def _get_content_length(request: h11.Request) -> int:
+    """Returns the declared length of a body; 0 if none is declared."""
+    return int(dict(request.headers).get(b"content-length", 0))
+
+
 @final
 class ServerConnection:
     """Connection of one client."""
@@ -52,6 +57,7 @@
             h11.SERVER, max_incomplete_event_size=head_bytes + READ_BYTES
         )
         self._eof_received = False
+        self._declared_length = 0
 
     @property
     def is_reusable(self) -> bool:
@@ -76,6 +82,13 @@
             return None
         if not isinstance(event, h11.Request):
             raise ProtocolViolation(f"Got {type(event).__name__}, expected a request.")
+        names = {name for name, _ in event.headers}
+        if names >= {b"content-length", b"transfer-encoding"}:
+            # An intermediary that follows the other header would see other requests.
+            raise ProtocolViolation(
+                "The request has both a length and a transfer encoding; send one of them."
+            )
+        self._declared_length = _get_content_length(event)
         return RequestHead(event.method, event.target, list(event.headers))
 
     async def read_body(self, limit: int) -> bytes:
@@ -85,6 +98,12 @@
             ProtocolViolation: The body is not well-formed or larger than `limit`.
             ConnectionLost: The connection broke before the body's end.
         """
+        if self._declared_length > limit:
+            raise ProtocolViolation(
+                f"The body has {self._declared_length} bytes, expected at most {limit}; "
+                "send less.",
+                status=413,
+            )
         if self._parser.they_are_waiting_for_100_continue:
             interim = h11.InformationalResponse(status_code=100, headers=[])
             await self._send(interim)
