Store the ledger's entries by partition and vote by partition

Cause: the group of a key was its hash modulo the number of slots, so adding or removing a slot moved nearly every entry, while only the leaving member's entries were handed over and reads carried no epoch. Turns that were answered whole got 404, and accounts forgot charges. Also found by reading: two members that copied from one source at the same time shared its page, so that entries could be left out. Change: 256 partitions, rendezvous hashing over slots with domains taken in turn; quorums of f+1 also below a full group; a member votes for a partition once it has copied it from f+1 processes, the former holder among them; reads are fenced by epoch; slots are added and removed one at a time; copies are made by partition. Disks written before are not read by this version.

--- a/packages/daemon/src/goldcrestvane_daemon/frontend/ledger_client.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/ledger_client.py
@@ -7,7 +7,7 @@
 import msgspec
 import trio
 
-from goldcrestvane_common.ids import CallId, ProgramId
+from goldcrestvane_common.ids import CallId, Epoch, ProgramId
 from goldcrestvane_common.logs import get_logger
 from goldcrestvane_daemon.frontend.peers import FrontendPeers
 from goldcrestvane_daemon.frontend.turn_cache import TurnCache
@@ -29,6 +29,7 @@
     TurnChain,
     Write,
     Written,
+    get_stamp,
 )
 from goldcrestvane_daemon.ledger.quorum import call_until_quorum
 from goldcrestvane_daemon.ledger.view import Member, View
@@ -116,7 +117,7 @@
             for member in view.slots
             if (peer := self._peers.get(member.address)) and peer.is_connected
         )
-        return connected > len(view.slots) - view.read_quorum
+        return len(view.slots) - connected <= view.group_size - view.write_quorum
 
     def adopt(self, view: View) -> None:
         """Adopts a view if it is newer, and connects to its members."""
@@ -206,7 +207,7 @@
                 member: Member, view: View = view, near: Member = nearest
             ) -> Write:
                 wanted = return_chain_of if member is near else None
-                return Write(view.epoch, entry, wanted)
+                return Write(get_stamp(view), entry, wanted)
 
             answers: list[Any] = []
             if _get_turn_size(entry) >= MIN_FORWARDED_BYTES:
@@ -217,9 +218,7 @@
                 answers = await self._call_group(
                     group, build, _is_write_vote, quorum=view.write_quorum
                 )
-            newer = [answer.view for answer in answers if isinstance(answer, StaleView)]
-            if newer:
-                self.adopt(max(newer, key=lambda each: each.epoch))
+            if self._adopt_newest(answers):
                 continue
             if _has_quorum(answers, view):
                 return [a for a in answers if isinstance(a, Written)]
@@ -231,6 +230,13 @@
             f"The view changed {MAX_VIEW_ATTEMPTS} times during the write."
         )
 
+    def _adopt_newest(self, answers: list[Any]) -> bool:
+        """Adopts the newest view of members that rejected a request, if any."""
+        newer = [answer.view for answer in answers if isinstance(answer, StaleView)]
+        if newer:
+            self.adopt(max(newer, key=lambda each: each.epoch))
+        return bool(newer)
+
     def _choose_nearest(self, group: tuple[Member, ...]) -> Member:
         def rank(member: Member) -> tuple[bool, bool]:
             peer = self._peers.get(member.address)
@@ -275,7 +281,7 @@
         if self._forward_backoff_until.get(nearest.address, 0.0) > now:
             return []
         others = [each.address for each in group if each is not nearest]
-        request = ForwardWrite(Write(view.epoch, entry), others, view.write_quorum)
+        request = ForwardWrite(Write(get_stamp(view), entry), others, view.write_quorum)
         try:
             answer = await self._call(nearest.address, request, FORWARD_TIMEOUT_SECONDS)
         except PeerUnreachable as error:
@@ -329,9 +335,11 @@
         while True:
             connected = [peer for peer in self._peers.values() if peer.is_connected]
             for peer in connected:
+                epoch = self.view.epoch if self.view else Epoch(0)
                 try:
                     answer = await peer.call(
-                        Announce(self._local_frontend), timeout=REQUEST_TIMEOUT_SECONDS
+                        Announce(self._local_frontend, epoch),
+                        timeout=REQUEST_TIMEOUT_SECONDS,
                     )
                 except PeerUnreachable as error:
                     logger.info(
@@ -343,6 +351,8 @@
                     self._frontends.update_frontends(
                         answer.frontends, self._local_frontend.domain
                     )
+                    if answer.view is not None:
+                        self.adopt(answer.view)
             await trio.sleep(
                 ANNOUNCE_INTERVAL_SECONDS if connected else ANNOUNCE_RETRY_SECONDS
             )
@@ -362,28 +372,40 @@
             await self._read_turn(wanted)
 
     async def _read_turn(self, call: CallId) -> None:
-        view = self.view
-        if view is None:
-            raise LedgerUnavailable("No view of the ledger is known yet.")
-        group = view.list_group(call)
-        request = ReadChain(call)
+        """Reads a turn and the turns before it into the cache.
+
+        Raises:
+            LedgerUnavailable: Too few members answered.
+            TurnNotFound: The turn does not exist.
+        """
+        for _ in range(MAX_VIEW_ATTEMPTS):
+            view = self.view
+            if view is None:
+                raise LedgerUnavailable("No view of the ledger is known yet.")
+            group = view.list_group(call)
+            request = ReadChain(get_stamp(view), call)
+            answers = await self._call_nearest(group, request)
+            if not any(map(_has_turns, answers)):
+                answers = await self._call_group(
+                    group, lambda _, request=request: request, _has_turns, quorum=1
+                )
+            found = [answer for answer in answers if _has_turns(answer)]
+            if found:
+                self._cache.put_all(max((a.turns for a in found), key=len))
+                return
+            if self._adopt_newest(answers):
+                continue
+            voted = [a for a in answers if isinstance(a, TurnChain) and a.votes]
+            if len(voted) >= view.read_quorum and self.view is view:
+                raise TurnNotFound(f"Turn {call} does not exist.")
+            raise LedgerUnavailable(f"Too few members answered for turn {call}.")
+        raise LedgerUnavailable(
+            f"The view changed {MAX_VIEW_ATTEMPTS} times during the read."
+        )
 
-        def has_turn(answer: Any) -> bool:
-            return isinstance(answer, TurnChain) and bool(answer.turns)
 
-        answers = await self._call_nearest(group, request)
-        if not any(map(has_turn, answers)):
-            answers = await self._call_group(
-                group, lambda _: request, has_turn, quorum=1
-            )
-        found = [answer for answer in answers if has_turn(answer)]
-        if found:
-            self._cache.put_all(max((a.turns for a in found), key=len))
-            return
-        voted = [a for a in answers if isinstance(a, TurnChain) and a.votes]
-        if len(voted) >= view.read_quorum and self.view is view:
-            raise TurnNotFound(f"Turn {call} does not exist.")
-        raise LedgerUnavailable(f"Too few members answered for turn {call}.")
+def _has_turns(answer: Any) -> bool:
+    return isinstance(answer, TurnChain) and bool(answer.turns)
 
 
 def _is_write_vote(answer: Any) -> bool:
--- a/packages/daemon/src/goldcrestvane_daemon/ledger/log.py
+++ b/packages/daemon/src/goldcrestvane_daemon/ledger/log.py
@@ -27,7 +27,7 @@
 
 SEGMENT_SUFFIX = ".log"
 IDENTITY_FILE = "disk-id"
-SYNCED_EPOCH_FILE = "joined"
+SYNCED_VIEW_FILE = "synced-view"
 VIEW_FILE = "view"
 
 logger = get_logger("log")
@@ -99,31 +99,36 @@
         if identity is None:
             self._write_file(IDENTITY_FILE, self.disk)
 
-    def read_synced_epoch(self) -> int:
-        """Returns the epoch since which the disk has had all its entries, or 0."""
-        text = self._read_file(SYNCED_EPOCH_FILE)
-        return int(text) if text and text.isdigit() else 0
+    def read_synced_view(self) -> View | None:
+        """Returns the last view under which the disk had all its entries, or None."""
+        return self._read_view_file(SYNCED_VIEW_FILE)
 
-    async def write_synced_epoch(self, epoch: int) -> None:
-        """Records the epoch since which the disk has had all its entries."""
-        await trio.to_thread.run_sync(self._write_file, SYNCED_EPOCH_FILE, str(epoch))
+    async def write_synced_view(self, view: View) -> None:
+        """Records that the disk has all its entries under a view."""
+        await self._write_view_file(SYNCED_VIEW_FILE, view)
 
     def read_view(self) -> View | None:
-        """Returns the last view recorded on the disk, or None."""
-        text = self._read_file(VIEW_FILE)
+        """Returns the last adopted view that is recorded on the disk, or None."""
+        return self._read_view_file(VIEW_FILE)
+
+    async def write_view(self, view: View) -> None:
+        """Records a view, so that older writers are rejected after a restart too."""
+        await self._write_view_file(VIEW_FILE, view)
+
+    def _read_view_file(self, name: str) -> View | None:
+        text = self._read_file(name)
         try:
             return msgspec.json.decode(text, type=View) if text else None
         except msgspec.DecodeError as error:
             logger.warning(
                 "ignoring a recorded view that cannot be decoded",
-                extra={"reason": str(error)},
+                extra={"file": name, "reason": str(error)},
             )
             return None
 
-    async def write_view(self, view: View) -> None:
-        """Records a view, so that older writers are rejected after a restart too."""
+    async def _write_view_file(self, name: str, view: View) -> None:
         text = msgspec.json.encode(view).decode()
-        await trio.to_thread.run_sync(self._write_file, VIEW_FILE, text)
+        await trio.to_thread.run_sync(self._write_file, name, text)
 
     def _read_file(self, name: str) -> str | None:
         try:
--- a/packages/daemon/src/goldcrestvane_daemon/ledger/membership.py
+++ b/packages/daemon/src/goldcrestvane_daemon/ledger/membership.py
@@ -18,6 +18,11 @@
     ObjectVersionConflict,
 )
 from goldcrestvane_daemon.ledger.frames import PeerConnection, PeerUnreachable
+from goldcrestvane_daemon.ledger.holdings import (
+    CopyProgress,
+    CopySource,
+    list_copy_sources,
+)
 from goldcrestvane_daemon.ledger.log import EntryLog
 from goldcrestvane_daemon.ledger.membership_watcher import (
     CANDIDATE_PREFIX,
@@ -32,11 +37,17 @@
     PullEntries,
     PushEntries,
     Response,
+    StaleView,
     Write,
 )
 from goldcrestvane_daemon.ledger.service import LedgerService
 from goldcrestvane_daemon.ledger.state import LedgerState
-from goldcrestvane_daemon.ledger.view import Member, View, build_first_view
+from goldcrestvane_daemon.ledger.view import (
+    Member,
+    PartitionId,
+    View,
+    build_first_view,
+)
 from goldcrestvane_daemon.platform.store import ObjectKind, StoreClient, StoreObject
 
 BOOTSTRAP_WAIT_SECONDS = 1.5
@@ -57,7 +68,7 @@
 """Timeout of a forwarded write, which usually takes 20 ms."""
 
 COPY_TIMEOUT_SECONDS = 3.0
-PUSH_BATCH_ENTRIES = 200
+PUSH_BATCH_ENTRIES = 50
 
 logger = get_logger("membership")
 
@@ -68,17 +79,6 @@
     state: str
 
 
-def has_all_entries(member_in_view: Member | None, log: EntryLog) -> bool:
-    """Returns whether a disk has every entry that its member must have.
-
-    The members of the first view start without entries. Any other member must have
-    copied them since its disk became a member.
-    """
-    if member_in_view is None or member_in_view.disk != log.disk:
-        return False
-    return member_in_view.since == 1 or log.read_synced_epoch() >= member_in_view.since
-
-
 @final
 class LedgerMembership:
     """Maintains the membership of one process in the ledger."""
@@ -198,8 +198,8 @@
             await self._update_view(
                 view, view.replace(self._local_member.instance, self._local_member)
             )
-        elif not self._service.votes:
-            await self._copy_entries(view, member_in_view)
+        elif not self._service.holdings.is_recorded:
+            await self._copy_pending_partitions(view)
         elif self._local_member.instance in self._watcher.draining:
             await self._leave(view)
 
@@ -255,7 +255,7 @@
         all_respond = all(
             self._missed_probes.get(member.instance) == 0 for member in view.slots
         )
-        if missing and all_respond:
+        if missing and all_respond and await self._are_others_synced(view):
             # Adds a member only if all others respond. A member that fails its probes,
             # or was not probed yet, must first be replaced or respond.
             await self._update_view(view, view.add(self._local_member))
@@ -289,51 +289,86 @@
         await self._service.adopt_durably(changed)
         self._watcher.changed.set()
 
-    async def _copy_entries(self, view: View, member_in_view: Member) -> None:
-        """Copies the entries that this member must have, then lets it vote."""
-        if has_all_entries(member_in_view, self._log):
-            self._service.votes = True
-            logger.info(
-                "voting resumed without copying entries", extra={"epoch": view.epoch}
-            )
-            return
-        copied_from = set()
-        for member in self._list_others():
+    async def _copy_pending_partitions(self, view: View) -> None:
+        """Copies the partitions that this member must have, then votes for them."""
+        holdings = self._service.holdings
+        progress = CopyProgress(view, holdings.pending)
+        for source in list_copy_sources(
+            view, holdings.synced, self._local_member.instance
+        ):
+            wanted = progress.list_wanted(source)
             try:
-                await self._copy_from(view, member)
-                copied_from.add(member.instance)
+                progress.record(source, await self._copy_from(view, source, wanted))
             except PeerUnreachable as error:
                 logger.warning(
                     "copying entries from a member failed",
-                    extra={"member": member.instance, "reason": str(error)},
+                    extra={"member": source.instance, "reason": str(error)},
                 )
-        if not view.can_join(self._local_member.instance, copied_from):
-            return
         if self._service.view is not view:
             return
-        await self._log.write_synced_epoch(member_in_view.since)
-        self._service.votes = True
+        copied = progress.list_copied()
+        holdings.mark_copied(copied)
         logger.info(
-            "copied all entries; voting",
-            extra={"epoch": view.epoch, "copied_from": sorted(copied_from)},
+            "copied partitions",
+            extra={
+                "epoch": view.epoch,
+                "copied": len(copied),
+                "pending": len(holdings.pending),
+            },
         )
+        if holdings.is_complete:
+            await self._log.write_synced_view(view)
+            holdings.synced = view
+            return
+        await trio.sleep(STEP_INTERVAL_SECONDS)
 
-    async def _copy_from(self, view: View, member: Member) -> None:
-        position: int | None = 0
-        peer = self._get_peer(member.address)
-        with trio.move_on_after(PROBE_TIMEOUT_SECONDS):
-            await peer.connected.wait()
-        while position is not None:
+    async def _copy_from(
+        self, view: View, source: CopySource, wanted: list[PartitionId]
+    ) -> list[PartitionId]:
+        """Copies partitions from a process; returns those that it has complete.
+
+        Raises:
+            PeerUnreachable: The process did not respond as expected.
+        """
+        complete: list[PartitionId] = []
+        peer = self._get_peer(source.address)
+        if wanted:
+            with trio.move_on_after(PROBE_TIMEOUT_SECONDS):
+                await peer.connected.wait()
+        while wanted:
             page = await peer.call(
-                PullEntries(view, position), timeout=COPY_TIMEOUT_SECONDS
+                PullEntries(view, wanted), timeout=COPY_TIMEOUT_SECONDS
             )
-            if not isinstance(page, EntryPage) or page.epoch < view.epoch:
+            if isinstance(page, StaleView):
+                await self._service.adopt_durably(page.view)
+            if not isinstance(page, EntryPage) or not page.covered:
                 raise PeerUnreachable(
-                    f"{member.instance} sent an unusable page: {page!r:.80}."
+                    f"{source.instance} sent an unusable page: {page!r:.80}."
                 )
             if page.entries and not await self._service.store(page.entries):
                 raise PeerUnreachable("Writing the copied entries to the disk failed.")
-            position = page.next_position
+            complete += page.complete
+            wanted = wanted[len(page.covered) :]
+        return complete
+
+    async def _are_others_synced(self, view: View) -> bool:
+        """Returns whether all other members have all entries of this view on disk.
+
+        Slots are added and removed only then. Otherwise several members of a group
+        could wait to copy the same partition from each other.
+
+        Raises:
+            PeerUnreachable: A member did not respond.
+        """
+        for member in self._list_others():
+            state = await self._get_peer(member.address).call(
+                GetMemberState(), timeout=PROBE_TIMEOUT_SECONDS
+            )
+            if not isinstance(state, MemberState) or not state.synced:
+                return False
+            if state.epoch != view.epoch:
+                return False
+        return True
 
     async def _leave(self, view: View) -> None:
         """Gives up the slot of this draining machine unless a standby can take it."""
@@ -346,9 +381,7 @@
             self._reported_draining = True
         if await self._has_live_standby(view):
             return
-        # An entry that only this member and one other have would lack a quorum if this
-        # member left before it copied its entries to all others.
-        if await self._push_entries(view):
+        if await self._are_others_synced(view):
             await self._update_view(view, view.remove(self._local_member.instance))
 
     async def _has_live_standby(self, view: View) -> bool:
@@ -379,20 +412,22 @@
         logger.info("drained this machine", extra={"epoch": view.epoch})
 
     async def _push_entries(self, view: View) -> bool:
-        """Copies all entries to every other member; returns whether all have them.
+        """Copies all entries to the members of their groups.
+
+        Returns:
+            Whether they have all entries now.
 
         Raises:
             PeerUnreachable: A member did not respond or did not store the entries.
         """
-        members = self._list_others()
-        for member in members:
-            state = await self._get_peer(member.address).call(
-                GetMemberState(), timeout=PROBE_TIMEOUT_SECONDS
-            )
-            if not isinstance(state, MemberState) or not state.votes:
-                return False
-        entries = list(self._state.iterate_entries())
-        for member in members:
+        if not await self._are_others_synced(view):
+            return False
+        for member in self._list_others():
+            entries = [
+                entry
+                for partition in sorted(view.list_partitions(member.instance))
+                for entry in self._state.list_partition_entries(partition)
+            ]
             for start in range(0, max(1, len(entries)), PUSH_BATCH_ENTRIES):
                 part = entries[start : start + PUSH_BATCH_ENTRIES]
                 response = await self._get_peer(member.address).call(
--- a/packages/daemon/src/goldcrestvane_daemon/ledger/messages.py
+++ b/packages/daemon/src/goldcrestvane_daemon/ledger/messages.py
@@ -9,7 +9,11 @@
     InstanceId,
     ProgramId,
 )
-from goldcrestvane_daemon.ledger.view import View
+from goldcrestvane_daemon.ledger.view import PartitionId, View, get_partition
+
+ENTRY_BYTES = 100
+CHARGE_BYTES = 40
+"""Typical sizes of an encoded entry without its turn, and of a charge."""
 
 
 class TokenCharge(msgspec.Struct, frozen=True, array_like=True):
@@ -58,18 +62,49 @@
     account: TokenAccount | None = None
     turn: Turn | None = None
 
+    @property
+    def size(self) -> int:
+        """Approximate size in bytes."""
+        charges = self.account.charges if self.account else ()
+        size = ENTRY_BYTES + CHARGE_BYTES * len(charges)
+        return size + (len(self.turn.input) + len(self.turn.output) if self.turn else 0)
+
+    def list_partitions(self) -> list[PartitionId]:
+        """Returns the partitions of the account and of the turn."""
+        keys = (
+            self.account.program if self.account else None,
+            self.turn.call if self.turn else None,
+        )
+        return [get_partition(key) for key in keys if key is not None]
+
+
+class ViewStamp(msgspec.Struct, frozen=True, array_like=True):
+    """Identifies the view of the sender of a request.
+
+    Attributes:
+        epoch: Epoch of the view. Members with a newer view reject the request.
+        resizes: Number of changes up to the view that added or removed a slot.
+    """
+
+    epoch: Epoch
+    resizes: int
+
+
+def get_stamp(view: View) -> ViewStamp:
+    """Returns the stamp of a view."""
+    return ViewStamp(view.epoch, view.resizes)
+
 
 class Write(msgspec.Struct, frozen=True, tag="write", array_like=True):
     """Writes an entry and requests the token account of its program.
 
     Attributes:
-        epoch: Epoch of the writer's view. The member rejects the write if its own view
-            is newer.
+        stamp: View of the writer.
         entry: Entry to write.
         return_chain_of: Turn whose chain the response includes, if any.
     """
 
-    epoch: Epoch
+    stamp: ViewStamp
     entry: Entry
     return_chain_of: CallId | None = None
 
@@ -89,21 +124,27 @@
 
 
 class ReadChain(msgspec.Struct, frozen=True, tag="chain", array_like=True):
-    """Requests a turn and the preceding turns that the member has."""
+    """Requests a turn and the preceding turns that the member has.
+
+    Attributes:
+        stamp: View of the reader.
+        call: The turn.
+    """
 
+    stamp: ViewStamp
     call: CallId
 
 
 class PullEntries(msgspec.Struct, frozen=True, tag="pull", array_like=True):
-    """A new member's request for entries; the peer adopts the view first.
+    """Requests the entries of partitions; the peer adopts the view first.
 
     Attributes:
-        view: The new member's view.
-        position: Index of the first entry to return.
+        view: View of the member that copies the partitions.
+        partitions: The partitions. The response covers the first ones.
     """
 
     view: View
-    position: int = 0
+    partitions: list[PartitionId]
 
 
 class PushEntries(msgspec.Struct, frozen=True, tag="merge", array_like=True):
@@ -121,9 +162,15 @@
 
 
 class Announce(msgspec.Struct, frozen=True, tag="announce", array_like=True):
-    """Announces a frontend and requests a list of other frontends."""
+    """Announces a frontend and requests a list of other frontends.
+
+    Attributes:
+        frontend: The frontend.
+        epoch: Epoch of its view; 0 if it knows none.
+    """
 
     frontend: Frontend
+    epoch: Epoch = Epoch(0)
 
 
 class GetMemberState(msgspec.Struct, frozen=True, tag="state", array_like=True):
@@ -145,7 +192,7 @@
     """The entry is on disk.
 
     Attributes:
-        votes: Whether the member counts towards quorums.
+        votes: Whether the member counts towards the quorum of this write.
         account: Token account of the program, including the entry.
         chain: Turns of the requested chain, newest first.
     """
@@ -156,7 +203,7 @@
 
 
 class StaleView(msgspec.Struct, frozen=True, tag="stale", array_like=True):
-    """The write was rejected because the writer's view is older than this one."""
+    """The request was rejected because the sender's view is older than this one."""
 
     view: View
 
@@ -168,24 +215,29 @@
 
 
 class TurnChain(msgspec.Struct, frozen=True, tag="turns", array_like=True):
-    """Turns of a chain, newest first."""
+    """Turns of a chain, newest first.
+
+    Attributes:
+        votes: Whether the member counts towards the quorum of this read.
+        turns: The turns.
+    """
 
     votes: bool
     turns: list[Turn]
 
 
 class EntryPage(msgspec.Struct, frozen=True, tag="page", array_like=True):
-    """A page of a member's entries.
+    """Entries of the first requested partitions.
 
     Attributes:
-        epoch: Epoch of the member's view.
         entries: The entries.
-        next_position: Position of the next page; None for the last page.
+        covered: Partitions whose entries are all in this response.
+        complete: Covered partitions of which the member has every durable entry.
     """
 
-    epoch: Epoch
     entries: list[Entry]
-    next_position: int | None
+    covered: list[PartitionId]
+    complete: list[PartitionId]
 
 
 class EntriesMerged(msgspec.Struct, frozen=True, tag="merged", array_like=True):
@@ -193,9 +245,15 @@
 
 
 class Frontends(msgspec.Struct, frozen=True, tag="frontends", array_like=True):
-    """Frontends that announced themselves recently."""
+    """Frontends that announced themselves recently.
+
+    Attributes:
+        frontends: The frontends.
+        view: The member's view if it is newer than that of the announced frontend.
+    """
 
     frontends: list[Frontend]
+    view: View | None = None
 
 
 class MemberState(msgspec.Struct, frozen=True, tag="member", array_like=True):
@@ -204,13 +262,13 @@
     Attributes:
         instance: Name of the member's machine.
         epoch: Epoch of the member's view.
-        votes: Whether the member counts towards quorums.
+        synced: Whether its disk is recorded to have all entries of its partitions.
         unreachable: Members that this member cannot reach.
     """
 
     instance: InstanceId
     epoch: Epoch
-    votes: bool
+    synced: bool
     unreachable: list[InstanceId]
 
 
--- a/packages/daemon/src/goldcrestvane_daemon/ledger/process.py
+++ b/packages/daemon/src/goldcrestvane_daemon/ledger/process.py
@@ -8,7 +8,7 @@
 from goldcrestvane_common.transport import Transport
 from goldcrestvane_daemon.ledger.frames import serve_frames
 from goldcrestvane_daemon.ledger.log import EntryLog
-from goldcrestvane_daemon.ledger.membership import LedgerMembership, has_all_entries
+from goldcrestvane_daemon.ledger.membership import LedgerMembership
 from goldcrestvane_daemon.ledger.messages import Request
 from goldcrestvane_daemon.ledger.service import LedgerService
 from goldcrestvane_daemon.ledger.state import LedgerState
@@ -45,7 +45,6 @@
         view = log.read_view()
         if view is not None:
             service.adopt(view)
-            service.votes = has_all_entries(view.find(settings.instance), log)
         local_member = Member(
             instance=settings.instance,
             address=settings.peer_address,
--- a/packages/daemon/src/goldcrestvane_daemon/ledger/service.py
+++ b/packages/daemon/src/goldcrestvane_daemon/ledger/service.py
@@ -9,6 +9,7 @@
 
 from goldcrestvane_common.ids import CallId, Epoch, InstanceId
 from goldcrestvane_common.logs import get_logger
+from goldcrestvane_daemon.ledger.holdings import Holdings
 from goldcrestvane_daemon.ledger.log import DiskFailed, EntryLog
 from goldcrestvane_daemon.ledger.messages import (
     Announce,
@@ -29,14 +30,18 @@
     StaleView,
     Turn,
     TurnChain,
+    ViewStamp,
     Write,
     Written,
 )
 from goldcrestvane_daemon.ledger.quorum import call_until_quorum
 from goldcrestvane_daemon.ledger.state import LedgerState
-from goldcrestvane_daemon.ledger.view import View
+from goldcrestvane_daemon.ledger.view import PartitionId, View, get_partition
+
+PAGE_BYTES = 256 * 1024
+"""Size from which a page of copied entries ends. Larger pages would delay the writes of
+turns on the same connection."""
 
-PAGE_ENTRIES = 200
 EXPIRY_INTERVAL_SECONDS = 5.0
 FRONTEND_TTL_SECONDS = 8.0
 """Time after its last announcement at which a frontend is dropped from the list."""
@@ -56,7 +61,7 @@
 
     Attributes:
         view: Newest known view; None before the first.
-        votes: Whether the member counts towards quorums, as it has all its entries.
+        holdings: Partitions for which the member votes.
         unreachable: Members that this member cannot reach.
     """
 
@@ -65,13 +70,17 @@
         self._log = log
         self._state = state
         self._frontends: dict[Frontend, float] = {}
-        self._pages: dict[int, list[Entry]] = {}
         self._call_member: CallMember | None = None
         self._nursery: trio.Nursery | None = None
         self.view: View | None = None
-        self.votes = False
+        self.holdings = Holdings(instance, log.disk, log.read_synced_view())
         self.unreachable: list[InstanceId] = []
 
+    @property
+    def votes(self) -> bool:
+        """Whether the member votes for all its partitions."""
+        return self.holdings.is_complete
+
     def enable_forwarding(self, call_member: CallMember, nursery: trio.Nursery) -> None:
         """Enables this member to forward writes to other members.
 
@@ -95,9 +104,7 @@
             },
         )
         self.view = view
-        local_member = view.find(self._instance)
-        if local_member is None or local_member.disk != self._log.disk:
-            self.votes = False
+        self.holdings.adopt(view)
         return True
 
     async def adopt_durably(self, view: View) -> None:
@@ -124,17 +131,17 @@
 
     @handle.register
     async def _(self, request: Write) -> Response:
-        if self.view is not None and request.epoch < self.view.epoch:
+        if self._is_stale(request.stamp):
             return StaleView(self.view)
         entry = request.entry
         if not await self.store([entry]):
             return Failed("writing to the disk failed")
-        if self.view is not None and request.epoch < self.view.epoch:
+        if self._is_stale(request.stamp):
             # A new member may have copied the entries of this one during the write.
             return StaleView(self.view)
         account = entry.account
         return Written(
-            votes=self.votes,
+            votes=self._votes_for(request.stamp, entry.list_partitions()),
             account=self._state.get_account(account.program) if account else None,
             chain=self._state.list_chain(request.return_chain_of),
         )
@@ -166,21 +173,29 @@
 
     @handle.register
     async def _(self, request: ReadChain) -> Response:
-        return TurnChain(self.votes, self._state.list_chain(request.call))
+        if self._is_stale(request.stamp):
+            return StaleView(self.view)
+        votes = self._votes_for(request.stamp, [get_partition(request.call)])
+        return TurnChain(votes, self._state.list_chain(request.call))
 
     @handle.register
     async def _(self, request: PullEntries) -> Response:
         await self.adopt_durably(request.view)
-        if request.position == 0 or request.view.epoch not in self._pages:
-            self._pages = {request.view.epoch: list(self._state.iterate_entries())}
-        entries = self._pages[request.view.epoch]
-        end = request.position + PAGE_ENTRIES
         assert self.view is not None
-        return EntryPage(
-            epoch=self.view.epoch,
-            entries=entries[request.position : end],
-            next_position=end if end < len(entries) else None,
-        )
+        if request.view.epoch < self.view.epoch:
+            return StaleView(self.view)
+        entries: list[Entry] = []
+        covered: list[PartitionId] = []
+        size = 0
+        for partition in request.partitions:
+            if size >= PAGE_BYTES:
+                break
+            added = self._state.list_partition_entries(partition)
+            size += sum(entry.size for entry in added)
+            entries += added
+            covered.append(partition)
+        complete = [each for each in covered if self.holdings.held(each)]
+        return EntryPage(entries, covered, complete)
 
     @handle.register
     async def _(self, request: PushEntries) -> Response:
@@ -197,12 +212,28 @@
         for frontend, seen in list(self._frontends.items()):
             if seen < now - FRONTEND_TTL_SECONDS:
                 del self._frontends[frontend]
-        return Frontends(list(self._frontends)[-MAX_FRONTENDS:])
+        is_newer = self.view is not None and self.view.epoch > request.epoch
+        return Frontends(
+            list(self._frontends)[-MAX_FRONTENDS:], self.view if is_newer else None
+        )
 
     @handle.register
     async def _(self, request: GetMemberState) -> Response:
         epoch = self.view.epoch if self.view else Epoch(0)
-        return MemberState(self._instance, epoch, self.votes, self.unreachable)
+        return MemberState(
+            self._instance, epoch, self.holdings.is_recorded, self.unreachable
+        )
+
+    def _is_stale(self, stamp: ViewStamp) -> bool:
+        """Returns whether this member has a newer view than the sender."""
+        return self.view is not None and stamp.epoch < self.view.epoch
+
+    def _votes_for(self, stamp: ViewStamp, partitions: list[PartitionId]) -> bool:
+        """Returns whether this member counts towards a quorum of the sender's view."""
+        if self.view is None or stamp.resizes > self.view.resizes + 1:
+            # This member may have left the group and joined it again since its view.
+            return False
+        return all(self.holdings.holds(partition) for partition in partitions)
 
     def list_chain(self, call: CallId) -> list[Turn]:
         """Returns a turn and the preceding turns that this member has."""
--- a/packages/daemon/src/goldcrestvane_daemon/ledger/state.py
+++ b/packages/daemon/src/goldcrestvane_daemon/ledger/state.py
@@ -16,6 +16,7 @@
     TokenCharge,
     Turn,
 )
+from goldcrestvane_daemon.ledger.view import PartitionId, get_partition
 
 MAX_CHAIN_TURNS = 1000
 """Limit on the turns of a chain; the longest programs have half as many."""
@@ -36,6 +37,7 @@
         self._charges: dict[ProgramId, dict[CallId, TokenCharge]] = {}
         self._turns: dict[CallId, Turn] = {}
         self._expiry: dict[tuple[str, str], tuple[float, float]] = {}
+        self._partitions: dict[PartitionId, set[tuple[str, str]]] = {}
         self.bytes_held = 0
 
     def apply(self, entry: Entry) -> None:
@@ -65,6 +67,8 @@
     def _extend_expiry(self, kind: str, key: str, retention: float) -> None:
         until = trio.current_time() + retention + EXPIRY_MARGIN_SECONDS
         known = self._expiry.get((kind, key))
+        if known is None:
+            self._partitions.setdefault(get_partition(key), set()).add((kind, key))
         if known is None or known[0] < until:
             self._expiry[kind, key] = (until, retention)
 
@@ -94,12 +98,22 @@
         for turn in list(self._turns.values()):
             yield Entry(turn=turn)
 
+    def list_partition_entries(self, partition: PartitionId) -> list[Entry]:
+        """Returns the entries of a partition."""
+        return [
+            Entry(turn=self._turns[CallId(key)])
+            if kind == "turn"
+            else Entry(account=self.get_account(ProgramId(key)))
+            for kind, key in self._partitions.get(partition, ())
+        ]
+
     def drop_expired(self) -> int:
         """Drops expired turns and accounts, and returns their number."""
         now = trio.current_time()
         expired = [key for key, (until, _) in self._expiry.items() if until < now]
         for kind, key in expired:
             del self._expiry[kind, key]
+            self._partitions[get_partition(key)].discard((kind, key))
             if kind == "turn":
                 turn = self._turns.pop(CallId(key))
                 self.bytes_held -= len(turn.input) + len(turn.output)
--- a/packages/daemon/tests/ledger/support.py
+++ b/packages/daemon/tests/ledger/support.py
@@ -14,7 +14,7 @@
 from goldcrestvane_daemon.frontend.peers import FrontendPeers
 from goldcrestvane_daemon.ledger.frames import serve_frames
 from goldcrestvane_daemon.ledger.log import EntryLog
-from goldcrestvane_daemon.ledger.membership import LedgerMembership, has_all_entries
+from goldcrestvane_daemon.ledger.membership import LedgerMembership
 from goldcrestvane_daemon.ledger.membership_watcher import VIEW_NAME
 from goldcrestvane_daemon.ledger.messages import (
     Frontend,
@@ -56,7 +56,6 @@
         view = log.read_view()
         if view is not None:
             service.adopt(view)
-            service.votes = has_all_entries(view.find(self.name), log)
         with self.scope:
             async with trio.open_nursery() as nursery:
                 listeners = await trio.open_tcp_listeners(self.port, host=HOST)
--- a/packages/daemon/tests/ledger/test_members.py
+++ b/packages/daemon/tests/ledger/test_members.py
@@ -241,6 +241,16 @@
 
         run_ledger(script)
 
+    def test_frontend_learns_the_current_view_from_the_members(self):
+        async def script(ledger):
+            ledger.nursery.start_soon(ledger.client.run)
+            await ledger.members["c"].stop()
+            await ledger.add("d").start()
+            await ledger.wait_votes("d")
+            await ledger.wait(lambda: ledger.client.view.find("d"))
+
+        run_ledger(script)
+
     def test_turn_is_reported_as_not_found_only_by_a_quorum(self):
         async def script(ledger):
             with self.assertRaises(TurnNotFound):
--- a/packages/daemon/tests/ledger/test_view.py
+++ b/packages/daemon/tests/ledger/test_view.py
@@ -1,7 +1,18 @@
 import itertools
 import unittest
 
-from goldcrestvane_daemon.ledger.view import Member, build_first_view
+import msgspec
+
+from goldcrestvane_daemon.ledger.view import (
+    ALL_PARTITIONS,
+    PARTITION_COUNT,
+    Member,
+    View,
+    build_first_view,
+)
+
+MAX_OBJECT_BYTES = 1024 * 1024
+"""Maximum size of an object that the platform's store accepts."""
 
 
 def build_member(name, domain="d1", disk=None):
@@ -47,19 +58,80 @@
             expected = ["new" if name == "m2" else name for name in before]
             self.assertEqual(after, expected)
 
-    def test_wiped_member_must_copy_from_a_read_quorum_of_other_members(self):
-        view = build_view(3).replace("m2", build_member("m2", disk="empty"))
-        self.assertFalse(view.can_join("m2", set()))
-        self.assertFalse(view.can_join("m2", {"m0"}))
-        self.assertTrue(view.can_join("m2", {"m0", "m1"}))
+    def test_view_of_many_members_fits_into_one_object_of_the_store(self):
+        view = build_view(24, losses=2)
+        for number in range(8):
+            view = view.replace(f"m{number}", build_member(f"new-{number}" * 8))
+        self.assertLess(len(msgspec.json.encode(view)), MAX_OBJECT_BYTES)
+        decoded = msgspec.json.decode(msgspec.json.encode(view), type=View)
+        self.assertEqual(decoded.list_group("key"), view.list_group("key"))
 
-    def test_new_member_must_copy_from_every_group_that_it_is_in(self):
-        view = build_view(7)
-        others = {member.instance for member in view.slots} - {"m3"}
-        self.assertTrue(view.can_join("m3", others))
-        position = [m.instance for m in view.slots].index("m3")
-        neighbours = {view.slots[(position + n) % 7].instance for n in (-1, 1)}
-        self.assertFalse(view.can_join("m3", others - neighbours))
+
+class PartitionTests(unittest.TestCase):
+    """Changes of one member move no more entries than necessary."""
+
+    def list_changes(self):
+        """Yields the names and the two views of a change of one member."""
+        for losses, count in ((1, 5), (1, 9), (2, 9), (2, 11), (2, 24)):
+            view = build_view(count, losses=losses)
+            for number in range(count):
+                removed = view.remove(f"m{number}")
+                yield f"remove {number} of {count}", view, removed
+                yield f"add to {count - 1}", removed, removed.add(build_member("new"))
+
+    def test_change_of_one_member_changes_one_member_of_each_group_at_most(self):
+        for name, before, after in self.list_changes():
+            with self.subTest(name):
+                for partition in ALL_PARTITIONS:
+                    old = {m.slot for m in before.list_partition_group(partition)}
+                    new = {m.slot for m in after.list_partition_group(partition)}
+                    self.assertLessEqual(len(new - old), 1)
+                    self.assertLessEqual(len(old - new), 1)
+
+    def test_change_of_one_member_moves_a_limited_share_of_the_entries(self):
+        for name, before, after in self.list_changes():
+            with self.subTest(name):
+                moved = sum(
+                    before.list_partition_group(partition)
+                    != after.list_partition_group(partition)
+                    for partition in ALL_PARTITIONS
+                )
+                members = max(len(before.slots), len(after.slots))
+                limit = 2 * before.group_size / members
+                self.assertLessEqual(moved / PARTITION_COUNT, limit)
+
+    def test_groups_are_spread_over_the_failure_domains(self):
+        view = build_view(12, losses=1)
+        for partition in ALL_PARTITIONS:
+            domains = {m.domain for m in view.list_partition_group(partition)}
+            self.assertEqual(len(domains), 3)
+
+    def test_members_store_similar_shares_of_the_partitions(self):
+        view = build_view(24, losses=2)
+        mean = PARTITION_COUNT * view.group_size / len(view.slots)
+        for member in view.slots:
+            share = len(view.list_partitions(member.instance))
+            self.assertLess(abs(share - mean), 0.5 * mean)
+
+    def test_entry_on_any_write_quorum_is_in_every_read_quorum_after_a_change(self):
+        """Counts as readable only if the new member copied from the fewest sources."""
+        for name, before, after in self.list_changes():
+            with self.subTest(name):
+                for partition in ALL_PARTITIONS[:24]:
+                    self.assert_readable_after(before, after, partition)
+
+    def assert_readable_after(self, before, after, partition):
+        old = {m.instance for m in before.list_partition_group(partition)}
+        new = {m.instance for m in after.list_partition_group(partition)}
+        needed = after.count_needed_sources(partition)
+        for written in itertools.combinations(old, before.write_quorum):
+            holders = set(written) & new
+            for joined in new - old:
+                sources = itertools.combinations(new - {joined}, needed)
+                if all(set(each) & holders for each in sources):
+                    holders.add(joined)
+            for read in itertools.combinations(new, after.read_quorum):
+                self.assertTrue(set(read) & holders, (written, read))
 
 
 if __name__ == "__main__":
