Read the platform's store in batches and the view from the members

Change: a pause of 0.2 s between two watches of a kind; members' watches last 30 s; frontends read the ledger's view at the start, get newer ones with their announcements and with rejected requests, and read it again only while they reach no quorum. Ruled out: longer watches of targets and of the configuration; a silent cut from the store would be noticed later.

--- a/packages/daemon/src/goldcrestvane_daemon/frontend/object_cache.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/object_cache.py
@@ -19,6 +19,7 @@
     decode_target,
 )
 from goldcrestvane_daemon.platform.store import (
+    BATCH_SECONDS,
     ObjectKind,
     StoreChanges,
     StoreClient,
@@ -39,6 +40,9 @@
 MAX_RETRY_SECONDS = 1.0
 EXPIRY_CHECK_SECONDS = 0.1
 
+VIEW_CHECK_SECONDS = 2.0
+"""Interval at which a frontend that cannot reach the ledger reads the view again."""
+
 WATCHED_KINDS = (ObjectKind.CONFIGURATION, ObjectKind.TARGETS, ObjectKind.LEDGER)
 
 RELISTING_SECONDS = 2.0
@@ -129,6 +133,10 @@
                 reachable = True
                 retry_seconds = INITIAL_RETRY_SECONDS
                 while True:
+                    await trio.sleep(BATCH_SECONDS)
+                    if kind is ObjectKind.LEDGER and self._ledger.view is not None:
+                        await self._wait_while_reachable()
+                        break
                     changes = await self._store.watch(
                         kind, self._snapshots[kind].revision, WATCH_TIMEOUT_SECONDS
                     )
@@ -149,6 +157,16 @@
                 await trio.sleep(retry_seconds)
                 retry_seconds = min(2 * retry_seconds, MAX_RETRY_SECONDS)
 
+    async def _wait_while_reachable(self) -> None:
+        """Returns once the known members of the ledger seem to be gone.
+
+        Until then newer views come from the members themselves.
+        """
+        while True:
+            await trio.sleep(VIEW_CHECK_SECONDS)
+            if not self._ledger.is_reachable:
+                return
+
     async def _fetch_from_frontends(self, kind: ObjectKind) -> None:
         """Adopts a newer snapshot from another frontend, if one has it."""
         snapshot = await self._frontends.fetch_objects(
--- a/packages/daemon/src/goldcrestvane_daemon/ledger/membership_watcher.py
+++ b/packages/daemon/src/goldcrestvane_daemon/ledger/membership_watcher.py
@@ -10,12 +10,19 @@
 from goldcrestvane_common.objects import ObjectStoreError, RevisionTooOld
 from goldcrestvane_daemon.ledger.service import LedgerService
 from goldcrestvane_daemon.ledger.view import Member, View
-from goldcrestvane_daemon.platform.store import ObjectKind, StoreClient, StoreObject
+from goldcrestvane_daemon.platform.store import (
+    BATCH_SECONDS,
+    ObjectKind,
+    StoreClient,
+    StoreObject,
+)
 
 WATCHED_KINDS = (ObjectKind.LEDGER, ObjectKind.RETIREMENTS)
 VIEW_NAME = "view"
 CANDIDATE_PREFIX = "candidate-"
-WATCH_TIMEOUT_SECONDS = 10.0
+WATCH_TIMEOUT_SECONDS = 30.0
+"""Duration of one watch. Members also learn about views from each other."""
+
 RETRY_DELAY_SECONDS = 0.5
 
 logger = get_logger("membership")
@@ -72,6 +79,7 @@
                         await self._service.adopt_durably(self._stored_view)
                     self.loaded_kinds.add(kind)
                     self.changed.set()
+                    await trio.sleep(BATCH_SECONDS)
                     changes = await self._store.watch(
                         kind, changes.revision, WATCH_TIMEOUT_SECONDS
                     )
--- a/packages/daemon/src/goldcrestvane_daemon/platform/store.py
+++ b/packages/daemon/src/goldcrestvane_daemon/platform/store.py
@@ -25,6 +25,10 @@
 
 WATCH_MARGIN_SECONDS = 2.0
 
+BATCH_SECONDS = 0.2
+"""Pause between two watches of a kind. Without it, a burst of changes costs each process
+one call for each change."""
+
 
 class ObjectKind(Enum):
     """Kinds of objects that the system reads or writes."""
--- a/packages/daemon/tests/frontend/frontend_case.py
+++ b/packages/daemon/tests/frontend/frontend_case.py
@@ -67,6 +67,8 @@
 class FakeLedger:
     """In-memory ledger with the interface of the ledger client."""
 
+    view = None
+
     def __init__(self):
         self.charges = {}
         self.turns = {}
--- a/packages/daemon/tests/frontend/test_object_cache.py
+++ b/packages/daemon/tests/frontend/test_object_cache.py
@@ -1,4 +1,6 @@
 import unittest
+from collections import Counter
+from unittest import mock
 
 import msgspec
 import trio
@@ -6,7 +8,12 @@
 
 from goldcrestvane_common.objects import ObjectStoreUnavailable
 from goldcrestvane_daemon.frontend.object_cache import ObjectCache
-from goldcrestvane_daemon.platform.store import ObjectKind, StoreChanges, StoreObject
+from goldcrestvane_daemon.platform.store import (
+    BATCH_SECONDS,
+    ObjectKind,
+    StoreChanges,
+    StoreObject,
+)
 from goldcrestvane_daemon.targets import TargetTable
 
 ENTRY = {
@@ -27,6 +34,8 @@
         self.outage = False
         self.hangs = False
         self._events = []
+        self.list_counts = Counter()
+        self.watch_counts = Counter()
         self._changed = trio.Event()
 
     def put(self, name, **changes):
@@ -56,6 +65,7 @@
         return StoreObject(name, self.revision, value)
 
     async def list(self, kind):
+        self.list_counts[kind] += 1
         await trio.sleep(0.004)
         if self.hangs:
             await trio.sleep_forever()
@@ -65,6 +75,7 @@
         return StoreChanges([self._build(name) for name in names], self.revision)
 
     async def watch(self, kind, since, seconds):
+        self.watch_counts[kind] += 1
         with trio.move_on_after(seconds):
             while True:
                 if self.outage:
@@ -88,7 +99,7 @@
 
 
 class ObjectCacheTests(unittest.TestCase):
-    def run_script(self, script, *, hangs=False, copy=None):
+    def run_script(self, script, *, hangs=False, copy=None, ledger=None):
         async def main():
             store = FakeStore()
             store.hangs = hangs
@@ -96,7 +107,7 @@
             object_cache = ObjectCache(
                 store=store,
                 targets=table,
-                ledger=None,
+                ledger=ledger or mock.Mock(view=None),
                 frontends=FakeFrontends(copy),
                 drain_seconds=2.0,
                 on_change=lambda gone: None,
@@ -170,6 +181,31 @@
         entry = StoreObject("i-1", 7, msgspec.json.encode(ENTRY))
         self.run_script(script, hangs=True, copy=StoreChanges([entry], 9))
 
+    def test_burst_of_changes_costs_few_calls_of_the_store(self):
+        async def script(store, is_target_used):
+            before = store.watch_counts[ObjectKind.TARGETS]
+            for number in range(40):
+                store.put(f"i-{number}")
+                await trio.sleep(0.01)
+            await trio.sleep(0.5)
+            calls = store.watch_counts[ObjectKind.TARGETS] - before
+            self.assertLessEqual(calls, 0.9 / BATCH_SECONDS)
+
+        self.run_script(script)
+
+    def test_view_is_read_again_only_while_the_ledger_is_unreachable(self):
+        ledger = mock.Mock(view="known", is_reachable=True)
+
+        async def script(store, is_target_used):
+            await trio.sleep(60)
+            self.assertEqual(store.list_counts[ObjectKind.LEDGER], 1)
+            self.assertEqual(store.watch_counts[ObjectKind.LEDGER], 0)
+            ledger.is_reachable = False
+            await trio.sleep(5)
+            self.assertGreaterEqual(store.list_counts[ObjectKind.LEDGER], 2)
+
+        self.run_script(script, ledger=ledger)
+
     def test_target_with_an_invalid_entry_is_not_used(self):
         async def script(store, is_target_used):
             store.put("i-1", slots="many")
