--- a/packages/daemon/src/goldcrestvane_daemon/frontend/process.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/process.py
@@ -1,6 +1,7 @@
 """The frontend role: creates its components and runs them."""
 
-from collections.abc import Awaitable, Callable
+import socket
+from collections.abc import Callable
 from typing import final
 
 import h11
@@ -21,17 +22,13 @@
     ServerConnection,
 )
 from goldcrestvane_daemon.ledger.messages import Frontend
+from goldcrestvane_daemon.listening import open_listener
 from goldcrestvane_daemon.metrics_server import serve_metrics
 from goldcrestvane_daemon.platform.machine import MachineSettings
 from goldcrestvane_daemon.platform.store import StoreClient
 from goldcrestvane_daemon.settings import InvalidSettings
 from goldcrestvane_daemon.targets import TargetTable
 
-ServeConnection = Callable[[trio.SocketStream], Awaitable[None]]
-
-LISTEN_BACKLOG = 512
-"""Maximum number of pending connections. A full backlog delays clients by seconds."""
-
 READY_HEAD_BYTES = 8192
 READY_IDLE_SECONDS = 30.0
 
@@ -42,13 +39,22 @@
 class FrontendProcess:
     """Runs one frontend until a shutdown signal."""
 
-    def __init__(self, settings: MachineSettings) -> None:
+    def __init__(
+        self, settings: MachineSettings, listener: socket.socket | None
+    ) -> None:
+        """Creates the process.
+
+        Args:
+            settings: Settings of the machine.
+            listener: Socket that listens on the address for clients.
+        """
         self._settings = settings
+        self._listener = listener
 
     async def run(self) -> None:
         """Runs until SIGTERM, and then until the running calls have ended."""
         settings = self._settings
-        if settings.client_address is None or settings.ready_address is None:
+        if self._listener is None or settings.ready_address is None:
             raise InvalidSettings(
                 "A frontend needs addresses for clients and for readiness; "
                 "run it on a machine that serves clients."
@@ -93,20 +99,22 @@
             nursery.start_soon(object_cache.run)
             nursery.start_soon(ledger.run)
             nursery.start_soon(serve_metrics, settings.host)
-            await _listen(nursery, settings.ready_address, serve_ready)
-            await _listen(nursery, local_frontend.address, frontends.serve)
-            await _listen(nursery, settings.client_address, clients.serve)
+            for listener, serve in (
+                (open_listener(settings.ready_address), serve_ready),
+                (open_listener(local_frontend.address), frontends.serve),
+                (self._listener, clients.serve),
+            ):
+                nursery.start_soon(
+                    trio.serve_listeners, serve, [_wrap_listener(listener)]
+                )
             logger.info("started", extra={"clients": settings.client_address})
             await shutdown.wait(lambda: clients.busy_count)
             nursery.cancel_scope.cancel()
 
 
-async def _listen(nursery: trio.Nursery, address: str, serve: ServeConnection) -> None:
-    host, _, port = address.rpartition(":")
-    listeners = await trio.open_tcp_listeners(
-        int(port), host=host, backlog=LISTEN_BACKLOG
-    )
-    nursery.start_soon(trio.serve_listeners, serve, listeners)
+def _wrap_listener(listener: socket.socket) -> trio.SocketListener:
+    """Returns a trio listener for a listening socket."""
+    return trio.SocketListener(trio.socket.from_stdlib_socket(listener))
 
 
 async def _serve_readiness(
--- a/packages/daemon/src/goldcrestvane_daemon/ledger/membership.py
+++ b/packages/daemon/src/goldcrestvane_daemon/ledger/membership.py
@@ -17,12 +17,8 @@
     ObjectStoreUnavailable,
     ObjectVersionConflict,
 )
+from goldcrestvane_daemon.ledger.copying import PartitionCopier
 from goldcrestvane_daemon.ledger.frames import PeerConnection, PeerUnreachable
-from goldcrestvane_daemon.ledger.holdings import (
-    CopyProgress,
-    CopySource,
-    list_copy_sources,
-)
 from goldcrestvane_daemon.ledger.log import EntryLog
 from goldcrestvane_daemon.ledger.membership_watcher import (
     CANDIDATE_PREFIX,
@@ -30,21 +26,15 @@
     MembershipWatcher,
 )
 from goldcrestvane_daemon.ledger.messages import (
-    EntriesMerged,
-    EntryPage,
     GetMemberState,
     MemberState,
-    PullEntries,
-    PushEntries,
     Response,
-    StaleView,
     Write,
 )
 from goldcrestvane_daemon.ledger.service import LedgerService
 from goldcrestvane_daemon.ledger.state import LedgerState
 from goldcrestvane_daemon.ledger.view import (
     Member,
-    PartitionId,
     View,
     build_first_view,
 )
@@ -67,8 +57,6 @@
 WRITE_TIMEOUT_SECONDS = 0.5
 """Timeout of a forwarded write, which usually takes 20 ms."""
 
-COPY_TIMEOUT_SECONDS = 3.0
-PUSH_BATCH_ENTRIES = 50
 
 logger = get_logger("membership")
 
@@ -98,10 +86,12 @@
         self._tolerated_losses = tolerated_losses
         self._store = store
         self._service = service
-        self._state = state
         self._log = log
         self._nursery = nursery
         self._watcher = MembershipWatcher(store, service)
+        self._copier = PartitionCopier(
+            local_member.instance, service, state, self._get_peer
+        )
         self._peers: dict[str, PeerConnection] = {}
         self._missed_probes: dict[InstanceId, int] = {}
         self._reported_draining = False
@@ -199,9 +189,19 @@
                 view, view.replace(self._local_member.instance, self._local_member)
             )
         elif not self._service.holdings.is_recorded:
-            await self._copy_pending_partitions(view)
+            await self._copy_pending(view)
         elif self._local_member.instance in self._watcher.draining:
             await self._leave(view)
+        elif member_in_view == view.slots[0]:
+            await self._report_unused_machines(view)
+
+    async def _report_unused_machines(self, view: View) -> None:
+        """Reports machines as drained that never ran a process of the ledger."""
+        for instance in sorted(self._watcher.draining):
+            if instance in self._watcher.candidates or view.find(instance):
+                continue
+            await self._report_completed(instance)
+            logger.info("a machine has no entries", extra={"machine": instance})
 
     async def _register(self) -> None:
         name = CANDIDATE_PREFIX + self._local_member.instance
@@ -289,67 +289,16 @@
         await self._service.adopt_durably(changed)
         self._watcher.changed.set()
 
-    async def _copy_pending_partitions(self, view: View) -> None:
-        """Copies the partitions that this member must have, then votes for them."""
-        holdings = self._service.holdings
-        progress = CopyProgress(view, holdings.pending)
-        for source in list_copy_sources(
-            view, holdings.synced, self._local_member.instance
-        ):
-            wanted = progress.list_wanted(source)
-            try:
-                progress.record(source, await self._copy_from(view, source, wanted))
-            except PeerUnreachable as error:
-                logger.warning(
-                    "copying entries from a member failed",
-                    extra={"member": source.instance, "reason": str(error)},
-                )
+    async def _copy_pending(self, view: View) -> None:
+        """Copies pending partitions, and records once the disk has all its entries."""
+        await self._copier.copy_pending(view)
         if self._service.view is not view:
             return
-        copied = progress.list_copied()
-        holdings.mark_copied(copied)
-        logger.info(
-            "copied partitions",
-            extra={
-                "epoch": view.epoch,
-                "copied": len(copied),
-                "pending": len(holdings.pending),
-            },
-        )
-        if holdings.is_complete:
-            await self._log.write_synced_view(view)
-            holdings.synced = view
+        if not self._service.holdings.is_complete:
+            await trio.sleep(STEP_INTERVAL_SECONDS)
             return
-        await trio.sleep(STEP_INTERVAL_SECONDS)
-
-    async def _copy_from(
-        self, view: View, source: CopySource, wanted: list[PartitionId]
-    ) -> list[PartitionId]:
-        """Copies partitions from a process; returns those that it has complete.
-
-        Raises:
-            PeerUnreachable: The process did not respond as expected.
-        """
-        complete: list[PartitionId] = []
-        peer = self._get_peer(source.address)
-        if wanted:
-            with trio.move_on_after(PROBE_TIMEOUT_SECONDS):
-                await peer.connected.wait()
-        while wanted:
-            page = await peer.call(
-                PullEntries(view, wanted), timeout=COPY_TIMEOUT_SECONDS
-            )
-            if isinstance(page, StaleView):
-                await self._service.adopt_durably(page.view)
-            if not isinstance(page, EntryPage) or not page.covered:
-                raise PeerUnreachable(
-                    f"{source.instance} sent an unusable page: {page!r:.80}."
-                )
-            if page.entries and not await self._service.store(page.entries):
-                raise PeerUnreachable("Writing the copied entries to the disk failed.")
-            complete += page.complete
-            wanted = wanted[len(page.covered) :]
-        return complete
+        await self._log.write_synced_view(view)
+        self._service.holdings.synced = view
 
     async def _are_others_synced(self, view: View) -> bool:
         """Returns whether all other members have all entries of this view on disk.
@@ -400,41 +349,16 @@
 
     async def _report_drained(self, view: View) -> None:
         """Copies all entries to the members and reports this machine as drained."""
-        if not await self._push_entries(view):
+        if not await self._are_others_synced(view):
             return
-        await self._store.write_status(
-            ObjectKind.RETIREMENTS,
-            self._local_member.instance,
-            RetirementStatus("completed"),
-        )
-        self._watcher.draining.discard(self._local_member.instance)
-        self._watcher.drained.add(self._local_member.instance)
+        for member in self._list_others():
+            await self._copier.push_entries(view, member)
+        await self._report_completed(self._local_member.instance)
         logger.info("drained this machine", extra={"epoch": view.epoch})
 
-    async def _push_entries(self, view: View) -> bool:
-        """Copies all entries to the members of their groups.
-
-        Returns:
-            Whether they have all entries now.
-
-        Raises:
-            PeerUnreachable: A member did not respond or did not store the entries.
-        """
-        if not await self._are_others_synced(view):
-            return False
-        for member in self._list_others():
-            entries = [
-                entry
-                for partition in sorted(view.list_partitions(member.instance))
-                for entry in self._state.list_partition_entries(partition)
-            ]
-            for start in range(0, max(1, len(entries)), PUSH_BATCH_ENTRIES):
-                part = entries[start : start + PUSH_BATCH_ENTRIES]
-                response = await self._get_peer(member.address).call(
-                    PushEntries(view, part), timeout=COPY_TIMEOUT_SECONDS
-                )
-                if not isinstance(response, EntriesMerged):
-                    raise PeerUnreachable(
-                        f"{member.instance} did not store the entries."
-                    )
-        return True
+    async def _report_completed(self, instance: InstanceId) -> None:
+        await self._store.write_status(
+            ObjectKind.RETIREMENTS, instance, RetirementStatus("completed")
+        )
+        self._watcher.draining.discard(instance)
+        self._watcher.drained.add(instance)
--- a/packages/daemon/src/goldcrestvane_daemon/ledger/process.py
+++ b/packages/daemon/src/goldcrestvane_daemon/ledger/process.py
@@ -1,5 +1,6 @@
 """Process of the ledger role, which runs a member or a standby for one."""
 
+import socket
 from typing import final
 
 import trio
@@ -25,13 +26,22 @@
 class LedgerProcess:
     """Runs one ledger process until it receives a shutdown signal."""
 
-    def __init__(self, settings: MachineSettings) -> None:
+    def __init__(
+        self, settings: MachineSettings, listener: socket.socket | None
+    ) -> None:
+        """Creates the process.
+
+        Args:
+            settings: Settings of the machine.
+            listener: Socket that listens on the address for peers.
+        """
         self._settings = settings
+        self._listener = listener
 
     async def run(self) -> None:
         """Runs until SIGTERM."""
         settings = self._settings
-        if settings.data_folder is None:
+        if settings.data_folder is None or self._listener is None:
             raise ValueError(
                 "The ledger needs a disk; run it on a machine with a data directory."
             )
@@ -75,10 +85,10 @@
             nursery.start_soon(service.run_expiry)
             nursery.start_soon(membership.run)
             nursery.start_soon(serve_metrics, settings.host)
-            listeners = await trio.open_tcp_listeners(
-                settings.peer_port, host=settings.host
+            wrapped = trio.socket.from_stdlib_socket(self._listener)
+            nursery.start_soon(
+                trio.serve_listeners, serve, [trio.SocketListener(wrapped)]
             )
-            nursery.start_soon(trio.serve_listeners, serve, listeners)
             await wait_for_shutdown_signal()
             nursery.cancel_scope.cancel()
         logger.info("stopped")
--- a/packages/daemon/src/goldcrestvane_daemon/main.py
+++ b/packages/daemon/src/goldcrestvane_daemon/main.py
@@ -1,24 +1,48 @@
 """Entry point of ``goldcrestvaned``."""
 
 import gc
+import importlib
 import logging
-import pkgutil
+import socket
 import sys
-from typing import NoReturn, Protocol
+from collections.abc import Callable
+from typing import NamedTuple, NoReturn, Protocol
 
-import trio
 from absl import app, flags
 
-from goldcrestvane_common.logs import configure_bounded_logs, configure_logs
+from goldcrestvane_daemon.listening import open_listener
 from goldcrestvane_daemon.platform.machine import MachineSettings, read_machine_settings
 from goldcrestvane_daemon.settings import InvalidSettings, load_settings
 
 EXIT_INVALID_SETTINGS = 2
 FLAGS = flags.FLAGS
 
+
+class PlatformRole(NamedTuple):
+    """A role on the Passolungo platform.
+
+    Attributes:
+        module: Module of its process.
+        name: Class of its process.
+        get_address: Returns the address on which it serves its callers.
+    """
+
+    module: str
+    name: str
+    get_address: Callable[[MachineSettings], str | None]
+
+
 PLATFORM_ROLES = {
-    "frontend": "goldcrestvane_daemon.frontend.process:FrontendProcess",
-    "ledger": "goldcrestvane_daemon.ledger.process:LedgerProcess",
+    "frontend": PlatformRole(
+        "goldcrestvane_daemon.frontend.process",
+        "FrontendProcess",
+        lambda settings: settings.client_address,
+    ),
+    "ledger": PlatformRole(
+        "goldcrestvane_daemon.ledger.process",
+        "LedgerProcess",
+        lambda settings: settings.peer_address,
+    ),
 }
 """Roles on the Passolungo platform; the other roles read their settings from flags.
 
@@ -29,7 +53,9 @@
 class PlatformProcess(Protocol):
     """Process of a role on the Passolungo platform."""
 
-    def __init__(self, settings: MachineSettings) -> None: ...
+    def __init__(
+        self, settings: MachineSettings, listener: socket.socket | None
+    ) -> None: ...
 
     async def run(self) -> None:
         """Runs until SIGTERM, then finishes the calls in flight."""
@@ -53,11 +79,14 @@
         settings = load_settings()
     except InvalidSettings as error:
         _exit_invalid_settings(str(error))
-    configure_logs(level=settings.log_level, process=settings.instance)
-    logging.getLogger("goldcrestvane").setLevel(settings.log_level)
     # Imported here so that the roles on the platform do not import hypercorn.
+    import trio
+
+    from goldcrestvane_common.logs import configure_logs
     from goldcrestvane_daemon.supervisor import run_process
 
+    configure_logs(level=settings.log_level, process=settings.instance)
+    logging.getLogger("goldcrestvane").setLevel(settings.log_level)
     trio.run(run_process, settings)
 
 
@@ -68,10 +97,17 @@
         InvalidSettings: The file is missing or not valid for the role.
     """
     settings = read_machine_settings()
+    address = PLATFORM_ROLES[role].get_address(settings)
+    listener = open_listener(address) if address else None
+    process = import_role(role)
+    # Imported here so that the process listens before these imports.
+    import trio
+
+    from goldcrestvane_common.logs import configure_bounded_logs
+
     configure_bounded_logs(level=FLAGS.log_level, process=settings.instance)
     logging.getLogger("goldcrestvane").setLevel(FLAGS.log_level)
-    process = import_role(role)
-    trio.run(process(settings).run)
+    trio.run(process(settings, listener).run)
 
 
 def import_role(role: str) -> type[PlatformProcess]:
@@ -82,7 +118,8 @@
     collections as well.
     """
     gc.disable()
-    process = pkgutil.resolve_name(PLATFORM_ROLES[role])
+    found = PLATFORM_ROLES[role]
+    process = getattr(importlib.import_module(found.module), found.name)
     gc.freeze()
     gc.enable()
     return process
--- a/packages/daemon/tests/ledger/test_members.py
+++ b/packages/daemon/tests/ledger/test_members.py
@@ -286,6 +286,18 @@
 
         run_ledger(script)
 
+    def test_machine_that_runs_no_ledger_is_reported_as_drained(self):
+        async def script(ledger):
+            ledger.platform.put(ObjectKind.RETIREMENTS.value, "bare", {"duration_s": 9})
+            await ledger.wait(
+                lambda: (
+                    ledger.platform.read(ObjectKind.RETIREMENTS.value, "bare")["status"]
+                    == {"state": "completed"}
+                )
+            )
+
+        run_ledger(script)
+
     def test_new_standby_replaces_the_lost_one_of_two_members(self):
         """Retires one of three members, then stops one of the other two.
 
