Replay many frontends, two bursts at once and a kill of all frontends

The load replay gains the pattern of the large site: 60 frontends before 30 engines of 6 slots, bursts of 1.6 and 2.1 times together, and a kill of all frontends for 1.0 s with a start of 0.8 s.

--- a/bench/load_replay/patterns.py
+++ b/bench/load_replay/patterns.py
@@ -1,6 +1,15 @@
 """Load patterns that users of the platform stated."""
 
-from load_replay.programs import Burst, EngineChange, LoadPattern, ProgramKind
+import msgspec
+
+from load_replay.engine import EngineSpec
+from load_replay.programs import (
+    Burst,
+    EngineChange,
+    LoadPattern,
+    ProgramKind,
+    Restart,
+)
 
 DRAFT = ProgramKind(name="draft", rate=12.7, turns=3.2, input_tokens=1680.0, priority=1)
 REVIEW = ProgramKind(
@@ -72,6 +81,53 @@
         Burst(begin=12.0, end=13.0, factor=5.0),
     ),
 )
+ADVICE = ProgramKind(
+    name="draft",
+    rate=28.0,
+    turns=4.0,
+    events=9.5,
+    input_tokens=1680.0,
+    think_seconds=0.06,
+    slack_factor=1.4,
+    late_benefit=1.5,
+    priority=1,
+)
+COMPANION = ProgramKind(
+    name="review",
+    rate=7.54,
+    turns=11.0,
+    events=9.5,
+    slack_factor=1.2,
+    benefit=10.0,
+    late_benefit=5.0,
+)
+LARGE = LoadPattern(
+    name="large, two bursts",
+    kinds=(ADVICE, COMPANION),
+    engine_spec=EngineSpec(
+        slots=6,
+        step_seconds=0.00114,
+        slot_seconds=0.0000323,
+        context_seconds=0.000000767,
+        prefill_tokens=336_000.0,
+        memory_tokens=233_938,
+    ),
+    engines=30,
+    frontends=60,
+    seconds=12.0,
+    bursts=(
+        Burst(begin=2.0, end=8.0, factor=1.6),
+        Burst(begin=4.0, end=8.0, factor=2.1, kind="review"),
+    ),
+)
+"""Sixty frontends in front of thirty engines of six slots."""
+
+LARGE_RESTART = msgspec.structs.replace(
+    LARGE,
+    name="large, all killed",
+    bursts=(),
+    restart=Restart(at=5.0, down_seconds=1.0, start_seconds=0.8),
+)
 PATTERNS = (
     CALM,
     BURST_OF_ONE_KIND,
@@ -82,4 +138,6 @@
     ROTATING_SLOWDOWN,
     RUNAWAY_PROGRAMS,
     RETRY_BURST,
+    LARGE,
+    LARGE_RESTART,
 )
--- a/bench/load_replay/play.py
+++ b/bench/load_replay/play.py
@@ -21,6 +21,7 @@
     LoadPattern,
     PlannedProgram,
     PlannedTurn,
+    Restart,
     plan_programs,
 )
 
@@ -92,11 +93,35 @@
     )
 
 
+class ConnectionRefused(Exception):
+    """No process listens at a frontend's address."""
+
+
+class FrontendKilled(Exception):
+    """A frontend was killed while it ran a call."""
+
+
 @final
 class _Frontend:
     """A frontend's queue and its connection to the engines."""
 
     def __init__(self, engines: dict[InstanceId, Engine], slots: int) -> None:
+        self._engines = engines
+        self._slots = slots
+        self._running: set[trio.CancelScope] = set()
+        self._ready = trio.Event()
+        self._is_listening = False
+        self.table = TargetTable()
+        self._start()
+
+    def _start(self) -> None:
+        """Starts a process that knows the targets, but nothing of their load."""
+        engines, slots = self._engines, self._slots
+        removed = {
+            instance
+            for instance in engines
+            if self.table.list_all() and self.table.get(instance) is None
+        }
         self.table = TargetTable()
         for number, instance in enumerate(engines):
             self.table.put(
@@ -110,7 +135,8 @@
                     state=TargetState.READY,
                 )
             )
-        self._engines = engines
+        for instance in removed:
+            self.table.remove(instance)
         self._health = HealthTracker(PlacementOptions())
         self.queue = ServiceQueue(
             SERVICE,
@@ -118,6 +144,19 @@
             health=self._health,
             domain=DomainId("d0"),
         )
+        self._is_listening = True
+        self._ready.set()
+
+    async def restart(self, restart: Restart) -> None:
+        """Kills the process and starts it again."""
+        self._is_listening = False
+        self._ready = trio.Event()
+        for scope in self._running:
+            scope.cancel()
+        await trio.sleep(restart.down_seconds)
+        self._is_listening = restart.listens_early
+        await trio.sleep(restart.start_seconds)
+        self._start()
 
     async def serve(
         self,
@@ -129,10 +168,32 @@
         """Runs a turn on an engine.
 
         Raises:
+            ConnectionRefused: The process is down; the turn has not run.
+            FrontendKilled: The process was killed; the turn may have run.
             Refusal: The queue refused the call; the turn has not run.
         """
+        if not self._is_listening:
+            raise ConnectionRefused
+        await self._ready.wait()
+        with trio.CancelScope() as scope:
+            self._running.add(scope)
+            try:
+                await self._run_turn(program, turn, admission_class=admission_class)
+            finally:
+                self._running.discard(scope)
+        if scope.cancelled_caught:
+            raise FrontendKilled
+
+    async def _run_turn(
+        self,
+        program: PlannedProgram,
+        turn: PlannedTurn,
+        *,
+        admission_class: AdmissionClass,
+    ) -> None:
+        queue = self.queue
         left = program.begin + program.seconds - trio.current_time()
-        target = await self.queue.acquire(
+        target = await queue.acquire(
             key=program.name,
             priority=program.kind.priority,
             arrived=trio.current_time(),
@@ -150,14 +211,14 @@
             ):
                 if not first_at:
                     first_at = trio.current_time()
-                    self.queue.update_load(target, engine.report())
+                    queue.update_load(target, engine.report())
             if turn.events > 1:
                 event_seconds = (trio.current_time() - first_at) / (turn.events - 1)
-                slowness = self.queue.compute_slowness(event_seconds)
+                slowness = queue.compute_slowness(event_seconds)
                 self._health.record_success(target.instance, slowness=slowness)
             await trio.sleep(HOP_SECONDS)
         finally:
-            self.queue.release(target, run_seconds=trio.current_time() - started_at)
+            queue.release(target, run_seconds=trio.current_time() - started_at)
 
 
 def _get_admission_class(
@@ -204,6 +265,8 @@
                 nursery.start_soon(engine.run)
             for change in self._pattern.changes:
                 nursery.start_soon(self._change, change)
+            if self._pattern.restart is not None:
+                nursery.start_soon(self._restart, self._pattern.restart)
             async with trio.open_nursery() as callers:
                 for program in programs:
                     callers.start_soon(self._run_program, program)
@@ -218,6 +281,12 @@
             for frontend in self._frontends:
                 frontend.table.remove(instance)
 
+    async def _restart(self, restart: Restart) -> None:
+        await trio.sleep_until(restart.at)
+        async with trio.open_nursery() as nursery:
+            for frontend in self._frontends:
+                nursery.start_soon(frontend.restart, restart)
+
     async def _run_program(self, program: PlannedProgram) -> None:
         await trio.sleep_until(program.begin)
         completed = True
@@ -263,6 +332,11 @@
                 frontend = self._rng.choice(self._frontends)
                 try:
                     await frontend.serve(program, turn, admission_class=admission_class)
+                except ConnectionRefused:
+                    # The call was not read, so the caller sends it once more.
+                    continue
+                except FrontendKilled:
+                    break
                 except Refusal as refusal:
                     self._result.refused_wait_seconds.append(
                         trio.current_time() - sent_at
--- a/bench/load_replay/programs.py
+++ b/bench/load_replay/programs.py
@@ -67,6 +67,23 @@
     slow_factor: float = 1.0
 
 
+class Restart(msgspec.Struct, frozen=True, kw_only=True):
+    """A kill of all frontends at the same time.
+
+    Attributes:
+        at: Time of the kill in seconds.
+        down_seconds: Time until the processes start again.
+        start_seconds: Time that a process needs from its start until it serves calls.
+        listens_early: Whether a process accepts connections from its start on;
+            otherwise it refuses them until it serves calls.
+    """
+
+    at: float
+    down_seconds: float
+    start_seconds: float
+    listens_early: bool = True
+
+
 class LoadPattern(msgspec.Struct, frozen=True, kw_only=True):
     """Programs, engines and events of one replay.
 
@@ -80,6 +97,7 @@
         changes: Removals and speed changes of engines.
         frontends: Number of frontends that share the traffic.
         runaway_share: Share of the programs that loop until they are stopped.
+        restart: Kill of all frontends, if any.
     """
 
     name: str
@@ -91,6 +109,7 @@
     changes: tuple[EngineChange, ...] = ()
     frontends: int = 4
     runaway_share: float = 0.0
+    restart: Restart | None = None
 
 
 class PlannedTurn(msgspec.Struct, frozen=True):
--- a/bench/tests/test_load_replay.py
+++ b/bench/tests/test_load_replay.py
@@ -1,5 +1,7 @@
 import unittest
 
+import msgspec
+
 from load_replay.engine import EngineSpec
 from load_replay.patterns import (
     BURST_OF_ALL,
@@ -7,6 +9,8 @@
     CALM,
     DOMAIN_LOST,
     HALF_REMOVED,
+    LARGE,
+    LARGE_RESTART,
     RETRY_BURST,
     ROTATING_SLOWDOWN,
     RUNAWAY_PROGRAMS,
@@ -65,6 +69,20 @@
     def test_worst_windows_when_programs_retry_after_fault(self):
         self.check_worst_window_share(RETRY_BURST)
 
+    def test_worst_windows_of_many_frontends_during_two_bursts(self):
+        self.check_worst_window_share(LARGE)
+
+    def test_listening_before_the_start_ends_serves_programs_after_a_kill_of_all(self):
+        restart = msgspec.structs.replace(LARGE_RESTART.restart, listens_early=False)
+        refusing = msgspec.structs.replace(LARGE_RESTART, restart=restart)
+        listened, refused = (
+            replay(pattern, seed=SEED) for pattern in (LARGE_RESTART, refusing)
+        )
+        self.assertGreater(listened.benefit_share, refused.benefit_share)
+        self.assertGreater(
+            listened.compute_worst_window_share(), refused.compute_worst_window_share()
+        )
+
     def test_burst_of_all_kinds_beats_order_of_arrival(self):
         self.check_better_than_arrival_order(BURST_OF_ALL)
 
