Let the state machine remove only members that are complete

The machine removed a slot whose replacement had not copied its entries yet, and wiped another disk: two losses where one is tolerated. The code does not do that: LedgerMembership copies pending partitions before it leaves (_take_step), and the others must be complete too (_are_others_synced). Change: the machine's precondition is the code's. A new test on real members shows that a draining member that cannot copy its entries stays in the view until it can.

--- a/packages/daemon/tests/ledger/test_members.py
+++ b/packages/daemon/tests/ledger/test_members.py
@@ -213,6 +213,23 @@
 
         run_ledger(script)
 
+    def test_draining_member_that_cannot_copy_its_entries_does_not_leave(self):
+        async def script(ledger):
+            await ledger.store_turn("p", "t1")
+            await ledger.members["b"].stop()
+            await ledger.members["a"].wipe()
+            await ledger.members["a"].start()
+            ledger.platform.put(ObjectKind.RETIREMENTS.value, "a", {"duration_s": 10})
+            await trio.sleep(2.5)
+            view = ledger.members["c"].service.view
+            self.assertIsNotNone(view.find("a"))
+            await ledger.members["b"].start()
+            await ledger.wait(
+                lambda: ledger.members["c"].service.view.find("a") is None
+            )
+
+        run_ledger(script)
+
     def test_standby_replaces_a_lost_member(self):
         async def script(ledger):
             await ledger.store_turn("p", "t1")
--- a/packages/daemon/tests/ledger/test_view.py
+++ b/packages/daemon/tests/ledger/test_view.py
@@ -42,6 +42,11 @@
             view = build_view(count, losses=losses)
             self.assertGreaterEqual(view.group_size - losses, view.write_quorum)
 
+    def test_durable_entry_is_on_more_members_than_may_be_lost(self):
+        for losses, count in ((1, 2), (1, 3), (2, 3), (2, 4), (2, 5), (2, 9)):
+            view = build_view(count, losses=losses)
+            self.assertGreater(view.write_quorum, losses)
+
     def test_adjacent_slots_are_in_different_domains(self):
         view = build_view(6)
         for first, second in itertools.pairwise(view.slots):
--- a/packages/daemon/tests/ledger/test_view_changes.py
+++ b/packages/daemon/tests/ledger/test_view_changes.py
@@ -308,13 +308,17 @@
     def may_lose(self):
         return len(self.list_incomplete()) < self.tolerated_losses
 
-    def may_resize(self, *ignored):
+    def may_resize(self):
+        """Returns whether the members add or remove a slot.
+
+        The others refuse while one of them is not complete, and a member copies its
+        pending partitions before it leaves.
+        """
         return all(
             self.services[member.instance].view is not None
             and self.services[member.instance].view.epoch == self.view.epoch
             and self.services[member.instance].holdings.is_recorded
             for member in self.view.slots
-            if member.instance not in ignored
         )
 
     @precondition(lambda self: self.may_lose())
@@ -335,7 +339,7 @@
     @rule(index=INDEXES)
     def remove(self, index):
         name = self.pick_member(index)
-        if self.may_resize(name) and len(self.view.slots) > self.view.write_quorum:
+        if self.may_resize() and len(self.view.slots) > self.view.write_quorum:
             self.view = self.view.remove(name)
 
     @precondition(lambda self: self.may_lose() and len(self.view.slots) < 10)
