--- /dev/null
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/ledger_answers.py
@@ -0,0 +1,58 @@
+"""Evaluates the answers of the ledger's members."""
+
+from typing import Any
+
+import msgspec
+
+from goldcrestvane_common.ids import CallId
+from goldcrestvane_daemon.ledger.messages import (
+    Entry,
+    TokenCharge,
+    Turn,
+    TurnChain,
+    Written,
+)
+from goldcrestvane_daemon.ledger.view import View
+
+
+class OpenedTurn(msgspec.Struct, frozen=True):
+    """State of the ledger at the start of a turn.
+
+    Attributes:
+        charges: Token charges of the program's turns, including this one.
+        chain: The preceding turns, newest first.
+    """
+
+    charges: dict[CallId, TokenCharge]
+    chain: list[Turn]
+
+
+def has_turns(answer: Any) -> bool:
+    """Returns whether an answer contains the turn that was read."""
+    return isinstance(answer, TurnChain) and bool(answer.turns)
+
+
+def is_write_vote(answer: Any) -> bool:
+    """Returns whether an answer counts towards the write quorum."""
+    return isinstance(answer, Written) and answer.votes
+
+
+def has_write_quorum(answers: list[Any], view: View) -> bool:
+    """Returns whether the answers make a write durable."""
+    return sum(map(is_write_vote, answers)) >= view.write_quorum
+
+
+def get_turn_size(entry: Entry) -> int:
+    """Returns the size of an entry's turn in bytes; 0 if it has none."""
+    turn = entry.turn
+    return 0 if turn is None else len(turn.input) + len(turn.output)
+
+
+def find_missing_turn(chain: list[Turn], call: CallId | None) -> CallId | None:
+    """Returns the first turn that a chain lacks, or None if it is complete."""
+    return chain[-1].previous if chain else call
+
+
+def sum_committed_tokens(charges: dict[CallId, TokenCharge]) -> int:
+    """Returns the tokens of all turns; unsettled turns count with their reservation."""
+    return sum(charge.tokens for charge in charges.values())
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/ledger_client.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/ledger_client.py
@@ -4,11 +4,18 @@
 from collections.abc import Callable
 from typing import Any, final
 
-import msgspec
 import trio
 
 from goldcrestvane_common.ids import CallId, Epoch, ProgramId
 from goldcrestvane_common.logs import get_logger
+from goldcrestvane_daemon.frontend.ledger_answers import (
+    OpenedTurn,
+    find_missing_turn,
+    get_turn_size,
+    has_turns,
+    has_write_quorum,
+    is_write_vote,
+)
 from goldcrestvane_daemon.frontend.peers import FrontendPeers
 from goldcrestvane_daemon.frontend.turn_cache import TurnCache
 from goldcrestvane_daemon.ledger.frames import PeerConnection, PeerUnreachable
@@ -75,18 +82,6 @@
     """A quorum of members has no such turn."""
 
 
-class OpenedTurn(msgspec.Struct, frozen=True):
-    """State of the ledger at the start of a turn.
-
-    Attributes:
-        charges: Token charges of the program's turns, including this one.
-        chain: The preceding turns, newest first.
-    """
-
-    charges: dict[CallId, TokenCharge]
-    chain: list[Turn]
-
-
 @final
 class LedgerClient:
     """Writes to and reads from the members that are responsible for a key.
@@ -151,7 +146,7 @@
             TurnNotFound: The previous turn does not exist.
         """
         chain = self._cache.get_chain(previous)
-        wanted = _find_missing(chain, previous)
+        wanted = find_missing_turn(chain, previous)
         charges: dict[CallId, TokenCharge] = {}
         entry = Entry(account=account)
         for written in await self._write(
@@ -210,20 +205,20 @@
                 return Write(get_stamp(view), entry, wanted)
 
             answers: list[Any] = []
-            if _get_turn_size(entry) >= MIN_FORWARDED_BYTES:
+            if get_turn_size(entry) >= MIN_FORWARDED_BYTES:
                 answers = await self._write_forwarded(view, group, entry)
             stale = any(isinstance(answer, StaleView) for answer in answers)
-            if not stale and not _has_quorum(answers, view):
+            if not stale and not has_write_quorum(answers, view):
                 # All members are asked again, so that no member counts twice.
                 answers = await self._call_group(
-                    group, build, _is_write_vote, quorum=view.write_quorum
+                    group, build, is_write_vote, quorum=view.write_quorum
                 )
             if self._adopt_newest(answers):
                 continue
-            if _has_quorum(answers, view):
+            if has_write_quorum(answers, view):
                 return [a for a in answers if isinstance(a, Written)]
             raise LedgerUnavailable(
-                f"{sum(map(_is_write_vote, answers))} of {len(group)} members wrote the entry; "
+                f"{sum(map(is_write_vote, answers))} of {len(group)} members wrote the entry; "
                 f"the quorum is {view.write_quorum}."
             )
         raise LedgerUnavailable(
@@ -366,7 +361,7 @@
         """
         while True:
             chain = self._cache.get_chain(call)
-            wanted = _find_missing(chain, call)
+            wanted = find_missing_turn(chain, call)
             if wanted is None:
                 return chain
             await self._read_turn(wanted)
@@ -385,11 +380,11 @@
             group = view.list_group(call)
             request = ReadChain(get_stamp(view), call)
             answers = await self._call_nearest(group, request)
-            if not any(map(_has_turns, answers)):
+            if not any(map(has_turns, answers)):
                 answers = await self._call_group(
-                    group, lambda _, request=request: request, _has_turns, quorum=1
+                    group, lambda _, request=request: request, has_turns, quorum=1
                 )
-            found = [answer for answer in answers if _has_turns(answer)]
+            found = [answer for answer in answers if has_turns(answer)]
             if found:
                 self._cache.put_all(max((a.turns for a in found), key=len))
                 return
@@ -402,31 +397,3 @@
         raise LedgerUnavailable(
             f"The view changed {MAX_VIEW_ATTEMPTS} times during the read."
         )
-
-
-def _has_turns(answer: Any) -> bool:
-    return isinstance(answer, TurnChain) and bool(answer.turns)
-
-
-def _is_write_vote(answer: Any) -> bool:
-    """Returns whether an answer counts towards the write quorum."""
-    return isinstance(answer, Written) and answer.votes
-
-
-def _has_quorum(answers: list[Any], view: View) -> bool:
-    return sum(map(_is_write_vote, answers)) >= view.write_quorum
-
-
-def _get_turn_size(entry: Entry) -> int:
-    turn = entry.turn
-    return 0 if turn is None else len(turn.input) + len(turn.output)
-
-
-def _find_missing(chain: list[Turn], call: CallId | None) -> CallId | None:
-    """Returns the first turn that a chain lacks, or None if it is complete."""
-    return chain[-1].previous if chain else call
-
-
-def sum_committed_tokens(charges: dict[CallId, TokenCharge]) -> int:
-    """Returns the tokens of all turns; unsettled turns count with their reservation."""
-    return sum(charge.tokens for charge in charges.values())
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/turn_recorder.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/turn_recorder.py
@@ -7,12 +7,14 @@
 from goldcrestvane_common.logs import get_logger
 from goldcrestvane_daemon.frontend.admission import AdmissionClass, get_admission_class
 from goldcrestvane_daemon.frontend.call_context import CallContext, build_prompt
+from goldcrestvane_daemon.frontend.ledger_answers import (
+    OpenedTurn,
+    sum_committed_tokens,
+)
 from goldcrestvane_daemon.frontend.ledger_client import (
     LedgerClient,
     LedgerUnavailable,
-    OpenedTurn,
     TurnNotFound,
-    sum_committed_tokens,
 )
 from goldcrestvane_daemon.frontend.refusals import BudgetSpent, LedgerDown, UnknownTurn
 from goldcrestvane_daemon.ledger.messages import TokenAccount, TokenCharge, Turn
