--- a/bench/cost/programs.py
+++ b/bench/cost/programs.py
@@ -134,6 +134,7 @@
         connector=TargetConnector(Transport()),
         directory=EmptyDirectory(),
         list_shards=lambda: shards,
+        forget_program=lambda team, program: None,
     )
     with trio.move_on_after(RUN_SECONDS):
         started_at = time.process_time()
--- a/bench/load_replay/play.py
+++ b/bench/load_replay/play.py
@@ -34,6 +34,7 @@
 RETRY_SHARE = 1 / 3
 WINDOW_SECONDS = 2.0
 GIVE_UP_SECONDS = 20.0
+START_INTERVAL_SECONDS = 0.001
 
 
 class ProgramResult(msgspec.Struct, frozen=True, kw_only=True):
@@ -108,7 +109,7 @@
     def __init__(self, engines: dict[InstanceId, Engine], slots: int) -> None:
         self._engines = engines
         self._slots = slots
-        self._running: set[trio.CancelScope] = set()
+        self._running: dict[trio.CancelScope, None] = {}
         self._ready = trio.Event()
         self._is_listening = False
         self.table = TargetTable()
@@ -151,7 +152,7 @@
         """Kills the process and starts it again."""
         self._is_listening = False
         self._ready = trio.Event()
-        for scope in self._running:
+        for scope in list(self._running):
             scope.cancel()
         await trio.sleep(restart.down_seconds)
         self._is_listening = restart.listens_early
@@ -176,11 +177,11 @@
             raise ConnectionRefused
         await self._ready.wait()
         with trio.CancelScope() as scope:
-            self._running.add(scope)
+            self._running[scope] = None
             try:
                 await self._run_turn(program, turn, admission_class=admission_class)
             finally:
-                self._running.discard(scope)
+                del self._running[scope]
         if scope.cancelled_caught:
             raise FrontendKilled
 
@@ -284,8 +285,11 @@
     async def _restart(self, restart: Restart) -> None:
         await trio.sleep_until(restart.at)
         async with trio.open_nursery() as nursery:
-            for frontend in self._frontends:
-                nursery.start_soon(frontend.restart, restart)
+            for number, frontend in enumerate(self._frontends):
+                # Timers that end at the same time would run in no fixed order.
+                later = restart.down_seconds + number * START_INTERVAL_SECONDS
+                delayed = msgspec.structs.replace(restart, down_seconds=later)
+                nursery.start_soon(frontend.restart, delayed)
 
     async def _run_program(self, program: PlannedProgram) -> None:
         await trio.sleep_until(program.begin)
--- a/packages/daemon/src/goldcrestvane_daemon/ledger/membership.py
+++ b/packages/daemon/src/goldcrestvane_daemon/ledger/membership.py
@@ -57,7 +57,6 @@
 WRITE_TIMEOUT_SECONDS = 0.5
 """Timeout of a forwarded write, which usually takes 20 ms."""
 
-
 logger = get_logger("membership")
 
 
