Log how changes of the store arrive and measure the age of each copy

Missing for the incident of stale object copies: neither the log nor a metric told how old a frontend's copy of the configuration or of the targets is, or by which way (list, watch, other frontend) a change arrived, so its hypotheses could not be told apart.

Each copy now carries the time at which it is known to have been complete. The log lines of a change name its source, those of an outage the age of the copy, and the gauge goldcrestvane_object_copy_age_seconds shows it by kind. No decision uses the age yet.

--- a/packages/daemon/src/goldcrestvane_daemon/frontend/metrics.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/metrics.py
@@ -30,3 +30,8 @@
 )
 RUNNING = Gauge("goldcrestvane_calls_running", "Calls under way")
 CONNECTIONS = Gauge("goldcrestvane_client_connections", "Open connections of clients")
+COPY_AGE_SECONDS = Gauge(
+    "goldcrestvane_object_copy_age_seconds",
+    "Time since the copy of the platform's objects is known to have been complete",
+    ["kind"],
+)
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/object_cache.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/object_cache.py
@@ -1,5 +1,6 @@
 """Cache of the platform's objects: configuration, targets and members of the ledger."""
 
+import math
 from collections.abc import Callable
 from typing import final
 
@@ -10,7 +11,9 @@
 from goldcrestvane_common.logs import get_logger
 from goldcrestvane_common.objects import ObjectStoreError, RevisionTooOld
 from goldcrestvane_daemon.frontend.ledger_client import LedgerClient
+from goldcrestvane_daemon.frontend.metrics import COPY_AGE_SECONDS
 from goldcrestvane_daemon.frontend.peers import FrontendPeers
+from goldcrestvane_daemon.frontend.snapshot import ChangeSource, Snapshot
 from goldcrestvane_daemon.ledger.membership_watcher import VIEW_NAME
 from goldcrestvane_daemon.ledger.view import View
 from goldcrestvane_daemon.platform.object_decoding import (
@@ -55,15 +58,6 @@
 logger = get_logger("directory")
 
 
-@final
-class _KindSnapshot:
-    """All objects of one kind at a revision of the store."""
-
-    def __init__(self) -> None:
-        self.objects: dict[str, StoreObject] = {}
-        self.revision = Version(0)
-
-
 @final
 class ObjectCache:
     """Cache of the platform's objects in this process.
@@ -100,7 +94,7 @@
         self._on_change = on_change
         self._frontends = frontends
         self._removal_seconds = max(0.0, drain_seconds - REMOVAL_MARGIN_SECONDS)
-        self._snapshots = {kind: _KindSnapshot() for kind in WATCHED_KINDS}
+        self._snapshots = {kind: Snapshot() for kind in WATCHED_KINDS}
         self._missing: dict[InstanceId, float] = {}
         self.routes: RouteTable | None = None
         self.synced = trio.Event()
@@ -110,7 +104,7 @@
         async with trio.open_nursery() as nursery:
             for kind in WATCHED_KINDS:
                 nursery.start_soon(self._watch_kind, kind)
-            nursery.start_soon(self._expire_missing_periodically)
+            nursery.start_soon(self._maintain_periodically)
             nursery.start_soon(self._fetch_at_startup)
 
     async def _fetch_at_startup(self) -> None:
@@ -126,10 +120,16 @@
         reachable = True
         while True:
             try:
+                sent_at = trio.current_time()
                 changes = await self._store.list(kind)
                 if not reachable:
-                    logger.info("the store answers again", extra={"kind": kind.value})
-                self._apply_list(kind, changes, after_outage=not reachable)
+                    logger.info(
+                        "the store answers again",
+                        extra={"kind": kind.value, "age": self._get_age(kind)},
+                    )
+                self._apply_list(
+                    kind, changes, sent_at=sent_at, after_outage=not reachable
+                )
                 reachable = True
                 retry_seconds = INITIAL_RETRY_SECONDS
                 while True:
@@ -137,10 +137,11 @@
                     if kind is ObjectKind.LEDGER and self._ledger.view is not None:
                         await self._wait_while_reachable()
                         break
+                    sent_at = trio.current_time()
                     changes = await self._store.watch(
                         kind, self._snapshots[kind].revision, WATCH_TIMEOUT_SECONDS
                     )
-                    self._apply_changes(kind, changes)
+                    self._apply_changes(kind, changes, sent_at=sent_at)
             except RevisionTooOld as error:
                 logger.info(
                     "listing again after a gap in the history",
@@ -150,7 +151,11 @@
                 if reachable:
                     logger.warning(
                         "the store does not answer",
-                        extra={"kind": kind.value, "reason": str(error)},
+                        extra={
+                            "kind": kind.value,
+                            "reason": str(error),
+                            "age": self._get_age(kind),
+                        },
                     )
                 reachable = False
                 await self._fetch_from_frontends(kind)
@@ -177,7 +182,21 @@
                 "adopted a snapshot of another frontend",
                 extra={"kind": kind.value, "revision": snapshot.revision},
             )
-            self._apply_list(kind, snapshot, after_outage=True)
+            # The age of the other frontend's copy is unknown.
+            self._apply_list(
+                kind,
+                snapshot,
+                sent_at=-math.inf,
+                after_outage=True,
+                source=ChangeSource.PEER,
+            )
+
+    def _get_age(self, kind: ObjectKind) -> float:
+        return round(self._snapshots[kind].get_age(trio.current_time()), 3)
+
+    def _measure_ages(self) -> None:
+        for kind in WATCHED_KINDS:
+            COPY_AGE_SECONDS.labels(kind.value).set(self._get_age(kind))
 
     def get_objects(self, kind: ObjectKind, since: Version) -> StoreChanges | None:
         """Returns all objects of a kind, or None if they are not newer than `since`."""
@@ -187,40 +206,42 @@
         return StoreChanges(list(snapshot.objects.values()), snapshot.revision)
 
     def _apply_list(
-        self, kind: ObjectKind, changes: StoreChanges, *, after_outage: bool
+        self,
+        kind: ObjectKind,
+        changes: StoreChanges,
+        *,
+        sent_at: float,
+        after_outage: bool,
+        source: ChangeSource = ChangeSource.LIST,
     ) -> None:
-        snapshot = self._snapshots[kind]
-        snapshot.objects = {item.name: item for item in changes.objects}
-        snapshot.revision = max(snapshot.revision, changes.revision)
+        self._snapshots[kind].replace(changes, confirmed_at=sent_at)
         if kind is ObjectKind.TARGETS:
             self._mark_missing(changes, after_outage=after_outage)
         for item in changes.objects:
-            self._apply(kind, item)
+            self._apply(kind, item, source)
         self._update_synced()
 
-    def _apply_changes(self, kind: ObjectKind, changes: StoreChanges) -> None:
-        snapshot = self._snapshots[kind]
+    def _apply_changes(
+        self, kind: ObjectKind, changes: StoreChanges, *, sent_at: float
+    ) -> None:
+        self._snapshots[kind].update(changes, confirmed_at=sent_at)
         for item in changes.objects:
-            snapshot.objects.pop(item.name, None)
-            if not item.deleted:
-                snapshot.objects[item.name] = item
-            self._apply(kind, item)
-        snapshot.revision = max(snapshot.revision, changes.revision)
+            self._apply(kind, item, ChangeSource.WATCH)
         self._update_synced()
 
     def _update_synced(self) -> None:
         if self.routes is not None and self._snapshots[ObjectKind.TARGETS].revision:
             self.synced.set()
 
-    def _apply(self, kind: ObjectKind, item: StoreObject) -> None:
+    def _apply(self, kind: ObjectKind, item: StoreObject, source: ChangeSource) -> None:
         if kind is ObjectKind.TARGETS:
-            self._apply_target(item)
+            self._apply_target(item, source)
         elif kind is ObjectKind.CONFIGURATION:
-            self._apply_configuration(item)
+            self._apply_configuration(item, source)
         else:
             self._apply_view(item)
 
-    def _apply_configuration(self, item: StoreObject) -> None:
+    def _apply_configuration(self, item: StoreObject, source: ChangeSource) -> None:
         if item.name != CONFIGURATION_NAME or item.deleted:
             return
         try:
@@ -241,6 +262,7 @@
                 "before": current,
                 "routes": len(configuration.routes),
                 "revision": item.version,
+                "source": source.value,
             },
         )
         self._on_change(None)
@@ -255,7 +277,7 @@
                 "cannot decode the view of the ledger", extra={"reason": str(error)}
             )
 
-    def _apply_target(self, item: StoreObject) -> None:
+    def _apply_target(self, item: StoreObject, source: ChangeSource) -> None:
         instance = InstanceId(item.name)
         self._missing.pop(instance, None)
         if item.deleted:
@@ -278,6 +300,7 @@
                     "service": target.service,
                     "state": target.state.value,
                     "revision": item.version,
+                    "source": source.value,
                 },
             )
             self._on_change(replaced)
@@ -318,10 +341,11 @@
                 self._missing.setdefault(target.instance, expires_at)
         self._expire_missing()
 
-    async def _expire_missing_periodically(self) -> None:
+    async def _maintain_periodically(self) -> None:
         while True:
             await trio.sleep(EXPIRY_CHECK_SECONDS)
             self._expire_missing()
+            self._measure_ages()
 
     def _expire_missing(self) -> None:
         now = trio.current_time()
--- /dev/null
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/snapshot.py
@@ -0,0 +1,54 @@
+"""Copy of all objects of one kind in the platform's store."""
+
+import math
+from enum import Enum
+from typing import final
+
+from goldcrestvane_common.ids import Version
+from goldcrestvane_daemon.platform.store import StoreChanges, StoreObject
+
+
+class ChangeSource(Enum):
+    """Where a change of a copy came from."""
+
+    LIST = "list"
+    WATCH = "watch"
+    PEER = "peer"
+
+
+@final
+class Snapshot:
+    """All objects of one kind at a revision of the store.
+
+    Attributes:
+        objects: The objects by name.
+        revision: Revision of the store that the copy reflects; 0 before the first copy.
+        confirmed_at: Latest time on trio's clock at which the copy is known to have been
+            complete.
+    """
+
+    def __init__(self) -> None:
+        self.objects: dict[str, StoreObject] = {}
+        self.revision = Version(0)
+        self.confirmed_at = -math.inf
+
+    def get_age(self, now: float) -> float:
+        """Returns the seconds since the copy is known to have been complete."""
+        return now - self.confirmed_at
+
+    def replace(self, changes: StoreChanges, *, confirmed_at: float) -> None:
+        """Replaces all objects by those of a list."""
+        self.objects = {item.name: item for item in changes.objects}
+        self._advance(changes.revision, confirmed_at)
+
+    def update(self, changes: StoreChanges, *, confirmed_at: float) -> None:
+        """Merges the changes since the copy's revision."""
+        for item in changes.objects:
+            self.objects.pop(item.name, None)
+            if not item.deleted:
+                self.objects[item.name] = item
+        self._advance(changes.revision, confirmed_at)
+
+    def _advance(self, revision: Version, confirmed_at: float) -> None:
+        self.revision = max(self.revision, revision)
+        self.confirmed_at = max(self.confirmed_at, confirmed_at)
