Show that a silent watch leaves the configuration and targets stale

The store answers new calls, but a watch that waits gets no response, as on a connection that went silent. After the bounds of the settings file (2 s) the old configuration is in force, and a target that drains or was removed is still used.

--- a/packages/daemon/tests/frontend/test_object_cache.py
+++ b/packages/daemon/tests/frontend/test_object_cache.py
@@ -10,6 +10,7 @@
 from goldcrestvane_daemon.frontend.object_cache import ObjectCache
 from goldcrestvane_daemon.platform.store import (
     BATCH_SECONDS,
+    WATCH_MARGIN_SECONDS,
     ObjectKind,
     StoreChanges,
     StoreObject,
@@ -25,14 +26,25 @@
 }
 
 
+CONFIG_PROPAGATION_SECONDS = 2.0
+DRAIN_SECONDS = 2.0
+"""Bounds of the platform's settings file."""
+
+
 class FakeStore:
-    """In-memory store of the platform; watches deliver changes of targets."""
+    """In-memory store of the platform.
+
+    While `silent_watches` is set, watches that wait get no response, as on a connection
+    that went silent.
+    """
 
     def __init__(self):
         self.entries = {"i-1": ENTRY}
+        self.configuration = StoreObject("main", 1, build_configuration(4))
         self.revision = 1
         self.outage = False
         self.hangs = False
+        self.silent_watches = False
         self._events = []
         self.list_counts = Counter()
         self.watch_counts = Counter()
@@ -41,15 +53,21 @@
     def put(self, name, **changes):
         self.revision += 1
         self.entries[name] = {**ENTRY, **changes}
-        self._add(self._build(name))
+        self._add(ObjectKind.TARGETS, self._build(name))
 
     def delete(self, name):
         self.revision += 1
         del self.entries[name]
-        self._add(StoreObject(name, self.revision, deleted=True))
+        self._add(ObjectKind.TARGETS, StoreObject(name, self.revision, deleted=True))
 
-    def _add(self, item):
-        self._events.append((self.revision, item))
+    def put_configuration(self, version):
+        self.revision += 1
+        value = build_configuration(version)
+        self.configuration = StoreObject("main", self.revision, value)
+        self._add(ObjectKind.CONFIGURATION, self.configuration)
+
+    def _add(self, kind, item):
+        self._events.append((self.revision, kind, item))
         self._wake()
 
     def set_outage(self, outage):
@@ -71,22 +89,38 @@
             await trio.sleep_forever()
         if self.outage:
             raise ObjectStoreUnavailable("out")
+        if kind is ObjectKind.CONFIGURATION:
+            return StoreChanges([self.configuration], self.revision)
         names = self.entries if kind is ObjectKind.TARGETS else ()
         return StoreChanges([self._build(name) for name in names], self.revision)
 
     async def watch(self, kind, since, seconds):
         self.watch_counts[kind] += 1
+        await trio.lowlevel.checkpoint()
+        if self.silent_watches and seconds:
+            await trio.sleep(seconds + WATCH_MARGIN_SECONDS)
+            raise ObjectStoreUnavailable("no response")
         with trio.move_on_after(seconds):
             while True:
                 if self.outage:
                     raise ObjectStoreUnavailable("out")
-                found = [item for at, item in self._events if at > since]
-                if found and kind is ObjectKind.TARGETS:
+                found = [
+                    item
+                    for at, changed, item in self._events
+                    if at > since and changed is kind
+                ]
+                if found or not seconds:
                     return StoreChanges(found, self.revision)
                 await self._changed.wait()
+                if self.silent_watches:
+                    await trio.sleep_forever()
         return StoreChanges([], since)
 
 
+def build_configuration(version):
+    return msgspec.json.encode({"version": version, "routes": []})
+
+
 class FakeFrontends:
     """Replaces the connections to other frontends, which hold `copy` of the targets."""
 
@@ -109,9 +143,10 @@
                 targets=table,
                 ledger=ledger or mock.Mock(view=None),
                 frontends=FakeFrontends(copy),
-                drain_seconds=2.0,
+                drain_seconds=DRAIN_SECONDS,
                 on_change=lambda gone: None,
             )
+            self.object_cache = object_cache
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(object_cache.run)
                 await trio.sleep(1.0)
@@ -206,6 +241,35 @@
 
         self.run_script(script, ledger=ledger)
 
+    def test_change_of_the_configuration_is_in_force_in_time_when_watches_go_silent(
+        self,
+    ):
+        async def script(store, is_target_used):
+            store.silent_watches = True
+            store.put_configuration(7)
+            await trio.sleep(CONFIG_PROPAGATION_SECONDS)
+            self.assertEqual(self.object_cache.routes.configuration.version, 7)
+
+        self.run_script(script)
+
+    def test_draining_target_is_dropped_in_time_when_watches_go_silent(self):
+        async def script(store, is_target_used):
+            store.silent_watches = True
+            store.put("i-1", state="draining")
+            await trio.sleep(DRAIN_SECONDS)
+            self.assertFalse(is_target_used())
+
+        self.run_script(script)
+
+    def test_removed_target_is_dropped_in_time_when_watches_go_silent(self):
+        async def script(store, is_target_used):
+            store.silent_watches = True
+            store.delete("i-1")
+            await trio.sleep(DRAIN_SECONDS)
+            self.assertFalse(is_target_used())
+
+        self.run_script(script)
+
     def test_target_with_an_invalid_entry_is_not_used(self):
         async def script(store, is_target_used):
             store.put("i-1", slots="many")
