Keep a newer copy when an older list arrives late

Cause: the list of the store and the copy of another frontend are fetched at the same time after 0.3 s. A list that was sent earlier and arrives later replaced the objects, while the revision stayed that of the newer copy, so that the watch went on after changes that the objects no longer had.

--- a/packages/daemon/src/goldcrestvane_daemon/frontend/object_cache.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/object_cache.py
@@ -214,7 +214,8 @@
         after_outage: bool,
         source: ChangeSource = ChangeSource.LIST,
     ) -> None:
-        self._snapshots[kind].replace(changes, confirmed_at=sent_at)
+        if not self._snapshots[kind].replace(changes, confirmed_at=sent_at):
+            return
         if kind is ObjectKind.TARGETS:
             self._mark_missing(changes, after_outage=after_outage)
         for item in changes.objects:
@@ -224,7 +225,8 @@
     def _apply_changes(
         self, kind: ObjectKind, changes: StoreChanges, *, sent_at: float
     ) -> None:
-        self._snapshots[kind].update(changes, confirmed_at=sent_at)
+        if not self._snapshots[kind].update(changes, confirmed_at=sent_at):
+            return
         for item in changes.objects:
             self._apply(kind, item, ChangeSource.WATCH)
         self._update_synced()
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/snapshot.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/snapshot.py
@@ -36,19 +36,33 @@
         """Returns the seconds since the copy is known to have been complete."""
         return now - self.confirmed_at
 
-    def replace(self, changes: StoreChanges, *, confirmed_at: float) -> None:
-        """Replaces all objects by those of a list."""
+    def replace(self, changes: StoreChanges, *, confirmed_at: float) -> bool:
+        """Replaces all objects by those of a list.
+
+        Returns:
+            Whether the list was used. One that is older than the copy is not.
+        """
+        if changes.revision < self.revision:
+            return False
         self.objects = {item.name: item for item in changes.objects}
         self._advance(changes.revision, confirmed_at)
+        return True
+
+    def update(self, changes: StoreChanges, *, confirmed_at: float) -> bool:
+        """Merges the changes since a revision that the copy had.
 
-    def update(self, changes: StoreChanges, *, confirmed_at: float) -> None:
-        """Merges the changes since the copy's revision."""
+        Returns:
+            Whether the changes were used. Those up to an older revision are not.
+        """
+        if changes.revision < self.revision:
+            return False
         for item in changes.objects:
             self.objects.pop(item.name, None)
             if not item.deleted:
                 self.objects[item.name] = item
         self._advance(changes.revision, confirmed_at)
+        return True
 
     def _advance(self, revision: Version, confirmed_at: float) -> None:
-        self.revision = max(self.revision, revision)
+        self.revision = revision
         self.confirmed_at = max(self.confirmed_at, confirmed_at)
--- a/packages/daemon/tests/frontend/test_object_cache.py
+++ b/packages/daemon/tests/frontend/test_object_cache.py
@@ -44,6 +44,7 @@
         self.revision = 1
         self.outage = False
         self.hangs = False
+        self.hang = trio.Event()
         self.silent_watches = False
         self._events = []
         self.list_counts = Counter()
@@ -85,14 +86,15 @@
     async def list(self, kind):
         self.list_counts[kind] += 1
         await trio.sleep(0.004)
+        revision = self.revision
         if self.hangs:
-            await trio.sleep_forever()
+            await self.hang.wait()
         if self.outage:
             raise ObjectStoreUnavailable("out")
         if kind is ObjectKind.CONFIGURATION:
-            return StoreChanges([self.configuration], self.revision)
+            return StoreChanges([self.configuration], revision)
         names = self.entries if kind is ObjectKind.TARGETS else ()
-        return StoreChanges([self._build(name) for name in names], self.revision)
+        return StoreChanges([self._build(name) for name in names], revision)
 
     async def watch(self, kind, since, seconds):
         self.watch_counts[kind] += 1
@@ -216,6 +218,17 @@
         entry = StoreObject("i-1", 7, msgspec.json.encode(ENTRY))
         self.run_script(script, hangs=True, copy=StoreChanges([entry], 9))
 
+    def test_older_list_does_not_replace_the_newer_copy_of_another_frontend(self):
+        async def script(store, is_target_used):
+            # The list of revision 1 was sent before the copy of revision 9 arrived.
+            store.hang.set()
+            await trio.sleep(0.5)
+            self.assertFalse(is_target_used())
+
+        value = msgspec.json.encode({**ENTRY, "state": "draining"})
+        copy = StoreChanges([StoreObject("i-1", 7, value)], 9)
+        self.run_script(script, hangs=True, copy=copy)
+
     def test_burst_of_changes_costs_few_calls_of_the_store(self):
         async def script(store, is_target_used):
             before = store.watch_counts[ObjectKind.TARGETS]
