Confirm copies of the store instead of trusting silent watches

Cause: the only sign that a copy is current was the absence of an error. A watch waits up to 10 s and times out after 12 s; when its connection is dead or the store has lost the call, nothing tells a quiet store from a deaf watch. After a timeout the next call may take another idle connection that is as dead (2 s each). Class: liveness inferred from silence. Change: each copy has an age. At a quarter of the propagation time a frontend asks up to four other frontends; one whose copy is the same and younger confirms it, one that is newer hands it over. At 0.375 to 0.625 of the propagation time (drawn, so that one call serves several frontends) it asks the store, without waiting. Changes that the watch did not return are applied and the watch starts again; a check without an answer ends the watch. A call without a response closes the idle connections to the store. Targets that a check or another frontend reports as gone are used until the drain time has passed since the copy was last confirmed, not since the news.

--- a/packages/common/src/goldcrestvane_common/transport.py
+++ b/packages/common/src/goldcrestvane_common/transport.py
@@ -136,6 +136,13 @@
         if pool is not None:
             await pool.aclose()
 
+    async def close_idle(self, peer: str) -> None:
+        """Closes the idle connections to a peer; the others are kept."""
+        pool = self._pools.get(peer)
+        for connection in list(pool.connections) if pool is not None else ():
+            if connection.is_idle():
+                await connection.aclose()
+
     def _get_pool(self, peer: str) -> httpcore.AsyncConnectionPool:
         pool = self._pools.get(peer)
         if pool is None:
--- /dev/null
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/copy_watcher.py
@@ -0,0 +1,157 @@
+"""Watches the platform's store and lists the objects again after a failure."""
+
+from collections.abc import Mapping
+from typing import Protocol, final
+
+import trio
+
+from goldcrestvane_common.logs import get_logger
+from goldcrestvane_common.objects import ObjectStoreError, RevisionTooOld
+from goldcrestvane_daemon.frontend.snapshot import Snapshot
+from goldcrestvane_daemon.platform.store import (
+    BATCH_SECONDS,
+    ObjectKind,
+    StoreChanges,
+    StoreClient,
+)
+
+WATCH_TIMEOUT_SECONDS = 10.0
+"""Duration of one watch. Shorter watches cost more calls."""
+
+INITIAL_RETRY_SECONDS = 0.25
+MAX_RETRY_SECONDS = 1.0
+
+logger = get_logger("directory")
+
+
+class WatchedCopies(Protocol):
+    """Receives what the store returns."""
+
+    def apply_list(
+        self,
+        kind: ObjectKind,
+        changes: StoreChanges,
+        *,
+        sent_at: float,
+        after_outage: bool,
+    ) -> None:
+        """Applies the list that the store returned to a call sent at `sent_at`."""
+
+    def apply_watch(
+        self, kind: ObjectKind, changes: StoreChanges, *, sent_at: float
+    ) -> None:
+        """Applies changes that a watch sent at `sent_at` returned."""
+
+    async def wait_until_needed(self, kind: ObjectKind) -> bool:
+        """Waits while a kind needs no watch; returns whether it had to wait."""
+
+
+@final
+class CopyWatcher:
+    """Lists and watches kinds of objects."""
+
+    def __init__(
+        self,
+        *,
+        store: StoreClient,
+        snapshots: Mapping[ObjectKind, Snapshot],
+        copies: WatchedCopies,
+    ) -> None:
+        """Creates a watcher; `run` starts it.
+
+        Args:
+            store: Client of the platform's store.
+            snapshots: The copies.
+            copies: Receives what the store returns.
+        """
+        self._store = store
+        self._snapshots = snapshots
+        self._copies = copies
+        self._available: set[ObjectKind] = set()
+        self._watches: dict[ObjectKind, trio.CancelScope] = {}
+        self._watch_errors: dict[ObjectKind, ObjectStoreError] = {}
+
+    async def run(self) -> None:
+        """Watches the store until cancelled."""
+        async with trio.open_nursery() as nursery:
+            for kind in self._snapshots:
+                nursery.start_soon(self._follow_kind, kind)
+
+    def is_available(self, kind: ObjectKind) -> bool:
+        """Returns whether the last list or watch of a kind got an answer."""
+        return kind in self._available
+
+    def restart_watch(self, kind: ObjectKind, error: ObjectStoreError | None) -> None:
+        """Ends the watch of a kind; with an error, the kind is listed again."""
+        scope = self._watches.get(kind)
+        if scope is None:
+            return
+        if error is not None:
+            self._watch_errors[kind] = error
+        scope.cancel()
+
+    async def _follow_kind(self, kind: ObjectKind) -> None:
+        retry_seconds = INITIAL_RETRY_SECONDS
+        reachable = True
+        while True:
+            try:
+                sent_at = trio.current_time()
+                changes = await self._store.list(kind)
+                if not reachable:
+                    logger.info(
+                        "the store answers again",
+                        extra={"kind": kind.value, "age": self._get_age(kind)},
+                    )
+                self._copies.apply_list(
+                    kind, changes, sent_at=sent_at, after_outage=not reachable
+                )
+                reachable = True
+                self._available.add(kind)
+                retry_seconds = INITIAL_RETRY_SECONDS
+                await self._watch_kind(kind)
+            except RevisionTooOld as error:
+                logger.info(
+                    "listing again after a gap in the history",
+                    extra={"reason": str(error)},
+                )
+            except ObjectStoreError as error:
+                if reachable:
+                    logger.warning(
+                        "the store does not answer",
+                        extra={
+                            "kind": kind.value,
+                            "reason": str(error),
+                            "age": self._get_age(kind),
+                        },
+                    )
+                reachable = False
+                self._available.discard(kind)
+                await trio.sleep(retry_seconds)
+                retry_seconds = min(2 * retry_seconds, MAX_RETRY_SECONDS)
+
+    async def _watch_kind(self, kind: ObjectKind) -> None:
+        """Watches a kind; returns when it should be listed again.
+
+        Raises:
+            ObjectStoreError: The watch failed, or a check showed that it is dead.
+        """
+        while True:
+            await trio.sleep(BATCH_SECONDS)
+            if await self._copies.wait_until_needed(kind):
+                return
+            sent_at = trio.current_time()
+            with trio.CancelScope() as scope:
+                self._watches[kind] = scope
+                try:
+                    changes = await self._store.watch(
+                        kind, self._snapshots[kind].revision, WATCH_TIMEOUT_SECONDS
+                    )
+                finally:
+                    del self._watches[kind]
+                self._copies.apply_watch(kind, changes, sent_at=sent_at)
+            error = self._watch_errors.pop(kind, None)
+            if error is not None:
+                raise error
+
+    def _get_age(self, kind: ObjectKind) -> float:
+        return round(self._snapshots[kind].get_age(trio.current_time()), 3)
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/metrics.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/metrics.py
@@ -35,3 +35,8 @@
     "Time since the copy of the platform's objects is known to have been complete",
     ["kind"],
 )
+COPY_CHECKS = Counter(
+    "goldcrestvane_object_copy_corrections",
+    "Changes of a copy that no watch had returned, by who returned them",
+    ["kind", "source"],
+)
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/object_cache.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/object_cache.py
@@ -1,6 +1,6 @@
 """Cache of the platform's objects: configuration, targets and members of the ledger."""
 
-import math
+import random
 from collections.abc import Callable
 from typing import final
 
@@ -9,9 +9,12 @@
 
 from goldcrestvane_common.ids import InstanceId, Version
 from goldcrestvane_common.logs import get_logger
-from goldcrestvane_common.objects import ObjectStoreError, RevisionTooOld
+from goldcrestvane_daemon.frontend.copy_bounds import RELISTING_SECONDS, CopyBounds
+from goldcrestvane_daemon.frontend.copy_checker import CopyChecker
+from goldcrestvane_daemon.frontend.copy_watcher import CopyWatcher
 from goldcrestvane_daemon.frontend.ledger_client import LedgerClient
 from goldcrestvane_daemon.frontend.metrics import COPY_AGE_SECONDS
+from goldcrestvane_daemon.frontend.peer_messages import FetchObjects, ObjectsCopy
 from goldcrestvane_daemon.frontend.peers import FrontendPeers
 from goldcrestvane_daemon.frontend.snapshot import ChangeSource, Snapshot
 from goldcrestvane_daemon.ledger.membership_watcher import VIEW_NAME
@@ -22,7 +25,6 @@
     decode_target,
 )
 from goldcrestvane_daemon.platform.store import (
-    BATCH_SECONDS,
     ObjectKind,
     StoreChanges,
     StoreClient,
@@ -31,16 +33,6 @@
 from goldcrestvane_daemon.routes import RouteTable
 from goldcrestvane_daemon.targets import Target, TargetState, TargetTable
 
-WATCH_TIMEOUT_SECONDS = 10.0
-"""Duration of one watch. Shorter watches cost more calls, and keep-alive detects dead
-connections."""
-
-STARTUP_FETCH_SECONDS = 0.3
-"""Time after which a new process also asks other frontends for the objects that the
-store has not returned, and the interval at which it repeats this."""
-
-INITIAL_RETRY_SECONDS = 0.25
-MAX_RETRY_SECONDS = 1.0
 EXPIRY_CHECK_SECONDS = 0.1
 
 VIEW_CHECK_SECONDS = 2.0
@@ -48,13 +40,6 @@
 
 WATCHED_KINDS = (ObjectKind.CONFIGURATION, ObjectKind.TARGETS, ObjectKind.LEDGER)
 
-RELISTING_SECONDS = 2.0
-"""Time within which live targets restore their entries after an outage of the store."""
-
-REMOVAL_MARGIN_SECONDS = 0.4
-"""Margin by which a removed target is dropped before its drain time ends. It covers the
-delay of a watch, the expiry check and the time that a call takes to reach the target."""
-
 logger = get_logger("directory")
 
 
@@ -74,7 +59,8 @@
         targets: TargetTable,
         ledger: LedgerClient,
         frontends: FrontendPeers,
-        drain_seconds: float,
+        bounds: CopyBounds,
+        rng: random.Random,
         on_change: Callable[[Target | None], None],
     ) -> None:
         """Creates an empty cache; `run` fills it.
@@ -83,161 +69,189 @@
             store: Client of the platform's store.
             targets: Table that the cache updates.
             ledger: Ledger client that receives new views.
-            frontends: Frontends to fetch objects from while the store does not answer.
-            drain_seconds: Time after which a leaving target gets no new call.
+            frontends: Frontends whose copies may confirm or replace those of this one.
+            bounds: Time bounds of the deployment.
+            rng: Draws the times of checks.
             on_change: Called after each change of the targets or the configuration,
                 with the target that was removed or replaced, if any.
         """
-        self._store = store
         self._targets = targets
         self._ledger = ledger
         self._on_change = on_change
-        self._frontends = frontends
-        self._removal_seconds = max(0.0, drain_seconds - REMOVAL_MARGIN_SECONDS)
+        self._bounds = bounds
         self._snapshots = {kind: Snapshot() for kind in WATCHED_KINDS}
         self._missing: dict[InstanceId, float] = {}
+        self._watcher = CopyWatcher(store=store, snapshots=self._snapshots, copies=self)
+        self._checker = CopyChecker(
+            store=store,
+            frontends=frontends,
+            snapshots=self._snapshots,
+            copies=self,
+            watcher=self._watcher,
+            bounds=bounds,
+            rng=rng,
+        )
         self.routes: RouteTable | None = None
         self.synced = trio.Event()
 
     async def run(self) -> None:
-        """Watches the store until cancelled."""
+        """Keeps the copies current until cancelled."""
         async with trio.open_nursery() as nursery:
-            for kind in WATCHED_KINDS:
-                nursery.start_soon(self._watch_kind, kind)
+            nursery.start_soon(self._watcher.run)
+            nursery.start_soon(self._checker.run)
             nursery.start_soon(self._maintain_periodically)
-            nursery.start_soon(self._fetch_at_startup)
-
-    async def _fetch_at_startup(self) -> None:
-        """Fetches objects from other frontends while the store hangs at startup."""
-        while any(snapshot.revision == 0 for snapshot in self._snapshots.values()):
-            await trio.sleep(STARTUP_FETCH_SECONDS)
-            for kind, snapshot in self._snapshots.items():
-                if snapshot.revision == 0:
-                    await self._fetch_from_frontends(kind)
-
-    async def _watch_kind(self, kind: ObjectKind) -> None:
-        retry_seconds = INITIAL_RETRY_SECONDS
-        reachable = True
-        while True:
-            try:
-                sent_at = trio.current_time()
-                changes = await self._store.list(kind)
-                if not reachable:
-                    logger.info(
-                        "the store answers again",
-                        extra={"kind": kind.value, "age": self._get_age(kind)},
-                    )
-                self._apply_list(
-                    kind, changes, sent_at=sent_at, after_outage=not reachable
-                )
-                reachable = True
-                retry_seconds = INITIAL_RETRY_SECONDS
-                while True:
-                    await trio.sleep(BATCH_SECONDS)
-                    if kind is ObjectKind.LEDGER and self._ledger.view is not None:
-                        await self._wait_while_reachable()
-                        break
-                    sent_at = trio.current_time()
-                    changes = await self._store.watch(
-                        kind, self._snapshots[kind].revision, WATCH_TIMEOUT_SECONDS
-                    )
-                    self._apply_changes(kind, changes, sent_at=sent_at)
-            except RevisionTooOld as error:
-                logger.info(
-                    "listing again after a gap in the history",
-                    extra={"reason": str(error)},
-                )
-            except ObjectStoreError as error:
-                if reachable:
-                    logger.warning(
-                        "the store does not answer",
-                        extra={
-                            "kind": kind.value,
-                            "reason": str(error),
-                            "age": self._get_age(kind),
-                        },
-                    )
-                reachable = False
-                await self._fetch_from_frontends(kind)
-                await trio.sleep(retry_seconds)
-                retry_seconds = min(2 * retry_seconds, MAX_RETRY_SECONDS)
-
-    async def _wait_while_reachable(self) -> None:
-        """Returns once the known members of the ledger seem to be gone.
-
-        Until then newer views come from the members themselves.
+
+    async def wait_until_needed(self, kind: ObjectKind) -> bool:
+        """Waits while a kind needs no watch; returns whether it had to wait.
+
+        Newer views come from the members of the ledger as long as these are reachable.
         """
+        if kind is not ObjectKind.LEDGER or self._ledger.view is None:
+            return False
         while True:
             await trio.sleep(VIEW_CHECK_SECONDS)
             if not self._ledger.is_reachable:
-                return
+                return True
+
+    def needs_check(self, kind: ObjectKind) -> bool:
+        """Returns whether the copy of a kind has to be current."""
+        return kind is not ObjectKind.LEDGER or self._ledger.view is None
+
+    def get_copy(self, request: FetchObjects) -> ObjectsCopy:
+        """Returns the state of the copy of a kind, for another frontend."""
+        snapshot = self._snapshots[ObjectKind(request.kind)]
+        if snapshot.revision == 0:
+            return ObjectsCopy(None)
+        digest = snapshot.compute_digest()
+        changes = None
+        if snapshot.revision > request.since and digest != request.digest:
+            changes = StoreChanges(list(snapshot.objects.values()), snapshot.revision)
+        age = snapshot.get_age(trio.current_time())
+        return ObjectsCopy(changes, snapshot.revision, digest, age)
+
+    def get_revision(self, kind: ObjectKind) -> Version:
+        """Returns the revision of the copy of a kind; 0 if there is none."""
+        return self._snapshots[kind].revision
 
-    async def _fetch_from_frontends(self, kind: ObjectKind) -> None:
-        """Adopts a newer snapshot from another frontend, if one has it."""
-        snapshot = await self._frontends.fetch_objects(
-            kind, self._snapshots[kind].revision
+    def _measure_ages(self) -> None:
+        now = trio.current_time()
+        for kind, snapshot in self._snapshots.items():
+            COPY_AGE_SECONDS.labels(kind.value).set(snapshot.get_age(now))
+
+    def apply_list(
+        self,
+        kind: ObjectKind,
+        changes: StoreChanges,
+        *,
+        sent_at: float,
+        after_outage: bool,
+    ) -> None:
+        """Applies the list that the store returned to a call sent at `sent_at`.
+
+        Entries of live targets expire while the store is unavailable. After an outage
+        such targets get time to restore their entries; otherwise a missing target is
+        removed at once.
+        """
+        grace = RELISTING_SECONDS if after_outage else 0.0
+        self._replace(
+            kind,
+            changes,
+            confirmed_at=sent_at,
+            removal_at=trio.current_time() + grace,
+            source=ChangeSource.LIST,
         )
-        if snapshot is not None and snapshot.revision > self._snapshots[kind].revision:
-            logger.info(
-                "adopted a snapshot of another frontend",
-                extra={"kind": kind.value, "revision": snapshot.revision},
-            )
-            # The age of the other frontend's copy is unknown.
-            self._apply_list(
-                kind,
-                snapshot,
-                sent_at=-math.inf,
-                after_outage=True,
-                source=ChangeSource.PEER,
-            )
 
-    def _get_age(self, kind: ObjectKind) -> float:
-        return round(self._snapshots[kind].get_age(trio.current_time()), 3)
+    def apply_copy(
+        self, kind: ObjectKind, copy: StoreChanges, *, confirmed_at: float
+    ) -> None:
+        """Applies the newer copy of another frontend."""
+        self._replace(
+            kind,
+            copy,
+            confirmed_at=confirmed_at,
+            removal_at=self._get_removal_time(kind),
+            source=ChangeSource.PEER,
+        )
 
-    def _measure_ages(self) -> None:
-        for kind in WATCHED_KINDS:
-            COPY_AGE_SECONDS.labels(kind.value).set(self._get_age(kind))
+    def apply_watch(
+        self, kind: ObjectKind, changes: StoreChanges, *, sent_at: float
+    ) -> None:
+        """Applies changes that a watch sent at `sent_at` returned."""
+        self._update(
+            kind,
+            changes,
+            confirmed_at=sent_at,
+            removal_at=trio.current_time() + self._bounds.removal_seconds,
+            source=ChangeSource.WATCH,
+        )
 
-    def get_objects(self, kind: ObjectKind, since: Version) -> StoreChanges | None:
-        """Returns all objects of a kind, or None if they are not newer than `since`."""
-        snapshot = self._snapshots[kind]
-        if snapshot.revision <= since:
-            return None
-        return StoreChanges(list(snapshot.objects.values()), snapshot.revision)
+    def apply_check(
+        self, kind: ObjectKind, changes: StoreChanges, *, sent_at: float
+    ) -> None:
+        """Applies changes that the store returned to a check sent at `sent_at`."""
+        self._update(
+            kind,
+            changes,
+            confirmed_at=sent_at,
+            removal_at=self._get_removal_time(kind),
+            source=ChangeSource.CHECK,
+        )
 
-    def _apply_list(
+    def _update(
         self,
         kind: ObjectKind,
         changes: StoreChanges,
         *,
-        sent_at: float,
-        after_outage: bool,
-        source: ChangeSource = ChangeSource.LIST,
+        confirmed_at: float,
+        removal_at: float,
+        source: ChangeSource,
     ) -> None:
-        if not self._snapshots[kind].replace(changes, confirmed_at=sent_at):
+        if not self._snapshots[kind].update(changes, confirmed_at=confirmed_at):
             return
-        if kind is ObjectKind.TARGETS:
-            self._mark_missing(changes, after_outage=after_outage)
         for item in changes.objects:
-            self._apply(kind, item, source)
+            self._apply(kind, item, source, removal_at)
         self._update_synced()
 
-    def _apply_changes(
-        self, kind: ObjectKind, changes: StoreChanges, *, sent_at: float
+    def _get_removal_time(self, kind: ObjectKind) -> float:
+        """Returns until when targets are used that are missing from a newer copy.
+
+        They may have been removed right after the present copy was confirmed. While the
+        store is unavailable, their entries may only have expired.
+        """
+        if not self._watcher.is_available(kind):
+            return trio.current_time() + RELISTING_SECONDS
+        return self._snapshots[kind].confirmed_at + self._bounds.removal_seconds
+
+    def _replace(
+        self,
+        kind: ObjectKind,
+        changes: StoreChanges,
+        *,
+        confirmed_at: float,
+        removal_at: float,
+        source: ChangeSource,
     ) -> None:
-        if not self._snapshots[kind].update(changes, confirmed_at=sent_at):
+        if not self._snapshots[kind].replace(changes, confirmed_at=confirmed_at):
             return
+        if kind is ObjectKind.TARGETS:
+            self._mark_missing(changes, removal_at)
         for item in changes.objects:
-            self._apply(kind, item, ChangeSource.WATCH)
+            self._apply(kind, item, source, removal_at)
         self._update_synced()
 
     def _update_synced(self) -> None:
         if self.routes is not None and self._snapshots[ObjectKind.TARGETS].revision:
             self.synced.set()
 
-    def _apply(self, kind: ObjectKind, item: StoreObject, source: ChangeSource) -> None:
+    def _apply(
+        self,
+        kind: ObjectKind,
+        item: StoreObject,
+        source: ChangeSource,
+        removal_at: float,
+    ) -> None:
         if kind is ObjectKind.TARGETS:
-            self._apply_target(item, source)
+            self._apply_target(item, source, removal_at)
         elif kind is ObjectKind.CONFIGURATION:
             self._apply_configuration(item, source)
         else:
@@ -279,12 +293,14 @@
                 "cannot decode the view of the ledger", extra={"reason": str(error)}
             )
 
-    def _apply_target(self, item: StoreObject, source: ChangeSource) -> None:
+    def _apply_target(
+        self, item: StoreObject, source: ChangeSource, removal_at: float
+    ) -> None:
         instance = InstanceId(item.name)
-        self._missing.pop(instance, None)
         if item.deleted:
-            self._apply_removal(instance)
+            self._apply_removal(instance, removal_at)
             return
+        self._missing.pop(instance, None)
         target = decode_target(item.name, item.value)
         if target is None:
             logger.warning(
@@ -307,7 +323,7 @@
             )
             self._on_change(replaced)
 
-    def _apply_removal(self, instance: InstanceId) -> None:
+    def _apply_removal(self, instance: InstanceId, removal_at: float) -> None:
         """Removes a draining target at once, and any other target after a delay.
 
         The entry of a ready target may have expired during an outage that this process
@@ -319,7 +335,7 @@
             self._remove(instance, "removed")
             return
         logger.info("a ready target is no longer listed", extra={"target": instance})
-        self._missing[instance] = trio.current_time() + self._removal_seconds
+        self._missing.setdefault(instance, removal_at)
 
     def _remove(self, instance: InstanceId, reason: str) -> None:
         target = self._targets.get(instance)
@@ -329,18 +345,12 @@
             )
             self._on_change(target)
 
-    def _mark_missing(self, changes: StoreChanges, *, after_outage: bool) -> None:
-        """Marks targets that a new list does not contain.
-
-        Entries of live targets expire while the store is unavailable. After an outage
-        such targets get time to restore their entries; otherwise a missing target is
-        removed at once.
-        """
+    def _mark_missing(self, changes: StoreChanges, removal_at: float) -> None:
+        """Marks the targets that a new list does not contain."""
         listed = {item.name for item in changes.objects}
-        expires_at = trio.current_time() + (RELISTING_SECONDS if after_outage else 0.0)
         for target in self._targets.list_all():
             if target.instance not in listed:
-                self._missing.setdefault(target.instance, expires_at)
+                self._missing.setdefault(target.instance, removal_at)
         self._expire_missing()
 
     async def _maintain_periodically(self) -> None:
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/peer_messages.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/peer_messages.py
@@ -22,10 +22,12 @@
     Attributes:
         kind: Name of the kind.
         since: Revision that the sender has. Only a newer copy is returned.
+        digest: Hash of the sender's copy. A copy with the same hash is not returned.
     """
 
     kind: str
     since: Version
+    digest: str = ""
 
 
 class ReportDeaths(msgspec.Struct, frozen=True, tag="deaths", array_like=True):
@@ -45,9 +47,20 @@
 
 
 class ObjectsCopy(msgspec.Struct, frozen=True, tag="copy", array_like=True):
-    """All objects of a kind; None if the copy is not newer than the sender's."""
+    """State of a frontend's copy of one kind.
+
+    Attributes:
+        changes: All objects; None if the copy is not newer than the sender's.
+        revision: Revision of the copy.
+        digest: Hash of the copy.
+        age_seconds: Time since the copy is known to have been complete; None if there
+            is no copy.
+    """
 
     changes: StoreChanges | None
+    revision: Version = Version(0)
+    digest: str = ""
+    age_seconds: float | None = None
 
 
 class ReportAccepted(msgspec.Struct, frozen=True, tag="noted", array_like=True):
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/peers.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/peers.py
@@ -30,18 +30,21 @@
     serve_frames,
 )
 from goldcrestvane_daemon.ledger.messages import Frontend
-from goldcrestvane_daemon.platform.store import ObjectKind, StoreChanges
+from goldcrestvane_daemon.platform.store import ObjectKind
 
 MAX_PEERS = 4
 """Number of frontends to stay connected to. They forward reports to the others."""
 
 REQUEST_TIMEOUT_SECONDS = 1.0
+COPY_TIMEOUT_SECONDS = 0.5
+"""Time for which copies of other frontends are awaited."""
+
 RELAY_MARGIN_SECONDS = 0.2
 
 logger = get_logger("peers")
 
 CallMember = Callable[[str, Any, float], Awaitable[Any]]
-GetObjects = Callable[[ObjectKind, Version], StoreChanges | None]
+GetCopy = Callable[[FetchObjects], ObjectsCopy]
 
 
 @final
@@ -56,17 +59,17 @@
         self._nursery = nursery
         self._peers: dict[str, tuple[PeerConnection, trio.CancelScope]] = {}
         self._call_member: CallMember | None = None
-        self._get_objects: GetObjects | None = None
+        self._get_copy: GetCopy | None = None
 
-    def set_handlers(self, call_member: CallMember, get_objects: GetObjects) -> None:
+    def set_handlers(self, call_member: CallMember, get_copy: GetCopy) -> None:
         """Sets the functions that serve requests of other frontends.
 
         Args:
             call_member: Sends a request to a member of the ledger by its address.
-            get_objects: Returns the objects of a kind, if newer than a revision.
+            get_copy: Returns the state of this frontend's copy of a kind.
         """
         self._call_member = call_member
-        self._get_objects = get_objects
+        self._get_copy = get_copy
 
     def connect_seeds(self, addresses: Sequence[str]) -> None:
         """Connects to the frontends in the settings.
@@ -122,23 +125,33 @@
                 return answer.response
         raise PeerUnreachable(f"No frontend reaches {address} either.")
 
-    async def fetch_objects(
-        self, kind: ObjectKind, since: Version
-    ) -> StoreChanges | None:
-        """Returns the newest copy of the other frontends, or None if none is newer."""
-        newest: StoreChanges | None = None
-        for peer in self._list_connected():
+    async def fetch_copies(
+        self, kind: ObjectKind, since: Version, digest: str
+    ) -> list[ObjectsCopy]:
+        """Returns the state of the other frontends' copies of a kind.
+
+        Args:
+            kind: Kind of the objects.
+            since: Revision of this frontend's copy. Newer copies come with objects.
+            digest: Hash of this frontend's copy.
+        """
+        request = FetchObjects(kind.value, since, digest)
+        copies: list[ObjectsCopy] = []
+
+        async def fetch(peer: PeerConnection) -> None:
             try:
-                answer = await peer.call(
-                    FetchObjects(kind.value, since), timeout=REQUEST_TIMEOUT_SECONDS
-                )
+                answer = await peer.call(request, timeout=REQUEST_TIMEOUT_SECONDS)
             except PeerUnreachable as error:
                 logger.info("a frontend does not answer", extra={"reason": str(error)})
-                continue
-            if isinstance(answer, ObjectsCopy) and answer.changes is not None:
-                newest = answer.changes
-                since = newest.revision
-        return newest
+                return
+            if isinstance(answer, ObjectsCopy):
+                copies.append(answer)
+
+        with trio.move_on_after(COPY_TIMEOUT_SECONDS):
+            async with trio.open_nursery() as nursery:
+                for peer in self._list_connected():
+                    nursery.start_soon(fetch, peer)
+        return copies
 
     def report_deaths(self, fingerprint: Fingerprint, targets: list[str]) -> None:
         """Reports targets that died with a request to the connected frontends."""
@@ -179,9 +192,9 @@
 
     @handle.register
     async def _(self, request: FetchObjects) -> FrontendResponse:
-        if self._get_objects is None:
+        if self._get_copy is None:
             return ObjectsCopy(None)
-        return ObjectsCopy(self._get_objects(ObjectKind(request.kind), request.since))
+        return self._get_copy(request)
 
     @handle.register
     async def _(self, request: ReportDeaths) -> FrontendResponse:
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/process.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/process.py
@@ -1,5 +1,6 @@
 """The frontend role: creates its components and runs them."""
 
+import random
 import socket
 from collections.abc import Callable
 from typing import final
@@ -7,10 +8,12 @@
 import h11
 import trio
 
+from goldcrestvane_common.ids import hash_text
 from goldcrestvane_common.logs import get_logger
 from goldcrestvane_common.transport import Transport
 from goldcrestvane_daemon.frontend.calls import CallService
 from goldcrestvane_daemon.frontend.clients import ClientServer
+from goldcrestvane_daemon.frontend.copy_bounds import CopyBounds
 from goldcrestvane_daemon.frontend.crash_tracker import CrashTracker
 from goldcrestvane_daemon.frontend.graceful_shutdown import GracefulShutdown
 from goldcrestvane_daemon.frontend.ledger_client import LedgerClient
@@ -81,7 +84,12 @@
                 targets=targets,
                 ledger=ledger,
                 frontends=frontends,
-                drain_seconds=settings.drain_seconds,
+                bounds=CopyBounds(
+                    propagation_seconds=settings.propagation_seconds,
+                    drain_seconds=settings.drain_seconds,
+                    stable_seconds=settings.stable_seconds,
+                ),
+                rng=random.Random(hash_text(settings.instance)),
                 on_change=calls.handle_targets_changed,
             )
             clients = ClientServer(
@@ -95,7 +103,7 @@
             async def serve_ready(stream: trio.SocketStream) -> None:
                 await _serve_readiness(stream, is_ready)
 
-            frontends.set_handlers(ledger.call_member, object_cache.get_objects)
+            frontends.set_handlers(ledger.call_member, object_cache.get_copy)
             nursery.start_soon(object_cache.run)
             nursery.start_soon(ledger.run)
             nursery.start_soon(serve_metrics, settings.host)
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/snapshot.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/snapshot.py
@@ -4,6 +4,9 @@
 from enum import Enum
 from typing import final
 
+import msgspec
+import xxhash
+
 from goldcrestvane_common.ids import Version
 from goldcrestvane_daemon.platform.store import StoreChanges, StoreObject
 
@@ -13,6 +16,7 @@
 
     LIST = "list"
     WATCH = "watch"
+    CHECK = "check"
     PEER = "peer"
 
 
@@ -31,6 +35,7 @@
         self.objects: dict[str, StoreObject] = {}
         self.revision = Version(0)
         self.confirmed_at = -math.inf
+        self._digest: str | None = None
 
     def get_age(self, now: float) -> float:
         """Returns the seconds since the copy is known to have been complete."""
@@ -45,7 +50,8 @@
         if changes.revision < self.revision:
             return False
         self.objects = {item.name: item for item in changes.objects}
-        self._advance(changes.revision, confirmed_at)
+        self._digest = None
+        self.confirm(changes.revision, confirmed_at)
         return True
 
     def update(self, changes: StoreChanges, *, confirmed_at: float) -> bool:
@@ -60,9 +66,20 @@
             self.objects.pop(item.name, None)
             if not item.deleted:
                 self.objects[item.name] = item
-        self._advance(changes.revision, confirmed_at)
+            self._digest = None
+        self.confirm(changes.revision, confirmed_at)
         return True
 
-    def _advance(self, revision: Version, confirmed_at: float) -> None:
-        self.revision = revision
+    def compute_digest(self) -> str:
+        """Returns a hash that is equal for copies with the same objects."""
+        if self._digest is None:
+            versions = sorted(
+                (item.name, item.version) for item in self.objects.values()
+            )
+            self._digest = xxhash.xxh3_64_hexdigest(msgspec.json.encode(versions))
+        return self._digest
+
+    def confirm(self, revision: Version, confirmed_at: float) -> None:
+        """Records that the copy was complete at a revision and at a time."""
+        self.revision = max(self.revision, revision)
         self.confirmed_at = max(self.confirmed_at, confirmed_at)
--- a/packages/daemon/src/goldcrestvane_daemon/platform/machine.py
+++ b/packages/daemon/src/goldcrestvane_daemon/platform/machine.py
@@ -33,6 +33,7 @@
     drain_ms: float = 2000
     grace_s: float = 8
     stable_window_ms: float = 3000
+    config_propagation_ms: float = 2000
 
 
 class _Platform(msgspec.Struct, frozen=True):
@@ -73,6 +74,9 @@
         data_folder: Folder on the machine's disk, if it has one.
         tolerated_losses: Number of machines with disks that may be lost simultaneously.
         drain_seconds: Time after which a leaving target must get no new calls.
+        propagation_seconds: Time within which a configuration must be in force.
+        stable_seconds: Time after an outage within which the copies of the platform's
+            objects must be current.
         grace_seconds: Time between the shutdown signal and the kill.
         memory_mb: Memory limit at which the platform kills the process.
     """
@@ -90,6 +94,8 @@
     data_folder: Path | None = None
     tolerated_losses: int = 1
     drain_seconds: float = 2.0
+    propagation_seconds: float = 2.0
+    stable_seconds: float = 3.0
     grace_seconds: float = 8.0
     memory_mb: float = 0
 
@@ -141,6 +147,8 @@
         data_folder=Path(raw.data_directory) if raw.data_directory else None,
         tolerated_losses=raw.fault_tolerance.machines,
         drain_seconds=raw.bounds.drain_ms / 1000,
+        propagation_seconds=raw.bounds.config_propagation_ms / 1000,
+        stable_seconds=raw.bounds.stable_window_ms / 1000,
         grace_seconds=raw.bounds.grace_s,
         memory_mb=raw.limits.memory_mb,
     )
--- a/packages/daemon/src/goldcrestvane_daemon/platform/store.py
+++ b/packages/daemon/src/goldcrestvane_daemon/platform/store.py
@@ -24,6 +24,9 @@
 """A healthy store responds within milliseconds."""
 
 WATCH_MARGIN_SECONDS = 2.0
+CHECK_TIMEOUT_SECONDS = 1.0
+"""Timeout of a call that asks for changes and does not wait for them."""
+
 
 BATCH_SECONDS = 0.2
 """Pause between two watches of a kind. Without it, a burst of changes costs each process
@@ -107,9 +110,15 @@
         self._address = address
         self.call_count = 0
 
-    async def list(self, kind: ObjectKind) -> StoreChanges:
+    async def list(
+        self, kind: ObjectKind, *, timeout: float = CALL_TIMEOUT_SECONDS
+    ) -> StoreChanges:
         """Returns all objects of a kind.
 
+        Args:
+            kind: Kind of the objects.
+            timeout: Seconds without progress after which a call fails.
+
         Raises:
             ObjectStoreUnavailable: The store cannot be read.
         """
@@ -118,7 +127,7 @@
         path = _build_path(kind)
         while True:
             suffix = f"?after={quote(objects[-1].name, safe='')}" if objects else ""
-            page = _decode(await self._read(path + suffix), _WireList)
+            page = _decode(await self._read(path + suffix, timeout), _WireList)
             # Later pages may be newer. A watch from the first page's revision repeats
             # the changes made between the pages and misses none.
             revision = Version(page.at) if revision is None else revision
@@ -135,8 +144,20 @@
             ObjectStoreUnavailable: The store cannot be read.
             RevisionTooOld: The store no longer has the changes after the revision.
         """
+        return await self._watch(kind, since, seconds, seconds + WATCH_MARGIN_SECONDS)
+
+    async def get_changes(self, kind: ObjectKind, since: Version) -> StoreChanges:
+        """Returns the changes of a kind after a revision, at once and also if none.
+
+        Raises the same errors as `watch`.
+        """
+        return await self._watch(kind, since, 0.0, CHECK_TIMEOUT_SECONDS)
+
+    async def _watch(
+        self, kind: ObjectKind, since: Version, seconds: float, timeout: float
+    ) -> StoreChanges:
         path = f"{_build_path(kind)}?watch={since}&wait_ms={int(seconds * 1000)}"
-        response = await self._read(path, timeout=seconds + WATCH_MARGIN_SECONDS)
+        response = await self._read(path, timeout)
         if response.status == 410:
             raise RevisionTooOld(f"Revision {since} of {kind.value} is too old.")
         changes = _decode(response, _WireEvents)
@@ -193,15 +214,17 @@
                 f"The write of {name} returned status {response.status}."
             )
 
-    async def _read(
-        self, path: str, timeout: float = CALL_TIMEOUT_SECONDS
-    ) -> ClientResponse:
+    async def _read(self, path: str, timeout: float) -> ClientResponse:
         self.call_count += 1
         try:
             response = await self._transport.send(
                 "GET", self._address, path, timeout=timeout
             )
-        except (ConnectFailed, ExchangeBroken) as error:
+        except ConnectFailed as error:
+            raise ObjectStoreUnavailable(str(error)) from error
+        except ExchangeBroken as error:
+            # What silenced this connection may have silenced the idle ones too.
+            await self._transport.close_idle(self._address)
             raise ObjectStoreUnavailable(str(error)) from error
         if response.status not in (200, 410):
             raise ObjectStoreUnavailable(
--- a/packages/daemon/tests/frontend/frontend_case.py
+++ b/packages/daemon/tests/frontend/frontend_case.py
@@ -3,6 +3,7 @@
 The object cache, the calls and the connections are real; the ledger is a fake.
 """
 
+import random
 import unittest
 
 import msgspec
@@ -13,6 +14,7 @@
 from goldcrestvane_common.transport import Transport
 from goldcrestvane_daemon.frontend.calls import CallService
 from goldcrestvane_daemon.frontend.clients import ClientServer
+from goldcrestvane_daemon.frontend.copy_bounds import CopyBounds
 from goldcrestvane_daemon.frontend.crash_tracker import CrashTracker
 from goldcrestvane_daemon.frontend.graceful_shutdown import GracefulShutdown
 from goldcrestvane_daemon.frontend.ledger_answers import OpenedTurn
@@ -140,7 +142,8 @@
             targets=table,
             ledger=self.ledger,
             frontends=frontends,
-            drain_seconds=2.0,
+            bounds=CopyBounds(),
+            rng=random.Random(1),
             on_change=self.calls.handle_targets_changed,
         )
         self.nursery.start_soon(self.object_cache.run)
@@ -177,8 +180,8 @@
         """Waits until the frontend has the store's current objects of a kind."""
 
         def is_synced():
-            copy = self.object_cache.get_objects(kind, 0)
-            return copy and copy.revision >= self.platform.store.revision
+            revision = self.object_cache.get_revision(kind)
+            return revision >= self.platform.store.revision
 
         await self.wait(is_synced)
 
--- a/packages/daemon/tests/frontend/test_object_cache.py
+++ b/packages/daemon/tests/frontend/test_object_cache.py
@@ -1,3 +1,4 @@
+import random
 import unittest
 from collections import Counter
 from unittest import mock
@@ -7,9 +8,13 @@
 import trio.testing
 
 from goldcrestvane_common.objects import ObjectStoreUnavailable
+from goldcrestvane_daemon.frontend.copy_bounds import CopyBounds
 from goldcrestvane_daemon.frontend.object_cache import ObjectCache
+from goldcrestvane_daemon.frontend.peer_messages import ObjectsCopy
 from goldcrestvane_daemon.platform.store import (
     BATCH_SECONDS,
+    CALL_TIMEOUT_SECONDS,
+    CHECK_TIMEOUT_SECONDS,
     WATCH_MARGIN_SECONDS,
     ObjectKind,
     StoreChanges,
@@ -28,6 +33,7 @@
 
 CONFIG_PROPAGATION_SECONDS = 2.0
 DRAIN_SECONDS = 2.0
+STABLE_SECONDS = 3.0
 """Bounds of the platform's settings file."""
 
 
@@ -35,7 +41,7 @@
     """In-memory store of the platform.
 
     While `silent_watches` is set, watches that wait get no response, as on a connection
-    that went silent.
+    that went silent. While `silent` is set, no call gets one.
     """
 
     def __init__(self):
@@ -46,6 +52,7 @@
         self.hangs = False
         self.hang = trio.Event()
         self.silent_watches = False
+        self.silent = False
         self._events = []
         self.list_counts = Counter()
         self.watch_counts = Counter()
@@ -83,9 +90,12 @@
         value = msgspec.json.encode(self.entries[name])
         return StoreObject(name, self.revision, value)
 
-    async def list(self, kind):
+    async def list(self, kind, *, timeout=CALL_TIMEOUT_SECONDS):
         self.list_counts[kind] += 1
         await trio.sleep(0.004)
+        if self.silent:
+            await trio.sleep(timeout)
+            raise ObjectStoreUnavailable("no response")
         revision = self.revision
         if self.hangs:
             await self.hang.wait()
@@ -96,10 +106,16 @@
         names = self.entries if kind is ObjectKind.TARGETS else ()
         return StoreChanges([self._build(name) for name in names], revision)
 
+    async def get_changes(self, kind, since):
+        return await self.watch(kind, since, 0.0)
+
     async def watch(self, kind, since, seconds):
         self.watch_counts[kind] += 1
         await trio.lowlevel.checkpoint()
-        if self.silent_watches and seconds:
+        if self.silent and not seconds:
+            await trio.sleep(CHECK_TIMEOUT_SECONDS)
+            raise ObjectStoreUnavailable("no response")
+        if (self.silent_watches or self.silent) and seconds:
             await trio.sleep(seconds + WATCH_MARGIN_SECONDS)
             raise ObjectStoreUnavailable("no response")
         with trio.move_on_after(seconds):
@@ -114,7 +130,7 @@
                 if found or not seconds:
                     return StoreChanges(found, self.revision)
                 await self._changed.wait()
-                if self.silent_watches:
+                if self.silent_watches or self.silent:
                     await trio.sleep_forever()
         return StoreChanges([], since)
 
@@ -129,9 +145,11 @@
     def __init__(self, copy=None):
         self.copy = copy
 
-    async def fetch_objects(self, kind, since):
+    async def fetch_copies(self, kind, since, digest):
         await trio.lowlevel.checkpoint()
-        return self.copy if kind is ObjectKind.TARGETS else None
+        if self.copy is None or kind is not ObjectKind.TARGETS:
+            return []
+        return [ObjectsCopy(self.copy, self.copy.revision, "copy", 0.0)]
 
 
 class ObjectCacheTests(unittest.TestCase):
@@ -145,7 +163,12 @@
                 targets=table,
                 ledger=ledger or mock.Mock(view=None),
                 frontends=FakeFrontends(copy),
-                drain_seconds=DRAIN_SECONDS,
+                bounds=CopyBounds(
+                    propagation_seconds=CONFIG_PROPAGATION_SECONDS,
+                    drain_seconds=DRAIN_SECONDS,
+                    stable_seconds=STABLE_SECONDS,
+                ),
+                rng=random.Random(1),
                 on_change=lambda gone: None,
             )
             self.object_cache = object_cache
@@ -283,6 +306,37 @@
 
         self.run_script(script)
 
+    def list_failing_outages(self, check):
+        """Returns the lengths of outages after which a copy is not current in time."""
+        failing = []
+        for tenths in range(60, 100):
+
+            async def script(store, is_target_used, tenths=tenths):
+                store.silent = True
+                await trio.sleep(tenths / 20)
+                store.put_configuration(7)
+                store.delete("i-1")
+                await trio.sleep(tenths / 20)
+                store.silent = False
+                await trio.sleep(STABLE_SECONDS)
+                if not check(is_target_used):
+                    failing.append(tenths / 10)
+
+            self.run_script(script)
+        return failing
+
+    def test_configuration_is_in_force_in_time_after_a_silent_outage(self):
+        def check(is_target_used):
+            return self.object_cache.routes.configuration.version == 7
+
+        self.assertEqual(self.list_failing_outages(check), [])
+
+    def test_removed_target_is_dropped_in_time_after_a_silent_outage(self):
+        def check(is_target_used):
+            return not is_target_used()
+
+        self.assertEqual(self.list_failing_outages(check), [])
+
     def test_target_with_an_invalid_entry_is_not_used(self):
         async def script(store, is_target_used):
             store.put("i-1", slots="many")
--- /dev/null
+++ b/packages/daemon/tests/platform_/test_store.py
@@ -0,0 +1,67 @@
+import unittest
+from unittest import mock
+
+import msgspec
+import trio
+
+from goldcrestvane_common.objects import ObjectStoreUnavailable
+from goldcrestvane_common.transport import Transport
+from goldcrestvane_daemon.platform import store as store_module
+from goldcrestvane_daemon.platform.store import ObjectKind, StoreClient
+
+BODY = msgspec.json.encode({"items": [], "at": 3})
+RESPONSE = b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n%s" % (len(BODY), BODY)
+TEST_TIMEOUT_SECONDS = 60
+
+
+async def serve_on_loopback(handler, *, task_status):
+    await trio.serve_tcp(handler, 0, host="127.0.0.1", task_status=task_status)
+
+
+class SilentStore:
+    """Answers requests until `silent` is set; its connections then stay open."""
+
+    def __init__(self):
+        self.silent = False
+        self.open_count = 0
+
+    async def serve(self, stream):
+        self.open_count += 1
+        async with stream:
+            while await stream.receive_some():
+                # Two calls at a time need two connections.
+                await trio.sleep(0.05)
+                if not self.silent:
+                    await stream.send_all(RESPONSE)
+        self.open_count -= 1
+
+
+class StoreClientTests(unittest.TestCase):
+    def test_call_without_a_response_closes_the_idle_connections_too(self):
+        async def main():
+            server = SilentStore()
+            async with Transport() as transport, trio.open_nursery() as nursery:
+                listeners = await nursery.start(serve_on_loopback, server.serve)
+                port = listeners[0].socket.getsockname()[1]
+                store = StoreClient(transport, f"127.0.0.1:{port}")
+                async with trio.open_nursery() as calls:
+                    for _ in range(3):
+                        calls.start_soon(store.list, ObjectKind.TARGETS)
+                self.assertEqual(server.open_count, 3)
+                server.silent = True
+                with self.assertRaises(ObjectStoreUnavailable):
+                    await store.get_changes(ObjectKind.TARGETS, 3)
+                while server.open_count:
+                    await trio.sleep(0.01)
+                nursery.cancel_scope.cancel()
+
+        async def run():
+            with trio.fail_after(TEST_TIMEOUT_SECONDS):
+                await main()
+
+        with mock.patch.object(store_module, "CHECK_TIMEOUT_SECONDS", 0.2):
+            trio.run(run)
+
+
+if __name__ == "__main__":
+    unittest.main()
