Return to current copies within the stable time after an outage

Cause: a list that is sent just before the store's return holds its kind for 2 s, a pause of up to 1 s follows, and targets that the next list lacks are kept for 2 s more: 5 s against the 3 s of the stable window. The failure of a watch alone counted as an outage as well, so that removed targets were kept 2 s more after a dead connection. Only a list without an answer counts as an outage. Otherwise removed targets are used until the drain time has passed since the copy was last confirmed. New: test_removed_target_is_dropped_in_time_when_all_connections_go_silent.

--- a/packages/daemon/src/goldcrestvane_daemon/frontend/copy_watcher.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/copy_watcher.py
@@ -7,6 +7,7 @@
 
 from goldcrestvane_common.logs import get_logger
 from goldcrestvane_common.objects import ObjectStoreError, RevisionTooOld
+from goldcrestvane_daemon.frontend.copy_bounds import LIST_TIMEOUT_SECONDS
 from goldcrestvane_daemon.frontend.snapshot import Snapshot
 from goldcrestvane_daemon.platform.store import (
     BATCH_SECONDS,
@@ -18,9 +19,6 @@
 WATCH_TIMEOUT_SECONDS = 10.0
 """Duration of one watch. Shorter watches cost more calls."""
 
-INITIAL_RETRY_SECONDS = 0.25
-MAX_RETRY_SECONDS = 1.0
-
 logger = get_logger("directory")
 
 
@@ -56,6 +54,7 @@
         store: StoreClient,
         snapshots: Mapping[ObjectKind, Snapshot],
         copies: WatchedCopies,
+        retry_seconds: float,
     ) -> None:
         """Creates a watcher; `run` starts it.
 
@@ -63,11 +62,15 @@
             store: Client of the platform's store.
             snapshots: The copies.
             copies: Receives what the store returns.
+            retry_seconds: Pause between two calls to a store that does not answer.
         """
         self._store = store
         self._snapshots = snapshots
         self._copies = copies
-        self._available: set[ObjectKind] = set()
+        self._retry_seconds = retry_seconds
+        self._retry_lock = trio.Lock()
+        self._answered = True
+        self._unavailable: set[ObjectKind] = set()
         self._watches: dict[ObjectKind, trio.CancelScope] = {}
         self._watch_errors: dict[ObjectKind, ObjectStoreError] = {}
 
@@ -78,8 +81,11 @@
                 nursery.start_soon(self._follow_kind, kind)
 
     def is_available(self, kind: ObjectKind) -> bool:
-        """Returns whether the last list or watch of a kind got an answer."""
-        return kind in self._available
+        """Returns whether the store answered the last list of a kind, if there was one.
+
+        A watch that fails does not show that the store is unavailable.
+        """
+        return kind not in self._unavailable
 
     def restart_watch(self, kind: ObjectKind, error: ObjectStoreError | None) -> None:
         """Ends the watch of a kind; with an error, the kind is listed again."""
@@ -91,23 +97,9 @@
         scope.cancel()
 
     async def _follow_kind(self, kind: ObjectKind) -> None:
-        retry_seconds = INITIAL_RETRY_SECONDS
-        reachable = True
         while True:
             try:
-                sent_at = trio.current_time()
-                changes = await self._store.list(kind)
-                if not reachable:
-                    logger.info(
-                        "the store answers again",
-                        extra={"kind": kind.value, "age": self._get_age(kind)},
-                    )
-                self._copies.apply_list(
-                    kind, changes, sent_at=sent_at, after_outage=not reachable
-                )
-                reachable = True
-                self._available.add(kind)
-                retry_seconds = INITIAL_RETRY_SECONDS
+                await self._list_kind(kind)
                 await self._watch_kind(kind)
             except RevisionTooOld as error:
                 logger.info(
@@ -115,19 +107,57 @@
                     extra={"reason": str(error)},
                 )
             except ObjectStoreError as error:
-                if reachable:
-                    logger.warning(
-                        "the store does not answer",
-                        extra={
-                            "kind": kind.value,
-                            "reason": str(error),
-                            "age": self._get_age(kind),
-                        },
-                    )
-                reachable = False
-                self._available.discard(kind)
-                await trio.sleep(retry_seconds)
-                retry_seconds = min(2 * retry_seconds, MAX_RETRY_SECONDS)
+                logger.warning(
+                    "a watch got no answer",
+                    extra={
+                        "kind": kind.value,
+                        "reason": str(error),
+                        "age": self._get_age(kind),
+                    },
+                )
+
+    async def _list_kind(self, kind: ObjectKind) -> None:
+        """Lists a kind, and tries again until the store answers."""
+        if await self._try_list(kind):
+            return
+        while True:
+            # One kind at a time calls a store that does not answer.
+            async with self._retry_lock:
+                if not self._answered:
+                    await trio.sleep(self._retry_seconds)
+                if await self._try_list(kind):
+                    return
+
+    async def _try_list(self, kind: ObjectKind) -> bool:
+        """Lists a kind once; returns whether the store answered."""
+        sent_at = trio.current_time()
+        try:
+            changes = await self._store.list(kind, timeout=LIST_TIMEOUT_SECONDS)
+        except ObjectStoreError as error:
+            self._answered = False
+            if kind not in self._unavailable:
+                self._unavailable.add(kind)
+                logger.warning(
+                    "the store does not answer",
+                    extra={
+                        "kind": kind.value,
+                        "reason": str(error),
+                        "age": self._get_age(kind),
+                    },
+                )
+            return False
+        self._answered = True
+        after_outage = kind in self._unavailable
+        if after_outage:
+            self._unavailable.discard(kind)
+            logger.info(
+                "the store answers again",
+                extra={"kind": kind.value, "age": self._get_age(kind)},
+            )
+        self._copies.apply_list(
+            kind, changes, sent_at=sent_at, after_outage=after_outage
+        )
+        return True
 
     async def _watch_kind(self, kind: ObjectKind) -> None:
         """Watches a kind; returns when it should be listed again.
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/object_cache.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/object_cache.py
@@ -81,7 +81,12 @@
         self._bounds = bounds
         self._snapshots = {kind: Snapshot() for kind in WATCHED_KINDS}
         self._missing: dict[InstanceId, float] = {}
-        self._watcher = CopyWatcher(store=store, snapshots=self._snapshots, copies=self)
+        self._watcher = CopyWatcher(
+            store=store,
+            snapshots=self._snapshots,
+            copies=self,
+            retry_seconds=bounds.retry_seconds,
+        )
         self._checker = CopyChecker(
             store=store,
             frontends=frontends,
@@ -149,15 +154,16 @@
         """Applies the list that the store returned to a call sent at `sent_at`.
 
         Entries of live targets expire while the store is unavailable. After an outage
-        such targets get time to restore their entries; otherwise a missing target is
-        removed at once.
+        such targets get time to restore their entries.
         """
-        grace = RELISTING_SECONDS if after_outage else 0.0
+        removal_at = self._get_removal_time(kind)
+        if after_outage:
+            removal_at = trio.current_time() + RELISTING_SECONDS
         self._replace(
             kind,
             changes,
             confirmed_at=sent_at,
-            removal_at=trio.current_time() + grace,
+            removal_at=removal_at,
             source=ChangeSource.LIST,
         )
 
--- a/packages/daemon/tests/frontend/test_object_cache.py
+++ b/packages/daemon/tests/frontend/test_object_cache.py
@@ -41,7 +41,8 @@
     """In-memory store of the platform.
 
     While `silent_watches` is set, watches that wait get no response, as on a connection
-    that went silent. While `silent` is set, no call gets one.
+    that went silent. While `silent` is set, no call gets one. The next
+    `dead_connections` checks get none either.
     """
 
     def __init__(self):
@@ -53,6 +54,7 @@
         self.hang = trio.Event()
         self.silent_watches = False
         self.silent = False
+        self.dead_connections = 0
         self._events = []
         self.list_counts = Counter()
         self.watch_counts = Counter()
@@ -112,7 +114,8 @@
     async def watch(self, kind, since, seconds):
         self.watch_counts[kind] += 1
         await trio.lowlevel.checkpoint()
-        if self.silent and not seconds:
+        if (self.silent or self.dead_connections) and not seconds:
+            self.dead_connections = max(0, self.dead_connections - 1)
             await trio.sleep(CHECK_TIMEOUT_SECONDS)
             raise ObjectStoreUnavailable("no response")
         if (self.silent_watches or self.silent) and seconds:
@@ -306,6 +309,16 @@
 
         self.run_script(script)
 
+    def test_removed_target_is_dropped_in_time_when_all_connections_go_silent(self):
+        async def script(store, is_target_used):
+            store.silent_watches = True
+            store.dead_connections = 1
+            store.delete("i-1")
+            await trio.sleep(STABLE_SECONDS)
+            self.assertFalse(is_target_used())
+
+        self.run_script(script)
+
     def list_failing_outages(self, check):
         """Returns the lengths of outages after which a copy is not current in time."""
         failing = []
