Send no calls to a target whose answers say that it leaves

New in the platform's protocol: a replica that leaves says so in all its answers (Server-Leaving: 1), and gets no request from a machine that has passed such an answer on for longer than the drain time, whatever the store says. Cause sought elsewhere for the incident of stale copies: until now only the store's entry said that a target leaves, so a stale or restored entry was enough to use it. Change: every head that is read from a target is looked at, also rejections and late answers to other calls. The start of the target (its key, with its time of birth) then counts as draining as long as the process lives; a later start under the same id does not. Remains: an entry without 'born' does not tell a restart at the same address and id.

--- a/packages/daemon/src/goldcrestvane_daemon/frontend/attempts.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/attempts.py
@@ -94,7 +94,11 @@
         self._crash_tracker = crash_tracker
         self._frontends = frontends
         self._nursery = nursery
-        self._connections = TargetConnectionPool()
+        self._connections = TargetConnectionPool(self._mark_leaving)
+
+    def _mark_leaving(self, target: Target) -> None:
+        if self._targets.mark_leaving(target):
+            logger.info("a target leaves", extra={"target": target.instance})
 
     def remove_target(self, target: Target) -> None:
         """Drops the state and the connections of a target that no longer exists."""
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/upstream.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/upstream.py
@@ -2,7 +2,7 @@
 
 import select
 from collections import deque
-from collections.abc import AsyncIterator, Iterator
+from collections.abc import AsyncIterator, Callable, Iterator
 from contextlib import contextmanager
 from typing import final
 
@@ -84,10 +84,15 @@
     """Pool of idle connections to targets.
 
     Each start of a target has its own connections.
+
+    Attributes:
+        on_leaving: Called with a target that says in a response that it leaves.
+        opened_count: Number of connections that were opened.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, on_leaving: Callable[[Target], None]) -> None:
         self._idle: dict[object, deque[_IdleConnection]] = {}
+        self.on_leaving = on_leaving
         self.opened_count = 0
 
     async def open(self, target: Target) -> trio.SocketStream:
@@ -219,6 +224,9 @@
             with _translate_errors(before_response=True):
                 response = await self._exchange.read_head()
             head = decode_response_head(response.status_code, list(response.headers))
+            if head.leaving:
+                # This also holds in a late response to another call.
+                self._connections.on_leaving(self._target)
             if head.call is None or call is None or head.call == call:
                 return head
             async for _ in self.read_chunks():
--- a/packages/daemon/src/goldcrestvane_daemon/platform/headers.py
+++ b/packages/daemon/src/goldcrestvane_daemon/platform/headers.py
@@ -17,6 +17,7 @@
 SIGNATURE = b"goldcrestvane-response-signature"
 NOT_EXECUTED = b"goldcrestvane-not-executed"
 SERVER_LOAD = b"goldcrestvane-server-load"
+SERVER_LEAVING = b"server-leaving"
 PRIORITY = b"goldcrestvane-request-priority"
 PROGRAM = b"goldcrestvane-program-id"
 SESSION = b"goldcrestvane-session-id"
@@ -207,6 +208,7 @@
         executed: False only if the target reports that it did not run the call.
         has_content_encoding: Whether the body has a content encoding, which the system
             never requests.
+        leaving: Whether the target says that it leaves.
         load: Reported load of the target.
         idle_seconds: Time for which the target keeps an idle connection, if known.
         forwarded: Headers to forward to the client.
@@ -217,6 +219,7 @@
     has_signature: bool
     executed: bool
     has_content_encoding: bool
+    leaving: bool
     load: ReportedLoad | None
     idle_seconds: float | None
     forwarded: list[tuple[bytes, bytes]]
@@ -235,6 +238,7 @@
         executed=not (NOT_EXECUTED in values or status == 421),
         has_content_encoding=values.get(b"content-encoding", b"identity")
         != b"identity",
+        leaving=values.get(SERVER_LEAVING, b"0").strip() not in (b"", b"0"),
         load=_read_load(values.get(SERVER_LOAD)),
         idle_seconds=_read_idle_seconds(values.get(b"keep-alive", b"")),
         forwarded=[
--- a/packages/daemon/src/goldcrestvane_daemon/targets.py
+++ b/packages/daemon/src/goldcrestvane_daemon/targets.py
@@ -7,6 +7,11 @@
 
 from goldcrestvane_common.ids import DomainId, InstanceId, ServiceId
 
+TargetKey = tuple[InstanceId, str, int, int]
+
+MAX_LEAVING_TARGETS = 10_000
+"""Maximum number of remembered targets that leave: several times those of a deployment."""
+
 
 class TargetState(Enum):
     """State that a target announces."""
@@ -40,7 +45,7 @@
     born_ms: int = 0
 
     @property
-    def key(self) -> tuple[InstanceId, str, int, int]:
+    def key(self) -> TargetKey:
         """Identifies this start at this address."""
         return (self.instance, self.host, self.port, self.born_ms)
 
@@ -97,9 +102,28 @@
         self._targets: dict[InstanceId, Target] = {}
         self._ready: dict[ServiceId, dict[InstanceId, Target]] = {}
         self._loads: dict[InstanceId, TargetLoadTracker] = {}
+        self._leaving: dict[TargetKey, None] = {}
+
+    def mark_leaving(self, target: Target) -> bool:
+        """Records that a start of a target leaves; returns whether this is new.
+
+        It counts as draining from then on, whatever its entry says, also when the entry
+        is removed and restored.
+        """
+        if target.key in self._leaving:
+            return False
+        self._leaving[target.key] = None
+        if len(self._leaving) > MAX_LEAVING_TARGETS:
+            del self._leaving[next(iter(self._leaving))]
+        known = self._targets.get(target.instance)
+        if known is not None:
+            self.put(known)
+        return True
 
     def put(self, target: Target) -> bool:
         """Adds or replaces a target; returns whether anything changed."""
+        if target.key in self._leaving:
+            target = msgspec.structs.replace(target, state=TargetState.DRAINING)
         known = self._targets.get(target.instance)
         if known == target:
             return False
--- a/packages/daemon/tests/frontend/support.py
+++ b/packages/daemon/tests/frontend/support.py
@@ -58,6 +58,7 @@
     def __init__(self, script):
         self.script = script if isinstance(script, SharedScript) else list(script)
         self.requests = []
+        self.request_times = []
         self.connections = 0
         self.port = 0
         self.resume = trio.Event()
@@ -79,6 +80,7 @@
                     return
                 buffer += data
             self.requests.append(buffer)
+            self.request_times.append(trio.current_time())
             buffer = b""
             for piece in self.script.pop(0):
                 if piece is None:
--- a/packages/daemon/tests/frontend/test_upstream.py
+++ b/packages/daemon/tests/frontend/test_upstream.py
@@ -23,7 +23,7 @@
 
         async def main():
             target = ScriptedTarget(script)
-            connections = TargetConnectionPool()
+            connections = TargetConnectionPool(lambda target: None)
             with trio.fail_after(5):
                 async with trio.open_nursery() as nursery:
                     await nursery.start(target.run)
@@ -90,7 +90,9 @@
 
     def test_unreachable_target_raises_connect_failed(self):
         async def main():
-            request = TargetRequest(TargetConnectionPool(), build_target(1))
+            request = TargetRequest(
+                TargetConnectionPool(lambda target: None), build_target(1)
+            )
             with self.assertRaises(ConnectFailed):
                 async with request:
                     pass
@@ -112,7 +114,7 @@
                 await trio.sleep_forever()
 
             connections = 0
-            pool = TargetConnectionPool()
+            pool = TargetConnectionPool(lambda target: None)
             async with trio.open_nursery() as nursery:
                 listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
                 port = listeners[0].socket.getsockname()[1]
