Give the HTTP connections of all processes TCP keep-alive

Change: the options move to goldcrestvane_common.keepalive and are set on every connection of the HTTP client, so that a dead one fails within 3 s. Evidence: tests/test_transport.py fails before (no such option) and passes with it; ledger tests and frontend/test_calls.py pass. That the kernel closes a silent connection is not shown by a run: it cannot be silenced on loopback without changing the machine.

--- a/packages/common/src/goldcrestvane_common/transport.py
+++ b/packages/common/src/goldcrestvane_common/transport.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from goldcrestvane_common.errors import decode_error
+from goldcrestvane_common.keepalive import KEEPALIVE_OPTIONS
 
 CONNECT_TIMEOUT_SECONDS = 1.0
 MAX_CONNECTIONS_PER_PEER = 512
@@ -150,6 +151,8 @@
                 max_connections=MAX_CONNECTIONS_PER_PEER,
                 max_keepalive_connections=MAX_CONNECTIONS_PER_PEER,
                 keepalive_expiry=KEEP_ALIVE_EXPIRY_SECONDS,
+                # A watch that waits on a dead connection fails.
+                socket_options=KEEPALIVE_OPTIONS,
             )
             self._pools[peer] = pool
         return pool
--- a/packages/daemon/src/goldcrestvane_daemon/ledger/frames.py
+++ b/packages/daemon/src/goldcrestvane_daemon/ledger/frames.py
@@ -6,7 +6,6 @@
 """
 
 import itertools
-import socket
 import struct
 from collections.abc import Awaitable, Callable
 from typing import Any, final
@@ -14,6 +13,7 @@
 import msgspec
 import trio
 
+from goldcrestvane_common.keepalive import KEEPALIVE_OPTIONS
 from goldcrestvane_common.logs import get_logger
 
 LENGTH = struct.Struct(">I")
@@ -27,10 +27,6 @@
 MAX_BACKOFF_SECONDS = 0.3
 """A peer that becomes reachable again is reconnected within this time."""
 
-KEEPALIVE_SECONDS = 1
-KEEPALIVE_PROBES = 2
-"""With the interval above, an unresponsive connection is closed within 3 s."""
-
 MAX_REQUESTS_PER_CONNECTION = 1024
 """Limit on the requests of one peer that are handled concurrently."""
 
@@ -43,12 +39,8 @@
 
 def enable_keepalive(stream: trio.SocketStream) -> None:
     """Makes the kernel close a connection whose peer no longer responds."""
-    stream.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_SECONDS)
-    stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_SECONDS)
-    stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
-    milliseconds = KEEPALIVE_SECONDS * (1 + KEEPALIVE_PROBES) * 1000
-    stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, milliseconds)
+    for option in KEEPALIVE_OPTIONS:
+        stream.setsockopt(*option)
 
 
 @final
