Log the software version of the target of each attempt

Missing for the incident of streams over two versions: a log line of an attempt named neither the version of the target's software nor the attempt that a client resumes, so that a resumption within one answer could not be told from one over two attempts. The entry's 'version' is decoded now; no decision uses it yet. frontend/test_calls.py and the decoding tests pass.

--- a/packages/common/src/goldcrestvane_common/ids.py
+++ b/packages/common/src/goldcrestvane_common/ids.py
@@ -19,6 +19,8 @@
 Epoch = NewType("Epoch", int)
 Fingerprint = NewType("Fingerprint", str)
 Version = NewType("Version", int)
+SoftwareVersion = NewType("SoftwareVersion", str)
+"""Version of a target's software, as its entry states it; versions have no order."""
 
 
 def get_root_program(program: ProgramId) -> ProgramId:
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/attempts.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/attempts.py
@@ -216,6 +216,9 @@
             extra={
                 "call": call.headers.call,
                 "target": target.instance,
+                "software": target.software,
+                "last_event": call.last_event,
+                "resumes": call.headers.resumes,
                 "load": round(
                     self._targets.get_load(target).estimate(trio.current_time()), 1
                 ),
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/object_cache.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/object_cache.py
@@ -322,6 +322,7 @@
                 extra={
                     "target": instance,
                     "service": target.service,
+                    "software": target.software,
                     "state": target.state.value,
                     "revision": item.version,
                     "source": source.value,
--- a/packages/daemon/src/goldcrestvane_daemon/platform/headers.py
+++ b/packages/daemon/src/goldcrestvane_daemon/platform/headers.py
@@ -27,6 +27,7 @@
 PREVIOUS_TURN = b"goldcrestvane-previous-turn"
 PROMPT_PREFIX = b"goldcrestvane-prompt-prefix"
 LAST_EVENT_ID = b"last-event-id"
+RESUMES = b"resumes"
 AFFINITY_COOKIE = "goldcrestvane-affinity-key"
 RETRY_AFTER = b"retry-after"
 
@@ -80,6 +81,8 @@
         output_tokens: Maximum number of tokens that the call generates.
         previous_turn: Preceding turn.
         last_event: Id of the last event of the stream that the client received.
+        resumes: Attempt of the client that brought the first event of a stream that this
+            call takes up again.
         affinity: Key of the object that the call concerns.
         prompt_root: First part of the prompt, which the most other prompts share.
         forwarded: Headers to forward to the target.
@@ -96,6 +99,7 @@
     output_tokens: int
     previous_turn: CallId | None
     last_event: int | None
+    resumes: CallId | None
     affinity: str | None
     prompt_root: str | None
     forwarded: list[tuple[bytes, bytes]]
@@ -129,6 +133,7 @@
         output_tokens=int(usage[1]) if len(usage) > 1 else 0,
         previous_turn=_convert(values, PREVIOUS_TURN, CallId),
         last_event=_convert(values, LAST_EVENT_ID, int),
+        resumes=_convert(values, RESUMES, CallId),
         affinity=_find_cookie(values.get(b"cookie", "")),
         prompt_root=values.get(PROMPT_PREFIX, "").partition(":")[0] or None,
         forwarded=forwarded,
--- a/packages/daemon/src/goldcrestvane_daemon/platform/object_decoding.py
+++ b/packages/daemon/src/goldcrestvane_daemon/platform/object_decoding.py
@@ -5,7 +5,13 @@
 
 import msgspec
 
-from goldcrestvane_common.ids import DomainId, InstanceId, ServiceId, Version
+from goldcrestvane_common.ids import (
+    DomainId,
+    InstanceId,
+    ServiceId,
+    SoftwareVersion,
+    Version,
+)
 from goldcrestvane_daemon.routes import (
     CallKind,
     ClientLimits,
@@ -81,6 +87,7 @@
     zone: str
     state: str
     slots: int
+    version: str = ""  # version of the target's software
     cold_remaining_ms: float = 0
     born: int = 0  # start time of the target in Unix milliseconds
 
@@ -166,5 +173,6 @@
         domain=DomainId(raw.zone),
         slots=raw.slots,
         state=state,
+        software=SoftwareVersion(raw.version),
         born_ms=raw.born,
     )
--- a/packages/daemon/src/goldcrestvane_daemon/targets.py
+++ b/packages/daemon/src/goldcrestvane_daemon/targets.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from goldcrestvane_common.ids import DomainId, InstanceId, ServiceId
+from goldcrestvane_common.ids import DomainId, InstanceId, ServiceId, SoftwareVersion
 
 TargetKey = tuple[InstanceId, str, int, int]
 
@@ -31,6 +31,7 @@
         domain: Failure domain.
         slots: Number of calls that the target runs concurrently.
         state: Whether the target accepts new calls.
+        software: Version of the target's software; empty if the entry states none.
         born_ms: Unix time of the start in milliseconds. It distinguishes the starts of
             a target with the same id.
     """
@@ -42,6 +43,7 @@
     domain: DomainId
     slots: int
     state: TargetState
+    software: SoftwareVersion = SoftwareVersion("")
     born_ms: int = 0
 
     @property
