--- a/packages/daemon/tests/frontend/frontend_case.py
+++ b/packages/daemon/tests/frontend/frontend_case.py
@@ -120,7 +120,7 @@
             await self.nursery.start(target.run)
             self.targets.append(target)
             self.list_target(target)
-        if configuration is not None:
+        if configuration is not None and not self.platform.exists("config", "main"):
             self.platform.put("config", "main", configuration)
         store_address = await self.nursery.start(
             serve_http, Application(self.platform.build_router()), f"{HOST}:0"
--- a/standins/src/goldcrestvane_standins/platformstore.py
+++ b/standins/src/goldcrestvane_standins/platformstore.py
@@ -67,6 +67,10 @@
         key = f"{kind}/{name}"
         self.store.delete(key, expected=self._get_version(key))
 
+    def exists(self, kind: str, name: str) -> bool:
+        """Returns whether an object exists."""
+        return self._get_version(f"{kind}/{name}") != 0
+
     def read(self, kind: str, name: str) -> dict[str, Any]:
         """Returns an object in the platform's format."""
         return _build_object(self.store.get(f"{kind}/{name}"))
