Continue a stream only at the software version that began it

Cause: where a stream goes on was decided by service alone. A frontend resumed a broken stream at any target of the service (the operators' record), and a client's second attempt went wherever the next frontend sent it. Class: state of a stream that only one process knew, and that its successor replaced by a default. Change: the service and version that bring the first event are the stream's origin. Targets of another origin are no candidates for the rest; without a candidate the call ends at once (a cut connection after the first event, 503 before it). The origin is in the turn's charge in the ledger: with the reservation while a service has one version, and otherwise by a write that runs beside the prompt and is durable before the first event. A target that fails without an event may be followed by one of another version; the record of the later one wins in any order of arrival. 'Resumes' names the charge that tells the origin to any frontend. Without a record a stream goes on only if the service has one version. Elsewhere: a call whose only permitted targets have left is refused at once now, too. Remains: streams that are no turns have no record; a stream whose route moved to another service is not resumed; a restart with other software behind an old entry is not told.

--- a/packages/common/src/goldcrestvane_common/ids.py
+++ b/packages/common/src/goldcrestvane_common/ids.py
@@ -22,6 +22,9 @@
 SoftwareVersion = NewType("SoftwareVersion", str)
 """Version of a target's software, as its entry states it; versions have no order."""
 
+StreamOrigin = NewType("StreamOrigin", str)
+"""Service and software version that began a stream; only these can continue it."""
+
 
 def get_root_program(program: ProgramId) -> ProgramId:
     """Returns the id of the program at the root of a program's tree."""
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/attempts.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/attempts.py
@@ -1,5 +1,6 @@
 """Attempts of calls at targets, and the outcomes that they record."""
 
+from collections.abc import Awaitable, Callable
 from enum import Enum
 from typing import final
 
@@ -13,6 +14,7 @@
 from goldcrestvane_daemon.frontend.metrics import FIRST_EVENT_SECONDS
 from goldcrestvane_daemon.frontend.peers import FrontendPeers
 from goldcrestvane_daemon.frontend.queue import ServiceQueue
+from goldcrestvane_daemon.frontend.stream_origins import StreamOrigins
 from goldcrestvane_daemon.frontend.turn_recorder import TurnRecorder
 from goldcrestvane_daemon.frontend.upstream import (
     ConnectFailed,
@@ -84,6 +86,7 @@
         targets: TargetTable,
         health: HealthTracker,
         turns: TurnRecorder,
+        origins: StreamOrigins,
         crash_tracker: CrashTracker,
         frontends: FrontendPeers,
         nursery: trio.Nursery,
@@ -91,6 +94,7 @@
         self._targets = targets
         self._health = health
         self._turns = turns
+        self._origins = origins
         self._crash_tracker = crash_tracker
         self._frontends = frontends
         self._nursery = nursery
@@ -166,6 +170,7 @@
             ConnectFailed: Nothing was sent.
             TargetFailed: The target may have run the call.
         """
+        recorded = await self._origins.start_recording(call, target)
         async with TargetRequest(self._connections, target) as request:
             call.attempted_targets.append(target.instance)
             body: bytes | None = None
@@ -188,8 +193,12 @@
             event_seconds = None
             headers = _remove_content_length(head.forwarded) + connection_headers
             if body is None:
+
+                async def begin() -> None:
+                    await self._origins.begin(call, target, recorded)
+
                 event_seconds = await self._forward_stream(
-                    connection, call, request, headers
+                    connection, call, request, headers, begin
                 )
             else:
                 call.response_started = True
@@ -267,8 +276,17 @@
         call: CallContext,
         request: TargetRequest,
         headers: list[tuple[bytes, bytes]],
+        begin: Callable[[], Awaitable[None]],
     ) -> float | None:
-        """Forwards events as they arrive and returns their mean interval in seconds."""
+        """Forwards events as they arrive and returns their mean interval in seconds.
+
+        Args:
+            connection: Connection of the client.
+            call: The call.
+            request: Request at the target.
+            headers: Headers of the response.
+            begin: Called before the first event of the target is forwarded.
+        """
         splitter = EventSplitter()
         events_before = call.events
         first_at = 0.0
@@ -278,6 +296,7 @@
                 continue
             if call.events == events_before:
                 first_at = trio.current_time()
+                await begin()
             if not call.response_started:
                 # The response starts with the first event. If the target fails before
                 # that, the call can still be attempted at another target.
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/call_context.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/call_context.py
@@ -3,7 +3,7 @@
 import msgspec
 import trio
 
-from goldcrestvane_common.ids import InstanceId, ServiceId, Version
+from goldcrestvane_common.ids import InstanceId, ServiceId, StreamOrigin, Version
 from goldcrestvane_daemon.frontend.admission import AdmissionClass, get_admission_class
 from goldcrestvane_daemon.frontend.refusals import (
     InvalidCall,
@@ -44,6 +44,9 @@
         admission_class: Admission class of the call.
         response_started: Whether a part of the response was sent to the client.
         settled: Whether the turn's token charge is final in the ledger.
+        origin: Origin of the events that the client has; None before the first event.
+        recorded_origin: Origin that the ledger has for the stream, or may have.
+        origin_changes: Number of times that `recorded_origin` was replaced.
     """
 
     head: RequestHead
@@ -65,6 +68,9 @@
     admission_class: AdmissionClass = AdmissionClass.IN_PROGRESS
     response_started: bool = False
     settled: bool = False
+    origin: StreamOrigin | None = None
+    recorded_origin: StreamOrigin | None = None
+    origin_changes: int = 0
 
     @property
     def is_turn(self) -> bool:
@@ -82,6 +88,18 @@
         """Whether the ledger stores the turn's input and output."""
         return self.is_turn and self.route.stores_turns
 
+    @property
+    def is_resumption(self) -> bool:
+        """Whether the client takes up a stream of which it has events."""
+        return (
+            self.route.kind is CallKind.STREAM and self.headers.last_event is not None
+        )
+
+    @property
+    def records_origin(self) -> bool:
+        """Whether the ledger stores the stream's origin, so that it can be resumed."""
+        return self.is_turn and self.route.resumable and not self.is_resumption
+
     @property
     def program_seconds_left(self) -> float:
         """Seconds from the call's arrival to the program's deadline."""
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/calls.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/calls.py
@@ -25,6 +25,7 @@
     Refusal,
     TimedOut,
 )
+from goldcrestvane_daemon.frontend.stream_origins import StreamOrigins
 from goldcrestvane_daemon.frontend.turn_recorder import TurnRecorder
 from goldcrestvane_daemon.http1 import ConnectionLost, RequestHead, ServerConnection
 from goldcrestvane_daemon.placement.health import HealthTracker
@@ -73,11 +74,13 @@
         self._turns = TurnRecorder(ledger)
         self._domain = domain
         self._nursery = nursery
+        self._origins = StreamOrigins(self._turns, targets, nursery)
         self._health = HealthTracker(EJECTION_OPTIONS)
         self._attempts = AttemptRunner(
             targets=targets,
             health=self._health,
             turns=self._turns,
+            origins=self._origins,
             crash_tracker=crash_tracker,
             frontends=frontends,
             nursery=nursery,
@@ -172,10 +175,13 @@
     ) -> None:
         with trio.CancelScope(deadline=call.deadline) as scope:
             if not call.is_turn:
+                self._origins.check_resumption(call)
                 await self._run_attempts(connection, call, connection_headers)
                 return
             try:
+                self._origins.plan(call)
                 await self._turns.open(call)
+                self._origins.check_resumption(call)
                 OPEN_SECONDS.observe(trio.current_time() - call.arrived)
                 await self._run_attempts(connection, call, connection_headers)
             finally:
@@ -201,6 +207,7 @@
                 seconds_left=call.seconds_left,
                 excluded=frozenset(excluded),
                 allowed=self._list_allowed_targets(call),
+                origin=call.origin,
                 admission_class=call.admission_class,
                 program_seconds_left=call.program_seconds_left,
             )
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/ledger_client.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/ledger_client.py
@@ -153,8 +153,7 @@
             account.program, entry, return_chain_of=wanted
         ):
             for charge in written.account.charges if written.account else ():
-                known = charges.get(charge.call)
-                if known is None or not known.is_final:
+                if charge.supersedes(charges.get(charge.call)):
                     charges[charge.call] = charge
             self._cache.put_all(written.chain)
         chain = await self._read_chain(previous)
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/queue.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/queue.py
@@ -7,7 +7,7 @@
 import trio
 from sortedcontainers import SortedKeyList
 
-from goldcrestvane_common.ids import DomainId, InstanceId, ServiceId
+from goldcrestvane_common.ids import DomainId, InstanceId, ServiceId, StreamOrigin
 from goldcrestvane_daemon.frontend.admission import (
     RATE_WINDOW_SECONDS,
     STARTING_CLASSES,
@@ -72,6 +72,7 @@
         key: str | None,
         excluded: frozenset[InstanceId],
         allowed: frozenset[InstanceId] | None,
+        origin: StreamOrigin | None,
         admission_class: AdmissionClass,
     ) -> None:
         self.queue_key = queue_key
@@ -79,9 +80,21 @@
         self.key = key
         self.excluded = excluded
         self.allowed = allowed
+        self.origin = origin
         self.target: Target | None = None
         self.assigned = trio.Event()
 
+    @property
+    def is_restricted(self) -> bool:
+        """Whether the call may not use every target of the service."""
+        return self.allowed is not None or self.origin is not None
+
+    def may_use(self, target: Target) -> bool:
+        """Returns whether the call may use a target."""
+        if self.origin is not None and target.origin != self.origin:
+            return False
+        return self.allowed is None or target.instance in self.allowed
+
 
 @final
 class ServiceQueue:
@@ -135,6 +148,7 @@
         seconds_left: float,
         excluded: frozenset[InstanceId] = frozenset(),
         allowed: frozenset[InstanceId] | None = None,
+        origin: StreamOrigin | None = None,
         admission_class: AdmissionClass = AdmissionClass.IN_PROGRESS,
         program_seconds_left: float = 0.0,
     ) -> Target:
@@ -147,33 +161,31 @@
             seconds_left: Seconds until the call's deadline.
             excluded: Targets to use only if no other target is usable.
             allowed: The only targets that may be used; None allows all targets.
+            origin: Origin of the stream that the call continues; None if it begins.
             admission_class: Admission class of the call.
             program_seconds_left: Seconds until the deadline of the call's program.
 
         Raises:
-            NoTarget: The service has no target.
+            NoTarget: The service has no target that the call may use.
             Overloaded: The wait would exceed the time left or the maximum wait of a
                 new program.
         """
-        if not self._table.list_ready(self._service):
-            raise NoTarget(
-                f"No target of service {self._service} accepts calls; retry later.",
-                retry_after=NO_TARGET_RETRY_SECONDS,
-            )
-        wait = estimate_queue_wait(len(self._waiting), self.measure_rate())
-        if wait > seconds_left or len(self._waiting) >= MAX_WAITING_CALLS:
-            raise Overloaded(
-                f"{len(self._waiting)} calls wait for service {self._service}, "
-                f"about {wait:.2f} s; {seconds_left:.2f} s are left.",
-                retry_after=max(MIN_OVERLOAD_RETRY_SECONDS, wait - seconds_left),
-            )
         waiter = Waiter(
             get_queue_key(arrived, priority, admission_class),
             key,
             excluded,
             allowed,
+            origin,
             admission_class,
         )
+        self._check_has_target(waiter)
+        wait = estimate_queue_wait(len(self._waiting), self.measure_rate())
+        if wait > seconds_left or len(self._waiting) >= MAX_WAITING_CALLS:
+            raise Overloaded(
+                f"{len(self._waiting)} calls wait for service {self._service}, "
+                f"about {wait:.2f} s; {seconds_left:.2f} s are left.",
+                retry_after=max(MIN_OVERLOAD_RETRY_SECONDS, wait - seconds_left),
+            )
         self._waiting.add(waiter)
         try:
             if self._waiting[0] is waiter:
@@ -188,13 +200,30 @@
                 self._waiting.remove(waiter)
         return waiter.target
 
+    def _list_usable_targets(self, waiter: Waiter) -> list[Target]:
+        """Returns the ready targets that a call may use."""
+        ready = self._table.list_ready(self._service)
+        if not waiter.is_restricted:
+            return ready
+        return [each for each in ready if waiter.may_use(each)]
+
+    def _check_has_target(self, waiter: Waiter) -> None:
+        """Raises NoTarget if no target may run a call."""
+        if self._list_usable_targets(waiter):
+            return
+        wanted = f" with origin {waiter.origin}" if waiter.origin else ""
+        raise NoTarget(
+            f"No target of service {self._service}{wanted} accepts calls; retry later.",
+            retry_after=NO_TARGET_RETRY_SECONDS,
+        )
+
     async def _wait_for_target(
         self, waiter: Waiter, program_seconds_left: float
     ) -> None:
         """Waits until a target is assigned to a waiting call.
 
         Raises:
-            NoTarget: The last target has left.
+            NoTarget: The last target that the call may use has left.
             Overloaded: The service is full, and the call would start a program.
         """
         give_up_at = math.inf
@@ -218,11 +247,7 @@
                 await waiter.assigned.wait()
             if waiter.target is None:
                 self.dispatch_waiting()
-                if not self._table.list_ready(self._service):
-                    raise NoTarget(
-                        f"The last target of service {self._service} has left.",
-                        retry_after=NO_TARGET_RETRY_SECONDS,
-                    )
+                self._check_has_target(waiter)
 
     def _get_recheck_seconds(self, waiter: Waiter) -> float:
         """Returns the interval at which a waiting call checks for free targets.
@@ -292,7 +317,7 @@
             if target is not None:
                 self._assign(waiter, target)
                 limit -= 1
-            elif is_starting or waiter.allowed is not None:
+            elif is_starting or waiter.is_restricted:
                 # Later calls may use targets or slots that this call may not use.
                 skip_starting = is_starting
                 position += 1
@@ -326,9 +351,7 @@
 
     def _find_target(self, waiter: Waiter) -> Target | None:
         now = trio.current_time()
-        ready = self._table.list_ready(self._service)
-        if waiter.allowed is not None:
-            ready = [each for each in ready if each.instance in waiter.allowed]
+        ready = self._list_usable_targets(waiter)
         usable = [
             target
             for target in ready
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/refusals.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/refusals.py
@@ -69,6 +69,10 @@
     """No target of the service accepts calls now."""
 
 
+class UnknownOrigin(Refusal):
+    """It is not known which software version began the stream to resume."""
+
+
 class Overloaded(Refusal):
     """The call cannot be served before its deadline."""
 
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/turn_recorder.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/turn_recorder.py
@@ -4,6 +4,7 @@
 
 import trio
 
+from goldcrestvane_common.ids import StreamOrigin
 from goldcrestvane_common.logs import get_logger
 from goldcrestvane_daemon.frontend.admission import AdmissionClass, get_admission_class
 from goldcrestvane_daemon.frontend.call_context import CallContext, build_prompt
@@ -53,7 +54,7 @@
         """
         headers = call.headers
         assert headers.program and headers.call and headers.token_budget is not None
-        charge = TokenCharge(headers.call, headers.output_tokens)
+        charge = _build_reservation(call)
         account = TokenAccount(headers.program, [charge], call.route.retention_seconds)
         try:
             opened = await self._open_with_retries(call, account)
@@ -66,6 +67,9 @@
                 f"may use {committed}. Start a new program."
             )
         call.admission_class = _find_admission_class(call, opened)
+        began = opened.charges.get(headers.resumes) if headers.resumes else None
+        if call.is_resumption and began is not None and began.origin:
+            call.origin = began.origin
         if call.is_stored:
             call.body = build_prompt(opened.chain, call.client_body)
 
@@ -87,6 +91,20 @@
                     ) from error
             await trio.sleep(OPEN_RETRY_SECONDS)
 
+    async def record_origin(self, call: CallContext) -> None:
+        """Makes the origin of a turn's stream durable, for other frontends.
+
+        Raises:
+            LedgerUnavailable: No quorum recorded the origin.
+        """
+        assert call.headers.program
+        await self._ledger.settle(
+            call.headers.program,
+            _build_reservation(call),
+            None,
+            call.route.retention_seconds,
+        )
+
     async def settle(self, call: CallContext) -> None:
         """Records the tokens of a turn that is incomplete or not stored."""
         for _ in range(SETTLE_ATTEMPTS):
@@ -128,12 +146,27 @@
         headers = call.headers
         assert headers.program and headers.call
         charge = TokenCharge(
-            headers.call, call.events * call.tokens_per_event, is_final=True
+            headers.call,
+            call.events * call.tokens_per_event,
+            is_final=True,
+            origin=call.recorded_origin or StreamOrigin(""),
+            origin_changes=call.origin_changes,
         )
         retention = call.route.retention_seconds
         await self._ledger.settle(headers.program, charge, turn, retention)
 
 
+def _build_reservation(call: CallContext) -> TokenCharge:
+    """Returns the charge of a turn that may still generate all its tokens."""
+    assert call.headers.call
+    return TokenCharge(
+        call.headers.call,
+        call.headers.output_tokens,
+        origin=call.recorded_origin or StreamOrigin(""),
+        origin_changes=call.origin_changes,
+    )
+
+
 def _find_admission_class(call: CallContext, opened: OpenedTurn) -> AdmissionClass:
     """Returns the admission class of a turn, from its program's token charges."""
     others = [
--- a/packages/daemon/src/goldcrestvane_daemon/ledger/messages.py
+++ b/packages/daemon/src/goldcrestvane_daemon/ledger/messages.py
@@ -8,11 +8,12 @@
     Epoch,
     InstanceId,
     ProgramId,
+    StreamOrigin,
 )
 from goldcrestvane_daemon.ledger.view import PartitionId, View, get_partition
 
 ENTRY_BYTES = 100
-CHARGE_BYTES = 40
+CHARGE_BYTES = 60
 """Typical sizes of an encoded entry without its turn, and of a charge."""
 
 
@@ -23,11 +24,24 @@
         call: Id of the client's attempt.
         tokens: Tokens that the turn generated, or may generate at most until then.
         is_final: Whether `tokens` is the number that the turn generated.
+        origin: Origin of the turn's stream; empty if unknown.
+        origin_changes: Number of times that the origin was replaced, because a target
+            failed before the first event.
     """
 
     call: CallId
     tokens: int
     is_final: bool = False
+    origin: StreamOrigin = StreamOrigin("")
+    origin_changes: int = 0
+
+    def supersedes(self, known: "TokenCharge | None") -> bool:
+        """Returns whether this charge replaces a known one, in any order of arrival."""
+        if known is None:
+            return True
+        if known.is_final or self.is_final:
+            return not known.is_final
+        return self.origin_changes >= known.origin_changes
 
 
 class Turn(msgspec.Struct, frozen=True, array_like=True):
--- a/packages/daemon/src/goldcrestvane_daemon/ledger/state.py
+++ b/packages/daemon/src/goldcrestvane_daemon/ledger/state.py
@@ -50,9 +50,7 @@
     def _apply_account(self, account: TokenAccount) -> None:
         charges = self._charges.setdefault(account.program, {})
         for charge in account.charges:
-            known = charges.get(charge.call)
-            # A final charge replaces a reserved one, whichever arrives first.
-            if known is None or not known.is_final:
+            if charge.supersedes(charges.get(charge.call)):
                 charges[charge.call] = charge
         self._extend_expiry("account", account.program, account.retention_seconds)
 
--- a/packages/daemon/src/goldcrestvane_daemon/targets.py
+++ b/packages/daemon/src/goldcrestvane_daemon/targets.py
@@ -1,11 +1,18 @@
 """Targets of the services, and this process's view of their load."""
 
+from collections import Counter
 from enum import Enum
 from typing import final
 
 import msgspec
 
-from goldcrestvane_common.ids import DomainId, InstanceId, ServiceId, SoftwareVersion
+from goldcrestvane_common.ids import (
+    DomainId,
+    InstanceId,
+    ServiceId,
+    SoftwareVersion,
+    StreamOrigin,
+)
 
 TargetKey = tuple[InstanceId, str, int, int]
 
@@ -51,6 +58,11 @@
         """Identifies this start at this address."""
         return (self.instance, self.host, self.port, self.born_ms)
 
+    @property
+    def origin(self) -> StreamOrigin:
+        """Identifies the targets that can continue each other's streams."""
+        return StreamOrigin(f"{self.service} {self.software}")
+
 
 class ReportedLoad(msgspec.Struct, frozen=True, kw_only=True):
     """Load that a target reports: its running and waiting calls, from all callers."""
@@ -105,6 +117,7 @@
         self._ready: dict[ServiceId, dict[InstanceId, Target]] = {}
         self._loads: dict[InstanceId, TargetLoadTracker] = {}
         self._leaving: dict[TargetKey, None] = {}
+        self._origins: dict[ServiceId, Counter[StreamOrigin]] = {}
 
     def mark_leaving(self, target: Target) -> bool:
         """Records that a start of a target leaves; returns whether this is new.
@@ -131,8 +144,9 @@
             return False
         if known is None or known.key != target.key:
             self._loads[target.instance] = TargetLoadTracker()
-        self._drop_ready(known)
+        self._drop(known)
         self._targets[target.instance] = target
+        self._origins.setdefault(target.service, Counter())[target.origin] += 1
         if target.state is TargetState.READY:
             self._ready.setdefault(target.service, {})[target.instance] = target
         return True
@@ -141,12 +155,17 @@
         """Removes a target; returns whether it was known."""
         self._loads.pop(instance, None)
         known = self._targets.pop(instance, None)
-        self._drop_ready(known)
+        self._drop(known)
         return known is not None
 
-    def _drop_ready(self, target: Target | None) -> None:
-        if target is not None:
-            self._ready.get(target.service, {}).pop(target.instance, None)
+    def _drop(self, target: Target | None) -> None:
+        if target is None:
+            return
+        self._ready.get(target.service, {}).pop(target.instance, None)
+        origins = self._origins[target.service]
+        origins[target.origin] -= 1
+        if not origins[target.origin]:
+            del origins[target.origin]
 
     def get(self, instance: InstanceId) -> Target | None:
         """Returns a target, or None if it does not exist."""
@@ -160,6 +179,14 @@
         """Returns the targets of a service that accept new calls."""
         return list(self._ready.get(service, {}).values())
 
+    def get_only_origin(self, service: ServiceId) -> StreamOrigin | None:
+        """Returns the origin of a service's streams; None if it has none or several.
+
+        Targets that drain count as well.
+        """
+        origins = self._origins.get(service, Counter())
+        return next(iter(origins)) if len(origins) == 1 else None
+
     def list_all(self) -> list[Target]:
         """Returns all targets."""
         return list(self._targets.values())
--- a/packages/daemon/tests/ledger/test_state.py
+++ b/packages/daemon/tests/ledger/test_state.py
@@ -12,6 +12,14 @@
 OTHER = Entry(account=TokenAccount("p", [TokenCharge("c2", 300)], 60.0))
 
 
+FIRST_ORIGIN = Entry(
+    account=TokenAccount("p", [TokenCharge("c1", 500, False, "s v1", 1)], 60.0)
+)
+SECOND_ORIGIN = Entry(
+    account=TokenAccount("p", [TokenCharge("c1", 500, False, "s v2", 2)], 60.0)
+)
+
+
 def build_turn(call, previous=None, retention=60.0):
     return Entry(turn=Turn(call, previous, b"in-" + call.encode(), b"out\n", retention))
 
@@ -32,6 +40,19 @@
 
         self.run_script(script)
 
+    def test_latest_origin_of_a_stream_stays_in_any_order_of_arrival(self):
+        async def script():
+            for order in itertools.permutations(
+                [RESERVED, FIRST_ORIGIN, SECOND_ORIGIN, FIRST_ORIGIN]
+            ):
+                state = LedgerState()
+                for entry in order:
+                    state.apply(entry)
+                (charge,) = state.get_account("p").charges
+                self.assertEqual(charge.origin, "s v2")
+
+        self.run_script(script)
+
     def test_merging_all_entries_reproduces_the_state(self):
         async def script():
             state, copy = LedgerState(), LedgerState()
--- /dev/null
+++ b/packages/daemon/tests/test_targets.py
@@ -0,0 +1,47 @@
+import unittest
+
+import msgspec
+from frontend.support import build_target
+
+from goldcrestvane_daemon.targets import TargetState, TargetTable
+
+
+class TargetTableTests(unittest.TestCase):
+    def setUp(self):
+        self.table = TargetTable()
+
+    def put(self, instance, software, **changes):
+        target = build_target(1, instance=instance)
+        target = msgspec.structs.replace(target, software=software, **changes)
+        self.table.put(target)
+        return target
+
+    def test_origin_is_known_only_while_all_targets_have_one_version(self):
+        self.assertIsNone(self.table.get_only_origin("s1"))
+        first = self.put("i-1", "v1")
+        self.put("i-2", "v1")
+        self.assertEqual(self.table.get_only_origin("s1"), first.origin)
+        self.put("i-2", "v2", state=TargetState.DRAINING)
+        self.assertIsNone(self.table.get_only_origin("s1"))
+        self.table.remove("i-2")
+        self.assertEqual(self.table.get_only_origin("s1"), first.origin)
+        self.assertIsNone(self.table.get_only_origin("s2"))
+
+    def test_streams_of_two_services_have_two_origins(self):
+        first = self.put("i-1", "v1")
+        second = self.put("i-2", "v1", service="s2")
+        self.assertNotEqual(first.origin, second.origin)
+
+    def test_leaving_target_stays_out_of_use_when_it_is_listed_as_ready(self):
+        target = self.put("i-1", "v1")
+        self.assertTrue(self.table.mark_leaving(target))
+        self.assertEqual(self.table.list_ready("s1"), [])
+        self.table.remove("i-1")
+        self.put("i-1", "v1")
+        self.assertEqual(self.table.list_ready("s1"), [])
+        restarted = self.put("i-1", "v1", born_ms=5)
+        self.assertEqual(self.table.list_ready("s1"), [restarted])
+
+
+if __name__ == "__main__":
+    unittest.main()
