Cut off responses without an end

A target in trouble sends bytes without end, in a head or a body. What was unbounded until the deadline of the call: interim responses (the processor), the body of a late response to another call (the processor), an event without its end (memory up to the kill, and a search from its first byte for each chunk), a stream as a whole. Bounded already: heads, chunk headers, trailers, bodies of plain calls. Change: 8 interim responses, 8 MB for the body of every response, 1 MB for an event; the call then fails like one whose target broke off. The other form: the HTTP client of all processes reads 64 MB at most.

--- a/packages/common/src/goldcrestvane_common/transport.py
+++ b/packages/common/src/goldcrestvane_common/transport.py
@@ -16,6 +16,8 @@
 INTERNAL_PREFIX = "/internal/"
 PEER_TOKEN_HEADER = "goldcrestvane-peer-token"
 KEEP_ALIVE_EXPIRY_SECONDS = 30.0
+MAX_RESPONSE_BYTES = 64 * 1024 * 1024
+"""Maximum size of the body of a response: many pages of objects of 1 MB."""
 
 
 class TransportError(Exception):
@@ -71,11 +73,18 @@
         """Yields the chunks of the body.
 
         Raises:
-            ExchangeBroken: The connection failed before the end of the body.
+            ExchangeBroken: The connection failed before the end of the body, or the body
+                has more than `MAX_RESPONSE_BYTES` bytes.
         """
+        size = 0
         try:
             async with aclosing(self._response.aiter_stream()) as chunks:
                 async for chunk in chunks:
+                    size += len(chunk)
+                    if size > MAX_RESPONSE_BYTES:
+                        raise ExchangeBroken(
+                            f"The response has more than {MAX_RESPONSE_BYTES} bytes."
+                        )
                     yield chunk
         except _EXCHANGE_ERRORS as error:
             raise ExchangeBroken(f"The response was cut off: {error!r}.") from error
--- a/packages/common/tests/test_transport.py
+++ b/packages/common/tests/test_transport.py
@@ -1,17 +1,29 @@
+import contextlib
 import socket
 import unittest
+from unittest import mock
 
 import trio
 
+from goldcrestvane_common import transport as transport_module
 from goldcrestvane_common.routing import JsonResponse, Router
 from goldcrestvane_common.server import Application, serve_http
-from goldcrestvane_common.transport import Transport
+from goldcrestvane_common.transport import ExchangeBroken, Transport
 
 
 async def respond(request):
     return JsonResponse(value=1)
 
 
+async def send_without_end(stream):
+    async with stream:
+        await stream.receive_some()
+        await stream.send_all(b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n")
+        with contextlib.suppress(trio.BrokenResourceError):
+            while True:
+                await stream.send_all(b"10000\r\n" + b"x" * 65_536 + b"\r\n")
+
+
 class TransportTests(unittest.TestCase):
     def test_connections_have_keep_alive_so_that_a_dead_one_does_not_hold_a_watch(self):
         async def main():
@@ -31,6 +43,19 @@
 
         trio.run(main)
 
+    def test_body_without_end_is_cut_off(self):
+        async def main():
+            async with Transport() as transport, trio.open_nursery() as nursery:
+                listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+                port = listeners[0].socket.getsockname()[1]
+                nursery.start_soon(trio.serve_listeners, send_without_end, listeners)
+                with self.assertRaises(ExchangeBroken):
+                    await transport.send("GET", f"127.0.0.1:{port}", "/")
+                nursery.cancel_scope.cancel()
+
+        with mock.patch.object(transport_module, "MAX_RESPONSE_BYTES", 1_000_000):
+            trio.run(main)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/attempts.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/attempts.py
@@ -10,7 +10,7 @@
 from goldcrestvane_common.logs import get_logger
 from goldcrestvane_daemon.frontend.call_context import CallContext
 from goldcrestvane_daemon.frontend.crash_tracker import CrashTracker, build_fingerprint
-from goldcrestvane_daemon.frontend.events import EventSplitter
+from goldcrestvane_daemon.frontend.events import EventSplitter, EventTooLong
 from goldcrestvane_daemon.frontend.metrics import FIRST_EVENT_SECONDS
 from goldcrestvane_daemon.frontend.peers import FrontendPeers
 from goldcrestvane_daemon.frontend.queue import ServiceQueue
@@ -28,9 +28,6 @@
 from goldcrestvane_daemon.routes import CallKind
 from goldcrestvane_daemon.targets import Target, TargetTable
 
-MAX_RESPONSE_BYTES = 8 * 1024 * 1024
-"""Maximum size of a response that is buffered before it is forwarded."""
-
 LOOKUP_TIMEOUT_FACTOR = 2.0
 """Multiple of the route's objective after which a lookup goes to another target."""
 
@@ -178,7 +175,7 @@
                 head = await self._send(call, target, request)
                 queue.update_load(target, head.load)
                 if not _is_stream(call, head):
-                    body = await request.read_body(MAX_RESPONSE_BYTES)
+                    body = await request.read_body()
             if timeout.cancelled_caught:
                 raise TargetFailed(
                     "No response in time; the lookup may also run at another target."
@@ -291,7 +288,10 @@
         events_before = call.events
         first_at = 0.0
         async for chunk in request.read_chunks():
-            events = splitter.feed(chunk)
+            try:
+                events = splitter.feed(chunk)
+            except EventTooLong as error:
+                raise TargetFailed(str(error)) from error
             if not events:
                 continue
             if call.events == events_before:
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/events.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/events.py
@@ -4,10 +4,16 @@
 
 import msgspec
 
+MAX_EVENT_BYTES = 1024 * 1024
+EVENT_END = b"\n\n"
 DATA_FIELD = b"data:"
 ID_FIELD = b"id:"
 
 
+class EventTooLong(Exception):
+    """An event has more than `MAX_EVENT_BYTES` bytes."""
+
+
 class StreamEvent(msgspec.Struct, frozen=True):
     """One event of a stream.
 
@@ -28,6 +34,7 @@
 
     def __init__(self) -> None:
         self._buffer = bytearray()
+        self._searched = 0
 
     @property
     def remainder(self) -> bytes:
@@ -35,13 +42,25 @@
         return bytes(self._buffer)
 
     def feed(self, data: bytes) -> list[StreamEvent]:
-        """Adds data and returns the events that it completes."""
+        """Adds data and returns the events that it completes.
+
+        Raises:
+            EventTooLong: The data does not complete an event that is too long.
+        """
         self._buffer += data
         events = []
-        while (end := self._buffer.find(b"\n\n")) >= 0:
-            raw = bytes(self._buffer[: end + 2])
-            del self._buffer[: end + 2]
+        while (end := self._buffer.find(EVENT_END, self._searched)) >= 0:
+            raw = bytes(self._buffer[: end + len(EVENT_END)])
+            del self._buffer[: len(raw)]
+            self._searched = 0
             events.append(parse_event(raw))
+        if len(self._buffer) > MAX_EVENT_BYTES:
+            raise EventTooLong(
+                f"Got {len(self._buffer)} bytes of an event without its end, "
+                f"expected at most {MAX_EVENT_BYTES}."
+            )
+        # The end may begin with the last byte of the buffer.
+        self._searched = max(0, len(self._buffer) - len(EVENT_END) + 1)
         return events
 
 
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/upstream.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/upstream.py
@@ -32,6 +32,9 @@
 MAX_IDLE_CONNECTIONS = 16
 """Maximum number of idle connections to one target: the number of its slots."""
 
+MAX_RESPONSE_BYTES = 8 * 1024 * 1024
+"""Maximum size of the body of a response."""
+
 MAX_SKIPPED_RESPONSES = 3
 """Maximum number of late responses to earlier calls that are skipped on one
 connection."""
@@ -236,23 +239,25 @@
         raise TargetFailed("Got only responses to other calls.")
 
     async def read_chunks(self) -> AsyncIterator[bytes]:
-        """Yields the parts of the response's body. Raises the same errors as `send`."""
+        """Yields the parts of the response's body. Raises the same errors as `send`.
+
+        A faulty target may send a body without end.
+        """
         assert self._exchange is not None
         chunks = self._exchange.iterate_body()
+        size = 0
         while True:
             with _translate_errors():
                 chunk = await anext(chunks, None)
             if chunk is None:
                 return
+            size += len(chunk)
+            if size > MAX_RESPONSE_BYTES:
+                raise TargetFailed(
+                    f"The response has more than {MAX_RESPONSE_BYTES} bytes."
+                )
             yield chunk
 
-    async def read_body(self, limit: int) -> bytes:
+    async def read_body(self) -> bytes:
         """Returns the whole body. Raises the same errors as `send`."""
-        chunks = []
-        size = 0
-        async for chunk in self.read_chunks():
-            chunks.append(chunk)
-            size += len(chunk)
-            if size > limit:
-                raise TargetFailed(f"The response has more than {limit} bytes.")
-        return b"".join(chunks)
+        return b"".join([chunk async for chunk in self.read_chunks()])
--- a/packages/daemon/src/goldcrestvane_daemon/http1.py
+++ b/packages/daemon/src/goldcrestvane_daemon/http1.py
@@ -17,6 +17,9 @@
 MAX_HEAD_BYTES = 32_768
 """Maximum size of the head of a message. The platform's clients send half of it."""
 
+MAX_INTERIM_RESPONSES = 8
+"""Maximum number of interim responses before a final one."""
+
 
 class ProtocolViolation(Exception):
     """The peer sent bytes that are not a valid HTTP message.
@@ -249,7 +252,7 @@
         if self._leftover:
             self._parser.receive_data(self._leftover)
             self._leftover = b""
-        while True:
+        for _ in range(1 + MAX_INTERIM_RESPONSES):
             event = await self._next_event()
             if isinstance(event, h11.Response):
                 return event
@@ -257,6 +260,9 @@
                 raise ConnectionLost(
                     "The target closed the connection before its response."
                 )
+        raise ProtocolViolation(
+            f"Got more than {MAX_INTERIM_RESPONSES} interim responses."
+        )
 
     async def iterate_body(self) -> AsyncIterator[bytes]:
         """Yields the parts of the body as they arrive.
--- a/packages/daemon/tests/frontend/test_calls.py
+++ b/packages/daemon/tests/frontend/test_calls.py
@@ -115,8 +115,8 @@
         self.run_frontend(script, shared, shared)
 
     def test_lookup_that_times_out_while_its_response_arrives_is_answered_once(self):
-        async def read_slowly(request, limit):
-            body = await read_body(request, limit)
+        async def read_slowly(request):
+            body = await read_body(request)
             with trio.CancelScope(shield=True):
                 await trio.sleep(0.8)
             return body
--- a/packages/daemon/tests/frontend/test_events.py
+++ b/packages/daemon/tests/frontend/test_events.py
@@ -1,6 +1,10 @@
 import unittest
 
-from goldcrestvane_daemon.frontend.events import EventSplitter
+from goldcrestvane_daemon.frontend.events import (
+    MAX_EVENT_BYTES,
+    EventSplitter,
+    EventTooLong,
+)
 
 STREAM = b"id: 1\ndata: a\n\ngoldcrestvane-weight-versions: 2\nid: 2\ndata: b\n\n"
 
@@ -20,6 +24,13 @@
         self.assertEqual(len(splitter.feed(STREAM + b"id: 3\ndata: c")), 2)
         self.assertEqual(splitter.remainder, b"id: 3\ndata: c")
 
+    def test_event_without_end_is_rejected(self):
+        splitter = EventSplitter()
+        block = b"x" * 65_536
+        with self.assertRaises(EventTooLong):
+            for _ in range(2 * MAX_EVENT_BYTES // len(block)):
+                splitter.feed(block)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/packages/daemon/tests/frontend/test_upstream.py
+++ b/packages/daemon/tests/frontend/test_upstream.py
@@ -41,7 +41,7 @@
         try:
             async with TargetRequest(connections, build_target(target.port)) as request:
                 await request.send(b"POST", b"/a", headers, body, call="c1")
-                return await request.read_body(1_000_000)
+                return await request.read_body()
         except TargetFailed:
             return TargetFailed
 
@@ -128,7 +128,7 @@
                                 b"POST", b"/", headers, body, call="c1"
                             )
                             self.assertEqual(head.status, 413)
-                            self.assertEqual(await request.read_body(100), b"early")
+                            self.assertEqual(await request.read_body(), b"early")
                 nursery.cancel_scope.cancel()
             self.assertEqual(connections, 2)
 
