Add a randomized fault soak of frontends and ledger members

Real processes on loopback addresses of their own; clients keep their connections until the process is gone and take broken streams up again at any frontend; SIGTERM, SIGKILL, SIGSTOP, SIGHUP, changes of the configuration, targets of three software versions that start, leave with and without notice, crash and break off, a store that refuses calls and watches that go silent come in series and overlap.

--- a/Makefile
+++ b/Makefile
@@ -1,9 +1,10 @@
 SHELL := /bin/bash
 PYTHON := .venv/bin/python
 SEED ?= 1
+SEEDS ?= 1
 TRACE ?= bench/traces/passolungo-rush.jsonl
 
-.PHONY: setup format lint test demo faults bench bench-path bench-decisions bench-loads bench-slopes replay
+.PHONY: setup format lint test demo faults soak bench bench-path bench-decisions bench-loads bench-slopes replay
 
 setup: .venv/.installed
 
@@ -31,6 +32,9 @@
 faults: setup
 	$(PYTHON) -m bench.faults --seed=$(SEED)
 
+soak: setup
+	$(PYTHON) -m bench.soak.run --seed=$(SEED) --seeds=$(SEEDS)
+
 bench: setup
 	$(PYTHON) bench/policy.py
 
--- /dev/null
+++ b/bench/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized fault soak of the programs that run on the platform."""
--- /dev/null
+++ b/bench/soak/checks.py
@@ -0,0 +1,145 @@
+"""Checks of the rules that a soak must not break.
+
+The checks in `CHECKS` do not depend on the speed of the machine. Those in `TIMED_CHECKS`
+compare times with the bounds of the settings, for machines that are not overloaded.
+"""
+
+import math
+from collections import defaultdict
+from collections.abc import Iterator
+
+from bench.soak.records import Attempt, Evidence, RequestKind
+
+DRAIN_SECONDS = 2.0
+PROPAGATION_SECONDS = 2.0
+STABLE_SECONDS = 3.0
+"""Bounds in the settings of the soak's machines."""
+
+NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
+ALL_PROCESSES = "store"
+"""Subject of disturbances that concern every process."""
+
+
+def find_mixed_versions(evidence: Evidence) -> Iterator[str]:
+    """Finds streams with events of two versions, and gaps or repeated events."""
+    streams: dict[str, list[Attempt]] = defaultdict(list)
+    for attempt in evidence.attempts:
+        if attempt.kind is RequestKind.TURN:
+            streams[attempt.stream].append(attempt)
+    for call, attempts in streams.items():
+        events = [event for attempt in attempts for event in attempt.events]
+        versions = {event.software for event in events}
+        if len(versions) > 1:
+            yield f"stream {call} has events of versions {sorted(versions)}"
+        numbers = [event.number for event in events]
+        if numbers != list(range(1, len(numbers) + 1)):
+            yield f"stream {call} has events {numbers}"
+
+
+def find_repeated_postings(evidence: Evidence) -> Iterator[str]:
+    """Finds postings that ran twice, or ran and were refused as not run."""
+    runs: dict[str, int] = defaultdict(int)
+    for arrival in evidence.arrivals:
+        runs[arrival.call] += arrival.executed
+    for attempt in evidence.attempts:
+        if attempt.kind is not RequestKind.POSTING:
+            continue
+        if runs[attempt.call] > 1:
+            yield f"posting {attempt.call} ran {runs[attempt.call]} times"
+        if attempt.status in NOT_RUN_STATUSES and runs[attempt.call]:
+            yield f"posting {attempt.call} ran and got status {attempt.status}"
+
+
+def find_foreign_answers(evidence: Evidence) -> Iterator[str]:
+    """Finds successful answers that belong to another request."""
+    for attempt in evidence.attempts:
+        if attempt.kind is RequestKind.TURN or attempt.status != 200:
+            continue
+        if attempt.whole and attempt.body != attempt.call.encode():
+            yield f"{attempt.call} got the answer {attempt.body!r}"
+
+
+def find_regressions(evidence: Evidence) -> Iterator[str]:
+    """Finds probes that show an older configuration than one sent before."""
+    seen: dict[tuple[str, int], tuple[int, float]] = {}
+    probes = [each for each in evidence.attempts if each.kind is RequestKind.PROBE]
+    for probe in sorted(probes, key=lambda each: each.sent_at):
+        key = (probe.frontend, probe.start)
+        version, seen_at = seen.get(key, (0, math.inf))
+        if probe.status == 404 and probe.version <= version:
+            if probe.sent_at > seen_at:
+                yield f"{probe.call}: {probe.frontend} had version {version} before"
+        elif probe.status == 200 and probe.version > version:
+            seen[key] = (probe.version, probe.ended_at)
+
+
+def find_calls_to_leaving_targets(evidence: Evidence) -> Iterator[str]:
+    """Finds calls to targets after the frontend has passed on that they leave."""
+    told: dict[tuple[str, int, str], float] = {}
+    for attempt in evidence.attempts:
+        if attempt.leaving is not None:
+            key = (attempt.frontend, attempt.start, attempt.leaving)
+            told[key] = min(told.get(key, math.inf), attempt.ended_at)
+    attempts = {attempt.call: attempt for attempt in evidence.attempts}
+    for arrival in evidence.arrivals:
+        attempt = attempts.get(arrival.call)
+        if attempt is None:
+            continue
+        key = (attempt.frontend, attempt.start, arrival.target)
+        if attempt.sent_at > told.get(key, math.inf) + DRAIN_SECONDS:
+            yield f"{attempt.call} reached {arrival.target}, which leaves"
+
+
+def find_lost_calls(evidence: Evidence) -> Iterator[str]:
+    """Finds calls that reached a target and were cut off by a planned stop."""
+    stops = [each for each in evidence.disturbances if each.kind == "term"]
+    others = [each for each in evidence.disturbances if each.kind != "term"]
+    reached: dict[str, bool] = {}
+    for arrival in evidence.arrivals:
+        intact = arrival.executed and not arrival.broke_off
+        reached[arrival.call] = reached.get(arrival.call, True) and intact
+    for attempt in evidence.attempts:
+        if attempt.whole or not reached.get(attempt.call):
+            continue
+        if any(
+            other.began_at <= attempt.ended_at
+            and attempt.sent_at <= other.ended_at + STABLE_SECONDS
+            for other in others
+        ):
+            continue
+        for stop in stops:
+            same = (stop.subject, stop.start) == (attempt.frontend, attempt.start)
+            if same and stop.began_at <= attempt.ended_at:
+                yield f"{attempt.call} was cut off when {stop.subject} stopped"
+
+
+def find_late_configurations(evidence: Evidence) -> Iterator[str]:
+    """Finds probes that miss a version that should have been in force."""
+    for probe in evidence.attempts:
+        if probe.kind is not RequestKind.PROBE or probe.status != 404:
+            continue
+        due = evidence.changes.get(probe.version, math.inf) + PROPAGATION_SECONDS
+        if probe.sent_at > due and not _is_disturbed(evidence, probe):
+            late = probe.sent_at - due
+            yield f"{probe.call}: {probe.frontend} is {late:.2f} s late"
+
+
+def _is_disturbed(evidence: Evidence, attempt: Attempt) -> bool:
+    """Returns whether the frontend was disturbed in the stable time before a request."""
+    return any(
+        each.subject in (ALL_PROCESSES, attempt.frontend)
+        and each.began_at <= attempt.ended_at
+        and attempt.sent_at <= each.ended_at + STABLE_SECONDS
+        for each in evidence.disturbances
+    )
+
+
+CHECKS = {
+    "ORDER": find_mixed_versions,
+    "TWICE": find_repeated_postings,
+    "MIXED": find_foreign_answers,
+    "CONFIG": find_regressions,
+    "DRAIN": find_calls_to_leaving_targets,
+    "LOST": find_lost_calls,
+}
+TIMED_CHECKS = {"CONFIG, late": find_late_configurations}
--- /dev/null
+++ b/bench/soak/records.py
@@ -0,0 +1,125 @@
+"""What clients and targets of a soak observe."""
+
+import itertools
+from enum import Enum
+from typing import final
+
+import msgspec
+
+from goldcrestvane_common.ids import CallId, InstanceId, Version
+
+
+class RequestKind(Enum):
+    """Kinds of requests; the values are path prefixes."""
+
+    LOOKUP = "get"
+    """May run more than once."""
+
+    POSTING = "once"
+    """Runs at most once for each attempt."""
+
+    TURN = "turn"
+    """A stream that may be resumed."""
+
+    PROBE = "probe"
+    """A lookup on a route that a version of the configuration added."""
+
+
+class StreamedEvent(msgspec.Struct, frozen=True):
+    """One event of a stream, as a client received it."""
+
+    number: int
+    software: str
+
+
+class Attempt(msgspec.Struct, kw_only=True):
+    """One attempt of a client at one start of a frontend.
+
+    Attributes:
+        call: Id of the attempt.
+        kind: Kind of the request.
+        frontend: Name of the frontend.
+        start: Number of the frontend's start.
+        sent_at: Time at which the last byte was sent.
+        ended_at: Time of the end of the response or of the connection.
+        status: Status of the response; 0 if there was none.
+        whole: Whether the response was complete.
+        body: Body of the response, except for streams.
+        events: Events of a stream.
+        version: Version that added the route of a probe.
+        leaving: Target that said in the response that it leaves.
+        stream: Attempt that began the stream that this one continues, or itself.
+    """
+
+    call: CallId
+    kind: RequestKind
+    frontend: str
+    start: int
+    sent_at: float
+    ended_at: float = 0.0
+    status: int = 0
+    whole: bool = False
+    body: bytes = b""
+    events: list[StreamedEvent] = msgspec.field(default_factory=list)
+    version: Version = Version(0)
+    leaving: InstanceId | None = None
+    stream: CallId = CallId("")
+
+
+class Arrival(msgspec.Struct, frozen=True, kw_only=True):
+    """One request at a target.
+
+    Attributes:
+        call: Id of the client's attempt.
+        target: The target.
+        at: Time of the arrival.
+        executed: Whether the target ran the request.
+        broke_off: Whether the target ended its response early on purpose.
+    """
+
+    call: CallId
+    target: InstanceId
+    at: float
+    executed: bool = True
+    broke_off: bool = False
+
+
+class Disturbance(msgspec.Struct, frozen=True, kw_only=True):
+    """A fault or planned work.
+
+    Attributes:
+        kind: Name of the fault.
+        subject: Process or part of the platform.
+        start: Number of the start of the process.
+        began_at: Time of its begin.
+        ended_at: Time from which the subject worked again.
+    """
+
+    kind: str
+    subject: str
+    start: int
+    began_at: float
+    ended_at: float
+
+
+@final
+class Evidence:
+    """Everything that was observed in one run.
+
+    Attributes:
+        attempts: Attempts of clients.
+        arrivals: Requests at targets.
+        disturbances: Faults and planned work.
+        changes: Time at which each version of the configuration was acknowledged.
+    """
+
+    def __init__(self) -> None:
+        self.attempts: list[Attempt] = []
+        self.arrivals: list[Arrival] = []
+        self.disturbances: list[Disturbance] = []
+        self.changes: dict[Version, float] = {}
+        self._calls = itertools.count(1)
+
+    def create_call_id(self) -> CallId:
+        """Returns a new id for an attempt."""
+        return CallId(f"c{next(self._calls):06d}")
