--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -13,6 +13,7 @@
 DRAIN_SECONDS = 2.0
 PROPAGATION_SECONDS = 2.0
 STABLE_SECONDS = 3.0
+LOSS_SLACK_SECONDS = 0.2
 """Bounds in the settings of the soak's machines."""
 
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
@@ -92,25 +93,41 @@
 
 def find_lost_calls(evidence: Evidence) -> Iterator[str]:
     """Finds calls that reached a target and were cut off by a planned stop."""
-    stops = [each for each in evidence.disturbances if each.kind == "term"]
-    others = [each for each in evidence.disturbances if each.kind != "term"]
     reached: dict[str, bool] = {}
     for arrival in evidence.arrivals:
         intact = arrival.executed and not arrival.broke_off
         reached[arrival.call] = reached.get(arrival.call, True) and intact
+    for attempt in _list_cut_off_by_stops(evidence):
+        if reached.get(attempt.call):
+            yield f"{attempt.call} was cut off when {attempt.frontend} stopped"
+
+
+def find_unanswered_calls(evidence: Evidence) -> Iterator[str]:
+    """Finds calls that a stopping process has held and not passed on or refused."""
+    reached = {arrival.call for arrival in evidence.arrivals}
+    for attempt in _list_cut_off_by_stops(evidence):
+        held = attempt.ended_at - attempt.sent_at
+        if attempt.call not in reached and held > LOSS_SLACK_SECONDS:
+            yield f"{attempt.call} was held {held:.2f} s by {attempt.frontend}"
+
+
+def _list_cut_off_by_stops(evidence: Evidence) -> Iterator[Attempt]:
+    """Yields calls that a planned stop alone can have cut off."""
+    stops = [each for each in evidence.disturbances if each.kind == "term"]
+    others = [each for each in evidence.disturbances if each.kind != "term"]
     for attempt in evidence.attempts:
-        if attempt.whole or not reached.get(attempt.call):
-            continue
-        if any(
+        if attempt.whole or any(
             other.began_at <= attempt.ended_at
             and attempt.sent_at <= other.ended_at + STABLE_SECONDS
             for other in others
         ):
             continue
-        for stop in stops:
-            same = (stop.subject, stop.start) == (attempt.frontend, attempt.start)
-            if same and stop.began_at <= attempt.ended_at:
-                yield f"{attempt.call} was cut off when {stop.subject} stopped"
+        if any(
+            (stop.subject, stop.start) == (attempt.frontend, attempt.start)
+            and stop.began_at <= attempt.ended_at
+            for stop in stops
+        ):
+            yield attempt
 
 
 def find_late_configurations(evidence: Evidence) -> Iterator[str]:
@@ -142,4 +159,7 @@
     "DRAIN": find_calls_to_leaving_targets,
     "LOST": find_lost_calls,
 }
-TIMED_CHECKS = {"CONFIG, late": find_late_configurations}
+TIMED_CHECKS = {
+    "CONFIG, late": find_late_configurations,
+    "LOST, held": find_unanswered_calls,
+}
--- a/bench/soak/clients.py
+++ b/bench/soak/clients.py
@@ -130,12 +130,14 @@
         except (trio.BrokenResourceError, h11.RemoteProtocolError):
             attempt.whole = False
         attempt.ended_at = trio.current_time()
-        if attempt.whole and self._parser.their_state is h11.DONE:
+        if not attempt.whole:
+            self._close()
+        elif self._parser.their_state is h11.DONE:
             self._parser.start_next_cycle()
         else:
-            # A response with `Connection: close` leaves the connection open until the
-            # process closes it, but no further response can arrive on it.
-            self._close()
+            # The response announced that the connection closes. Until the process has
+            # closed it, the client uses it for its next request all the same.
+            self._parser = h11.Connection(h11.CLIENT)
         return attempt
 
     async def _read_response(self, attempt: Attempt) -> None:
--- a/bench/tests/test_soak.py
+++ b/bench/tests/test_soak.py
@@ -114,6 +114,13 @@
         self.check("LOST", breaches=0, disturbances=[build_stop("kill")], **case)
         self.check("LOST", breaches=0, attempts=[cut], disturbances=[build_stop()])
 
+    def test_call_that_a_planned_stop_holds_without_an_answer(self):
+        held = build_attempt(status=0, whole=False)
+        crossed = build_attempt(status=0, whole=False, ended_at=10.1)
+        stops = [build_stop(began_at=10.0)]
+        self.check("LOST, held", breaches=1, attempts=[held], disturbances=stops)
+        self.check("LOST, held", breaches=0, attempts=[crossed], disturbances=stops)
+
 
 if __name__ == "__main__":
     unittest.main()
