Apply only states that a copy does not have yet

Change: changes are reduced to the latest state of each object, and a state that is not newer than that of the copy has no effect. A check also waits for a first copy.

--- a/packages/daemon/src/goldcrestvane_daemon/frontend/copy_watcher.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/copy_watcher.py
@@ -81,11 +81,11 @@
                 nursery.start_soon(self._follow_kind, kind)
 
     def is_available(self, kind: ObjectKind) -> bool:
-        """Returns whether the store answered the last list of a kind, if there was one.
+        """Returns whether there is a copy and the store answered the last list.
 
         A watch that fails does not show that the store is unavailable.
         """
-        return kind not in self._unavailable
+        return kind not in self._unavailable and self._snapshots[kind].revision > 0
 
     def restart_watch(self, kind: ObjectKind, error: ObjectStoreError | None) -> None:
         """Ends the watch of a kind; with an error, the kind is listed again."""
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/object_cache.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/object_cache.py
@@ -212,9 +212,8 @@
         removal_at: float,
         source: ChangeSource,
     ) -> None:
-        if not self._snapshots[kind].update(changes, confirmed_at=confirmed_at):
-            return
-        for item in changes.objects:
+        updated = self._snapshots[kind].update(changes, confirmed_at=confirmed_at)
+        for item in updated:
             self._apply(kind, item, source, removal_at)
         self._update_synced()
 
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/snapshot.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/snapshot.py
@@ -54,21 +54,32 @@
         self.confirm(changes.revision, confirmed_at)
         return True
 
-    def update(self, changes: StoreChanges, *, confirmed_at: float) -> bool:
+    def update(
+        self, changes: StoreChanges, *, confirmed_at: float
+    ) -> list[StoreObject]:
         """Merges the changes since a revision that the copy had.
 
+        Changes up to an older revision than that of the copy are ignored.
+
         Returns:
-            Whether the changes were used. Those up to an older revision are not.
+            The latest state of each object that the copy did not have yet. Earlier states
+            must not take effect, not even for a moment.
         """
         if changes.revision < self.revision:
-            return False
-        for item in changes.objects:
+            return []
+        latest = {item.name: item for item in changes.objects}
+        updated = [item for item in latest.values() if self._is_new(item)]
+        for item in updated:
             self.objects.pop(item.name, None)
             if not item.deleted:
                 self.objects[item.name] = item
             self._digest = None
         self.confirm(changes.revision, confirmed_at)
-        return True
+        return updated
+
+    def _is_new(self, item: StoreObject) -> bool:
+        known = self.objects.get(item.name)
+        return item.deleted or known is None or known.version < item.version
 
     def compute_digest(self) -> str:
         """Returns a hash that is equal for copies with the same objects."""
