Fetch the ledger's view from frontends while neither store nor ledger answers

Change: the copy of the view has to be current while the members are unreachable. Evidence: test_view_is_fetched_from_frontends_when_store_and_ledger_are_unreachable fails without the change and passes with it; 39 tests of the changed modules pass.

--- a/packages/daemon/src/goldcrestvane_daemon/frontend/object_cache.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/object_cache.py
@@ -120,7 +120,9 @@
 
     def needs_check(self, kind: ObjectKind) -> bool:
         """Returns whether the copy of a kind has to be current."""
-        return kind is not ObjectKind.LEDGER or self._ledger.view is None
+        if kind is not ObjectKind.LEDGER:
+            return True
+        return self._ledger.view is None or not self._ledger.is_reachable
 
     def get_copy(self, request: FetchObjects) -> ObjectsCopy:
         """Returns the state of the copy of a kind, for another frontend."""
--- a/packages/daemon/tests/frontend/test_object_cache.py
+++ b/packages/daemon/tests/frontend/test_object_cache.py
@@ -147,8 +147,10 @@
 
     def __init__(self, copy=None):
         self.copy = copy
+        self.fetches = Counter()
 
     async def fetch_copies(self, kind, since, digest):
+        self.fetches[kind] += 1
         await trio.lowlevel.checkpoint()
         if self.copy is None or kind is not ObjectKind.TARGETS:
             return []
@@ -156,7 +158,9 @@
 
 
 class ObjectCacheTests(unittest.TestCase):
-    def run_script(self, script, *, hangs=False, copy=None, ledger=None):
+    def run_script(
+        self, script, *, hangs=False, copy=None, ledger=None, frontends=None
+    ):
         async def main():
             store = FakeStore()
             store.hangs = hangs
@@ -165,7 +169,7 @@
                 store=store,
                 targets=table,
                 ledger=ledger or mock.Mock(view=None),
-                frontends=FakeFrontends(copy),
+                frontends=frontends or FakeFrontends(copy),
                 bounds=CopyBounds(
                     propagation_seconds=CONFIG_PROPAGATION_SECONDS,
                     drain_seconds=DRAIN_SECONDS,
@@ -350,6 +354,18 @@
 
         self.assertEqual(self.list_failing_outages(check), [])
 
+    def test_view_is_fetched_from_frontends_when_store_and_ledger_are_unreachable(self):
+        ledger = mock.Mock(view="known", is_reachable=True)
+        frontends = FakeFrontends()
+
+        async def script(store, is_target_used):
+            store.set_outage(True)
+            ledger.is_reachable = False
+            await trio.sleep(5)
+            self.assertGreater(frontends.fetches[ObjectKind.LEDGER], 0)
+
+        self.run_script(script, ledger=ledger, frontends=frontends)
+
     def test_target_with_an_invalid_entry_is_not_used(self):
         async def script(store, is_target_used):
             store.put("i-1", slots="many")
