--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -16,7 +16,9 @@
 
 MIN_INTERVAL_SECONDS = 0.3
 MAX_INTERVAL_SECONDS = 1.5
-DRAIN_SECONDS = 2.5
+LEAVING_SECONDS = 2.5
+"""Minimum time for which a target serves after it has announced that it leaves."""
+
 VERSIONS = ("v1", "v2", "v3")
 TARGETS = 4
 MIN_TARGETS = 2
@@ -169,7 +171,7 @@
             target.write_entry("draining")
         elif self._rng.random() < 0.5:
             target.remove_entry()
-        await trio.sleep(DRAIN_SECONDS + self._rng.uniform(0, 2))
+        await trio.sleep(LEAVING_SECONDS + self._rng.uniform(0, 2))
         with self._record("target"):
             target.stop()
             target.remove_entry()
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/object_cache.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/object_cache.py
@@ -43,6 +43,20 @@
 logger = get_logger("directory")
 
 
+class Delivery(msgspec.Struct, frozen=True, kw_only=True):
+    """How changes reached this process.
+
+    Attributes:
+        source: Where the changes came from.
+        confirmed_at: Time at which the copy is complete with these changes.
+        removal_at: Time until which targets are used whose entries were removed.
+    """
+
+    source: ChangeSource
+    confirmed_at: float
+    removal_at: float
+
+
 @final
 class ObjectCache:
     """Cache of the platform's objects in this process.
@@ -161,63 +175,43 @@
         removal_at = self._get_removal_time(kind)
         if after_outage:
             removal_at = trio.current_time() + RELISTING_SECONDS
-        self._replace(
-            kind,
-            changes,
-            confirmed_at=sent_at,
-            removal_at=removal_at,
-            source=ChangeSource.LIST,
+        delivery = Delivery(
+            source=ChangeSource.LIST, confirmed_at=sent_at, removal_at=removal_at
         )
+        self._replace(kind, changes, delivery)
 
     def apply_copy(
         self, kind: ObjectKind, copy: StoreChanges, *, confirmed_at: float
     ) -> None:
         """Applies the newer copy of another frontend."""
-        self._replace(
-            kind,
-            copy,
+        delivery = Delivery(
+            source=ChangeSource.PEER,
             confirmed_at=confirmed_at,
             removal_at=self._get_removal_time(kind),
-            source=ChangeSource.PEER,
         )
+        self._replace(kind, copy, delivery)
 
     def apply_watch(
         self, kind: ObjectKind, changes: StoreChanges, *, sent_at: float
     ) -> None:
         """Applies changes that a watch sent at `sent_at` returned."""
-        self._update(
-            kind,
-            changes,
+        delivery = Delivery(
+            source=ChangeSource.WATCH,
             confirmed_at=sent_at,
             removal_at=trio.current_time() + self._bounds.removal_seconds,
-            source=ChangeSource.WATCH,
         )
+        self._update(kind, changes, delivery)
 
     def apply_check(
         self, kind: ObjectKind, changes: StoreChanges, *, sent_at: float
     ) -> None:
         """Applies changes that the store returned to a check sent at `sent_at`."""
-        self._update(
-            kind,
-            changes,
+        delivery = Delivery(
+            source=ChangeSource.CHECK,
             confirmed_at=sent_at,
             removal_at=self._get_removal_time(kind),
-            source=ChangeSource.CHECK,
         )
-
-    def _update(
-        self,
-        kind: ObjectKind,
-        changes: StoreChanges,
-        *,
-        confirmed_at: float,
-        removal_at: float,
-        source: ChangeSource,
-    ) -> None:
-        updated = self._snapshots[kind].update(changes, confirmed_at=confirmed_at)
-        for item in updated:
-            self._apply(kind, item, source, removal_at)
-        self._update_synced()
+        self._update(kind, changes, delivery)
 
     def _get_removal_time(self, kind: ObjectKind) -> float:
         """Returns until when targets are used that are missing from a newer copy.
@@ -229,38 +223,37 @@
             return trio.current_time() + RELISTING_SECONDS
         return self._snapshots[kind].confirmed_at + self._bounds.removal_seconds
 
+    def _update(
+        self, kind: ObjectKind, changes: StoreChanges, delivery: Delivery
+    ) -> None:
+        """Merges the changes since a revision that the copy had."""
+        snapshot = self._snapshots[kind]
+        for item in snapshot.update(changes, confirmed_at=delivery.confirmed_at):
+            self._apply(kind, item, delivery)
+        self._update_synced()
+
     def _replace(
-        self,
-        kind: ObjectKind,
-        changes: StoreChanges,
-        *,
-        confirmed_at: float,
-        removal_at: float,
-        source: ChangeSource,
+        self, kind: ObjectKind, changes: StoreChanges, delivery: Delivery
     ) -> None:
-        if not self._snapshots[kind].replace(changes, confirmed_at=confirmed_at):
+        """Replaces the copy by a list of all objects, unless the list is older."""
+        snapshot = self._snapshots[kind]
+        if not snapshot.replace(changes, confirmed_at=delivery.confirmed_at):
             return
         if kind is ObjectKind.TARGETS:
-            self._mark_missing(changes, removal_at)
+            self._mark_missing(changes, delivery.removal_at)
         for item in changes.objects:
-            self._apply(kind, item, source, removal_at)
+            self._apply(kind, item, delivery)
         self._update_synced()
 
     def _update_synced(self) -> None:
         if self.routes is not None and self._snapshots[ObjectKind.TARGETS].revision:
             self.synced.set()
 
-    def _apply(
-        self,
-        kind: ObjectKind,
-        item: StoreObject,
-        source: ChangeSource,
-        removal_at: float,
-    ) -> None:
+    def _apply(self, kind: ObjectKind, item: StoreObject, delivery: Delivery) -> None:
         if kind is ObjectKind.TARGETS:
-            self._apply_target(item, source, removal_at)
+            self._apply_target(item, delivery)
         elif kind is ObjectKind.CONFIGURATION:
-            self._apply_configuration(item, source)
+            self._apply_configuration(item, delivery.source)
         else:
             self._apply_view(item)
 
@@ -300,12 +293,10 @@
                 "cannot decode the view of the ledger", extra={"reason": str(error)}
             )
 
-    def _apply_target(
-        self, item: StoreObject, source: ChangeSource, removal_at: float
-    ) -> None:
+    def _apply_target(self, item: StoreObject, delivery: Delivery) -> None:
         instance = InstanceId(item.name)
         if item.deleted:
-            self._apply_removal(instance, removal_at)
+            self._apply_removal(instance, delivery.removal_at)
             return
         self._missing.pop(instance, None)
         target = decode_target(item.name, item.value)
@@ -326,7 +317,7 @@
                     "software": target.software,
                     "state": target.state.value,
                     "revision": item.version,
-                    "source": source.value,
+                    "source": delivery.source.value,
                 },
             )
             self._on_change(replaced)
