Bound the connecting time of a call by its timeout

With the pause of 0.25 s a list could come 1.25 s after the store's return, and removed targets be used until 3.25 s after it, against the 3 s of the stable window. Change: connecting takes at most the timeout of the call. Evidence: test_connecting_takes_no_longer_than_the_timeout_of_the_call fails before and passes with it.

--- a/packages/common/src/goldcrestvane_common/transport.py
+++ b/packages/common/src/goldcrestvane_common/transport.py
@@ -225,8 +225,11 @@
         """
         if value is not None:
             content = msgspec.json.encode(value)
+        connect_timeout = CONNECT_TIMEOUT_SECONDS
+        if timeout is not None:
+            connect_timeout = min(connect_timeout, timeout)
         timeouts = {
-            "connect": CONNECT_TIMEOUT_SECONDS,
+            "connect": connect_timeout,
             "read": timeout,
             "write": timeout,
             "pool": CONNECT_TIMEOUT_SECONDS,
--- a/packages/common/tests/test_transport.py
+++ b/packages/common/tests/test_transport.py
@@ -3,12 +3,13 @@
 import unittest
 from unittest import mock
 
+import httpcore
 import trio
 
 from goldcrestvane_common import transport as transport_module
 from goldcrestvane_common.routing import JsonResponse, Router
 from goldcrestvane_common.server import Application, serve_http
-from goldcrestvane_common.transport import ExchangeBroken, Transport
+from goldcrestvane_common.transport import ConnectFailed, ExchangeBroken, Transport
 
 
 async def respond(request):
@@ -43,6 +44,23 @@
 
         trio.run(main)
 
+    def test_connecting_takes_no_longer_than_the_timeout_of_the_call(self):
+        async def main():
+            async with Transport() as transport:
+                with (
+                    mock.patch.object(
+                        httpcore.AsyncConnectionPool,
+                        "stream",
+                        side_effect=httpcore.ConnectTimeout,
+                    ) as stream,
+                    contextlib.suppress(ConnectFailed, httpcore.ConnectTimeout),
+                ):
+                    await transport.send("GET", "127.0.0.1:1", "/", timeout=0.75)
+            timeouts = stream.call_args.kwargs["extensions"]["timeout"]
+            self.assertEqual(timeouts["connect"], 0.75)
+
+        trio.run(main)
+
     def test_body_without_end_is_cut_off(self):
         async def main():
             async with Transport() as transport, trio.open_nursery() as nursery:
