Hold back signals until a starting process can handle them

Callers: a call that waits in the backlog of a starting frontend is lost when SIGTERM or SIGHUP arrives before the process can handle it. Cause: a process listens before its imports, and until trio receives signals their default action kills it. SIGHUP killed a starting process as well. Change: SIGTERM, SIGINT and SIGHUP are blocked before the process listens and unblocked once it receives them, so that a stop during the start is a graceful stop after it.

--- a/packages/daemon/src/goldcrestvane_daemon/main.py
+++ b/packages/daemon/src/goldcrestvane_daemon/main.py
@@ -13,6 +13,7 @@
 from goldcrestvane_daemon.listening import open_listener
 from goldcrestvane_daemon.platform.machine import MachineSettings, read_machine_settings
 from goldcrestvane_daemon.settings import InvalidSettings, load_settings
+from goldcrestvane_daemon.startup_signals import hold_signals
 
 EXIT_INVALID_SETTINGS = 2
 FLAGS = flags.FLAGS
@@ -98,6 +99,7 @@
     """
     settings = read_machine_settings()
     address = PLATFORM_ROLES[role].get_address(settings)
+    hold_signals()
     listener = open_listener(address) if address else None
     process = import_role(role)
     # Imported here so that the process listens before these imports.
--- a/packages/daemon/src/goldcrestvane_daemon/shutdown_signals.py
+++ b/packages/daemon/src/goldcrestvane_daemon/shutdown_signals.py
@@ -5,6 +5,7 @@
 import trio
 
 from goldcrestvane_common.logs import get_logger
+from goldcrestvane_daemon.startup_signals import release_signals
 
 SHUTDOWN_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
@@ -20,6 +21,7 @@
     of a process, so the signal is logged and must not stop the process.
     """
     with trio.open_signal_receiver(*SHUTDOWN_SIGNALS, signal.SIGHUP) as signals:
+        release_signals()
         task_status.started()
         async for number in signals:
             if number in SHUTDOWN_SIGNALS:
