Name the steps of a stream's origin after what they do

Reading the diff as a newcomer: check_resumption set the origin, plan and begin said nothing of it. Renames only; frontend/test_stream_versions.py and test_calls.py pass.

--- a/packages/daemon/src/goldcrestvane_daemon/frontend/attempts.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/attempts.py
@@ -191,11 +191,11 @@
             headers = _remove_content_length(head.forwarded) + connection_headers
             if body is None:
 
-                async def begin() -> None:
-                    await self._origins.begin(call, target, recorded)
+                async def fix_origin() -> None:
+                    await self._origins.fix_origin(call, target, recorded)
 
                 event_seconds = await self._forward_stream(
-                    connection, call, request, headers, begin
+                    connection, call, request, headers, fix_origin
                 )
             else:
                 call.response_started = True
@@ -273,7 +273,7 @@
         call: CallContext,
         request: TargetRequest,
         headers: list[tuple[bytes, bytes]],
-        begin: Callable[[], Awaitable[None]],
+        fix_origin: Callable[[], Awaitable[None]],
     ) -> float | None:
         """Forwards events as they arrive and returns their mean interval in seconds.
 
@@ -282,7 +282,7 @@
             call: The call.
             request: Request at the target.
             headers: Headers of the response.
-            begin: Called before the first event of the target is forwarded.
+            fix_origin: Called before the first event of the target is forwarded.
         """
         splitter = EventSplitter()
         events_before = call.events
@@ -296,7 +296,7 @@
                 continue
             if call.events == events_before:
                 first_at = trio.current_time()
-                await begin()
+                await fix_origin()
             if not call.response_started:
                 # The response starts with the first event. If the target fails before
                 # that, the call can still be attempted at another target.
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/calls.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/calls.py
@@ -175,13 +175,13 @@
     ) -> None:
         with trio.CancelScope(deadline=call.deadline) as scope:
             if not call.is_turn:
-                self._origins.check_resumption(call)
+                self._origins.set_resumed_origin(call)
                 await self._run_attempts(connection, call, connection_headers)
                 return
             try:
-                self._origins.plan(call)
+                self._origins.plan_record(call)
                 await self._turns.open(call)
-                self._origins.check_resumption(call)
+                self._origins.set_resumed_origin(call)
                 OPEN_SECONDS.observe(trio.current_time() - call.arrived)
                 await self._run_attempts(connection, call, connection_headers)
             finally:
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/stream_origins.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/stream_origins.py
@@ -40,12 +40,12 @@
         self._targets = targets
         self._nursery = nursery
 
-    def plan(self, call: CallContext) -> None:
+    def plan_record(self, call: CallContext) -> None:
         """Sets the origin that is recorded with the turn's reservation, if certain."""
         if call.records_origin:
             call.recorded_origin = self._targets.get_only_origin(call.service)
 
-    def check_resumption(self, call: CallContext) -> None:
+    def set_resumed_origin(self, call: CallContext) -> None:
         """Sets the origin of a stream that the client resumes.
 
         Raises:
@@ -104,7 +104,7 @@
         else:
             recorded.set()
 
-    async def begin(
+    async def fix_origin(
         self, call: CallContext, target: Target, recorded: trio.Event
     ) -> None:
         """Fixes the origin of a stream before its first event is forwarded."""
