Ask one frontend at a time to confirm a copy

Change: one frontend is asked, in turn, and the interval is an eighth of the propagation time. Evidence: test_copy_is_asked_of_one_frontend_after_the_other; 21 tests of the changed modules pass.

--- a/packages/daemon/src/goldcrestvane_daemon/frontend/copy_bounds.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/copy_bounds.py
@@ -13,8 +13,12 @@
 MIN_RETRY_SECONDS = 0.25
 MAX_RETRY_SECONDS = 1.0
 
+CHECK_INTERVAL_SHARE = 0.125
+"""Interval at which the age of a copy is compared with its bounds, as a share of the
+propagation time."""
+
 FRONTEND_CHECK_SHARE = 0.25
-"""Age of a copy at which other frontends are asked, as a share of the propagation time."""
+"""Age of a copy at which another frontend is asked, as a share of the propagation time."""
 
 MIN_STORE_CHECK_SHARE = 0.375
 MAX_STORE_CHECK_SHARE = 0.625
@@ -35,9 +39,14 @@
     drain_seconds: float = 2.0
     stable_seconds: float = 3.0
 
+    @property
+    def check_interval(self) -> float:
+        """Interval in seconds at which the age of a copy is looked at."""
+        return CHECK_INTERVAL_SHARE * self.propagation_seconds
+
     @property
     def frontend_check_age(self) -> float:
-        """Age in seconds at which other frontends are asked to confirm a copy."""
+        """Age in seconds at which another frontend is asked to confirm a copy."""
         return FRONTEND_CHECK_SHARE * self.propagation_seconds
 
     @property
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/copy_checker.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/copy_checker.py
@@ -21,9 +21,6 @@
 from goldcrestvane_daemon.frontend.snapshot import ChangeSource, Snapshot
 from goldcrestvane_daemon.platform.store import ObjectKind, StoreChanges, StoreClient
 
-CHECK_INTERVAL_SECONDS = 0.25
-"""Interval at which the age of a copy is compared with its bounds."""
-
 logger = get_logger("directory")
 
 
@@ -92,7 +89,7 @@
 
     async def _ask_frontends_periodically(self, kind: ObjectKind) -> None:
         while True:
-            await trio.sleep(CHECK_INTERVAL_SECONDS)
+            await trio.sleep(self._bounds.check_interval)
             if self._is_older_than(self._bounds.frontend_check_age, kind):
                 await self._ask_frontends(kind)
 
@@ -100,25 +97,24 @@
         snapshot = self._snapshots[kind]
         sent_at = trio.current_time()
         digest = snapshot.compute_digest()
-        copies = await self._frontends.fetch_copies(kind, snapshot.revision, digest)
-        for copy in copies:
-            if copy.age_seconds is None:
-                continue
-            confirmed_at = sent_at - copy.age_seconds
-            if copy.digest == snapshot.compute_digest():
-                snapshot.confirm(copy.revision, confirmed_at)
-            elif copy.changes and copy.revision > snapshot.revision:
-                logger.info(
-                    "adopted the copy of another frontend",
-                    extra={"kind": kind.value, "revision": copy.revision},
-                )
-                self._copies.apply_copy(kind, copy.changes, confirmed_at=confirmed_at)
-                COPY_CHECKS.labels(kind.value, ChangeSource.PEER.value).inc()
+        copy = await self._frontends.fetch_copy(kind, snapshot.revision, digest)
+        if copy is None or copy.age_seconds is None:
+            return
+        confirmed_at = sent_at - copy.age_seconds
+        if copy.digest == snapshot.compute_digest():
+            snapshot.confirm(copy.revision, confirmed_at)
+        elif copy.changes and copy.revision > snapshot.revision:
+            logger.info(
+                "adopted the copy of another frontend",
+                extra={"kind": kind.value, "revision": copy.revision},
+            )
+            self._copies.apply_copy(kind, copy.changes, confirmed_at=confirmed_at)
+            COPY_CHECKS.labels(kind.value, ChangeSource.PEER.value).inc()
 
     async def _ask_store_periodically(self, kind: ObjectKind) -> None:
         max_age = self._rng.uniform(*self._bounds.store_check_ages)
         while True:
-            await trio.sleep(CHECK_INTERVAL_SECONDS)
+            await trio.sleep(self._bounds.check_interval)
             is_old = self._is_older_than(max_age, kind)
             if is_old and self._watcher.is_available(kind):
                 await self._ask_store(kind)
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/peers.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/peers.py
@@ -37,7 +37,7 @@
 
 REQUEST_TIMEOUT_SECONDS = 1.0
 COPY_TIMEOUT_SECONDS = 0.5
-"""Time for which copies of other frontends are awaited."""
+"""Time for which the copy of another frontend is awaited."""
 
 RELAY_MARGIN_SECONDS = 0.2
 
@@ -60,6 +60,7 @@
         self._peers: dict[str, tuple[PeerConnection, trio.CancelScope]] = {}
         self._call_member: CallMember | None = None
         self._get_copy: GetCopy | None = None
+        self._asked_count = 0
 
     def set_handlers(self, call_member: CallMember, get_copy: GetCopy) -> None:
         """Sets the functions that serve requests of other frontends.
@@ -125,33 +126,33 @@
                 return answer.response
         raise PeerUnreachable(f"No frontend reaches {address} either.")
 
-    async def fetch_copies(
+    async def fetch_copy(
         self, kind: ObjectKind, since: Version, digest: str
-    ) -> list[ObjectsCopy]:
-        """Returns the state of the other frontends' copies of a kind.
+    ) -> ObjectsCopy | None:
+        """Returns the state of another frontend's copy of a kind.
+
+        The connected frontends are asked in turn. None if the next one does not answer.
 
         Args:
             kind: Kind of the objects.
-            since: Revision of this frontend's copy. Newer copies come with objects.
+            since: Revision of this frontend's copy. A newer copy comes with objects.
             digest: Hash of this frontend's copy.
         """
-        request = FetchObjects(kind.value, since, digest)
-        copies: list[ObjectsCopy] = []
-
-        async def fetch(peer: PeerConnection) -> None:
-            try:
-                answer = await peer.call(request, timeout=REQUEST_TIMEOUT_SECONDS)
-            except PeerUnreachable as error:
-                logger.info("a frontend does not answer", extra={"reason": str(error)})
-                return
-            if isinstance(answer, ObjectsCopy):
-                copies.append(answer)
-
-        with trio.move_on_after(COPY_TIMEOUT_SECONDS):
-            async with trio.open_nursery() as nursery:
-                for peer in self._list_connected():
-                    nursery.start_soon(fetch, peer)
-        return copies
+        connected = self._list_connected()
+        if not connected:
+            return None
+        self._asked_count += 1
+        peer = connected[self._asked_count % len(connected)]
+        answer = None
+        try:
+            with trio.move_on_after(COPY_TIMEOUT_SECONDS):
+                answer = await peer.call(
+                    FetchObjects(kind.value, since, digest),
+                    timeout=REQUEST_TIMEOUT_SECONDS,
+                )
+        except PeerUnreachable as error:
+            logger.info("a frontend does not answer", extra={"reason": str(error)})
+        return answer if isinstance(answer, ObjectsCopy) else None
 
     def report_deaths(self, fingerprint: Fingerprint, targets: list[str]) -> None:
         """Reports targets that died with a request to the connected frontends."""
--- a/packages/daemon/tests/frontend/test_copy_checker.py
+++ b/packages/daemon/tests/frontend/test_copy_checker.py
@@ -34,10 +34,10 @@
         self._snapshot = snapshot
         self._age = age
 
-    async def fetch_copies(self, kind, since, digest):
+    async def fetch_copy(self, kind, since, digest):
         await trio.lowlevel.checkpoint()
         copy = self._snapshot
-        return [ObjectsCopy(None, copy.revision, copy.compute_digest(), self._age)]
+        return ObjectsCopy(None, copy.revision, copy.compute_digest(), self._age)
 
 
 def build_snapshot(version):
--- a/packages/daemon/tests/frontend/test_object_cache.py
+++ b/packages/daemon/tests/frontend/test_object_cache.py
@@ -149,12 +149,12 @@
         self.copy = copy
         self.fetches = Counter()
 
-    async def fetch_copies(self, kind, since, digest):
+    async def fetch_copy(self, kind, since, digest):
         self.fetches[kind] += 1
         await trio.lowlevel.checkpoint()
         if self.copy is None or kind is not ObjectKind.TARGETS:
-            return []
-        return [ObjectsCopy(self.copy, self.copy.revision, "copy", 0.0)]
+            return None
+        return ObjectsCopy(self.copy, self.copy.revision, "copy", 0.0)
 
 
 class ObjectCacheTests(unittest.TestCase):
--- a/packages/daemon/tests/frontend/test_peers.py
+++ b/packages/daemon/tests/frontend/test_peers.py
@@ -1,11 +1,13 @@
 import unittest
 from collections import Counter
+from unittest import mock
 
 import trio
 
 from goldcrestvane_daemon.frontend.crash_tracker import CrashTracker
 from goldcrestvane_daemon.frontend.peers import MAX_PEERS, FrontendPeers
 from goldcrestvane_daemon.ledger.messages import Frontend
+from goldcrestvane_daemon.platform.store import ObjectKind
 
 DOMAINS = ("d0", "d1", "d2")
 
@@ -42,6 +44,21 @@
         self.assertGreaterEqual(len(counts), 15)
         self.assertLessEqual(max(counts.values()), 3 * MAX_PEERS)
 
+    def test_copy_is_asked_of_one_frontend_after_the_other(self):
+        """Guards against checks that cost each frontend a message to all others."""
+
+        async def main():
+            async with trio.open_nursery() as nursery:
+                peers = FrontendPeers("local", CrashTracker(), nursery)
+                connected = [mock.AsyncMock() for _ in range(MAX_PEERS)]
+                with mock.patch.object(peers, "_list_connected", lambda: connected):
+                    for _ in range(2 * MAX_PEERS):
+                        await peers.fetch_copy(ObjectKind.TARGETS, 1, "digest")
+                counts = [peer.call.await_count for peer in connected]
+                self.assertEqual(counts, [2] * MAX_PEERS)
+
+        trio.run(main)
+
 
 if __name__ == "__main__":
     unittest.main()
