Quote the log of a process that ends during its start

Cause: test_settings failed once with 'sidecar-close-llm-1 exited during startup'; the message named the folder of the logs, which the test deletes, so the cause could not be told. Change: the error quotes the exit code and the end of the log. Conclusion: the next such failure can be traced.

--- a/standins/src/goldcrestvane_standins/deployment.py
+++ b/standins/src/goldcrestvane_standins/deployment.py
@@ -40,6 +40,10 @@
 PEER_TOKEN = "a secret of the test deployment"
 LISTENING_PREFIX = "listening "
 
+LOG_TAIL_BYTES = 4000
+"""Size of the end of a log that an error quotes. The folder of the logs may be gone when
+the error is read."""
+
 
 class TargetPlan(msgspec.Struct, frozen=True, kw_only=True):
     """Targets of one service.
@@ -128,6 +132,13 @@
             self._process.kill()
             self._process.wait()
 
+    def describe_exit(self) -> str:
+        """Returns the exit code and the end of the log, for an error message."""
+        code = self._process.poll() if self._process is not None else None
+        log = self._log.read_bytes() if self._log.exists() else b""
+        tail = log[-LOG_TAIL_BYTES:].decode(errors="replace")
+        return f"exit code {code}; the end of its log:\n{tail}"
+
     async def wait_for_exit(self) -> int:
         """Waits for the process to exit and returns its exit code."""
         with trio.fail_after(STOP_TIMEOUT_SECONDS):
@@ -204,7 +215,7 @@
         output = process.start(f"--listen={listen}")
         line = await trio.to_thread.run_sync(output.readline)
         if not line.startswith(LISTENING_PREFIX):
-            raise RuntimeError(f"{name} did not start; see {self._folder}.")
+            raise RuntimeError(f"{name} did not start: {process.describe_exit()}")
         process.address = line.removeprefix(LISTENING_PREFIX).strip()
 
     async def _start_target(self, target: TargetPlan, number: int) -> None:
@@ -274,7 +285,9 @@
 
         async def is_healthy() -> bool:
             if not process.is_running:
-                raise RuntimeError(f"{name} exited during startup; see {self._folder}.")
+                raise RuntimeError(
+                    f"{name} exited during startup: {process.describe_exit()}"
+                )
             return await self._probe(name, "/healthz")
 
         await self.wait_until(is_healthy, f"{name} is healthy")
