Reserve the ports of daemons in deployments of stand-ins

Cause, suspected: find_free_port closed the port before the daemon listened on it, so that another socket could take it, and the daemon ended at its start. Not shown for the failure of test_settings, whose log is gone. Shown by a run: a second socket binds the port that find_free_port has returned. Change: the deployment keeps a bound socket that does not listen, also over restarts.

--- a/bench/cost/idle.py
+++ b/bench/cost/idle.py
@@ -27,7 +27,6 @@
     Deployment,
     ManagedProcess,
     Plan,
-    find_free_port,
 )
 
 IDLE_SECONDS = 30.0
@@ -100,7 +99,7 @@
         *options,
     ]
     process = ManagedProcess(name, command, Path(tempfile.gettempdir(), f"{name}.log"))
-    process.address = metered.peers.peer = f"127.0.0.1:{find_free_port()}"
+    process.address = metered.peers.peer = deployment.reserve_address()
     processes[name] = process
     process.start(f"--listen={process.address}")
     row = Instance(name, role, metered.peers.address, plan.domains[0], service=service)
--- a/standins/src/goldcrestvane_standins/deployment.py
+++ b/standins/src/goldcrestvane_standins/deployment.py
@@ -162,6 +162,7 @@
         self._plan = plan
         self._folder = folder
         self._rows: dict[str, Instance] = {}
+        self._reservations: list[socket.socket] = []
         self.processes: dict[str, ManagedProcess] = {}
         self.transport = Transport(peer_token=PEER_TOKEN)
 
@@ -182,6 +183,14 @@
     def _kill_all(self) -> None:
         for process in self.processes.values():
             process.kill()
+        for reservation in self._reservations:
+            reservation.close()
+
+    def reserve_address(self) -> str:
+        """Returns an address that only processes of this deployment listen on."""
+        reservation = reserve_port()
+        self._reservations.append(reservation)
+        return get_address(reservation)
 
     async def _start_all(self) -> None:
         await self.start_standin("objectapi", "objectapi")
@@ -273,7 +282,7 @@
                 *options,
             ]
             process = ManagedProcess(name, command, self._folder / f"{name}.log")
-            process.address = f"127.0.0.1:{find_free_port()}"
+            process.address = self.reserve_address()
             self.processes[name] = process
         process.start(f"--listen={process.address}")
         row = Instance(name, role, process.address, domain, service=service)
@@ -385,8 +394,19 @@
         )
 
 
-def find_free_port() -> int:
-    """Returns a TCP port that is currently free."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+def reserve_port() -> socket.socket:
+    """Returns a socket that keeps a TCP port for a process that listens on it later.
+
+    The socket is bound and does not listen. No other socket gets the port by chance, and
+    a process that sets `SO_REUSEADDR`, as servers do, can listen on it.
+    """
+    reservation = socket.socket()
+    reservation.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    reservation.bind(("127.0.0.1", 0))
+    return reservation
+
+
+def get_address(reservation: socket.socket) -> str:
+    """Returns the ``host:port`` that a socket is bound to."""
+    host, port = reservation.getsockname()
+    return f"{host}:{port}"
--- a/standins/tests/test_deployment.py
+++ b/standins/tests/test_deployment.py
@@ -1,9 +1,10 @@
+import socket
 import sys
 import tempfile
 import unittest
 from pathlib import Path
 
-from goldcrestvane_standins.deployment import ManagedProcess
+from goldcrestvane_standins.deployment import ManagedProcess, reserve_port
 
 
 class ManagedProcessTests(unittest.TestCase):
@@ -19,5 +20,16 @@
         self.assertIn("port in use", description)
 
 
+class PortTests(unittest.TestCase):
+    def test_port_of_a_daemon_is_not_lost_before_it_listens(self):
+        with reserve_port() as reservation:
+            address = reservation.getsockname()
+            with socket.socket() as other, self.assertRaises(OSError):
+                other.bind(address)
+            for _ in range(2):
+                with socket.create_server(address) as listener:
+                    self.assertEqual(listener.getsockname(), address)
+
+
 if __name__ == "__main__":
     unittest.main()
