--- a/packages/daemon/src/goldcrestvane_daemon/frontend/attempts.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/attempts.py
@@ -14,6 +14,7 @@
 from goldcrestvane_daemon.frontend.metrics import FIRST_EVENT_SECONDS
 from goldcrestvane_daemon.frontend.peers import FrontendPeers
 from goldcrestvane_daemon.frontend.queue import ServiceQueue
+from goldcrestvane_daemon.frontend.rate_limits import TargetRateLimits
 from goldcrestvane_daemon.frontend.stream_origins import StreamOrigins
 from goldcrestvane_daemon.frontend.turn_recorder import TurnRecorder
 from goldcrestvane_daemon.frontend.upstream import (
@@ -39,6 +40,9 @@
 
 MAX_PRIORITY = 9
 
+ANOTHER_INSTANCE_STATUS = 421
+"""Status of a process at the target's address that is not the target."""
+
 REJECTION_RETRY_SECONDS = 0.05
 """Time for which a target that rejected a call gets no calls. A slot usually becomes
 free within this time."""
@@ -86,6 +90,7 @@
         origins: StreamOrigins,
         crash_tracker: CrashTracker,
         frontends: FrontendPeers,
+        rate_limits: TargetRateLimits,
         nursery: trio.Nursery,
     ) -> None:
         self._targets = targets
@@ -95,15 +100,19 @@
         self._crash_tracker = crash_tracker
         self._frontends = frontends
         self._nursery = nursery
-        self._connections = TargetConnectionPool(self._mark_leaving)
+        self._rate_limits = rate_limits
+        self._connections = TargetConnectionPool(self._handle_head)
 
-    def _mark_leaving(self, target: Target) -> None:
-        if self._targets.mark_leaving(target):
+    def _handle_head(self, target: Target, head: ResponseHead) -> None:
+        if head.leaving and self._targets.mark_leaving(target):
             logger.info("a target leaves", extra={"target": target.instance})
+        if head.status != ANOTHER_INSTANCE_STATUS:
+            self._rate_limits.observe(target, head.rate_limit)
 
     def remove_target(self, target: Target) -> None:
         """Drops the state and the connections of a target that no longer exists."""
         self._health.forget(target.instance)
+        self._rate_limits.forget(target)
         self._nursery.start_soon(self._connections.close_target, target)
 
     async def run(
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/calls.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/calls.py
@@ -18,6 +18,7 @@
 from goldcrestvane_daemon.frontend.metrics import ATTEMPTS, OPEN_SECONDS, RUNNING
 from goldcrestvane_daemon.frontend.peers import FrontendPeers
 from goldcrestvane_daemon.frontend.queue import ServiceQueue
+from goldcrestvane_daemon.frontend.rate_limits import TargetRateLimits
 from goldcrestvane_daemon.frontend.refusals import (
     CrashedTargets,
     OutcomeUnknown,
@@ -76,6 +77,7 @@
         self._nursery = nursery
         self._origins = StreamOrigins(self._turns, targets, nursery)
         self._health = HealthTracker(EJECTION_OPTIONS)
+        self._rate_limits = TargetRateLimits()
         self._attempts = AttemptRunner(
             targets=targets,
             health=self._health,
@@ -83,6 +85,7 @@
             origins=self._origins,
             crash_tracker=crash_tracker,
             frontends=frontends,
+            rate_limits=self._rate_limits,
             nursery=nursery,
         )
         self._queues: dict[ServiceId, ServiceQueue] = {}
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/metrics.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/metrics.py
@@ -28,6 +28,10 @@
 ATTEMPTS = Counter(
     "goldcrestvane_attempts", "Attempts at targets, by what became of them", ["result"]
 )
+RATE_LIMITED_TARGETS = Gauge(
+    "goldcrestvane_rate_limited_targets",
+    "Targets that state in their responses how many calls per second they take",
+)
 RUNNING = Gauge("goldcrestvane_calls_running", "Calls under way")
 CONNECTIONS = Gauge("goldcrestvane_client_connections", "Open connections of clients")
 COPY_AGE_SECONDS = Gauge(
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/upstream.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/upstream.py
@@ -89,13 +89,14 @@
     Each start of a target has its own connections.
 
     Attributes:
-        on_leaving: Called with a target that says in a response that it leaves.
+        on_head: Called with a target and the head of each of its responses, also of a
+            late response to another call.
         opened_count: Number of connections that were opened.
     """
 
-    def __init__(self, on_leaving: Callable[[Target], None]) -> None:
+    def __init__(self, on_head: Callable[[Target, ResponseHead], None]) -> None:
         self._idle: dict[object, deque[_IdleConnection]] = {}
-        self.on_leaving = on_leaving
+        self.on_head = on_head
         self.opened_count = 0
 
     async def open(self, target: Target) -> trio.SocketStream:
@@ -227,9 +228,7 @@
             with _translate_errors(before_response=True):
                 response = await self._exchange.read_head()
             head = decode_response_head(response.status_code, list(response.headers))
-            if head.leaving:
-                # This also holds in a late response to another call.
-                self._connections.on_leaving(self._target)
+            self._connections.on_head(self._target, head)
             if head.call is None or call is None or head.call == call:
                 return head
             async for _ in self.read_chunks():
--- a/packages/daemon/src/goldcrestvane_daemon/platform/headers.py
+++ b/packages/daemon/src/goldcrestvane_daemon/platform/headers.py
@@ -1,5 +1,6 @@
 """Decodes the headers of clients and targets, and builds headers for both."""
 
+import math
 from collections.abc import Callable, Iterable, Mapping
 from typing import TypeVar
 
@@ -18,6 +19,7 @@
 NOT_EXECUTED = b"goldcrestvane-not-executed"
 SERVER_LOAD = b"goldcrestvane-server-load"
 SERVER_LEAVING = b"server-leaving"
+SERVER_LIMIT = b"server-limit"
 PRIORITY = b"goldcrestvane-request-priority"
 PROGRAM = b"goldcrestvane-program-id"
 SESSION = b"goldcrestvane-session-id"
@@ -214,6 +216,8 @@
         has_content_encoding: Whether the body has a content encoding, which the system
             never requests.
         leaving: Whether the target says that it leaves.
+        rate_limit: Calls per second that the target takes from all callers together;
+            None if it states no limit.
         load: Reported load of the target.
         idle_seconds: Time for which the target keeps an idle connection, if known.
         forwarded: Headers to forward to the client.
@@ -225,6 +229,7 @@
     executed: bool
     has_content_encoding: bool
     leaving: bool
+    rate_limit: float | None
     load: ReportedLoad | None
     idle_seconds: float | None
     forwarded: list[tuple[bytes, bytes]]
@@ -244,6 +249,7 @@
         has_content_encoding=values.get(b"content-encoding", b"identity")
         != b"identity",
         leaving=values.get(SERVER_LEAVING, b"0").strip() not in (b"", b"0"),
+        rate_limit=_read_rate(values.get(SERVER_LIMIT)),
         load=_read_load(values.get(SERVER_LOAD)),
         idle_seconds=_read_idle_seconds(values.get(b"keep-alive", b"")),
         forwarded=[
@@ -262,6 +268,14 @@
     return ReportedLoad(running=running, waiting=waiting, slots=slots)
 
 
+def _read_rate(value: bytes | None) -> float | None:
+    try:
+        rate = float(value or b"")
+    except ValueError:
+        return None
+    return rate if math.isfinite(rate) and rate >= 0 else None
+
+
 def _read_idle_seconds(value: bytes) -> float | None:
     for part in value.split(b","):
         name, _, number = part.strip().partition(b"=")
--- a/packages/daemon/tests/frontend/test_upstream.py
+++ b/packages/daemon/tests/frontend/test_upstream.py
@@ -23,7 +23,7 @@
 
         async def main():
             target = ScriptedTarget(script)
-            connections = TargetConnectionPool(lambda target: None)
+            connections = TargetConnectionPool(lambda target, head: None)
             with trio.fail_after(5):
                 async with trio.open_nursery() as nursery:
                     await nursery.start(target.run)
@@ -91,7 +91,7 @@
     def test_unreachable_target_raises_connect_failed(self):
         async def main():
             request = TargetRequest(
-                TargetConnectionPool(lambda target: None), build_target(1)
+                TargetConnectionPool(lambda target, head: None), build_target(1)
             )
             with self.assertRaises(ConnectFailed):
                 async with request:
@@ -114,7 +114,7 @@
                 await trio.sleep_forever()
 
             connections = 0
-            pool = TargetConnectionPool(lambda target: None)
+            pool = TargetConnectionPool(lambda target, head: None)
             async with trio.open_nursery() as nursery:
                 listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
                 port = listeners[0].socket.getsockname()[1]
--- a/packages/daemon/tests/platform_/test_headers.py
+++ b/packages/daemon/tests/platform_/test_headers.py
@@ -91,6 +91,13 @@
         bad = decode_response_head(200, [(b"goldcrestvane-server-load", b"3,x")])
         self.assertIsNone(bad.load)
 
+    def test_rate_limit_is_decoded_and_a_malformed_one_ignored(self):
+        head = decode_response_head(200, [(b"server-limit", b"5.8")])
+        self.assertEqual(head.rate_limit, 5.8)
+        for value in (b"many", b"nan", b"inf", b"-1", b""):
+            head = decode_response_head(200, [(b"server-limit", value)])
+            self.assertIsNone(head.rate_limit)
+
     def test_idle_time_is_decoded(self):
         head = decode_response_head(200, [(b"keep-alive", b"timeout=5, max=3")])
         self.assertEqual(head.idle_seconds, 5.0)
