--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -14,6 +14,10 @@
 PROPAGATION_SECONDS = 2.0
 STABLE_SECONDS = 3.0
 LOSS_SLACK_SECONDS = 0.2
+LIMIT_WINDOW_SECONDS = 4.0
+LIMIT_FACTOR = 1.5
+LIMIT_ALLOWANCE = 5
+LIMIT_LEARNING_SECONDS = 0.5
 """Bounds in the settings of the soak's machines."""
 
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
@@ -91,6 +95,48 @@
             yield f"{attempt.call} reached {arrival.target}, which leaves"
 
 
+def find_exceeded_limits(evidence: Evidence) -> Iterator[str]:
+    """Finds targets that get more requests than they have stated to take.
+
+    Only frontends count that have passed on the limit.
+    """
+    told: dict[tuple[str, int, str], float] = {}
+    for attempt in evidence.attempts:
+        if attempt.limiting is not None:
+            key = (attempt.frontend, attempt.start, attempt.limiting)
+            told[key] = min(told.get(key, math.inf), attempt.ended_at)
+    attempts = {attempt.call: attempt for attempt in evidence.attempts}
+    for limit in evidence.limits:
+        times: list[float] = []
+        for arrival in evidence.arrivals:
+            attempt = attempts.get(arrival.call)
+            if attempt is None or arrival.target != limit.target:
+                continue
+            key = (attempt.frontend, attempt.start, arrival.target)
+            counted_from = max(
+                limit.began_at + LIMIT_LEARNING_SECONDS,
+                limit.first_named_at + STABLE_SECONDS,
+                told.get(key, math.inf) + LIMIT_LEARNING_SECONDS,
+            )
+            counts = counted_from <= arrival.at <= limit.ended_at
+            if counts and not _is_disturbed(evidence, attempt):
+                times.append(arrival.at)
+        allowed = LIMIT_FACTOR * limit.rate * LIMIT_WINDOW_SECONDS + LIMIT_ALLOWANCE
+        count = _count_most(sorted(times), LIMIT_WINDOW_SECONDS)
+        if count > allowed:
+            yield f"{limit.target} got {count} requests, allowed {allowed:.0f}"
+
+
+def _count_most(times: list[float], seconds: float) -> int:
+    """Returns the largest number of times within a window."""
+    most = first = 0
+    for last, time in enumerate(times):
+        while times[first] < time - seconds:
+            first += 1
+        most = max(most, last - first + 1)
+    return most
+
+
 def find_lost_calls(evidence: Evidence) -> Iterator[str]:
     """Finds calls that reached a target and were cut off by a planned stop."""
     reached: dict[str, bool] = {}
@@ -157,6 +203,7 @@
     "MIXED": find_foreign_answers,
     "CONFIG": find_regressions,
     "DRAIN": find_calls_to_leaving_targets,
+    "LIMIT": find_exceeded_limits,
     "LOST": find_lost_calls,
 }
 TIMED_CHECKS = {
--- a/bench/soak/clients.py
+++ b/bench/soak/clients.py
@@ -166,6 +166,8 @@
         attempt.status = response.status_code
         if "server-leaving" in headers and SIGNATURE in headers:
             attempt.leaving = InstanceId(headers[SIGNATURE])
+        if "server-limit" in headers and SIGNATURE in headers:
+            attempt.limiting = InstanceId(headers[SIGNATURE])
 
 
 def _parse_event(text: bytes) -> StreamedEvent:
--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -9,7 +9,7 @@
 
 from bench.soak.checks import ALL_PROCESSES
 from bench.soak.machines import Machine
-from bench.soak.records import Disturbance, Evidence
+from bench.soak.records import Disturbance, Evidence, RateLimit
 from bench.soak.targets import SoakTarget
 from goldcrestvane_common.ids import InstanceId, Version
 from goldcrestvane_standins.platformstore import PlatformStore
@@ -100,6 +100,8 @@
             self._crash_target,
             self._refuse_calls_of_store,
             self._silence_watches,
+            self._limit_target,
+            self._limit_target,
         ]
 
     def _draw_frontend(self) -> Machine | None:
@@ -202,6 +204,27 @@
         await trio.sleep(self._rng.uniform(1, 5))
         self._platform.faults.deaf_watches = False
 
+    async def _limit_target(self) -> None:
+        """Lets a target state a rate limit, which may change."""
+        free = [each for each in self._targets if each.rate_limit is None]
+        if not free:
+            return
+        target = self._rng.choice(free)
+        first_named_at = trio.current_time()
+        for _ in range(self._rng.randint(1, 2)):
+            target.rate_limit = self._rng.uniform(0.5, 6)
+            began_at = trio.current_time()
+            await trio.sleep(self._rng.uniform(4, 9))
+            limit = RateLimit(
+                target=target.instance,
+                rate=target.rate_limit,
+                first_named_at=first_named_at,
+                began_at=began_at,
+                ended_at=trio.current_time(),
+            )
+            self._evidence.limits.append(limit)
+        target.rate_limit = None
+
     @contextmanager
     def _record(self, kind: str, subject: str = "targets") -> Iterator[None]:
         began_at = trio.current_time()
--- a/bench/soak/records.py
+++ b/bench/soak/records.py
@@ -48,6 +48,7 @@
         events: Events of a stream.
         version: Version that added the route of a probe.
         leaving: Target that said in the response that it leaves.
+        limiting: Target that stated a rate limit in the response.
         stream: Attempt that began the stream that this one continues, or itself.
     """
 
@@ -63,6 +64,7 @@
     events: list[StreamedEvent] = msgspec.field(default_factory=list)
     version: Version = Version(0)
     leaving: InstanceId | None = None
+    limiting: InstanceId | None = None
     stream: CallId = CallId("")
 
 
@@ -84,6 +86,24 @@
     broke_off: bool = False
 
 
+class RateLimit(msgspec.Struct, frozen=True, kw_only=True):
+    """A rate limit that a target stated for some time.
+
+    Attributes:
+        target: The target.
+        rate: Requests per second.
+        first_named_at: Time from which the target has stated a limit without a break.
+        began_at: Time of the first response with this limit, or just before it.
+        ended_at: Time of the last one, or just after it.
+    """
+
+    target: InstanceId
+    rate: float
+    first_named_at: float
+    began_at: float
+    ended_at: float
+
+
 class Disturbance(msgspec.Struct, frozen=True, kw_only=True):
     """A fault or planned work.
 
@@ -110,6 +130,7 @@
         attempts: Attempts of clients.
         arrivals: Requests at targets.
         disturbances: Faults and planned work.
+        limits: Rate limits of targets.
         changes: Time at which each version of the configuration was acknowledged.
     """
 
@@ -117,6 +138,7 @@
         self.attempts: list[Attempt] = []
         self.arrivals: list[Arrival] = []
         self.disturbances: list[Disturbance] = []
+        self.limits: list[RateLimit] = []
         self.changes: dict[Version, float] = {}
         self._calls = itertools.count(1)
 
--- a/bench/soak/targets.py
+++ b/bench/soak/targets.py
@@ -29,6 +29,7 @@
         instance: Id of this start.
         software: Version of its software.
         leaving: Whether its responses say that it leaves.
+        rate_limit: Requests per second that its responses state as its limit, if any.
     """
 
     def __init__(
@@ -43,6 +44,7 @@
         self.instance = instance
         self.software = software
         self.leaving = False
+        self.rate_limit: float | None = None
         self._platform = platform
         self._evidence = evidence
         self._rng = rng
@@ -102,6 +104,8 @@
         common = [(CALL, call), ("goldcrestvane-response-signature", self.instance)]
         if self.leaving:
             common.append(("server-leaving", "1"))
+        if self.rate_limit is not None:
+            common.append(("server-limit", f"{self.rate_limit:.2f}"))
         if headers["goldcrestvane-expected-instance"] != self.instance:
             self._record(call, executed=False)
             await _send_whole(stream, parser, 421, common, b"")
--- a/bench/tests/test_soak.py
+++ b/bench/tests/test_soak.py
@@ -6,6 +6,7 @@
     Attempt,
     Disturbance,
     Evidence,
+    RateLimit,
     RequestKind,
     StreamedEvent,
 )
@@ -46,15 +47,43 @@
 class SoakChecksTests(unittest.TestCase):
     """Each check finds a planted breach and accepts the case beside it."""
 
-    def check(self, rule, *, breaches, attempts=(), arrivals=(), disturbances=()):
+    def check(
+        self, rule, *, breaches, attempts=(), arrivals=(), disturbances=(), limits=()
+    ):
         evidence = Evidence()
         evidence.attempts += attempts
         evidence.arrivals += arrivals
         evidence.disturbances += disturbances
+        evidence.limits += limits
         evidence.changes = {1: 0.0, 2: 5.0}
         find = {**CHECKS, **TIMED_CHECKS}[rule]
         self.assertEqual(len(list(find(evidence))), breaches)
 
+    def test_target_over_its_rate_limit(self):
+        limit = RateLimit(
+            target="i-1", rate=2.0, first_named_at=6.0, began_at=6.0, ended_at=30.0
+        )
+        told = build_attempt("c0", limiting="i-1")
+        other = build_attempt("c9", frontend="frontend-1")
+
+        def build_calls(count):
+            attempts = [build_attempt(f"d{n}", sent_at=12.0) for n in range(count)]
+            arrivals = [
+                Arrival(call=each.call, target="i-1", at=12.0 + n * 3.9 / count)
+                for n, each in enumerate([*attempts, other])
+            ]
+            return {"attempts": [told, other, *attempts], "arrivals": arrivals}
+
+        for count, breaches in ((17, 0), (18, 1)):
+            self.check("LIMIT", breaches=breaches, limits=[limit], **build_calls(count))
+        self.check(
+            "LIMIT",
+            breaches=0,
+            limits=[limit],
+            disturbances=[build_stop("freeze")],
+            **build_calls(18),
+        )
+
     def test_stream_of_two_versions(self):
         first = build_turn("c1", [(1, "v1"), (2, "v1")], whole=False)
         same = build_turn("c2", [(3, "v1")], stream="c1")
