Call targets that state a rate limit only with permits of the ledger

Cause: no frontend read the limit; and a limit over all frontends is a decision that none of them can take alone: at 60 frontends a share may be below one call, and frontends come and go. Weighed: shares of 1/n (60 first calls alone break a limit of 5.8; membership must agree), a few frontends with shares each (the same at their change; capacity lies where demand is not), counts told to all (messages grow with the square). Chosen: one member of the ledger, by rendezvous hashing, issues the permits of a target from one token bucket; the next member issues at half the rate if the first does not answer, so that both stay within one and a half times the limit. Any call passes the same place, ServiceQueue: first attempts, retries, doubled lookups, resumed streams and calls that a freed slot starts. Calls without a permit go to other targets; if all are limited, a permit is reserved up to a second ahead, else the call is refused at once with a time to come back. Permits are void after 0.5 s. The newest response decides on a limit, its fall and its end; members tell all frontends every 3 s. At least one permit in 10 s keeps the end of a limit from being missed.

--- a/bench/decisions.py
+++ b/bench/decisions.py
@@ -13,6 +13,7 @@
 from cost.report import print_targets
 from goldcrestvane_common.ids import DomainId, InstanceId, ServiceId
 from goldcrestvane_daemon.frontend.queue import ServiceQueue
+from goldcrestvane_daemon.frontend.rate_limits import TargetRateLimits
 from goldcrestvane_daemon.placement.health import HealthTracker
 from goldcrestvane_daemon.placement.inputs import PlacementOptions
 from goldcrestvane_daemon.targets import Target, TargetState, TargetTable
@@ -54,6 +55,7 @@
         ServiceId("s0"),
         table=build_table(),
         health=HealthTracker(PlacementOptions()),
+        rate_limits=TargetRateLimits(),
         domain=DomainId("d0"),
     )
 
--- a/bench/load_replay/play.py
+++ b/bench/load_replay/play.py
@@ -11,6 +11,7 @@
 from goldcrestvane_common.ids import DomainId, InstanceId, ServiceId
 from goldcrestvane_daemon.frontend.admission import AdmissionClass
 from goldcrestvane_daemon.frontend.queue import ServiceQueue
+from goldcrestvane_daemon.frontend.rate_limits import TargetRateLimits
 from goldcrestvane_daemon.frontend.refusals import Overloaded, Refusal
 from goldcrestvane_daemon.placement.health import HealthTracker
 from goldcrestvane_daemon.placement.inputs import PlacementOptions
@@ -143,6 +144,7 @@
             SERVICE,
             table=self.table,
             health=self._health,
+            rate_limits=TargetRateLimits(),
             domain=DomainId("d0"),
         )
         self._is_listening = True
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/admission.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/admission.py
@@ -33,6 +33,10 @@
 """Share of a program's remaining time for which its first turn may wait: a third of the
 slack of a program whose deadline is 1.5 times its run time on idle targets."""
 
+MAX_PERMIT_WAIT_SHARE = 0.33
+"""Share of a call's remaining time for which it may wait for a permit. Clients wait for
+as long before they return."""
+
 RATE_WINDOW_SECONDS = 2.0
 """Length of the sliding window over which rates are measured."""
 
@@ -126,6 +130,21 @@
     return MAX_WAIT_SHARE * max(0.0, program_seconds_left)
 
 
+def get_max_permit_wait(
+    seconds_left: float, program_seconds_left: float, admission_class: AdmissionClass
+) -> float:
+    """Returns the seconds for which a call can wait for a permit.
+
+    Args:
+        seconds_left: Seconds until the call's deadline.
+        program_seconds_left: Seconds until the deadline of the call's program.
+        admission_class: Admission class of the call.
+    """
+    if admission_class in STARTING_CLASSES:
+        return get_max_wait(program_seconds_left)
+    return MAX_PERMIT_WAIT_SHARE * seconds_left
+
+
 @final
 class RetrySchedule:
     """Assigns staggered retry times to callers whose calls are refused."""
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/calls.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/calls.py
@@ -17,6 +17,7 @@
 from goldcrestvane_daemon.frontend.ledger_client import LedgerClient
 from goldcrestvane_daemon.frontend.metrics import ATTEMPTS, OPEN_SECONDS, RUNNING
 from goldcrestvane_daemon.frontend.peers import FrontendPeers
+from goldcrestvane_daemon.frontend.permits import PermitClient
 from goldcrestvane_daemon.frontend.queue import ServiceQueue
 from goldcrestvane_daemon.frontend.rate_limits import TargetRateLimits
 from goldcrestvane_daemon.frontend.refusals import (
@@ -29,6 +30,7 @@
 from goldcrestvane_daemon.frontend.stream_origins import StreamOrigins
 from goldcrestvane_daemon.frontend.turn_recorder import TurnRecorder
 from goldcrestvane_daemon.http1 import ConnectionLost, RequestHead, ServerConnection
+from goldcrestvane_daemon.ledger.messages import RateLimit
 from goldcrestvane_daemon.placement.health import HealthTracker
 from goldcrestvane_daemon.placement.inputs import PlacementOptions
 from goldcrestvane_daemon.platform.headers import build_refusal_headers
@@ -77,7 +79,9 @@
         self._nursery = nursery
         self._origins = StreamOrigins(self._turns, targets, nursery)
         self._health = HealthTracker(EJECTION_OPTIONS)
-        self._rate_limits = TargetRateLimits()
+        self._rate_limits = TargetRateLimits(
+            PermitClient(ledger, nursery), on_change=self._dispatch_all
+        )
         self._attempts = AttemptRunner(
             targets=targets,
             health=self._health,
@@ -95,7 +99,11 @@
         queue = self._queues.get(service)
         if queue is None:
             queue = self._queues[service] = ServiceQueue(
-                service, table=self._targets, health=self._health, domain=self._domain
+                service,
+                table=self._targets,
+                health=self._health,
+                rate_limits=self._rate_limits,
+                domain=self._domain,
             )
         return queue
 
@@ -107,6 +115,13 @@
         """
         if removed is not None:
             self._attempts.remove_target(removed)
+        self._dispatch_all()
+
+    def adopt_rate_limit(self, limit: RateLimit) -> None:
+        """Records the rate limit of a target that another frontend has observed."""
+        self._rate_limits.adopt(limit)
+
+    def _dispatch_all(self) -> None:
         for queue in self._queues.values():
             queue.dispatch_waiting()
 
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/ledger_client.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/ledger_client.py
@@ -20,6 +20,7 @@
 from goldcrestvane_daemon.frontend.turn_cache import TurnCache
 from goldcrestvane_daemon.ledger.frames import PeerConnection, PeerUnreachable
 from goldcrestvane_daemon.ledger.messages import (
+    AcquirePermit,
     Announce,
     Entry,
     Failed,
@@ -27,7 +28,10 @@
     ForwardWrite,
     Frontend,
     Frontends,
+    Permit,
+    RateLimit,
     ReadChain,
+    ReportLimit,
     Response,
     StaleView,
     TokenAccount,
@@ -61,6 +65,15 @@
 FORWARD_BACKOFF_SECONDS = 2.0
 """Time for which a member that failed to forward an entry gets no entries to forward."""
 
+PERMIT_TIMEOUT_SECONDS = 0.15
+"""Time for which a member is asked for a permit. A call waits for it."""
+
+PERMIT_BACKOFF_SECONDS = 1.0
+"""Time for which a member that issued no permit is not asked for any."""
+
+PERMIT_ISSUERS = 2
+"""Number of members that may be asked for the permits of one target."""
+
 NEAREST_TIMEOUT_SECONDS = 0.15
 """Time for which the nearest member alone is asked for a chain, before the whole group
 is asked."""
@@ -98,6 +111,8 @@
         self._nursery = nursery
         self._peers: dict[str, PeerConnection] = {}
         self._forward_backoff_until: dict[str, float] = {}
+        self._permit_backoff_until: dict[str, float] = {}
+        self._on_limit: Callable[[RateLimit], None] | None = None
         self._cache = TurnCache(TURN_CACHE_BYTES)
         self.view: View | None = None
 
@@ -114,6 +129,10 @@
         )
         return len(view.slots) - connected <= view.group_size - view.write_quorum
 
+    def set_limit_handler(self, on_limit: Callable[[RateLimit], None]) -> None:
+        """Sets the function that receives rate limits that other frontends know."""
+        self._on_limit = on_limit
+
     def adopt(self, view: View) -> None:
         """Adopts a view if it is newer, and connects to its members."""
         if self.view is not None and view.epoch <= self.view.epoch:
@@ -184,6 +203,41 @@
             await self._write(program, Entry(account=account))
         self._cache.put_all([turn])
 
+    async def acquire_permit(self, request: AcquirePermit) -> Permit:
+        """Asks for a permit for one call to a target with a rate limit.
+
+        Raises:
+            LedgerUnavailable: No member that may issue it answered.
+        """
+        return await self._call_permit_issuer(request)
+
+    async def report_limit(self, limit: RateLimit) -> None:
+        """Reports a change of a target's rate limit. Raises as `acquire_permit`."""
+        await self._call_permit_issuer(ReportLimit(limit))
+
+    async def _call_permit_issuer(self, request: AcquirePermit | ReportLimit) -> Permit:
+        ranked = (
+            self.view.rank_permit_issuers(request.limit.target) if self.view else []
+        )
+        for member in ranked[:PERMIT_ISSUERS]:
+            now = trio.current_time()
+            if self._permit_backoff_until.get(member.address, 0.0) > now:
+                continue
+            try:
+                answer = await self._call(
+                    member.address, request, PERMIT_TIMEOUT_SECONDS
+                )
+            except PeerUnreachable as error:
+                answer = Failed(str(error))
+            if isinstance(answer, Permit):
+                return answer
+            self._permit_backoff_until[member.address] = now + PERMIT_BACKOFF_SECONDS
+            logger.info(
+                "a member issues no permits",
+                extra={"member": member.instance, "answer": str(answer)},
+            )
+        raise LedgerUnavailable(f"No member issues permits for {request.limit.target}.")
+
     def _list_group(self, key: str) -> tuple[Member, ...]:
         return self.view.list_group(key) if self.view else ()
 
@@ -347,6 +401,9 @@
                     )
                     if answer.view is not None:
                         self.adopt(answer.view)
+                    if self._on_limit is not None:
+                        for limit in answer.limits:
+                            self._on_limit(limit)
             await trio.sleep(
                 ANNOUNCE_INTERVAL_SECONDS if connected else ANNOUNCE_RETRY_SECONDS
             )
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/metrics.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/metrics.py
@@ -32,6 +32,11 @@
     "goldcrestvane_rate_limited_targets",
     "Targets that state in their responses how many calls per second they take",
 )
+PERMITS = Counter(
+    "goldcrestvane_permits",
+    "Requests for permits to call a rate-limited target, by result",
+    ["result"],
+)
 RUNNING = Gauge("goldcrestvane_calls_running", "Calls under way")
 CONNECTIONS = Gauge("goldcrestvane_client_connections", "Open connections of clients")
 COPY_AGE_SECONDS = Gauge(
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/process.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/process.py
@@ -103,6 +103,7 @@
             async def serve_ready(stream: trio.SocketStream) -> None:
                 await _serve_readiness(stream, is_ready)
 
+            ledger.set_limit_handler(calls.adopt_rate_limit)
             frontends.set_handlers(ledger.call_member, object_cache.get_copy)
             nursery.start_soon(object_cache.run)
             nursery.start_soon(ledger.run)
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/queue.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/queue.py
@@ -2,6 +2,7 @@
 
 import math
 from collections import deque
+from collections.abc import Callable
 from typing import final
 
 import trio
@@ -15,9 +16,11 @@
     RetrySchedule,
     count_reserved_slots,
     estimate_queue_wait,
+    get_max_permit_wait,
     get_max_wait,
     get_queue_key,
 )
+from goldcrestvane_daemon.frontend.rate_limits import PermitRequest, TargetRateLimits
 from goldcrestvane_daemon.frontend.refusals import NoTarget, Overloaded
 from goldcrestvane_daemon.frontend.target_selection import (
     TargetCandidate,
@@ -57,6 +60,9 @@
 """Maximum weight of a call. A slow target must still receive calls, so that its
 recovery is noticed."""
 
+MAX_ASKED_PERMITS = 3
+"""Number of targets that are asked in turn if all of them limit their rates."""
+
 MIN_OVERLOAD_RETRY_SECONDS = 0.05
 RECHECK_SECONDS = 0.02
 """Interval at which waiting calls check again for free targets."""
@@ -64,7 +70,13 @@
 
 @final
 class Waiter:
-    """A call that waits for a target."""
+    """A call that waits for a target.
+
+    Attributes:
+        max_permit_wait: Seconds for which the call can wait for a permit.
+        permit_request: Last request for a permit, if any.
+        asked_count: Number of permits that were asked for.
+    """
 
     def __init__(
         self,
@@ -74,8 +86,12 @@
         allowed: frozenset[InstanceId] | None,
         origin: StreamOrigin | None,
         admission_class: AdmissionClass,
+        max_permit_wait: float,
     ) -> None:
         self.queue_key = queue_key
+        self.max_permit_wait = max_permit_wait
+        self.permit_request: PermitRequest | None = None
+        self.asked_count = 0
         self.admission_class = admission_class
         self.key = key
         self.excluded = excluded
@@ -84,6 +100,11 @@
         self.target: Target | None = None
         self.assigned = trio.Event()
 
+    @property
+    def awaits_permit(self) -> bool:
+        """Whether the call has a permit to wait for, or has asked for one."""
+        return self.permit_request is not None and self.permit_request.is_open
+
     @property
     def is_restricted(self) -> bool:
         """Whether the call may not use every target of the service."""
@@ -106,9 +127,11 @@
         *,
         table: TargetTable,
         health: HealthTracker,
+        rate_limits: TargetRateLimits,
         domain: DomainId,
     ) -> None:
         self._service = service
+        self._rate_limits = rate_limits
         self._table = table
         self._health = health
         self._domain = domain
@@ -168,7 +191,7 @@
         Raises:
             NoTarget: The service has no target that the call may use.
             Overloaded: The wait would exceed the time left or the maximum wait of a
-                new program.
+                new program, or the rate limits of the targets leave no call in time.
         """
         waiter = Waiter(
             get_queue_key(arrived, priority, admission_class),
@@ -177,6 +200,9 @@
             allowed,
             origin,
             admission_class,
+            max_permit_wait=get_max_permit_wait(
+                seconds_left, program_seconds_left, admission_class
+            ),
         )
         self._check_has_target(waiter)
         wait = estimate_queue_wait(len(self._waiting), self.measure_rate())
@@ -188,7 +214,7 @@
             )
         self._waiting.add(waiter)
         try:
-            if self._waiting[0] is waiter:
+            if self._is_next(waiter):
                 self.dispatch_waiting(limit=1)
             await self._wait_for_target(waiter, program_seconds_left)
         except BaseException:
@@ -200,6 +226,15 @@
                 self._waiting.remove(waiter)
         return waiter.target
 
+    def _is_next(self, waiter: Waiter) -> bool:
+        """Returns whether all calls before a waiting one wait for their permits."""
+        for each in self._waiting:
+            if each is waiter:
+                return True
+            if not each.awaits_permit:
+                return False
+        return False
+
     def _list_usable_targets(self, waiter: Waiter) -> list[Target]:
         """Returns the ready targets that a call may use."""
         ready = self._table.list_ready(self._service)
@@ -208,8 +243,15 @@
         return [each for each in ready if waiter.may_use(each)]
 
     def _check_has_target(self, waiter: Waiter) -> None:
-        """Raises NoTarget if no target may run a call."""
-        if self._list_usable_targets(waiter):
+        """Checks whether a target may run a call in time.
+
+        Raises:
+            NoTarget: The call may use no target.
+            Overloaded: The rate limits of the targets leave no call in time.
+        """
+        usable = self._list_usable_targets(waiter)
+        if usable:
+            self._check_has_permit(waiter, usable)
             return
         wanted = f" with origin {waiter.origin}" if waiter.origin else ""
         raise NoTarget(
@@ -217,6 +259,23 @@
             retry_after=NO_TARGET_RETRY_SECONDS,
         )
 
+    def _check_has_permit(self, waiter: Waiter, usable: list[Target]) -> None:
+        """Raises Overloaded if the rate limits of all targets leave no call in time."""
+        if not self._are_all_limited(usable) or waiter.awaits_permit:
+            return
+        if any(map(self._rate_limits.may_send, usable)):
+            return
+        wait = min(map(self._rate_limits.get_wait, usable))
+        if wait > 0 or waiter.asked_count >= MAX_ASKED_PERMITS:
+            raise Overloaded(
+                f"All targets of service {self._service} limit the rate of their calls; "
+                "none can be called in time.",
+                retry_after=max(MIN_OVERLOAD_RETRY_SECONDS, wait),
+            )
+
+    def _are_all_limited(self, targets: list[Target]) -> bool:
+        return all(map(self._rate_limits.is_limited, targets))
+
     async def _wait_for_target(
         self, waiter: Waiter, program_seconds_left: float
     ) -> None:
@@ -317,6 +376,8 @@
             if target is not None:
                 self._assign(waiter, target)
                 limit -= 1
+            elif waiter.awaits_permit:
+                position += 1
             elif is_starting or waiter.is_restricted:
                 # Later calls may use targets or slots that this call may not use.
                 skip_starting = is_starting
@@ -331,6 +392,7 @@
         if waiter.admission_class in STARTING_CLASSES:
             self._retry_schedule.record_admission(now)
         self._health.record_start(target.instance, now=now)
+        self._rate_limits.use_permit(target)
         waiter.target = target
         self._waiting.remove(waiter)
         waiter.assigned.set()
@@ -350,6 +412,35 @@
         return min(ratio, MAX_CALL_WEIGHT) if ratio >= SLOW_TARGET_RATIO else 1.0
 
     def _find_target(self, waiter: Waiter) -> Target | None:
+        """Returns the target for a call; asks for a permit if it needs one."""
+        limits = self._rate_limits
+        if waiter.permit_request is not None:
+            target = self._choose_target(waiter, limits.may_send)
+            if target is not None or waiter.awaits_permit:
+                return target
+        ahead = self._are_all_limited(self._list_usable_targets(waiter))
+        if ahead and waiter.asked_count >= MAX_ASKED_PERMITS:
+            return None
+        target = self._choose_target(
+            waiter,
+            lambda each: limits.may_send(each) or limits.may_ask(each, ahead=ahead),
+        )
+        if target is None or limits.may_send(target):
+            return target
+        max_wait = waiter.max_permit_wait if ahead else 0.0
+        waiter.permit_request = limits.ask(target, max_wait=max_wait)
+        waiter.asked_count += 1
+        return None
+
+    def _choose_target(
+        self, waiter: Waiter, is_allowed: Callable[[Target], bool]
+    ) -> Target | None:
+        """Returns the best target with a free slot, or None.
+
+        Args:
+            waiter: The call.
+            is_allowed: Returns whether the rate limit of a target allows the call.
+        """
         now = trio.current_time()
         ready = self._list_usable_targets(waiter)
         usable = [
@@ -374,6 +465,7 @@
             )
             for target in usable or ready
             if (load := self._table.get_load(target)).rejects_until <= now
+            and is_allowed(target)
         ]
         candidate = choose_target(candidates, waiter.key)
         return None if candidate is None else self._table.get(candidate.instance)
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/rate_limits.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/rate_limits.py
@@ -1,20 +1,123 @@
-"""Rate limits that targets state in their responses."""
+"""Decides whether calls may be sent to targets that state a rate limit.
 
-from typing import final
+Load pattern: targets in need state in their responses how many calls per second they take
+from all frontends together. Each call to such a target needs a permit, whatever path it
+takes. A member of the ledger issues the permits of a target to all frontends. This process
+asks for one when a call is to be sent, and forgets those that it does not use at once.
+Calls that get no permit go to other targets.
+"""
+
+import functools
+from collections.abc import Callable
+from typing import Protocol, final
+
+import trio
 
 from goldcrestvane_common.logs import get_logger
 from goldcrestvane_daemon.frontend.metrics import RATE_LIMITED_TARGETS
-from goldcrestvane_daemon.targets import Target, TargetKey
+from goldcrestvane_daemon.ledger.messages import AcquirePermit, Permit, RateLimit
+from goldcrestvane_daemon.targets import Target
+
+PERMIT_SECONDS = 0.5
+"""Time after which an unused permit is void, so that permits are not saved up."""
+
+UNAVAILABLE_RETRY_SECONDS = 0.5
+"""Time after which permits are asked for again if no member issued any."""
 
 logger = get_logger("rate")
 
 
+class PermitRequests(Protocol):
+    """Sends requests for permits, and reports of limits, to the ledger."""
+
+    def ask(
+        self, request: AcquirePermit, on_answer: Callable[[Permit | None], None]
+    ) -> None:
+        """Asks for a permit; calls `on_answer` with None if no member answers."""
+
+    def report(self, limit: RateLimit) -> None:
+        """Reports that a target states another limit than before."""
+
+
 @final
-class TargetRateLimits:
-    """Rate limits of the targets, as far as this process knows them."""
+class PermitRequest:
+    """A request for a permit of one call.
+
+    Attributes:
+        max_wait: Seconds for which the call can wait for its permit.
+        is_answered: Whether the answer has arrived.
+        valid_until: Time until which the permit may be used; in the past if the request
+            was denied.
+    """
+
+    def __init__(self, max_wait: float) -> None:
+        self.max_wait = max_wait
+        self.is_answered = False
+        self.valid_until = float("-inf")
+
+    @property
+    def is_open(self) -> bool:
+        """Whether the call has a permit, or may get one."""
+        return not self.is_answered or trio.current_time() < self.valid_until
+
+
+@final
+class LimitedTarget:
+    """What this process knows of one target's limit.
+
+    Attributes:
+        rate: Calls per second; None if the target states no limit.
+        observed_at: Time of the response that stated this.
+        blocked_until: Time before which no call may be sent at once.
+        exhausted_until: Time before which no call can be reserved either.
+        is_asking: Whether a permit has been asked for.
+    """
 
     def __init__(self) -> None:
-        self._rates: dict[TargetKey, float] = {}
+        self.rate: float | None = None
+        self.observed_at = float("-inf")
+        self.blocked_until = 0.0
+        self.exhausted_until = 0.0
+        self.is_asking = False
+        self._permits: list[float] = []
+
+    def add_permit(self, valid_from: float) -> None:
+        """Adds a permit that may be used from a time on."""
+        self._permits.append(valid_from)
+
+    def list_permits(self, now: float) -> list[float]:
+        """Returns the times from which the permits that are left may be used."""
+        self._permits = [each for each in self._permits if each > now - PERMIT_SECONDS]
+        return self._permits
+
+    def has_permit(self, now: float) -> bool:
+        """Returns whether a permit may be used now."""
+        return any(each <= now for each in self.list_permits(now))
+
+    def use_permit(self) -> None:
+        """Uses up the oldest permit."""
+        if self._permits:
+            self._permits.remove(min(self._permits))
+
+
+@final
+class TargetRateLimits:
+    """Decides whether a call may be sent to a target with a rate limit."""
+
+    def __init__(
+        self,
+        requests: PermitRequests | None = None,
+        on_change: Callable[[], None] = lambda: None,
+    ) -> None:
+        """Creates an empty registry.
+
+        Args:
+            requests: Asks for permits. Without it, there are none to be had.
+            on_change: Called when waiting calls may find another target.
+        """
+        self._requests = requests
+        self._on_change = on_change
+        self._targets: dict[str, LimitedTarget] = {}
 
     def observe(self, target: Target, rate: float | None) -> None:
         """Records what a response of a target states.
@@ -24,20 +127,133 @@
             rate: Calls per second that it takes from all callers together; None if it
                 states no limit.
         """
-        before = self._rates.get(target.key)
-        if rate == before:
+        key = _get_key(target)
+        if rate is None and key not in self._targets:
             return
-        if rate is None:
-            del self._rates[target.key]
-        else:
-            self._rates[target.key] = rate
-        RATE_LIMITED_TARGETS.set(len(self._rates))
+        limit = RateLimit(key, rate, 0.0)
+        if self._update(limit, "response") and self._requests is not None:
+            self._requests.report(limit)
+
+    def adopt(self, limit: RateLimit) -> None:
+        """Records a limit that another frontend has observed, unless it is older."""
+        self._update(limit, "ledger")
+
+    def _update(self, limit: RateLimit, source: str) -> bool:
+        """Records a limit; returns whether the rate has changed."""
+        known = self._targets.get(limit.target)
+        if known is None:
+            if limit.rate is None:
+                return False
+            known = self._targets[limit.target] = LimitedTarget()
+        observed_at = trio.current_time() - limit.age_seconds
+        if observed_at < known.observed_at:
+            return False
+        known.observed_at = observed_at
+        before, known.rate = known.rate, limit.rate
+        if before == limit.rate:
+            return False
+        if limit.rate is None:
+            known.blocked_until = known.exhausted_until = 0.0
+        RATE_LIMITED_TARGETS.set(
+            sum(each.rate is not None for each in self._targets.values())
+        )
         logger.info(
             "the rate limit of a target changed",
-            extra={"target": target.instance, "rate": rate, "before": before},
+            extra={
+                "target": limit.target,
+                "rate": limit.rate,
+                "before": before,
+                "source": source,
+            },
         )
+        return True
 
     def forget(self, target: Target) -> None:
         """Removes a target that no longer exists."""
-        self._rates.pop(target.key, None)
-        RATE_LIMITED_TARGETS.set(len(self._rates))
+        self._targets.pop(_get_key(target), None)
+
+    def _find_limited(self, target: Target) -> LimitedTarget | None:
+        known = self._targets.get(_get_key(target))
+        return known if known is not None and known.rate is not None else None
+
+    def is_limited(self, target: Target) -> bool:
+        """Returns whether calls to a target need permits."""
+        return self._find_limited(target) is not None
+
+    def may_send(self, target: Target) -> bool:
+        """Returns whether a call may be sent to a target now."""
+        known = self._find_limited(target)
+        return known is None or known.has_permit(trio.current_time())
+
+    def may_ask(self, target: Target, *, ahead: bool) -> bool:
+        """Returns whether a permit for a target without one may be asked for.
+
+        Args:
+            target: The target.
+            ahead: Whether the call can wait for its permit.
+        """
+        known = self._find_limited(target)
+        if known is None:
+            return True
+        blocked_until = known.exhausted_until if ahead else known.blocked_until
+        return not known.is_asking and trio.current_time() >= blocked_until
+
+    def get_wait(self, target: Target) -> float:
+        """Returns the seconds until a permit for a target may be asked for."""
+        known = self._find_limited(target)
+        if known is None or known.is_asking:
+            return 0.0
+        return max(0.0, known.exhausted_until - trio.current_time())
+
+    def use_permit(self, target: Target) -> None:
+        """Records that a call is sent to a target."""
+        known = self._find_limited(target)
+        if known is not None:
+            known.use_permit()
+
+    def ask(self, target: Target, *, max_wait: float) -> PermitRequest:
+        """Asks for a permit for one call to a target.
+
+        Args:
+            target: The target.
+            max_wait: Time in seconds for which the call can wait for its permit.
+        """
+        key = _get_key(target)
+        request = PermitRequest(max_wait)
+        known = self._find_limited(target)
+        if known is None or self._requests is None:
+            request.is_answered = True
+            return request
+        known.is_asking = True
+        age = trio.current_time() - known.observed_at
+        self._requests.ask(
+            AcquirePermit(RateLimit(key, known.rate, age), max_wait),
+            functools.partial(self._finish_ask, known, request),
+        )
+        return request
+
+    def _finish_ask(
+        self, known: LimitedTarget, request: PermitRequest, permit: Permit | None
+    ) -> None:
+        now = trio.current_time()
+        known.is_asking = False
+        request.is_answered = True
+        if permit is None:
+            known.blocked_until = now + UNAVAILABLE_RETRY_SECONDS
+            known.exhausted_until = known.blocked_until
+        elif permit.wait_seconds is not None:
+            valid_from = now + permit.wait_seconds
+            known.add_permit(valid_from)
+            request.valid_until = valid_from + PERMIT_SECONDS
+        else:
+            known.blocked_until = now + permit.retry_seconds
+            if request.max_wait > 0:
+                known.exhausted_until = known.blocked_until
+        if permit is not None:
+            self._update(permit.limit, "ledger")
+        self._on_change()
+
+
+def _get_key(target: Target) -> str:
+    """Returns the name of a start of a target, for other processes."""
+    return f"{target.instance} {target.host}:{target.port} {target.born_ms}"
--- a/packages/daemon/src/goldcrestvane_daemon/ledger/messages.py
+++ b/packages/daemon/src/goldcrestvane_daemon/ledger/messages.py
@@ -187,6 +187,38 @@
     epoch: Epoch = Epoch(0)
 
 
+class RateLimit(msgspec.Struct, frozen=True, array_like=True):
+    """Rate limit that a target states in its responses.
+
+    Attributes:
+        target: The start of the target.
+        rate: Calls per second from all callers together; None if it states no limit.
+        age_seconds: Time since the response that stated this.
+    """
+
+    target: str
+    rate: float | None
+    age_seconds: float
+
+
+class AcquirePermit(msgspec.Struct, frozen=True, tag="permit", array_like=True):
+    """Requests a permit for one call to a target with a rate limit.
+
+    Attributes:
+        limit: Limit of the target as the sender knows it.
+        max_wait_seconds: Time for which the call may wait for its permit.
+    """
+
+    limit: RateLimit
+    max_wait_seconds: float = 0.0
+
+
+class ReportLimit(msgspec.Struct, frozen=True, tag="limit", array_like=True):
+    """Reports that a target states another rate limit than before."""
+
+    limit: RateLimit
+
+
 class GetMemberState(msgspec.Struct, frozen=True, tag="state", array_like=True):
     """Requests the state of a member."""
 
@@ -199,6 +231,8 @@
     | PushEntries
     | GetMemberState
     | Announce
+    | AcquirePermit
+    | ReportLimit
 )
 
 
@@ -264,10 +298,26 @@
     Attributes:
         frontends: The frontends.
         view: The member's view if it is newer than that of the announced frontend.
+        limits: Rate limits of targets that frontends have named to this member.
     """
 
     frontends: list[Frontend]
     view: View | None = None
+    limits: list[RateLimit] = []
+
+
+class Permit(msgspec.Struct, frozen=True, tag="permitted", array_like=True):
+    """Answers a request for a permit, or a report.
+
+    Attributes:
+        limit: Newest known limit of the target.
+        wait_seconds: Time after which the call may be sent; None if it may not be sent.
+        retry_seconds: Time after which to ask again if the call may not be sent.
+    """
+
+    limit: RateLimit
+    wait_seconds: float | None = 0.0
+    retry_seconds: float = 0.0
 
 
 class MemberState(msgspec.Struct, frozen=True, tag="member", array_like=True):
@@ -301,5 +351,6 @@
     | EntriesMerged
     | MemberState
     | Frontends
+    | Permit
     | Failed
 )
--- a/packages/daemon/src/goldcrestvane_daemon/ledger/service.py
+++ b/packages/daemon/src/goldcrestvane_daemon/ledger/service.py
@@ -12,6 +12,7 @@
 from goldcrestvane_daemon.ledger.holdings import Holdings
 from goldcrestvane_daemon.ledger.log import DiskFailed, EntryLog
 from goldcrestvane_daemon.ledger.messages import (
+    AcquirePermit,
     Announce,
     EntriesMerged,
     Entry,
@@ -23,9 +24,11 @@
     Frontends,
     GetMemberState,
     MemberState,
+    Permit,
     PullEntries,
     PushEntries,
     ReadChain,
+    ReportLimit,
     Response,
     StaleView,
     Turn,
@@ -35,6 +38,7 @@
     Written,
 )
 from goldcrestvane_daemon.ledger.quorum import call_until_quorum
+from goldcrestvane_daemon.ledger.rate_limits import STANDBY_SHARE, PermitIssuer
 from goldcrestvane_daemon.ledger.state import LedgerState
 from goldcrestvane_daemon.ledger.view import PartitionId, View, get_partition
 
@@ -70,6 +74,7 @@
         self._log = log
         self._state = state
         self._frontends: dict[Frontend, float] = {}
+        self._permits = PermitIssuer()
         self._call_member: CallMember | None = None
         self._nursery: trio.Nursery | None = None
         self.view: View | None = None
@@ -214,9 +219,24 @@
                 del self._frontends[frontend]
         is_newer = self.view is not None and self.view.epoch > request.epoch
         return Frontends(
-            list(self._frontends)[-MAX_FRONTENDS:], self.view if is_newer else None
+            list(self._frontends)[-MAX_FRONTENDS:],
+            self.view if is_newer else None,
+            self._permits.list_limits(now),
         )
 
+    @handle.register
+    async def _(self, request: AcquirePermit) -> Response:
+        if self.view is None:
+            return Failed("this member has no view yet")
+        first = self.view.rank_permit_issuers(request.limit.target)[0]
+        share = 1.0 if first.instance == self._instance else STANDBY_SHARE
+        return self._permits.issue(request, share=share, now=trio.current_time())
+
+    @handle.register
+    async def _(self, request: ReportLimit) -> Response:
+        self._permits.record(request.limit, now=trio.current_time())
+        return Permit(request.limit)
+
     @handle.register
     async def _(self, request: GetMemberState) -> Response:
         epoch = self.view.epoch if self.view else Epoch(0)
--- a/packages/daemon/src/goldcrestvane_daemon/ledger/view.py
+++ b/packages/daemon/src/goldcrestvane_daemon/ledger/view.py
@@ -140,6 +140,17 @@
         order = sorted(range(len(ranked)), key=rounds.__getitem__)
         return tuple(ranked[position] for position in order[: self.group_size])
 
+    def rank_permit_issuers(self, target: str) -> list[Member]:
+        """Returns the members in the order in which they issue a target's permits."""
+        seed = hash_text(target)
+        return sorted(
+            self.slots,
+            key=lambda each: xxhash.xxh3_64_intdigest(
+                each.slot.to_bytes(8, "big"), seed
+            ),
+            reverse=True,
+        )
+
     def list_partitions(self, instance: InstanceId) -> frozenset[PartitionId]:
         """Returns the partitions that a member stores."""
         return frozenset(
--- a/packages/daemon/tests/frontend/frontend_case.py
+++ b/packages/daemon/tests/frontend/frontend_case.py
@@ -21,6 +21,7 @@
 from goldcrestvane_daemon.frontend.ledger_client import LedgerUnavailable, TurnNotFound
 from goldcrestvane_daemon.frontend.object_cache import ObjectCache
 from goldcrestvane_daemon.frontend.peers import FrontendPeers
+from goldcrestvane_daemon.ledger.rate_limits import PermitIssuer
 from goldcrestvane_daemon.platform.store import StoreClient
 from goldcrestvane_daemon.targets import TargetTable
 from goldcrestvane_standins.platformstore import PlatformStore
@@ -72,6 +73,7 @@
         self.charges = {}
         self.turns = {}
         self.available = True
+        self.permits = PermitIssuer()
 
     def adopt(self, view):
         raise AssertionError("no view is stored")
@@ -90,6 +92,18 @@
         program.update({charge.call: charge for charge in account.charges})
         return OpenedTurn(dict(program), chain)
 
+    async def acquire_permit(self, request):
+        await trio.lowlevel.checkpoint()
+        if not self.available:
+            raise LedgerUnavailable("out")
+        return self.permits.issue(request, share=1.0, now=trio.current_time())
+
+    async def report_limit(self, limit):
+        await trio.lowlevel.checkpoint()
+        if not self.available:
+            raise LedgerUnavailable("out")
+        self.permits.record(limit, now=trio.current_time())
+
     async def settle(self, program, charge, turn, retention):
         await trio.lowlevel.checkpoint()
         if not self.available:
--- a/packages/daemon/tests/frontend/test_admission.py
+++ b/packages/daemon/tests/frontend/test_admission.py
@@ -15,6 +15,7 @@
     get_queue_key,
 )
 from goldcrestvane_daemon.frontend.queue import ServiceQueue
+from goldcrestvane_daemon.frontend.rate_limits import TargetRateLimits
 from goldcrestvane_daemon.frontend.refusals import Overloaded
 from goldcrestvane_daemon.placement.health import HealthTracker
 from goldcrestvane_daemon.placement.inputs import PlacementOptions
@@ -95,7 +96,11 @@
         table = TargetTable()
         table.put(build_target(1, instance="t0", slots=SLOTS))
         self.queue = ServiceQueue(
-            "s1", table=table, health=HealthTracker(PlacementOptions()), domain="d1"
+            "s1",
+            table=table,
+            health=HealthTracker(PlacementOptions()),
+            rate_limits=TargetRateLimits(),
+            domain="d1",
         )
 
     def run_script(self, script):
--- a/packages/daemon/tests/frontend/test_queue.py
+++ b/packages/daemon/tests/frontend/test_queue.py
@@ -5,6 +5,7 @@
 
 from frontend.support import build_target
 from goldcrestvane_daemon.frontend.queue import ServiceQueue
+from goldcrestvane_daemon.frontend.rate_limits import TargetRateLimits
 from goldcrestvane_daemon.frontend.refusals import NoTarget, Overloaded
 from goldcrestvane_daemon.placement.health import HealthTracker
 from goldcrestvane_daemon.placement.inputs import PlacementOptions
@@ -16,7 +17,11 @@
         self.table = TargetTable()
         self.health = HealthTracker(PlacementOptions())
         self.queue = ServiceQueue(
-            "s1", table=self.table, health=self.health, domain="d1"
+            "s1",
+            table=self.table,
+            health=self.health,
+            rate_limits=TargetRateLimits(),
+            domain="d1",
         )
 
     def run_script(self, script):
--- a/packages/daemon/tests/frontend/test_rate_limited_targets.py
+++ b/packages/daemon/tests/frontend/test_rate_limited_targets.py
@@ -2,6 +2,7 @@
 
 from frontend.frontend_case import FrontendCase, build_stream
 from frontend.support import build_response
+from goldcrestvane_daemon.platform.store import ObjectKind
 
 RATE = 0.5
 WINDOW_SECONDS = 4.0
@@ -39,10 +40,12 @@
 
     def run_calls(self, path, limited, other):
         async def script(frontend):
+            target, distant = frontend.targets
+            frontend.list_target(distant, zone="d2")
+            await frontend.wait_synced(ObjectKind.TARGETS)
             for _ in range(CALLS):
                 response = await frontend.send(path)
                 self.assertEqual(response.status, 200)
-            target = frontend.targets[0]
             self.assertGreater(len(target.requests), 0)
             self.assertLessEqual(count_most(target.request_times), ALLOWED_CALLS)
 
