Keep the connection to a member that issues a permit late

Cause: a request that gets no answer within its timeout closes a connection on which nothing has arrived since. Change: the call gives up waiting and leaves the connection open. Limits that nobody has named for 5 minutes are dropped, since a member may name a target that has left. Not measured on its own; the tests of rate-limited targets pass.

--- a/packages/daemon/src/goldcrestvane_daemon/frontend/ledger_client.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/ledger_client.py
@@ -223,10 +223,11 @@
             now = trio.current_time()
             if self._permit_backoff_until.get(member.address, 0.0) > now:
                 continue
+            answer: Any = Failed("no answer in time")
             try:
-                answer = await self._call(
-                    member.address, request, PERMIT_TIMEOUT_SECONDS
-                )
+                # A late answer is no reason to close the connection.
+                with trio.move_on_after(PERMIT_TIMEOUT_SECONDS):
+                    answer = await self._call(member.address, request)
             except PeerUnreachable as error:
                 answer = Failed(str(error))
             if isinstance(answer, Permit):
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/rate_limits.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/rate_limits.py
@@ -21,6 +21,9 @@
 PERMIT_SECONDS = 0.5
 """Time after which an unused permit is void, so that permits are not saved up."""
 
+EXPIRY_SECONDS = 300.0
+"""Time after which a limit is forgotten if no process has named it again."""
+
 UNAVAILABLE_RETRY_SECONDS = 0.5
 """Time after which permits are asked for again if no member issued any."""
 
@@ -144,6 +147,7 @@
         if known is None:
             if limit.rate is None:
                 return False
+            self._drop_expired()
             known = self._targets[limit.target] = LimitedTarget()
         observed_at = trio.current_time() - limit.age_seconds
         if observed_at < known.observed_at:
@@ -168,6 +172,13 @@
         )
         return True
 
+    def _drop_expired(self) -> None:
+        """Drops limits of targets that have left; other processes may still name them."""
+        oldest = trio.current_time() - EXPIRY_SECONDS
+        for key, known in list(self._targets.items()):
+            if known.observed_at < oldest:
+                del self._targets[key]
+
     def forget(self, target: Target) -> None:
         """Removes a target that no longer exists."""
         self._targets.pop(_get_key(target), None)
