--- /dev/null
+++ b/packages/daemon/tests/ledger/test_frames.py
@@ -0,0 +1,73 @@
+import unittest
+
+import trio
+
+from goldcrestvane_daemon.ledger.frames import (
+    FrameReader,
+    PeerConnection,
+    PeerUnreachable,
+    serve_frames,
+)
+from goldcrestvane_daemon.ledger.messages import (
+    Failed,
+    GetMemberState,
+    Request,
+    Response,
+)
+
+TIMEOUT_SECONDS = 60.0
+"""Timeout that ends a test that hangs. No test result depends on its length."""
+
+SHORT_SECONDS = 0.05
+
+
+class SilentPeer:
+    """Reads from its first connection and never answers; later ones work."""
+
+    def __init__(self):
+        self.connections = 0
+
+    async def serve(self, stream):
+        self.connections += 1
+        if self.connections > 1:
+            await serve_frames(stream, Request, self.handle)
+            return
+        reader = FrameReader(stream)
+        while await reader.read() is not None:
+            pass
+
+    async def handle(self, request):
+        await trio.lowlevel.checkpoint()
+        return Failed("answered")
+
+
+class PeerConnectionTests(unittest.TestCase):
+    def test_peer_is_called_on_a_new_connection_when_the_old_one_is_silent(self):
+        """Guards against calls that all time out until keep-alive closes the connection."""
+
+        async def main():
+            peer = SilentPeer()
+            async with trio.open_nursery() as nursery:
+                listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+                port = listeners[0].socket.getsockname()[1]
+                nursery.start_soon(trio.serve_listeners, peer.serve, listeners)
+                connection = PeerConnection(f"127.0.0.1:{port}", Response)
+                nursery.start_soon(connection.run)
+                with trio.fail_after(TIMEOUT_SECONDS):
+                    await connection.connected.wait()
+                    with self.assertRaises(PeerUnreachable):
+                        await connection.call(GetMemberState(), timeout=SHORT_SECONDS)
+                    self.assertFalse(connection.is_connected)
+                    while not connection.is_connected:
+                        await trio.sleep(SHORT_SECONDS)
+                    answer = await connection.call(
+                        GetMemberState(), timeout=TIMEOUT_SECONDS
+                    )
+                self.assertEqual(answer, Failed("answered"))
+                nursery.cancel_scope.cancel()
+
+        trio.run(main)
+
+
+if __name__ == "__main__":
+    unittest.main()
