Skip the lookup of rate limits while no target has one

Each dispatch asks for every candidate whether it has a limit, and built the name of its start for it. Change: an empty registry answers at once. Not measured on its own; the tests of rate-limited targets, of the queue and of the permits pass.

--- a/packages/daemon/src/goldcrestvane_daemon/frontend/rate_limits.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/rate_limits.py
@@ -130,10 +130,9 @@
             rate: Calls per second that it takes from all callers together; None if it
                 states no limit.
         """
-        key = _get_key(target)
-        if rate is None and key not in self._targets:
+        if rate is None and self._find_limited(target) is None:
             return
-        limit = RateLimit(key, rate, 0.0)
+        limit = RateLimit(_get_key(target), rate, 0.0)
         if self._update(limit, "response") and self._requests is not None:
             self._requests.report(limit)
 
@@ -184,6 +183,8 @@
         self._targets.pop(_get_key(target), None)
 
     def _find_limited(self, target: Target) -> LimitedTarget | None:
+        if not self._targets:
+            return None
         known = self._targets.get(_get_key(target))
         return known if known is not None and known.rate is not None else None
 
