Keep the permit of a call for that call

Callers saw: with all targets limited, some calls waited for their reserved permit and were then refused, up to 1.04 s after their arrival. Change: a permit belongs to the call that asked for it, and goes to other calls when that call needs it no more; a call with a target is not checked again. Conclusion: a reservation holds.

--- a/packages/daemon/src/goldcrestvane_daemon/frontend/queue.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/queue.py
@@ -224,6 +224,8 @@
         finally:
             if waiter in self._waiting:
                 self._waiting.remove(waiter)
+            if waiter.permit_request is not None:
+                self._rate_limits.close(waiter.permit_request)
         return waiter.target
 
     def _is_next(self, waiter: Waiter) -> bool:
@@ -263,7 +265,7 @@
         """Raises Overloaded if the rate limits of all targets leave no call in time."""
         if not self._are_all_limited(usable) or waiter.awaits_permit:
             return
-        if any(map(self._rate_limits.may_send, usable)):
+        if any(self._may_send(waiter, target) for target in usable):
             return
         wait = min(map(self._rate_limits.get_wait, usable))
         if wait > 0 or waiter.asked_count >= MAX_ASKED_PERMITS:
@@ -306,6 +308,7 @@
                 await waiter.assigned.wait()
             if waiter.target is None:
                 self.dispatch_waiting()
+            if waiter.target is None:
                 self._check_has_target(waiter)
 
     def _get_recheck_seconds(self, waiter: Waiter) -> float:
@@ -392,7 +395,7 @@
         if waiter.admission_class in STARTING_CLASSES:
             self._retry_schedule.record_admission(now)
         self._health.record_start(target.instance, now=now)
-        self._rate_limits.use_permit(target)
+        self._rate_limits.use_permit(target, waiter.permit_request)
         waiter.target = target
         self._waiting.remove(waiter)
         waiter.assigned.set()
@@ -411,11 +414,16 @@
         ratio = self._health.get(target.instance).slowness / median_slowness
         return min(ratio, MAX_CALL_WEIGHT) if ratio >= SLOW_TARGET_RATIO else 1.0
 
+    def _may_send(self, waiter: Waiter, target: Target) -> bool:
+        """Returns whether the rate limit of a target allows a call now."""
+        return self._rate_limits.may_send(target, waiter.permit_request)
+
     def _find_target(self, waiter: Waiter) -> Target | None:
         """Returns the target for a call; asks for a permit if it needs one."""
-        limits = self._rate_limits
         if waiter.permit_request is not None:
-            target = self._choose_target(waiter, limits.may_send)
+            target = self._choose_target(
+                waiter, lambda each: self._may_send(waiter, each)
+            )
             if target is not None or waiter.awaits_permit:
                 return target
         ahead = self._are_all_limited(self._list_usable_targets(waiter))
@@ -423,12 +431,15 @@
             return None
         target = self._choose_target(
             waiter,
-            lambda each: limits.may_send(each) or limits.may_ask(each, ahead=ahead),
+            lambda each: (
+                self._may_send(waiter, each)
+                or self._rate_limits.may_ask(each, ahead=ahead)
+            ),
         )
-        if target is None or limits.may_send(target):
+        if target is None or self._may_send(waiter, target):
             return target
         max_wait = waiter.max_permit_wait if ahead else 0.0
-        waiter.permit_request = limits.ask(target, max_wait=max_wait)
+        waiter.permit_request = self._rate_limits.ask(target, max_wait=max_wait)
         waiter.asked_count += 1
         return None
 
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/rate_limits.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/rate_limits.py
@@ -42,28 +42,6 @@
         """Reports that a target states another limit than before."""
 
 
-@final
-class PermitRequest:
-    """A request for a permit of one call.
-
-    Attributes:
-        max_wait: Seconds for which the call can wait for its permit.
-        is_answered: Whether the answer has arrived.
-        valid_until: Time until which the permit may be used; in the past if the request
-            was denied.
-    """
-
-    def __init__(self, max_wait: float) -> None:
-        self.max_wait = max_wait
-        self.is_answered = False
-        self.valid_until = float("-inf")
-
-    @property
-    def is_open(self) -> bool:
-        """Whether the call has a permit, or may get one."""
-        return not self.is_answered or trio.current_time() < self.valid_until
-
-
 @final
 class LimitedTarget:
     """What this process knows of one target's limit.
@@ -85,24 +63,54 @@
         self._permits: list[float] = []
 
     def add_permit(self, valid_from: float) -> None:
-        """Adds a permit that may be used from a time on."""
+        """Adds a permit that any call may use from a time on."""
         self._permits.append(valid_from)
 
-    def list_permits(self, now: float) -> list[float]:
-        """Returns the times from which the permits that are left may be used."""
-        self._permits = [each for each in self._permits if each > now - PERMIT_SECONDS]
-        return self._permits
-
     def has_permit(self, now: float) -> bool:
-        """Returns whether a permit may be used now."""
-        return any(each <= now for each in self.list_permits(now))
+        """Returns whether a permit is left that any call may use now."""
+        self._permits = [each for each in self._permits if each > now - PERMIT_SECONDS]
+        return any(each <= now for each in self._permits)
 
     def use_permit(self) -> None:
-        """Uses up the oldest permit."""
+        """Uses up the oldest permit that any call may use."""
         if self._permits:
             self._permits.remove(min(self._permits))
 
 
+@final
+class PermitRequest:
+    """A request of one call for a permit, which is reserved for that call.
+
+    Attributes:
+        limited: The target.
+        max_wait: Seconds for which the call can wait for its permit.
+        is_answered: Whether the answer has arrived.
+        is_closed: Whether the call needs the permit no more.
+        valid_from: Time from which the permit may be used; None if there is none.
+    """
+
+    def __init__(self, limited: LimitedTarget, max_wait: float) -> None:
+        self.limited = limited
+        self.max_wait = max_wait
+        self.is_answered = False
+        self.is_closed = False
+        self.valid_from: float | None = None
+
+    @property
+    def is_open(self) -> bool:
+        """Whether the call has a permit, or may get one."""
+        if not self.is_answered:
+            return True
+        expired_at = trio.current_time() - PERMIT_SECONDS
+        return self.valid_from is not None and self.valid_from > expired_at
+
+    def allows(self, limited: LimitedTarget) -> bool:
+        """Returns whether the call may be sent to a target now."""
+        if limited is not self.limited or self.valid_from is None:
+            return False
+        return self.is_open and self.valid_from <= trio.current_time()
+
+
 @final
 class TargetRateLimits:
     """Decides whether a call may be sent to a target with a rate limit."""
@@ -192,10 +200,17 @@
         """Returns whether calls to a target need permits."""
         return self._find_limited(target) is not None
 
-    def may_send(self, target: Target) -> bool:
-        """Returns whether a call may be sent to a target now."""
+    def may_send(self, target: Target, request: PermitRequest | None) -> bool:
+        """Returns whether a call may be sent to a target now.
+
+        Args:
+            target: The target.
+            request: Request for a permit of this call, if any.
+        """
         known = self._find_limited(target)
-        return known is None or known.has_permit(trio.current_time())
+        if known is None or (request is not None and request.allows(known)):
+            return True
+        return known.has_permit(trio.current_time())
 
     def may_ask(self, target: Target, *, ahead: bool) -> bool:
         """Returns whether a permit for a target without one may be asked for.
@@ -217,23 +232,34 @@
             return 0.0
         return max(0.0, known.exhausted_until - trio.current_time())
 
-    def use_permit(self, target: Target) -> None:
-        """Records that a call is sent to a target."""
+    def use_permit(self, target: Target, request: PermitRequest | None) -> None:
+        """Records that a call is sent to a target; the arguments are as above."""
         known = self._find_limited(target)
-        if known is not None:
+        if known is None:
+            return
+        if request is not None and request.allows(known):
+            request.valid_from = None
+        else:
             known.use_permit()
 
+    def close(self, request: PermitRequest) -> None:
+        """Gives the unused permit of a call that needs none to other calls."""
+        request.is_closed = True
+        if request.valid_from is not None:
+            request.limited.add_permit(request.valid_from)
+            request.valid_from = None
+
     def ask(self, target: Target, *, max_wait: float) -> PermitRequest:
-        """Asks for a permit for one call to a target.
+        """Asks for a permit for one call to a target with a rate limit.
 
         Args:
             target: The target.
             max_wait: Time in seconds for which the call can wait for its permit.
         """
         key = _get_key(target)
-        request = PermitRequest(max_wait)
-        known = self._find_limited(target)
-        if known is None or self._requests is None:
+        known = self._targets[key]
+        request = PermitRequest(known, max_wait)
+        if self._requests is None:
             request.is_answered = True
             return request
         known.is_asking = True
@@ -254,9 +280,9 @@
             known.blocked_until = now + UNAVAILABLE_RETRY_SECONDS
             known.exhausted_until = known.blocked_until
         elif permit.wait_seconds is not None:
-            valid_from = now + permit.wait_seconds
-            known.add_permit(valid_from)
-            request.valid_until = valid_from + PERMIT_SECONDS
+            request.valid_from = now + permit.wait_seconds
+            if request.is_closed:
+                self.close(request)
         else:
             known.blocked_until = now + permit.retry_seconds
             if request.max_wait > 0:
