Use a target again that was full when the others have no permit left

Callers saw: a call that a full target had rejected, beside targets with a rate limit and without a permit, waited until its deadline and was refused, though the first target had been free long before. Cause: targets that rejected a call are used again only if no other one is usable, and a target without a permit counted as usable. Change: it does not count. A test fails before (503 in place of 200) and passes; 47 tests of limits, queue and admission pass.

--- a/packages/daemon/src/goldcrestvane_daemon/frontend/queue.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/queue.py
@@ -453,7 +453,7 @@
             is_allowed: Returns whether the rate limit of a target allows the call.
         """
         now = trio.current_time()
-        ready = self._list_usable_targets(waiter)
+        ready = [each for each in self._list_usable_targets(waiter) if is_allowed(each)]
         usable = [
             target
             for target in ready
@@ -476,7 +476,6 @@
             )
             for target in usable or ready
             if (load := self._table.get_load(target)).rejects_until <= now
-            and is_allowed(target)
         ]
         candidate = choose_target(candidates, waiter.key)
         return None if candidate is None else self._table.get(candidate.instance)
--- a/packages/daemon/tests/frontend/test_rate_limited_targets.py
+++ b/packages/daemon/tests/frontend/test_rate_limited_targets.py
@@ -64,6 +64,24 @@
         broken = build_limited_stream([1], end=False)
         self.run_calls("/resume/x", broken, build_stream([1, 2]))
 
+    def test_call_returns_to_a_full_target_when_the_others_have_no_permit_left(self):
+        """Guards against calls that wait until their deadline beside a free target."""
+
+        async def script(frontend):
+            target, distant = frontend.targets
+            frontend.list_target(distant, zone="d2")
+            await frontend.wait_synced(ObjectKind.TARGETS)
+            statuses = [(await frontend.send("/once/x")).status for _ in range(4)]
+            self.assertEqual(statuses, [200] * 4)
+            self.assertEqual(len(target.requests), 2)
+
+        full = build_response(
+            b"",
+            status="503 Service Unavailable",
+            extra=b"Goldcrestvane-Not-Executed: 1\r\n",
+        )
+        self.run_frontend(script, [LIMITED_OK] * 4, [[full], OK, [full], OK])
+
     def test_call_is_refused_when_its_only_target_has_taken_what_it_states(self):
         async def script(frontend):
             statuses = set()
