--- a/packages/daemon/src/goldcrestvane_daemon/frontend/calls.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/calls.py
@@ -17,7 +17,7 @@
 from goldcrestvane_daemon.frontend.ledger_client import LedgerClient
 from goldcrestvane_daemon.frontend.metrics import ATTEMPTS, OPEN_SECONDS, RUNNING
 from goldcrestvane_daemon.frontend.peers import FrontendPeers
-from goldcrestvane_daemon.frontend.permits import PermitClient
+from goldcrestvane_daemon.frontend.permits import PermitClient, PermitSource
 from goldcrestvane_daemon.frontend.queue import ServiceQueue
 from goldcrestvane_daemon.frontend.rate_limits import TargetRateLimits
 from goldcrestvane_daemon.frontend.refusals import (
@@ -67,6 +67,7 @@
         *,
         targets: TargetTable,
         ledger: LedgerClient,
+        permits: PermitSource,
         domain: DomainId,
         crash_tracker: CrashTracker,
         frontends: FrontendPeers,
@@ -80,7 +81,7 @@
         self._origins = StreamOrigins(self._turns, targets, nursery)
         self._health = HealthTracker(EJECTION_OPTIONS)
         self._rate_limits = TargetRateLimits(
-            PermitClient(ledger, nursery), on_change=self._dispatch_all
+            PermitClient(permits, nursery), on_change=self._dispatch_all
         )
         self._attempts = AttemptRunner(
             targets=targets,
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/ledger_client.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/ledger_client.py
@@ -20,7 +20,6 @@
 from goldcrestvane_daemon.frontend.turn_cache import TurnCache
 from goldcrestvane_daemon.ledger.frames import PeerConnection, PeerUnreachable
 from goldcrestvane_daemon.ledger.messages import (
-    AcquirePermit,
     Announce,
     Entry,
     Failed,
@@ -28,10 +27,8 @@
     ForwardWrite,
     Frontend,
     Frontends,
-    Permit,
     RateLimit,
     ReadChain,
-    ReportLimit,
     Response,
     StaleView,
     TokenAccount,
@@ -65,15 +62,6 @@
 FORWARD_BACKOFF_SECONDS = 2.0
 """Time for which a member that failed to forward an entry gets no entries to forward."""
 
-PERMIT_TIMEOUT_SECONDS = 0.15
-"""Time for which a member is asked for a permit. A call waits for it."""
-
-PERMIT_BACKOFF_SECONDS = 1.0
-"""Time for which a member that issued no permit is not asked for any."""
-
-PERMIT_ISSUERS = 2
-"""Number of members that may be asked for the permits of one target."""
-
 NEAREST_TIMEOUT_SECONDS = 0.15
 """Time for which the nearest member alone is asked for a chain, before the whole group
 is asked."""
@@ -111,7 +99,6 @@
         self._nursery = nursery
         self._peers: dict[str, PeerConnection] = {}
         self._forward_backoff_until: dict[str, float] = {}
-        self._permit_backoff_until: dict[str, float] = {}
         self._on_limit: Callable[[RateLimit], None] | None = None
         self._cache = TurnCache(TURN_CACHE_BYTES)
         self.view: View | None = None
@@ -203,42 +190,6 @@
             await self._write(program, Entry(account=account))
         self._cache.put_all([turn])
 
-    async def acquire_permit(self, request: AcquirePermit) -> Permit:
-        """Asks for a permit for one call to a target with a rate limit.
-
-        Raises:
-            LedgerUnavailable: No member that may issue it answered.
-        """
-        return await self._call_permit_issuer(request)
-
-    async def report_limit(self, limit: RateLimit) -> None:
-        """Reports a change of a target's rate limit. Raises as `acquire_permit`."""
-        await self._call_permit_issuer(ReportLimit(limit))
-
-    async def _call_permit_issuer(self, request: AcquirePermit | ReportLimit) -> Permit:
-        ranked = (
-            self.view.rank_permit_issuers(request.limit.target) if self.view else []
-        )
-        for member in ranked[:PERMIT_ISSUERS]:
-            now = trio.current_time()
-            if self._permit_backoff_until.get(member.address, 0.0) > now:
-                continue
-            answer: Any = Failed("no answer in time")
-            try:
-                # A late answer is no reason to close the connection.
-                with trio.move_on_after(PERMIT_TIMEOUT_SECONDS):
-                    answer = await self._call(member.address, request)
-            except PeerUnreachable as error:
-                answer = Failed(str(error))
-            if isinstance(answer, Permit):
-                return answer
-            self._permit_backoff_until[member.address] = now + PERMIT_BACKOFF_SECONDS
-            logger.info(
-                "a member issues no permits",
-                extra={"member": member.instance, "answer": str(answer)},
-            )
-        raise LedgerUnavailable(f"No member issues permits for {request.limit.target}.")
-
     def _list_group(self, key: str) -> tuple[Member, ...]:
         return self.view.list_group(key) if self.view else ()
 
@@ -306,7 +257,7 @@
     ) -> list[Any]:
         """Asks all members of a group and returns at a quorum of counted answers."""
         calls = [
-            functools.partial(self._call, member.address, build(member))
+            functools.partial(self.call, member.address, build(member))
             for member in group
         ]
         return await call_until_quorum(
@@ -332,7 +283,7 @@
         others = [each.address for each in group if each is not nearest]
         request = ForwardWrite(Write(get_stamp(view), entry), others, view.write_quorum)
         try:
-            answer = await self._call(nearest.address, request, FORWARD_TIMEOUT_SECONDS)
+            answer = await self.call(nearest.address, request, FORWARD_TIMEOUT_SECONDS)
         except PeerUnreachable as error:
             answer = Failed(str(error))
         if isinstance(answer, ForwardResult):
@@ -348,14 +299,14 @@
         nearest = self._choose_nearest(group)
         try:
             with trio.move_on_after(NEAREST_TIMEOUT_SECONDS):
-                return [await self._call(nearest.address, request)]
+                return [await self.call(nearest.address, request)]
         except PeerUnreachable as error:
             logger.debug(
                 "a member does not answer a read", extra={"reason": str(error)}
             )
         return []
 
-    async def _call(
+    async def call(
         self, address: str, request: Any, timeout: float = REQUEST_TIMEOUT_SECONDS
     ) -> Any:
         """Calls a member, through another frontend if this one cannot reach it."""
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/process.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/process.py
@@ -19,6 +19,7 @@
 from goldcrestvane_daemon.frontend.ledger_client import LedgerClient
 from goldcrestvane_daemon.frontend.object_cache import ObjectCache
 from goldcrestvane_daemon.frontend.peers import FrontendPeers
+from goldcrestvane_daemon.frontend.permit_issuers import PermitIssuers
 from goldcrestvane_daemon.http1 import (
     ConnectionLost,
     ProtocolViolation,
@@ -74,6 +75,7 @@
             calls = CallService(
                 targets=targets,
                 ledger=ledger,
+                permits=PermitIssuers(ledger),
                 domain=settings.domain,
                 crash_tracker=crash_tracker,
                 frontends=frontends,
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/queue.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/queue.py
@@ -20,12 +20,15 @@
     get_max_wait,
     get_queue_key,
 )
-from goldcrestvane_daemon.frontend.rate_limits import PermitRequest, TargetRateLimits
+from goldcrestvane_daemon.frontend.rate_limits import TargetRateLimits
 from goldcrestvane_daemon.frontend.refusals import NoTarget, Overloaded
 from goldcrestvane_daemon.frontend.target_selection import (
     TargetCandidate,
     choose_target,
+    compute_call_weight,
+    compute_median_slowness,
 )
+from goldcrestvane_daemon.frontend.waiter import Waiter
 from goldcrestvane_daemon.placement.health import HealthTracker
 from goldcrestvane_daemon.targets import ReportedLoad, Target, TargetTable
 
@@ -52,14 +55,6 @@
 """Upper bound of an event interval in the moving average, as a multiple of the
 average."""
 
-SLOW_TARGET_RATIO = 1.6
-"""Ratio of a target's slowness to the median from which each call on it counts as more
-than one. Load alone makes a full engine 1.5 times slower than an idle one."""
-
-MAX_CALL_WEIGHT = 4.0
-"""Maximum weight of a call. A slow target must still receive calls, so that its
-recovery is noticed."""
-
 MAX_ASKED_PERMITS = 3
 """Number of targets that are asked in turn if all of them limit their rates."""
 
@@ -68,55 +63,6 @@
 """Interval at which waiting calls check again for free targets."""
 
 
-@final
-class Waiter:
-    """A call that waits for a target.
-
-    Attributes:
-        max_permit_wait: Seconds for which the call can wait for a permit.
-        permit_request: Last request for a permit, if any.
-        asked_count: Number of permits that were asked for.
-    """
-
-    def __init__(
-        self,
-        queue_key: float,
-        key: str | None,
-        excluded: frozenset[InstanceId],
-        allowed: frozenset[InstanceId] | None,
-        origin: StreamOrigin | None,
-        admission_class: AdmissionClass,
-        max_permit_wait: float,
-    ) -> None:
-        self.queue_key = queue_key
-        self.max_permit_wait = max_permit_wait
-        self.permit_request: PermitRequest | None = None
-        self.asked_count = 0
-        self.admission_class = admission_class
-        self.key = key
-        self.excluded = excluded
-        self.allowed = allowed
-        self.origin = origin
-        self.target: Target | None = None
-        self.assigned = trio.Event()
-
-    @property
-    def awaits_permit(self) -> bool:
-        """Whether the call has a permit to wait for, or has asked for one."""
-        return self.permit_request is not None and self.permit_request.is_open
-
-    @property
-    def is_restricted(self) -> bool:
-        """Whether the call may not use every target of the service."""
-        return self.allowed is not None or self.origin is not None
-
-    def may_use(self, target: Target) -> bool:
-        """Returns whether the call may use a target."""
-        if self.origin is not None and target.origin != self.origin:
-            return False
-        return self.allowed is None or target.instance in self.allowed
-
-
 @final
 class ServiceQueue:
     """Assigns the targets of one service to the calls that wait for them."""
@@ -400,20 +346,6 @@
         self._waiting.remove(waiter)
         waiter.assigned.set()
 
-    def _compute_median_slowness(self, targets: list[Target]) -> float:
-        """Returns the lower median of the targets' slowness.
-
-        Under load all targets slow down together, so a target is compared with the
-        others instead of with a fixed value.
-        """
-        values = sorted(self._health.get(each.instance).slowness for each in targets)
-        return values[(len(values) - 1) // 2] if values else 1.0
-
-    def _compute_call_weight(self, target: Target, median_slowness: float) -> float:
-        """Returns the load that each call adds to a target; above 1 for slow targets."""
-        ratio = self._health.get(target.instance).slowness / median_slowness
-        return min(ratio, MAX_CALL_WEIGHT) if ratio >= SLOW_TARGET_RATIO else 1.0
-
     def _may_send(self, waiter: Waiter, target: Target) -> bool:
         """Returns whether the rate limit of a target allows a call now."""
         return self._rate_limits.may_send(target, waiter.permit_request)
@@ -460,14 +392,14 @@
             if target.instance not in waiter.excluded
             and self._health.is_usable(target.instance, now=now)
         ]
-        median_slowness = self._compute_median_slowness(usable or ready)
+        median_slowness = compute_median_slowness(self._health, usable or ready)
         # If no other target is usable, the excluded targets are used, so that the call
         # is not refused.
         candidates = [
             TargetCandidate(
                 instance=target.instance,
                 load=load.estimate(now)
-                * self._compute_call_weight(target, median_slowness),
+                * compute_call_weight(self._health, target, median_slowness),
                 slots=target.slots,
                 reserved_slots=count_reserved_slots(
                     target.slots, waiter.admission_class
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/target_selection.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/target_selection.py
@@ -16,6 +16,8 @@
 import xxhash
 
 from goldcrestvane_common.ids import InstanceId
+from goldcrestvane_daemon.placement.health import HealthTracker
+from goldcrestvane_daemon.targets import Target
 
 LOAD_FACTOR = 1.25
 """Load bound of the hash, as a multiple of the mean load. This is the usual value for
@@ -25,6 +27,14 @@
 """Number of calls by which the load bound of the hash exceeds the multiple of the
 mean. Two calls on a target slow each other by 5 %."""
 
+SLOW_TARGET_RATIO = 1.6
+"""Ratio of a target's slowness to the median from which each call on it counts as more
+than one. Load alone makes a full engine 1.5 times slower than an idle one."""
+
+MAX_CALL_WEIGHT = 4.0
+"""Maximum weight of a call. A slow target must still receive calls, so that its
+recovery is noticed."""
+
 MAX_CACHED_SEEDS = 8192
 """Maximum number of cached target hashes: twice the planned number of targets."""
 
@@ -92,3 +102,21 @@
                 within_bound, key=lambda each: rank_target(encoded, each.instance)
             )
     return min(available, key=lambda each: (each.share, not each.local))
+
+
+def compute_median_slowness(health: HealthTracker, targets: Sequence[Target]) -> float:
+    """Returns the lower median of the targets' slowness.
+
+    Under load all targets slow down together, so a target is compared with the
+    others instead of with a fixed value.
+    """
+    values = sorted(health.get(each.instance).slowness for each in targets)
+    return values[(len(values) - 1) // 2] if values else 1.0
+
+
+def compute_call_weight(
+    health: HealthTracker, target: Target, median_slowness: float
+) -> float:
+    """Returns the load that each call adds to a target; above 1 for slow targets."""
+    ratio = health.get(target.instance).slowness / median_slowness
+    return min(ratio, MAX_CALL_WEIGHT) if ratio >= SLOW_TARGET_RATIO else 1.0
--- a/packages/daemon/src/goldcrestvane_daemon/ledger/rate_limits.py
+++ b/packages/daemon/src/goldcrestvane_daemon/ledger/rate_limits.py
@@ -23,7 +23,7 @@
 together they stay within one and a half times the limit."""
 
 MAX_WAIT_SECONDS = 1.0
-"""Maximum time for which a call is reserved ahead. The limit may fall meanwhile."""
+"""Maximum time for which a call is reserved ahead. The limit may fall before then."""
 
 MAX_RETRY_SECONDS = 2.0
 """Maximum time after which a frontend asks again, since limits change."""
--- a/packages/daemon/tests/frontend/frontend_case.py
+++ b/packages/daemon/tests/frontend/frontend_case.py
@@ -145,6 +145,7 @@
         self.calls = CallService(
             targets=table,
             ledger=self.ledger,
+            permits=self.ledger,
             domain="d1",
             crash_tracker=crash_tracker,
             frontends=frontends,
--- a/packages/daemon/tests/frontend/test_object_cache.py
+++ b/packages/daemon/tests/frontend/test_object_cache.py
@@ -215,7 +215,7 @@
         self.run_script(script)
 
     def test_target_stays_in_use_when_a_check_finds_its_removal_before_the_watch(self):
-        """A check coincides with the removal; the watch waits, or pauses, meanwhile."""
+        """A check coincides with the removal; the watch waits, or pauses."""
 
         async def script(store, is_target_used):
             for pause in (0.0, BATCH_SECONDS / 2):
--- a/packages/daemon/tests/ledger/test_permits.py
+++ b/packages/daemon/tests/ledger/test_permits.py
@@ -2,6 +2,7 @@
 
 import trio
 
+from goldcrestvane_daemon.frontend.permit_issuers import PermitIssuers
 from goldcrestvane_daemon.ledger.messages import AcquirePermit, RateLimit
 from goldcrestvane_daemon.ledger.rate_limits import (
     MAX_RETRY_SECONDS,
@@ -68,20 +69,21 @@
 class PermitsOfTheLedgerTests(unittest.TestCase):
     def test_permits_are_issued_when_the_first_choice_is_down(self):
         async def script(ledger):
+            issuers = PermitIssuers(ledger.client)
             first = ledger.client.view.rank_permit_issuers(TARGET)[0]
-            permit = await ledger.client.acquire_permit(build_request(1.0))
+            permit = await issuers.acquire_permit(build_request(1.0))
             self.assertEqual(permit.wait_seconds, 0.0)
-            permit = await ledger.client.acquire_permit(build_request(1.0))
+            permit = await issuers.acquire_permit(build_request(1.0))
             self.assertIsNone(permit.wait_seconds)
             await ledger.members[first.instance].stop()
-            permit = await ledger.client.acquire_permit(build_request(1.0))
+            permit = await issuers.acquire_permit(build_request(1.0))
             self.assertEqual(permit.wait_seconds, 0.0)
 
         run_ledger(script)
 
     def test_frontend_learns_a_limit_that_another_one_has_reported(self):
         async def script(ledger):
-            await ledger.client.report_limit(RateLimit(TARGET, 3.0, 0.0))
+            await PermitIssuers(ledger.client).report_limit(RateLimit(TARGET, 3.0, 0.0))
             known = []
             other = ledger.build_client()
             other.set_limit_handler(known.append)
