Excuse only isolated frontends in the soak's late configurations

Change: such an interruption excuses a frontend only if at one moment of it all other frontends were disturbed as well.

--- a/bench/soak/account_checks.py
+++ b/bench/soak/account_checks.py
@@ -13,9 +13,17 @@
     NOT_RUN_STATUSES,
     PROPAGATION_SECONDS,
     REVOCATION_SECONDS,
+    STORE_ACCESS,
     is_disturbed,
+    list_excuses,
+)
+from bench.soak.records import (
+    Attempt,
+    Disturbance,
+    Evidence,
+    QuotaChange,
+    RequestKind,
 )
-from bench.soak.records import Attempt, Evidence, QuotaChange, RequestKind
 from goldcrestvane_common.ids import AccountId
 
 QUOTA_WINDOW_SECONDS = 5.0
@@ -30,7 +38,7 @@
 """Statuses of a turn that names another account's turn. Only 404 refuses it for that
 reason; the others come before the turn is looked up, or without an answer."""
 
-DELAYING_FAULTS = frozenset(("freeze", "outage", "store access"))
+DELAYING_FAULTS = frozenset(("freeze", "outage", STORE_ACCESS))
 """Faults during which a process does not learn of a new configuration."""
 
 
@@ -61,23 +69,26 @@
 def find_missing_accounts(evidence: Evidence) -> Iterator[str]:
     """Finds anonymous requests without the account of a key known for long enough."""
     attempts = {attempt.call: attempt for attempt in evidence.attempts}
+    excuses = list_excuses(evidence)
     for arrival in evidence.arrivals:
         attempt = attempts.get(arrival.call)
         if attempt is None or attempt.kind is not RequestKind.ANONYMOUS:
             continue
-        if arrival.account is None and _is_settled(evidence, attempt):
+        if arrival.account is None and _is_settled(evidence, attempt, excuses):
             owner = find_owner(evidence, attempt)
             yield f"{arrival.call} of {owner} reached a target without it"
 
 
-def _is_settled(evidence: Evidence, attempt: Attempt) -> bool:
+def _is_settled(
+    evidence: Evidence, attempt: Attempt, excuses: list[Disturbance]
+) -> bool:
     """Returns whether every frontend must have known the attempt's key throughout."""
     life = evidence.keys.get(attempt.key or "")
     return (
         life is not None
         and life.added_at + PROPAGATION_SECONDS < attempt.began_at
         and attempt.began_at <= attempt.ended_at <= life.revoked_at
-        and not is_disturbed(evidence, attempt)
+        and not is_disturbed(excuses, attempt)
     )
 
 
--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -8,7 +8,7 @@
 from collections import defaultdict
 from collections.abc import Iterator
 
-from bench.soak.records import Attempt, Evidence, RequestKind
+from bench.soak.records import Attempt, Disturbance, Evidence, RequestKind
 
 DRAIN_SECONDS = 2.0
 PROPAGATION_SECONDS = 2.0
@@ -25,6 +25,9 @@
 ALL_PROCESSES = "store"
 """Subject of disturbances that concern every process."""
 
+STORE_ACCESS = "store access"
+"""Kind of disturbance in which the store refuses or ignores one frontend."""
+
 
 def find_mixed_versions(evidence: Evidence) -> Iterator[str]:
     """Finds streams with events of two versions, and gaps or repeated events."""
@@ -107,6 +110,7 @@
             key = (attempt.frontend, attempt.start, attempt.limiting)
             told[key] = min(told.get(key, math.inf), attempt.ended_at)
     attempts = {attempt.call: attempt for attempt in evidence.attempts}
+    excuses = list_excuses(evidence)
     for limit in evidence.limits:
         times: list[float] = []
         for arrival in evidence.arrivals:
@@ -120,7 +124,7 @@
                 told.get(key, math.inf) + LIMIT_LEARNING_SECONDS,
             )
             counts = counted_from <= arrival.at <= limit.ended_at
-            if counts and not is_disturbed(evidence, attempt):
+            if counts and not is_disturbed(excuses, attempt):
                 times.append(arrival.at)
         allowed = LIMIT_FACTOR * limit.rate * LIMIT_WINDOW_SECONDS + LIMIT_ALLOWANCE
         count = _count_most(sorted(times), LIMIT_WINDOW_SECONDS)
@@ -161,7 +165,7 @@
 def _list_cut_off_by_stops(evidence: Evidence) -> Iterator[Attempt]:
     """Yields calls that a planned stop alone can have cut off."""
     stops = [each for each in evidence.disturbances if each.kind == "term"]
-    harmless = ("term", "store access")  # calls that arrived do not need the store
+    harmless = ("term", STORE_ACCESS)  # calls that arrived do not need the store
     others = [each for each in evidence.disturbances if each.kind not in harmless]
     for attempt in evidence.attempts:
         if attempt.whole or any(
@@ -180,22 +184,61 @@
 
 def find_late_configurations(evidence: Evidence) -> Iterator[str]:
     """Finds probes that miss a version that should have been in force."""
+    excuses = list_excuses(evidence)
     for probe in evidence.attempts:
         if probe.kind is not RequestKind.PROBE or probe.status != 404:
             continue
         due = evidence.changes.get(probe.version, math.inf) + PROPAGATION_SECONDS
-        if probe.sent_at > due and not is_disturbed(evidence, probe):
+        if probe.sent_at > due and not is_disturbed(excuses, probe):
             late = probe.sent_at - due
             yield f"{probe.call}: {probe.frontend} is {late:.2f} s late"
 
 
-def is_disturbed(evidence: Evidence, attempt: Attempt) -> bool:
-    """Returns whether the frontend was disturbed in the stable time before a request."""
+def list_excuses(evidence: Evidence) -> list[Disturbance]:
+    """Returns the disturbances that excuse late configurations at a frontend.
+
+    A frontend that the store refuses or ignores gets its copies from another one, so
+    this excuses it only if at some moment no other frontend worked either.
+    """
+    frontends = {attempt.frontend for attempt in evidence.attempts}
+    return [
+        each
+        for each in evidence.disturbances
+        if each.kind != STORE_ACCESS or _is_isolating(evidence, each, frontends)
+    ]
+
+
+def _is_isolating(evidence: Evidence, access: Disturbance, frontends: set[str]) -> bool:
+    """Returns whether all other frontends were disturbed at one moment of a fault."""
+    overlapping = [
+        each
+        for each in evidence.disturbances
+        if each.began_at <= access.ended_at and access.began_at <= each.ended_at
+    ]
+    moments = {max(each.began_at, access.began_at) for each in overlapping}
+    return any(
+        frontends
+        <= {
+            each.subject
+            for each in overlapping
+            if each.began_at <= moment <= each.ended_at
+        }
+        for moment in moments
+    )
+
+
+def is_disturbed(excuses: list[Disturbance], attempt: Attempt) -> bool:
+    """Returns whether the frontend was disturbed in the stable time before a request.
+
+    Args:
+        excuses: Disturbances from `list_excuses`.
+        attempt: The request.
+    """
     return any(
         each.subject in (ALL_PROCESSES, attempt.frontend)
         and each.began_at <= attempt.ended_at
         and attempt.sent_at <= each.ended_at + STABLE_SECONDS
-        for each in evidence.disturbances
+        for each in excuses
     )
 
 
--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -8,7 +8,11 @@
 import trio
 
 from bench.soak.accounts import ACCOUNTS, INITIAL_RATE, LOWERED_RATE, SoakAccounts
-from bench.soak.checks import ALL_PROCESSES, REVOCATION_SECONDS
+from bench.soak.checks import (
+    ALL_PROCESSES,
+    REVOCATION_SECONDS,
+    STORE_ACCESS,
+)
 from bench.soak.machines import Machine
 from bench.soak.records import Disturbance, Evidence, RateLimit
 from bench.soak.store_access import AccessState, StoreAccess
@@ -201,7 +205,7 @@
     async def _interrupt_access(
         self, number: int, state: AccessState, seconds: float
     ) -> None:
-        with self._record("store access", self._frontends[number].name):
+        with self._record(STORE_ACCESS, self._frontends[number].name):
             await self._accesses[number].interrupt(state, seconds)
 
     async def _lower_quota(self) -> None:
--- a/bench/tests/test_soak.py
+++ b/bench/tests/test_soak.py
@@ -98,6 +98,27 @@
         find = ALL_CHECKS[rule]
         self.assertEqual(len(list(find(evidence))), breaches)
 
+    def test_interrupted_access_to_the_store_excuses_only_isolated_frontends(self):
+        """Compares a frontend that could ask another one with two that could not."""
+        missed = build_probe(2, 404, 8.0)
+        other = build_probe(2, 200, 8.0, frontend="frontend-1")
+        own = build_stop("store access", began_at=4.0, ended_at=7.8)
+        for kind, began_at, breaches in (
+            ("store access", 7.9, 1),
+            ("store access", 7.0, 0),
+            ("freeze", 7.0, 0),
+        ):
+            with self.subTest(kind, began_at=began_at):
+                others = build_stop(
+                    kind, subject="frontend-1", began_at=began_at, ended_at=9.0
+                )
+                self.check(
+                    "CONFIG, late",
+                    breaches=breaches,
+                    attempts=[missed, other],
+                    disturbances=[own, others],
+                )
+
     def test_target_over_its_rate_limit(self):
         limit = RateLimit(
             target="i-1", rate=2.0, first_named_at=6.0, began_at=6.0, ended_at=30.0
