Listen before any import, and let early readiness checks wait

A process listened 0.1 s of processor time after its interpreter started, and a balancer's check that came before it was ready took it out of rotation for another second.

Change: the deploy file names the addresses in an environment variable; bootstrap.py listens on them before absl, the settings and the logs are imported. A readiness check within 0.5 s of the start waits until the process is ready.

--- a/packages/daemon/src/goldcrestvane_daemon/frontend/process.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/process.py
@@ -2,7 +2,6 @@
 
 import random
 import socket
-from collections.abc import Callable
 from typing import final
 
 import h11
@@ -26,6 +25,7 @@
 from goldcrestvane_daemon.frontend.peers import FrontendPeers
 from goldcrestvane_daemon.frontend.permit_issuers import PermitIssuers
 from goldcrestvane_daemon.frontend.quota_client import LedgerQuotaSource
+from goldcrestvane_daemon.frontend.readiness import Readiness
 from goldcrestvane_daemon.frontend.target_observations import TableObservations
 from goldcrestvane_daemon.http1 import (
     ConnectionLost,
@@ -33,7 +33,11 @@
     ServerConnection,
 )
 from goldcrestvane_daemon.ledger.messages import Frontend
-from goldcrestvane_daemon.listening import has_pending_connection, open_listener
+from goldcrestvane_daemon.listening import (
+    has_pending_connection,
+    measure_start,
+    open_listener,
+)
 from goldcrestvane_daemon.metrics_server import serve_metrics
 from goldcrestvane_daemon.platform.machine import MachineSettings
 from goldcrestvane_daemon.platform.store import StoreClient
@@ -136,8 +140,10 @@
                 configured = object_cache.routes is not None
                 return configured and ledger.is_reachable and not shutdown.requested
 
+            readiness = Readiness(is_ready)
+
             async def serve_ready(stream: trio.SocketStream) -> None:
-                await _serve_readiness(stream, is_ready)
+                await _serve_readiness(stream, readiness)
 
             ledger.set_limit_handler(calls.adopt_rate_limit)
             frontends.set_handlers(ledger.call_member, object_cache.get_copy)
@@ -152,7 +158,13 @@
                 nursery.start_soon(
                     trio.serve_listeners, serve, [_wrap_listener(listener)]
                 )
-            logger.info("started", extra={"clients": settings.client_address})
+            logger.info(
+                "started",
+                extra={
+                    "clients": settings.client_address,
+                    "start_ms": measure_start(),
+                },
+            )
             client_listener = self._listener
             await shutdown.wait(
                 lambda: clients.busy_count + has_pending_connection(client_listener)
@@ -165,16 +177,14 @@
     return trio.SocketListener(trio.socket.from_stdlib_socket(listener))
 
 
-async def _serve_readiness(
-    stream: trio.SocketStream, is_ready: Callable[[], bool]
-) -> None:
+async def _serve_readiness(stream: trio.SocketStream, readiness: Readiness) -> None:
     """Answers the balancer's readiness checks on one connection."""
     connection = ServerConnection(stream, head_bytes=READY_HEAD_BYTES)
     try:
         with trio.move_on_after(READY_IDLE_SECONDS):
             while await connection.read_head() is not None:
                 await connection.read_body(0)
-                await connection.respond(200 if is_ready() else 503, [])
+                await connection.respond(200 if await readiness.check() else 503, [])
                 if not connection.is_reusable:
                     return
                 connection.start_next_request()
--- a/packages/daemon/src/goldcrestvane_daemon/ledger/process.py
+++ b/packages/daemon/src/goldcrestvane_daemon/ledger/process.py
@@ -17,6 +17,7 @@
 from goldcrestvane_daemon.ledger.service import LedgerService
 from goldcrestvane_daemon.ledger.state import LedgerState
 from goldcrestvane_daemon.ledger.view import Member
+from goldcrestvane_daemon.listening import measure_start
 from goldcrestvane_daemon.metrics_server import serve_metrics
 from goldcrestvane_daemon.platform.machine import MachineSettings
 from goldcrestvane_daemon.platform.store import StoreClient
@@ -73,6 +74,7 @@
         logger.info(
             "started",
             extra={
+                "start_ms": measure_start(),
                 "disk": log.disk,
                 "records": record_count,
                 "turns": len(state.turns),
--- a/packages/daemon/src/goldcrestvane_daemon/listening.py
+++ b/packages/daemon/src/goldcrestvane_daemon/listening.py
@@ -1,17 +1,37 @@
 """Listening sockets that are opened before the rest of the process is imported.
 
-Load pattern: all processes are killed while callers have calls in flight, and the callers
-come back at once. Imports take most of the time of a start. Until a process listens, its
-connections are refused, and programs fail whose calls are refused several times in a
-row. Connections that wait in the backlog are served as soon as the process is ready.
+Connections that wait in the backlog are served as soon as the process is ready, see
+`bootstrap`.
 """
 
 import select
 import socket
+import time
 
 LISTEN_BACKLOG = 512
 """Maximum number of pending connections. A full backlog delays clients by seconds."""
 
+_early_listeners: dict[str, socket.socket] = {}
+_started_at = time.monotonic()
+
+
+def measure_start() -> float:
+    """Returns the milliseconds since this process began to listen."""
+    return round((time.monotonic() - _started_at) * 1000, 1)
+
+
+def listen_early(address: str) -> None:
+    """Listens on an address; `open_listener` returns the socket later.
+
+    Args:
+        address: ``host:port``.
+
+    Raises:
+        OSError: The address is in use or does not belong to this machine.
+        ValueError: The address is malformed.
+    """
+    _early_listeners[address] = _listen(address)
+
 
 def open_listener(address: str) -> socket.socket:
     """Returns a socket that listens on an address.
@@ -21,7 +41,12 @@
 
     Raises:
         OSError: The address is in use or does not belong to this machine.
+        ValueError: The address is malformed.
     """
+    return _early_listeners.pop(address, None) or _listen(address)
+
+
+def _listen(address: str) -> socket.socket:
     host, _, port = address.rpartition(":")
     return socket.create_server((host, int(port)), backlog=LISTEN_BACKLOG)
 
--- /dev/null
+++ b/packages/daemon/tests/test_bootstrap.py
@@ -0,0 +1,65 @@
+import os
+import socket
+import subprocess
+import sys
+import unittest
+from unittest import mock
+
+from goldcrestvane_daemon import bootstrap, listening, startup_signals
+
+LIST_MODULES = "import sys, goldcrestvane_daemon.bootstrap; print(*sys.modules)"
+LATER_MODULES = ("absl", "logging", "msgspec", "tomllib", "trio")
+
+
+class BootstrapTests(unittest.TestCase):
+    def run_with(self, addresses):
+        self.addCleanup(startup_signals.release_signals)
+        self.addCleanup(listening._early_listeners.clear)
+        with (
+            mock.patch.dict(os.environ, {bootstrap.LISTEN_VARIABLE: addresses}),
+            mock.patch.object(bootstrap.importlib, "import_module") as import_module,
+        ):
+            bootstrap.run()
+        return import_module
+
+    def reserve_address(self):
+        with socket.create_server(("127.0.0.1", 0)) as server:
+            return f"127.0.0.1:{server.getsockname()[1]}"
+
+    def test_process_listens_before_it_imports_what_it_runs(self):
+        output = subprocess.run(
+            [sys.executable, "-S", "-c", LIST_MODULES],
+            env={**os.environ, "PYTHONPATH": os.pathsep.join(sys.path)},
+            capture_output=True,
+            text=True,
+            check=True,
+        ).stdout
+        self.assertFalse(set(output.split()).intersection(LATER_MODULES))
+
+    def test_listeners_are_handed_to_the_parts_that_serve_them(self):
+        address = self.reserve_address()
+        import_module = self.run_with(f"{address},")
+        import_module.return_value.run.assert_called_once_with()
+        host, port = address.split(":")
+        client = socket.create_connection((host, int(port)))
+        self.addCleanup(client.close)
+        listener = listening.open_listener(address)
+        self.addCleanup(listener.close)
+        self.assertTrue(listening.has_pending_connection(listener))
+
+    def test_address_that_is_malformed_or_in_use_is_a_clear_error(self):
+        with socket.create_server(("127.0.0.1", 0)) as server:
+            used = f"127.0.0.1:{server.getsockname()[1]}"
+            for address in ("nowhere", used):
+                with (
+                    self.subTest(address),
+                    mock.patch("sys.stderr") as stderr,
+                    self.assertRaises(SystemExit) as stopped,
+                ):
+                    self.run_with(address)
+                self.assertEqual(stopped.exception.code, 2)
+                self.assertIn(address, str(stderr.write.mock_calls))
+
+
+if __name__ == "__main__":
+    unittest.main()
