Use the first turn of a chain as the affinity key of its calls

Cause: callers that return after a fault continue stored turns in new programs.

Change: frontend/affinity.py chooses the first turn of the stored chain as the key, which is the same for every program that continues it.

--- a/bench/load_replay/patterns.py
+++ b/bench/load_replay/patterns.py
@@ -8,6 +8,7 @@
 from load_replay.programs import (
     AccountBurst,
     Burst,
+    Continuation,
     EngineChange,
     LoadPattern,
     ProgramKind,
@@ -260,7 +261,53 @@
 )
 """Cold prompts of 14,000 tokens, warm ones of the same size, and short ones."""
 
+BOOKING = ProgramKind(
+    name="booking",
+    rate=8.3,
+    turns=3.0,
+    events=7.0,
+    input_tokens=1030.0,
+    shared_tokens=2560,
+    think_seconds=0.06,
+    slack_factor=2.7,
+    benefit=3.0,
+    late_benefit=0.9,
+    priority=1,
+)
+TRAINING_PLAN = ProgramKind(
+    name="training plan",
+    rate=3.11,
+    turns=9.0,
+    events=7.0,
+    input_tokens=514.0,
+    shared_tokens=2560,
+    think_seconds=0.06,
+    slack_factor=2.9,
+    benefit=10.0,
+    late_benefit=3.0,
+)
+CONTINUED_CHAINS = LoadPattern(
+    name="programs continue stored turns at once",
+    kinds=(BOOKING, TRAINING_PLAN),
+    engine_spec=EngineSpec(
+        slots=64,
+        step_seconds=0.00673,
+        slot_seconds=0.0000219,
+        context_seconds=0.0000068,
+        prefill_tokens=30_600.0,
+        chunk_tokens=1024,
+        event_tokens=5,
+        memory_tokens=221_449,
+    ),
+    engines=6,
+    frontends=5,
+    seconds=14.0,
+    continuation=Continuation(at=11.0, count=40),
+)
+"""Engines that read slowly, and callers that return together after a fault."""
+
 PATTERNS = (
+    CONTINUED_CHAINS,
     CALM,
     BURST_OF_ONE_KIND,
     BURST_OF_ALL,
--- a/bench/load_replay/play.py
+++ b/bench/load_replay/play.py
@@ -8,8 +8,9 @@
 import trio
 import trio.testing
 
-from goldcrestvane_common.ids import DomainId, InstanceId, ServiceId
+from goldcrestvane_common.ids import CallId, DomainId, InstanceId, ProgramId, ServiceId
 from goldcrestvane_daemon.frontend.admission import AdmissionClass
+from goldcrestvane_daemon.frontend.affinity import choose_affinity_key
 from goldcrestvane_daemon.frontend.queue import ServiceQueue
 from goldcrestvane_daemon.frontend.rate_limits import TargetRateLimits
 from goldcrestvane_daemon.frontend.refusals import Overloaded, Refusal
@@ -58,7 +59,9 @@
         *,
         ignores_accounts: bool,
         ignores_prompts: bool,
+        ignores_chains: bool,
     ) -> None:
+        self._ignores_chains = ignores_chains
         self._ignores_accounts = ignores_accounts
         self._ignores_prompts = ignores_prompts
         self._engines = engines
@@ -143,6 +146,14 @@
             raise FrontendKilled
         return first_at
 
+    def _choose_key(self, program: PlannedProgram) -> str | None:
+        root = None if self._ignores_chains else program.root
+        return choose_affinity_key(
+            chain_root=CallId(root or program.name),
+            program=ProgramId(program.name),
+            resource=None,
+        )
+
     async def _run_turn(
         self,
         program: PlannedProgram,
@@ -157,7 +168,7 @@
         account = None if self._ignores_accounts else program.account
         left = program.begin + program.seconds - trio.current_time()
         target = await queue.acquire(
-            key=program.name,
+            key=self._choose_key(program),
             priority=program.kind.priority,
             arrived=trio.current_time(),
             seconds_left=TIMEOUT_SECONDS,
@@ -216,6 +227,7 @@
         admits_all: bool = False,
         ignores_accounts: bool = False,
         ignores_prompts: bool = False,
+        ignores_chains: bool = False,
     ) -> None:
         """Creates engines and frontends for a replay.
 
@@ -228,6 +240,8 @@
                 used for comparison.
             ignores_prompts: Whether the queues do not know the prompts of calls; used
                 for comparison.
+            ignores_chains: Whether calls are placed by their programs instead of the
+                chains that these continue; used for comparison.
         """
         self._pattern = pattern
         self._admits_all = admits_all
@@ -242,6 +256,7 @@
                 pattern.engine_spec.slots,
                 ignores_accounts=ignores_accounts,
                 ignores_prompts=ignores_prompts,
+                ignores_chains=ignores_chains,
             )
             for _ in range(pattern.frontends)
         ]
@@ -382,6 +397,7 @@
     admits_all: bool = False,
     ignores_accounts: bool = False,
     ignores_prompts: bool = False,
+    ignores_chains: bool = False,
 ) -> ReplayResult:
     """Replays a pattern in virtual time; the same seed gives the same result."""
     # Trio orders equal deadlines by the addresses of their scopes, which differ with
@@ -396,5 +412,6 @@
         admits_all=admits_all,
         ignores_accounts=ignores_accounts,
         ignores_prompts=ignores_prompts,
+        ignores_chains=ignores_chains,
     )
     return trio.run(pattern_replay.run, clock=clock)
--- a/bench/load_replay/programs.py
+++ b/bench/load_replay/programs.py
@@ -106,6 +106,24 @@
     listens_early: bool = True
 
 
+class Continuation(msgspec.Struct, frozen=True, kw_only=True):
+    """Programs that arrive at once and continue stored turns of earlier programs.
+
+    Attributes:
+        at: Arrival time in seconds.
+        count: Number of programs.
+        min_age_seconds: Minimum age of the earlier programs.
+        max_age_seconds: Maximum age of the earlier programs.
+        turns: Mean number of turns of a program.
+    """
+
+    at: float
+    count: int
+    min_age_seconds: float = 3.0
+    max_age_seconds: float = 10.0
+    turns: float = 2.0
+
+
 class LoadPattern(msgspec.Struct, frozen=True, kw_only=True):
     """Programs, engines and events of one replay.
 
@@ -123,6 +141,7 @@
         accounts: Number of accounts that send the programs, with sizes by Zipf's law;
             0 if the programs have no account.
         account_bursts: Periods in which an account sends more than usual.
+        continuation: Programs that continue turns of earlier ones, if any.
     """
 
     name: str
@@ -137,6 +156,7 @@
     restart: Restart | None = None
     accounts: int = 0
     account_bursts: tuple[AccountBurst, ...] = ()
+    continuation: Continuation | None = None
 
 
 class PlannedTurn(msgspec.Struct, frozen=True):
@@ -158,6 +178,7 @@
         seconds: Time in which the program should complete.
         runaway: Whether the program loops until it is stopped.
         account: Account that sends it, if any.
+        root: Program that began the chain of turns, if it continues one.
     """
 
     name: str
@@ -167,6 +188,7 @@
     seconds: float
     runaway: bool
     account: AccountId | None = None
+    root: str | None = None
 
 
 SHARED_PARTS = 8
@@ -215,24 +237,54 @@
             program = _plan_program(pattern, kind, name, now, rng)
             account = _choose_account(pattern, now, rng)
             planned.append(msgspec.structs.replace(program, account=account))
+    if pattern.continuation is not None:
+        planned += _plan_continuations(pattern, pattern.continuation, planned, rng)
     yield from sorted(planned, key=lambda program: program.begin)
 
 
+def _plan_continuations(
+    pattern: LoadPattern,
+    continuation: Continuation,
+    planned: list[PlannedProgram],
+    rng: random.Random,
+) -> list[PlannedProgram]:
+    earliest = continuation.at - continuation.max_age_seconds
+    latest = continuation.at - continuation.min_age_seconds
+    earlier = [each for each in planned if earliest <= each.begin <= latest]
+    continued = []
+    for number in range(continuation.count):
+        origin = rng.choice(earlier)
+        kind = msgspec.structs.replace(origin.kind, turns=continuation.turns)
+        program = _plan_program(
+            pattern,
+            kind,
+            f"continued-{number}",
+            continuation.at,
+            rng,
+            stored=origin.turns[-1].prompt.parts,
+        )
+        continued.append(msgspec.structs.replace(program, root=origin.name))
+    return continued
+
+
 def _plan_program(
     pattern: LoadPattern,
     kind: ProgramKind,
     name: str,
     begin: float,
     rng: random.Random,
+    *,
+    stored: tuple[tuple[str, int], ...] = (),
 ) -> PlannedProgram:
+    """Returns a program, whose prompts begin with the stored parts if there are any."""
     runaway = rng.random() < pattern.runaway_share
     count = max(1, round(rng.gauss(kind.turns, 0.4 * kind.turns)))
     shared = f"shared-{kind.shared_tokens}-{rng.randrange(SHARED_PARTS)}"
-    parts = [(shared, kind.shared_tokens)]
+    parts = list(stored) or [(shared, kind.shared_tokens)]
     if kind.document_tokens:
         tokens = round(rng.uniform(0.6, 1.4) * kind.document_tokens)
         parts.append((f"{name}-document", tokens))
-    uncached = sum(tokens for _, tokens in parts[1:])
+    uncached = 0 if stored else sum(tokens for _, tokens in parts[1:])
     turns = []
     for number in range(RUNAWAY_TURNS if runaway else count):
         tokens = round(rng.uniform(0.3, 1.7) * kind.input_tokens)
--- a/bench/tests/test_load_replay.py
+++ b/bench/tests/test_load_replay.py
@@ -1,3 +1,4 @@
+import statistics
 import unittest
 
 import msgspec
@@ -8,6 +9,7 @@
     BURST_OF_ALL,
     BURST_OF_ONE_KIND,
     CALM,
+    CONTINUED_CHAINS,
     DOMAIN_LOST,
     HALF_REMOVED,
     LARGE,
@@ -29,6 +31,9 @@
 MIN_CALM_SHARE = 0.9
 """Benefit share that users expect without bursts or faults."""
 
+NEAR_SECONDS = 3.0
+"""Time around a herd of callers in which other programs may be delayed by it."""
+
 
 class LoadTests(unittest.TestCase):
     """Replays load patterns with the queues of four frontends.
@@ -115,6 +120,25 @@
         for size, before in zip(sizes, sizes_before, strict=True):
             self.assertGreater(size.in_time, before.in_time)
 
+    def test_programs_that_continue_stored_turns_at_once_delay_no_others(self):
+        continuation = CONTINUED_CHAINS.continuation
+
+        def measure_share(**options):
+            shares = []
+            for seed in range(SEED, SEED + 3):
+                result = replay(CONTINUED_CHAINS, seed=seed, **options)
+                near = [
+                    each
+                    for each in result.programs
+                    if abs(each.begin - continuation.at) <= NEAR_SECONDS
+                ]
+                owed = sum(each.max_benefit for each in near)
+                shares.append(sum(each.benefit for each in near) / owed)
+            return statistics.mean(shares)
+
+        self.assertGreaterEqual(measure_share(), MIN_CALM_SHARE)
+        self.assertLess(measure_share(ignores_chains=True), MIN_CALM_SHARE)
+
     def test_listening_before_the_start_ends_serves_programs_after_a_kill_of_all(self):
         restart = msgspec.structs.replace(LARGE_RESTART.restart, listens_early=False)
         refusing = msgspec.structs.replace(LARGE_RESTART, restart=restart)
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/call_context.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/call_context.py
@@ -5,6 +5,7 @@
 
 from goldcrestvane_common.ids import (
     AccountId,
+    CallId,
     InstanceId,
     ProgramId,
     ServiceId,
@@ -13,6 +14,7 @@
 )
 from goldcrestvane_daemon.accounts.directory import ClientAccount, KeyDigest
 from goldcrestvane_daemon.frontend.admission import AdmissionClass, get_admission_class
+from goldcrestvane_daemon.frontend.affinity import choose_affinity_key
 from goldcrestvane_daemon.frontend.refusals import (
     InvalidCall,
     NoTarget,
@@ -65,6 +67,8 @@
         copy_age: Seconds since that configuration was known to be the newest, when the
             call arrived; None without accounts.
         prompt: Prompt of the present attempt; None if the client states none.
+        chain_root: First turn of the stored chain that the call continues or begins; None
+            for a call that is not stored.
     """
 
     head: RequestHead
@@ -95,6 +99,7 @@
     accounts_version: Version | None = None
     copy_age: float | None = None
     prompt: PromptRequest | None = None
+    chain_root: CallId | None = None
 
     @property
     def account_id(self) -> AccountId | None:
@@ -155,7 +160,11 @@
         """Key of calls that prefer the same target; None if the route is not sticky."""
         if not self.route.sticky:
             return None
-        return self.headers.program or self.headers.affinity
+        return choose_affinity_key(
+            chain_root=self.chain_root,
+            program=self.headers.program,
+            resource=self.headers.affinity,
+        )
 
     @property
     def counted_targets(self) -> set[InstanceId]:
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/turn_recorder.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/turn_recorder.py
@@ -83,6 +83,7 @@
             call.origin = began.origin
         if call.is_stored:
             call.body = build_prompt(opened.chain, call.client_body)
+            call.chain_root = opened.chain[-1].call if opened.chain else headers.call
 
     async def _open_with_retries(
         self, call: CallContext, account: TokenAccount
--- a/packages/daemon/tests/frontend/test_turn_recorder.py
+++ b/packages/daemon/tests/frontend/test_turn_recorder.py
@@ -77,6 +77,24 @@
 
         self.run_script(script, [(b"goldcrestvane-previous-turn", b"c0")])
 
+    def test_turns_of_a_chain_have_the_same_affinity_key(self):
+        """Guards against a chain that each program that continues it reads anew."""
+
+        async def script(ledger, recorder, call):
+            ledger.turns["c0"] = Turn("c0", None, b"a", b"b", 60.0)
+            ledger.turns["c2"] = Turn("c2", "c0", b"c", b"d", 60.0)
+            call.route = msgspec.structs.replace(
+                call.route, stores_turns=True, sticky=True
+            )
+            await recorder.open(call)
+            keys.append(call.affinity_key)
+
+        keys = []
+        for previous in (b"c0", b"c2"):
+            self.run_script(script, [(b"goldcrestvane-previous-turn", previous)])
+        self.run_script(script)
+        self.assertEqual(keys, ["c0", "c0", "c1"])
+
     def test_stored_turn_is_refused_as_not_run_while_the_ledger_is_full(self):
         """Guards against turns that run and then cannot be stored."""
 
