Stay ready while other frontends relay to a quorum of the ledger

Cause: a frontend that was cut off from the ledger's members said that it was not ready, though it served turns through other frontends. Its neighbour took the calls of the whole domain, and when that one was killed, all of them were refused until the balancer had noticed.

Change: is_usable counts members to which others have relayed within 2 s; a frontend without a direct quorum announces itself to all members through others each 0.5 s, which keeps that current. Attempts log their program and route, so that a program's calls in flight at a fault can be found.

--- a/packages/daemon/src/goldcrestvane_daemon/frontend/attempts.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/attempts.py
@@ -258,6 +258,8 @@
             "sent to a target",
             extra={
                 "call": call.headers.call,
+                "program": call.headers.program,
+                "route": call.route.name,
                 **build_account_fields(call),
                 "target": target.instance,
                 "software": target.software,
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/ledger_client.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/ledger_client.py
@@ -1,6 +1,7 @@
 """Client of the ledger for a frontend; reads and writes by quorum."""
 
 import functools
+import math
 from collections.abc import Callable
 from typing import Any, final
 
@@ -68,6 +69,11 @@
 is asked."""
 
 ANNOUNCE_RETRY_SECONDS = 0.5
+
+RELAYED_SECONDS = 2.0
+"""Time for which a response that another frontend relayed shows that it relays. It covers
+an announcement that times out and the next one."""
+
 MAX_VIEW_ATTEMPTS = 3
 TURN_CACHE_BYTES = 8 * 1024 * 1024
 """Size of a frontend's cache of turns. Turns that are not cached are read from the
@@ -102,20 +108,34 @@
         self._forward_backoff_until: dict[str, float] = {}
         self._on_limit: Callable[[RateLimit], None] | None = None
         self._cache = TurnCache(TURN_CACHE_BYTES)
+        self._relayed_at: dict[str, float] = {}
         self.view: View | None = None
 
     @property
     def is_reachable(self) -> bool:
         """Whether enough members are connected for a quorum."""
+        return self._has_quorum(self._is_connected)
+
+    @property
+    def is_usable(self) -> bool:
+        """Whether enough members respond for a quorum, also through other frontends."""
+        return self._has_quorum(self._responds)
+
+    def _has_quorum(self, counts: Callable[[str], bool]) -> bool:
         view = self.view
         if view is None:
             return False
-        connected = sum(
-            1
-            for member in view.slots
-            if (peer := self._peers.get(member.address)) and peer.is_connected
-        )
-        return len(view.slots) - connected <= view.group_size - view.write_quorum
+        counted = sum(counts(member.address) for member in view.slots)
+        return len(view.slots) - counted <= view.group_size - view.write_quorum
+
+    def _is_connected(self, address: str) -> bool:
+        peer = self._peers.get(address)
+        return peer is not None and peer.is_connected
+
+    def _responds(self, address: str) -> bool:
+        relayed_at = self._relayed_at.get(address, -math.inf)
+        is_recent = trio.current_time() < relayed_at + RELAYED_SECONDS
+        return is_recent or self._is_connected(address)
 
     def set_limit_handler(self, on_limit: Callable[[RateLimit], None]) -> None:
         """Sets the function that receives rate limits that other frontends know."""
@@ -317,7 +337,9 @@
             except PeerUnreachable:
                 if peer.is_connected:
                     raise
-        return await self._frontends.relay(address, request, timeout)
+        answer = await self._frontends.relay(address, request, timeout)
+        self._relayed_at[address] = trio.current_time()
+        return answer
 
     async def call_member(self, address: str, request: Any, timeout: float) -> Any:
         """Calls a member on behalf of another frontend.
@@ -333,33 +355,36 @@
     async def run(self) -> None:
         """Announces this frontend to the members until cancelled."""
         while True:
-            connected = [peer for peer in self._peers.values() if peer.is_connected]
-            for peer in connected:
-                epoch = self.view.epoch if self.view else Epoch(0)
-                try:
-                    answer = await peer.call(
-                        Announce(self._local_frontend, epoch),
-                        timeout=REQUEST_TIMEOUT_SECONDS,
-                    )
-                except PeerUnreachable as error:
-                    logger.info(
-                        "announcing this frontend to a member failed",
-                        extra={"reason": str(error)},
-                    )
-                    continue
-                if isinstance(answer, Frontends):
-                    self._frontends.update_frontends(
-                        answer.frontends, self._local_frontend.domain
-                    )
-                    if answer.view is not None:
-                        self.adopt(answer.view)
-                    if self._on_limit is not None:
-                        for limit in answer.limits:
-                            self._on_limit(limit)
+            for address in list(self._peers):
+                # Others relay only if they are needed, which costs them messages.
+                if self._is_connected(address) or not self.is_reachable:
+                    await self._announce(address)
             await trio.sleep(
-                ANNOUNCE_INTERVAL_SECONDS if connected else ANNOUNCE_RETRY_SECONDS
+                ANNOUNCE_INTERVAL_SECONDS
+                if self.is_reachable
+                else ANNOUNCE_RETRY_SECONDS
             )
 
+    async def _announce(self, address: str) -> None:
+        """Announces this frontend to a member, and learns what the member knows."""
+        epoch = self.view.epoch if self.view else Epoch(0)
+        try:
+            answer = await self.call(address, Announce(self._local_frontend, epoch))
+        except PeerUnreachable as error:
+            logger.info(
+                "announcing this frontend to a member failed",
+                extra={"reason": str(error)},
+            )
+            return
+        if not isinstance(answer, Frontends):
+            return
+        self._frontends.update_frontends(answer.frontends, self._local_frontend.domain)
+        if answer.view is not None:
+            self.adopt(answer.view)
+        if self._on_limit is not None:
+            for limit in answer.limits:
+                self._on_limit(limit)
+
     async def _read_chain(self, call: CallId | None) -> list[Turn]:
         """Returns a chain, newest first, and reads the turns that are not cached.
 
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/process.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/process.py
@@ -138,7 +138,7 @@
 
             def is_ready() -> bool:
                 configured = object_cache.routes is not None
-                return configured and ledger.is_reachable and not shutdown.requested
+                return configured and ledger.is_usable and not shutdown.requested
 
             readiness = Readiness(is_ready)
 
