Keep a chain of turns at the target that ran its last turn

Change: stored turns name the target that ran them. The next turn prefers that target while it is within the load bound, and else the hash of the chain's first turn. Affinity holds both.

--- a/bench/decisions.py
+++ b/bench/decisions.py
@@ -12,6 +12,7 @@
 from cost.report import Target as Bound
 from cost.report import print_targets
 from goldcrestvane_common.ids import DomainId, InstanceId, ServiceId
+from goldcrestvane_daemon.frontend.affinity import Affinity
 from goldcrestvane_daemon.frontend.queue import ServiceQueue
 from goldcrestvane_daemon.frontend.rate_limits import TargetRateLimits
 from goldcrestvane_daemon.placement.health import HealthTracker
@@ -61,7 +62,7 @@
 
     async def acquire(number: int) -> Target:
         return await queue.acquire(
-            key=f"p{number}",
+            affinity=Affinity(key=f"p{number}"),
             priority=0,
             arrived=trio.current_time(),
             seconds_left=1e6,
--- a/bench/load_replay/patterns.py
+++ b/bench/load_replay/patterns.py
@@ -303,11 +303,29 @@
     frontends=5,
     seconds=14.0,
     continuation=Continuation(at=11.0, count=40),
+    stores_turns=True,
 )
 """Engines that read slowly, and callers that return together after a fault."""
 
+REPLACED_ENGINES = msgspec.structs.replace(
+    CONTINUED_CHAINS,
+    name="engines are replaced one after the other",
+    engines=12,
+    continuation=None,
+    changes=tuple(
+        change
+        for number in range(6)
+        for change in (
+            EngineChange(at=3.0 + number, engine=6 + number, joins=True),
+            EngineChange(at=3.8 + number, engine=number, leaves=True),
+        )
+    ),
+)
+"""Each of six engines leaves 0.8 s after another one has joined."""
+
 PATTERNS = (
     CONTINUED_CHAINS,
+    REPLACED_ENGINES,
     CALM,
     BURST_OF_ONE_KIND,
     BURST_OF_ALL,
--- a/bench/load_replay/play.py
+++ b/bench/load_replay/play.py
@@ -10,7 +10,7 @@
 
 from goldcrestvane_common.ids import CallId, DomainId, InstanceId, ProgramId, ServiceId
 from goldcrestvane_daemon.frontend.admission import AdmissionClass
-from goldcrestvane_daemon.frontend.affinity import choose_affinity_key
+from goldcrestvane_daemon.frontend.affinity import Affinity, build_affinity
 from goldcrestvane_daemon.frontend.queue import ServiceQueue
 from goldcrestvane_daemon.frontend.rate_limits import TargetRateLimits
 from goldcrestvane_daemon.frontend.refusals import Overloaded, Refusal
@@ -60,7 +60,11 @@
         ignores_accounts: bool,
         ignores_prompts: bool,
         ignores_chains: bool,
+        ignores_targets: bool,
+        last_targets: dict[str, InstanceId],
     ) -> None:
+        self._last_targets = last_targets
+        self._ignores_targets = ignores_targets
         self._ignores_chains = ignores_chains
         self._ignores_accounts = ignores_accounts
         self._ignores_prompts = ignores_prompts
@@ -74,25 +78,15 @@
 
     def _start(self) -> None:
         """Starts a process that knows the targets, but nothing of their load."""
-        engines, slots = self._engines, self._slots
+        engines = self._engines
         removed = {
             instance
             for instance in engines
             if self.table.list_all() and self.table.get(instance) is None
         }
         self.table = TargetTable()
-        for number, instance in enumerate(engines):
-            self.table.put(
-                Target(
-                    instance=instance,
-                    service=SERVICE,
-                    host="10.0.0.1",
-                    port=80 + number,
-                    domain=DomainId(f"d{number % 3}"),
-                    slots=slots,
-                    state=TargetState.READY,
-                )
-            )
+        for instance in engines:
+            self.add_target(instance)
         for instance in removed:
             self.table.remove(instance)
         self._health = HealthTracker(PlacementOptions())
@@ -106,6 +100,21 @@
         self._is_listening = True
         self._ready.set()
 
+    def add_target(self, instance: InstanceId) -> None:
+        """Adds an engine to the targets that the process knows."""
+        number = list(self._engines).index(instance)
+        self.table.put(
+            Target(
+                instance=instance,
+                service=SERVICE,
+                host="10.0.0.1",
+                port=80 + number,
+                domain=DomainId(f"d{number % 3}"),
+                slots=self._slots,
+                state=TargetState.READY,
+            )
+        )
+
     async def restart(self, restart: Restart) -> None:
         """Kills the process and starts it again."""
         self._is_listening = False
@@ -146,10 +155,16 @@
             raise FrontendKilled
         return first_at
 
-    def _choose_key(self, program: PlannedProgram) -> str | None:
+    def _choose_affinity(self, program: PlannedProgram) -> Affinity:
         root = None if self._ignores_chains else program.root
-        return choose_affinity_key(
+        target = None
+        if not self._ignores_targets:
+            target = self._last_targets.get(program.name)
+            if target is None and root is not None:
+                target = self._last_targets.get(root)
+        return build_affinity(
             chain_root=CallId(root or program.name),
+            chain_target=target,
             program=ProgramId(program.name),
             resource=None,
         )
@@ -168,7 +183,7 @@
         account = None if self._ignores_accounts else program.account
         left = program.begin + program.seconds - trio.current_time()
         target = await queue.acquire(
-            key=self._choose_key(program),
+            affinity=self._choose_affinity(program),
             priority=program.kind.priority,
             arrived=trio.current_time(),
             seconds_left=TIMEOUT_SECONDS,
@@ -178,6 +193,7 @@
             prompt=prompt,
         )
         started_at = trio.current_time()
+        self._last_targets[program.name] = target.instance
         engine = self._engines[target.instance]
         try:
             await trio.sleep(HOP_SECONDS)
@@ -228,6 +244,7 @@
         ignores_accounts: bool = False,
         ignores_prompts: bool = False,
         ignores_chains: bool = False,
+        ignores_targets: bool = False,
     ) -> None:
         """Creates engines and frontends for a replay.
 
@@ -242,6 +259,8 @@
                 for comparison.
             ignores_chains: Whether calls are placed by their programs instead of the
                 chains that these continue; used for comparison.
+            ignores_targets: Whether the queues do not know which engine ran the turn
+                before; used for comparison.
         """
         self._pattern = pattern
         self._admits_all = admits_all
@@ -250,6 +269,8 @@
             InstanceId(f"engine-{number}"): Engine(pattern.engine_spec)
             for number in range(pattern.engines)
         }
+        last_targets: dict[str, InstanceId] = {}
+        ignores_targets = ignores_targets or not pattern.stores_turns
         self._frontends = [
             _Frontend(
                 self._engines,
@@ -257,9 +278,15 @@
                 ignores_accounts=ignores_accounts,
                 ignores_prompts=ignores_prompts,
                 ignores_chains=ignores_chains,
+                ignores_targets=ignores_targets,
+                last_targets=last_targets,
             )
             for _ in range(pattern.frontends)
         ]
+        for change in pattern.changes:
+            if change.joins:
+                for frontend in self._frontends:
+                    frontend.table.remove(list(self._engines)[change.engine])
         self._result = ReplayResult([], [])
 
     async def run(self) -> ReplayResult:
@@ -285,6 +312,9 @@
         if change.leaves:
             for frontend in self._frontends:
                 frontend.table.remove(instance)
+        if change.joins:
+            for frontend in self._frontends:
+                frontend.add_target(instance)
 
     async def _restart(self, restart: Restart) -> None:
         await trio.sleep_until(restart.at)
@@ -398,6 +428,7 @@
     ignores_accounts: bool = False,
     ignores_prompts: bool = False,
     ignores_chains: bool = False,
+    ignores_targets: bool = False,
 ) -> ReplayResult:
     """Replays a pattern in virtual time; the same seed gives the same result."""
     # Trio orders equal deadlines by the addresses of their scopes, which differ with
@@ -413,5 +444,6 @@
         ignores_accounts=ignores_accounts,
         ignores_prompts=ignores_prompts,
         ignores_chains=ignores_chains,
+        ignores_targets=ignores_targets,
     )
     return trio.run(pattern_replay.run, clock=clock)
--- a/bench/load_replay/programs.py
+++ b/bench/load_replay/programs.py
@@ -81,11 +81,20 @@
 
 
 class EngineChange(msgspec.Struct, frozen=True, kw_only=True):
-    """Removal of an engine, or a change of its speed, at a time in seconds."""
+    """Change of an engine.
+
+    Attributes:
+        at: Time of the change in seconds.
+        engine: Number of the engine.
+        leaves: Whether the engine leaves.
+        joins: Whether the engine joins; it is absent before.
+        slow_factor: Factor by which it is slower than usual from then on.
+    """
 
     at: float
     engine: int
     leaves: bool = False
+    joins: bool = False
     slow_factor: float = 1.0
 
 
@@ -142,6 +151,7 @@
             0 if the programs have no account.
         account_bursts: Periods in which an account sends more than usual.
         continuation: Programs that continue turns of earlier ones, if any.
+        stores_turns: Whether the ledger stores the turns, and which engine ran them.
     """
 
     name: str
@@ -157,6 +167,7 @@
     accounts: int = 0
     account_bursts: tuple[AccountBurst, ...] = ()
     continuation: Continuation | None = None
+    stores_turns: bool = False
 
 
 class PlannedTurn(msgspec.Struct, frozen=True):
--- a/bench/tests/test_load_replay.py
+++ b/bench/tests/test_load_replay.py
@@ -15,6 +15,7 @@
     LARGE,
     LARGE_RESTART,
     MIXED_PROMPTS,
+    REPLACED_ENGINES,
     RETRY_BURST,
     ROTATING_SLOWDOWN,
     RUNAWAY_PROGRAMS,
@@ -139,6 +140,24 @@
         self.assertGreaterEqual(measure_share(), MIN_CALM_SHARE)
         self.assertLess(measure_share(ignores_chains=True), MIN_CALM_SHARE)
 
+    def test_chains_stay_while_engines_are_replaced(self):
+        """Compares with chains that move to each engine that their hash prefers."""
+
+        def measure(**options):
+            results = [
+                replay(REPLACED_ENGINES, seed=seed, **options)
+                for seed in range(SEED, SEED + 3)
+            ]
+            programs = [each for result in results for each in result.programs]
+            share = statistics.mean(result.benefit_share for result in results)
+            return share, statistics.mean(each.seconds for each in programs)
+
+        share, seconds = measure()
+        share_before, seconds_before = measure(ignores_targets=True)
+        self.assertGreaterEqual(share, MIN_CALM_SHARE)
+        self.assertGreater(share, share_before)
+        self.assertLess(seconds, seconds_before)
+
     def test_listening_before_the_start_ends_serves_programs_after_a_kill_of_all(self):
         restart = msgspec.structs.replace(LARGE_RESTART.restart, listens_early=False)
         refusing = msgspec.structs.replace(LARGE_RESTART, restart=restart)
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/call_context.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/call_context.py
@@ -14,7 +14,7 @@
 )
 from goldcrestvane_daemon.accounts.directory import ClientAccount, KeyDigest
 from goldcrestvane_daemon.frontend.admission import AdmissionClass, get_admission_class
-from goldcrestvane_daemon.frontend.affinity import choose_affinity_key
+from goldcrestvane_daemon.frontend.affinity import Affinity, build_affinity
 from goldcrestvane_daemon.frontend.refusals import (
     InvalidCall,
     NoTarget,
@@ -69,6 +69,8 @@
         prompt: Prompt of the present attempt; None if the client states none.
         chain_root: First turn of the stored chain that the call continues or begins; None
             for a call that is not stored.
+        chain_target: Target that ran the preceding turn, if known.
+        target: Target of the present attempt; empty before the first one.
     """
 
     head: RequestHead
@@ -100,6 +102,8 @@
     copy_age: float | None = None
     prompt: PromptRequest | None = None
     chain_root: CallId | None = None
+    chain_target: InstanceId | None = None
+    target: InstanceId = InstanceId("")
 
     @property
     def account_id(self) -> AccountId | None:
@@ -156,12 +160,13 @@
         return milliseconds / 1000
 
     @property
-    def affinity_key(self) -> str | None:
-        """Key of calls that prefer the same target; None if the route is not sticky."""
+    def affinity(self) -> Affinity:
+        """Targets that the call prefers; none if the route is not sticky."""
         if not self.route.sticky:
-            return None
-        return choose_affinity_key(
+            return Affinity()
+        return build_affinity(
             chain_root=self.chain_root,
+            chain_target=self.chain_target,
             program=self.headers.program,
             resource=self.headers.affinity,
         )
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/calls.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/calls.py
@@ -263,7 +263,7 @@
         while True:
             call.prompt = PromptRequest(prompt) if prompt is not None else None
             target = await queue.acquire(
-                key=call.affinity_key,
+                affinity=call.affinity,
                 priority=call.priority,
                 arrived=call.arrived,
                 seconds_left=call.seconds_left,
@@ -287,6 +287,7 @@
             except BaseException:
                 queue.release(target, account=account, prompt=call.prompt)
                 raise
+            call.target = target.instance
             result = AttemptResult.LOST
             started = trio.current_time()
             quota.begin_attempt()
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/queue.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/queue.py
@@ -26,6 +26,7 @@
     get_max_wait,
     get_queue_key,
 )
+from goldcrestvane_daemon.frontend.affinity import Affinity
 from goldcrestvane_daemon.frontend.dispatch_window import DispatchWindow
 from goldcrestvane_daemon.frontend.queue_refusals import (
     build_no_target,
@@ -94,7 +95,7 @@
     async def acquire(
         self,
         *,
-        key: str | None,
+        affinity: Affinity,
         priority: int,
         arrived: float,
         seconds_left: float,
@@ -109,7 +110,7 @@
         """Waits for a target with a free slot and reserves the slot until `release`.
 
         Args:
-            key: Affinity key. Calls with the same key prefer the same target.
+            affinity: Targets that the call prefers.
             priority: Priority of the call; 0 is the most urgent.
             arrived: Time on trio's clock at which the call arrived.
             seconds_left: Seconds until the call's deadline.
@@ -130,7 +131,7 @@
         waiter = Waiter(
             get_queue_key(arrived, priority, admission_class)
             + self._accounts.compute_delay(account, calls_per_second=rate),
-            key,
+            affinity,
             excluded,
             allowed,
             origin,
@@ -396,5 +397,5 @@
                 waiter.prompt, run_seconds=run_seconds, now=now
             ),
         )
-        candidate = choose_target(candidates, waiter.key, self._rng)
+        candidate = choose_target(candidates, waiter.affinity, self._rng)
         return None if candidate is None else self._table.get(candidate.instance)
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/target_selection.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/target_selection.py
@@ -7,6 +7,9 @@
 - A hash distributes programs unevenly, and a burst makes it worse: one target in five
   gets twice the mean load, which slows all of its calls. The hash therefore assigns no
   target more than a bound above the mean load (consistent hashing with bounded loads).
+- Targets are replaced one after the other. Each that joins ranks higher than the present one
+  for a share of the programs. A call therefore stays at the target that has processed the
+  turn before, as long as it is within the bound.
 - Targets that report how long work takes on their machines differ in speed by factors.
   Calls go to the target where they should finish first among a few that the hash prefers
   for their program. If all were compared, all frontends would choose the same targets
@@ -27,6 +30,7 @@
     AdmissionClass,
     count_reserved_slots,
 )
+from goldcrestvane_daemon.frontend.affinity import Affinity
 from goldcrestvane_daemon.placement.health import HealthTracker
 from goldcrestvane_daemon.placement.speeds import estimate_finish
 from goldcrestvane_daemon.targets import Target, TargetTable
@@ -98,17 +102,18 @@
 
 def choose_target(
     candidates: Sequence[TargetCandidate],
-    key: str | None,
+    affinity: Affinity = Affinity(),
     rng: random.Random | None = None,
 ) -> TargetCandidate | None:
     """Returns the target for a call, or None if all targets are full.
 
     Args:
         candidates: Targets that accept calls.
-        key: Affinity key of the call. None selects the least loaded target.
+        affinity: Targets that the call prefers.
         rng: Draws the targets that are compared for a call without a key if they report
             their speed. Without it all are compared.
     """
+    key = affinity.key
     available = [
         candidate
         for candidate in candidates
@@ -129,7 +134,11 @@
         if within_bound:
             encoded = key.encode()
             return max(
-                within_bound, key=lambda each: rank_target(encoded, each.instance)
+                within_bound,
+                key=lambda each: (
+                    each.instance == affinity.target,
+                    rank_target(encoded, each.instance),
+                ),
             )
     return min(available, key=lambda each: (each.share, not each.local))
 
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/turn_recorder.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/turn_recorder.py
@@ -84,6 +84,7 @@
         if call.is_stored:
             call.body = build_prompt(opened.chain, call.client_body)
             call.chain_root = opened.chain[-1].call if opened.chain else headers.call
+            call.chain_target = opened.chain[0].target if opened.chain else None
 
     async def _open_with_retries(
         self, call: CallContext, account: TokenAccount
@@ -144,6 +145,7 @@
             bytes(call.output),
             call.route.retention_seconds,
             call.account_id or AccountId(""),
+            call.target,
         )
         while not call.settled:
             try:
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/waiter.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/waiter.py
@@ -6,6 +6,7 @@
 
 from goldcrestvane_common.ids import AccountId, InstanceId, StreamOrigin
 from goldcrestvane_daemon.frontend.admission import AdmissionClass
+from goldcrestvane_daemon.frontend.affinity import Affinity
 from goldcrestvane_daemon.frontend.rate_limits import PermitRequest
 from goldcrestvane_daemon.placement.prompt_reading import PromptRequest
 from goldcrestvane_daemon.targets import Target
@@ -26,7 +27,7 @@
     def __init__(
         self,
         queue_key: float,
-        key: str | None,
+        affinity: Affinity,
         excluded: frozenset[InstanceId],
         allowed: frozenset[InstanceId] | None,
         origin: StreamOrigin | None,
@@ -42,7 +43,7 @@
         self.permit_request: PermitRequest | None = None
         self.asked_count = 0
         self.admission_class = admission_class
-        self.key = key
+        self.affinity = affinity
         self.excluded = excluded
         self.allowed = allowed
         self.origin = origin
--- a/packages/daemon/src/goldcrestvane_daemon/ledger/messages.py
+++ b/packages/daemon/src/goldcrestvane_daemon/ledger/messages.py
@@ -60,6 +60,7 @@
         output: Data of the response's events, each followed by a line feed.
         retention_seconds: Time for which the turn is kept after its last use.
         account: Account that sent the turn; empty if it had none.
+        target: Target that ran the turn; empty if unknown.
     """
 
     call: CallId
@@ -68,6 +69,7 @@
     output: bytes
     retention_seconds: float
     account: AccountId = AccountId("")
+    target: InstanceId = InstanceId("")
 
 
 def build_program_key(account: AccountId | None, program: ProgramId) -> ProgramId:
--- a/packages/daemon/tests/frontend/test_admission.py
+++ b/packages/daemon/tests/frontend/test_admission.py
@@ -14,6 +14,7 @@
     get_admission_class,
     get_queue_key,
 )
+from goldcrestvane_daemon.frontend.affinity import Affinity
 from goldcrestvane_daemon.frontend.queue import ServiceQueue
 from goldcrestvane_daemon.frontend.rate_limits import TargetRateLimits
 from goldcrestvane_daemon.frontend.refusals import Overloaded
@@ -108,7 +109,7 @@
 
     async def acquire(self, admission_class=AdmissionClass.IN_PROGRESS):
         return await self.queue.acquire(
-            key=None,
+            affinity=Affinity(),
             priority=0,
             arrived=trio.current_time(),
             seconds_left=3.0,
--- a/packages/daemon/tests/frontend/test_affinity.py
+++ b/packages/daemon/tests/frontend/test_affinity.py
@@ -1,24 +1,27 @@
 import unittest
 
-from goldcrestvane_daemon.frontend.affinity import choose_affinity_key
+from goldcrestvane_daemon.frontend.affinity import Affinity, build_affinity
 
 
-class AffinityKeyTests(unittest.TestCase):
-    def test_programs_that_continue_one_chain_have_its_key(self):
-        keys = {
-            choose_affinity_key(chain_root="c0", program=program, resource="o")
+class AffinityTests(unittest.TestCase):
+    def build(self, **changes):
+        values = {"chain_root": None, "chain_target": None, "program": "p1"}
+        return build_affinity(**{**values, "resource": "o", **changes})
+
+    def test_programs_that_continue_one_chain_prefer_the_same_targets(self):
+        built = {
+            self.build(chain_root="c0", chain_target="t1", program=program)
             for program in ("p1", "p2")
         }
-        self.assertEqual(keys, {"c0"})
+        self.assertEqual(built, {Affinity(key="c0", target="t1")})
 
     def test_call_without_a_stored_chain_has_the_key_of_its_program(self):
-        key = choose_affinity_key(chain_root=None, program="p1", resource="o")
-        self.assertEqual(key, "p1")
+        self.assertEqual(self.build(), Affinity(key="p1"))
 
     def test_call_without_a_program_has_the_key_of_its_resource(self):
         for resource in ("o", None):
-            key = choose_affinity_key(chain_root=None, program=None, resource=resource)
-            self.assertEqual(key, resource)
+            affinity = self.build(program=None, resource=resource)
+            self.assertEqual(affinity, Affinity(key=resource))
 
 
 if __name__ == "__main__":
--- a/packages/daemon/tests/frontend/test_calls.py
+++ b/packages/daemon/tests/frontend/test_calls.py
@@ -15,6 +15,7 @@
 from goldcrestvane_daemon.frontend.queue import ServiceQueue
 from goldcrestvane_daemon.frontend.refusals import Refusal
 from goldcrestvane_daemon.frontend.upstream import TargetRequest
+from goldcrestvane_daemon.ledger.messages import Turn
 from goldcrestvane_daemon.placement.prompt_reading import SECONDS_PER_TOKEN, Prompt
 from goldcrestvane_daemon.platform.store import ObjectKind
 
@@ -260,6 +261,12 @@
         self.run_frontend(script, broken, broken, broken)
 
 
+STICKY = {
+    **CONFIGURATION,
+    "routes": [{**route, "sticky": True} for route in CONFIGURATION["routes"]],
+}
+
+
 class TurnTests(FrontendCase):
     def test_stored_turns_are_part_of_the_next_prompt(self):
         async def script(frontend):
@@ -275,6 +282,25 @@
         turns = [build_stream([1, 2]), build_stream([1], call=b"c2")]
         self.run_frontend(script, turns)
 
+    def test_turn_goes_to_the_target_that_ran_the_turn_before(self):
+        """Guards against chains that move when a target joins or leaves."""
+
+        async def script(frontend):
+            for target in frontend.targets:
+                turn = Turn("c0", None, b"a", b"b", 60.0, target=f"i-{target.port}")
+                frontend.ledger.turns["c0"] = turn
+                call = f"c{target.port}"
+                target.script[0] = build_stream([1], call=call.encode())
+                response = await frontend.send_turn(
+                    "/kept/x", call=call, Goldcrestvane_Previous_Turn="c0"
+                )
+                self.assertTrue(response.whole)
+                self.assertEqual(len(target.requests), 1)
+                stored = frontend.ledger.turns[call]
+                self.assertEqual(stored.target, f"i-{target.port}")
+
+        self.run_frontend(script, *[[[]] for _ in range(4)], configuration=STICKY)
+
     def test_response_of_a_turn_ends_only_once_the_turn_is_durable(self):
         async def script(frontend):
             async def settle(*_):
--- a/packages/daemon/tests/frontend/test_queue.py
+++ b/packages/daemon/tests/frontend/test_queue.py
@@ -4,6 +4,7 @@
 import trio.testing
 
 from frontend.support import build_target
+from goldcrestvane_daemon.frontend.affinity import Affinity
 from goldcrestvane_daemon.frontend.queue import ServiceQueue
 from goldcrestvane_daemon.frontend.rate_limits import TargetRateLimits
 from goldcrestvane_daemon.frontend.refusals import NoTarget, Overloaded
@@ -35,7 +36,7 @@
     async def acquire(self, *, priority=0, seconds_left=3.0, key=None, account=None):
         return await self.queue.acquire(
             account=account,
-            key=key,
+            affinity=Affinity(key=key),
             priority=priority,
             arrived=trio.current_time(),
             seconds_left=seconds_left,
@@ -43,7 +44,7 @@
 
     async def send_prompt(self, prompt):
         return await self.queue.acquire(
-            key=None,
+            affinity=Affinity(),
             priority=0,
             arrived=trio.current_time(),
             seconds_left=3.0,
--- a/packages/daemon/tests/frontend/test_rate_limited_fleet.py
+++ b/packages/daemon/tests/frontend/test_rate_limited_fleet.py
@@ -8,6 +8,7 @@
 import trio.testing
 
 from frontend.support import build_target
+from goldcrestvane_daemon.frontend.affinity import Affinity
 from goldcrestvane_daemon.frontend.ledger_client import LedgerUnavailable
 from goldcrestvane_daemon.frontend.permits import PermitClient
 from goldcrestvane_daemon.frontend.queue import ServiceQueue
@@ -149,7 +150,10 @@
         try:
             with trio.fail_after(DEADLINE_SECONDS):
                 target = await frontend.queue.acquire(
-                    key=None, priority=0, arrived=arrived, seconds_left=DEADLINE_SECONDS
+                    affinity=Affinity(),
+                    priority=0,
+                    arrived=arrived,
+                    seconds_left=DEADLINE_SECONDS,
                 )
         except Overloaded as error:
             assert error.retry_after > 0
--- a/packages/daemon/tests/frontend/test_target_selection.py
+++ b/packages/daemon/tests/frontend/test_target_selection.py
@@ -2,6 +2,7 @@
 import unittest
 
 from frontend.support import build_target
+from goldcrestvane_daemon.frontend.affinity import Affinity
 from goldcrestvane_daemon.frontend.target_selection import (
     TargetCandidate,
     choose_target,
@@ -24,60 +25,76 @@
     ]
 
 
+def choose(candidates, key, rng=None):
+    return choose_target(candidates, Affinity(key=key), rng)
+
+
 class ChooseTargetTests(unittest.TestCase):
     def test_calls_of_a_program_go_to_the_same_target(self):
-        first = choose_target(build_candidates([0] * 7), "program").instance
-        later = choose_target(
-            build_candidates([5, 4, 3, 2, 5, 4, 3]), "program"
-        ).instance
+        first = choose(build_candidates([0] * 7), "program").instance
+        later = choose(build_candidates([5, 4, 3, 2, 5, 4, 3]), "program").instance
         self.assertEqual(first, later)
 
     def test_programs_are_distributed_over_all_targets(self):
         candidates = build_candidates([0] * 7)
-        used = {choose_target(candidates, f"p{n}").instance for n in range(200)}
+        used = {choose(candidates, f"p{n}").instance for n in range(200)}
         self.assertEqual(len(used), 7)
 
     def test_removed_target_moves_only_its_own_programs(self):
         candidates = build_candidates([0] * 7)
         for n in range(100):
-            before = choose_target(candidates, f"p{n}").instance
+            before = choose(candidates, f"p{n}").instance
             rest = [candidate for candidate in candidates if candidate.instance != "t3"]
-            after = choose_target(rest, f"p{n}").instance
+            after = choose(rest, f"p{n}").instance
             if before != "t3":
                 self.assertEqual(before, after)
 
     def test_program_moves_before_its_preferred_target_is_full(self):
-        preferred = choose_target(build_candidates([0] * 7), "p").instance
+        preferred = choose(build_candidates([0] * 7), "p").instance
         loads = [15 if f"t{n}" == preferred else 2 for n in range(7)]
-        self.assertNotEqual(
-            choose_target(build_candidates(loads), "p").instance, preferred
-        )
+        self.assertNotEqual(choose(build_candidates(loads), "p").instance, preferred)
 
     def test_load_of_each_target_stays_below_the_bound(self):
         """Twelve turns belong to programs that all hash to the same target."""
         idle = build_candidates([0] * 5)
         names = [f"p{n}" for n in range(200)]
-        names = [n for n in names if choose_target(idle, n).instance == "t0"][:12]
+        names = [n for n in names if choose(idle, n).instance == "t0"][:12]
         loads = [0] * 5
         for name in names:
-            candidate = choose_target(build_candidates(loads), name)
+            candidate = choose(build_candidates(loads), name)
             loads[int(candidate.instance[1:])] += 1
         mean = len(names) / len(loads)
         self.assertLessEqual(max(loads), 1.25 * mean + 2)
 
     def test_full_targets_get_no_calls(self):
-        self.assertIsNone(choose_target(build_candidates([16, 17, 16]), "p"))
+        self.assertIsNone(choose(build_candidates([16, 17, 16]), "p"))
 
     def test_reserved_slots_are_left_free(self):
         candidates = build_candidates([12, 13], reserved_slots=4)
-        self.assertIsNone(choose_target(candidates, "p"))
+        self.assertIsNone(choose(candidates, "p"))
         candidates = build_candidates([11, 13], reserved_slots=4)
-        self.assertEqual(choose_target(candidates, "p").instance, "t0")
+        self.assertEqual(choose(candidates, "p").instance, "t0")
 
     def test_call_without_a_key_goes_to_the_least_loaded_target(self):
-        self.assertEqual(
-            choose_target(build_candidates([3, 1, 2]), None).instance, "t1"
-        )
+        self.assertEqual(choose(build_candidates([3, 1, 2]), None).instance, "t1")
+
+
+class ChainAffinityTests(unittest.TestCase):
+    """Targets are replaced one after the other while programs run."""
+
+    def test_chain_stays_at_its_target_while_others_join(self):
+        for n in range(50):
+            target = choose(build_candidates([0] * 3), f"c{n}").instance
+            affinity = Affinity(key=f"c{n}", target=target)
+            joined = build_candidates([0] * 12)
+            self.assertEqual(choose_target(joined, affinity).instance, target)
+
+    def test_chain_leaves_a_target_that_is_overloaded_or_gone(self):
+        expected = choose(build_candidates([2, 2, 15, 2]), "c").instance
+        for target in ("t2", "gone"):
+            affinity = Affinity(key="c", target=target)
+            chosen = choose_target(build_candidates([2, 2, 15, 2]), affinity)
+            self.assertEqual(chosen.instance, expected)
 
 
 class ChooseBySpeedTests(unittest.TestCase):
@@ -98,7 +115,7 @@
         ]
 
     def choose_many(self, candidates, count=200):
-        return [choose_target(candidates, f"p{n}") for n in range(count)]
+        return [choose(candidates, f"p{n}") for n in range(count)]
 
     def test_most_programs_run_on_fast_targets_while_these_have_room(self):
         # Programs whose turns all ran on a slow target ended late.
@@ -121,15 +138,15 @@
         self.assertLess(idle, len(chosen) / 2)
 
     def test_turns_of_a_program_stay_on_their_target_for_a_small_gain(self):
-        before = choose_target(self.build([1.0] * 12), "p")
+        before = choose(self.build([1.0] * 12), "p")
         loads = [0 if f"t{n}" == before.instance else 1 for n in range(12)]
-        after = choose_target(self.build([1.0] * 12, [1 - load for load in loads]), "p")
+        after = choose(self.build([1.0] * 12, [1 - load for load in loads]), "p")
         self.assertEqual(after.instance, before.instance)
 
     def test_call_without_a_key_avoids_disturbed_targets(self):
         candidates = self.build([2.5] * 3 + [1.0] * 5)
         rng = random.Random(1)
-        chosen = [choose_target(candidates, None, rng) for _ in range(100)]
+        chosen = [choose(candidates, None, rng) for _ in range(100)]
         used = {each.instance for each in chosen}
         self.assertEqual(used, {"t3", "t4", "t5", "t6", "t7"})
 
--- a/packages/daemon/tests/frontend/test_turn_recorder.py
+++ b/packages/daemon/tests/frontend/test_turn_recorder.py
@@ -87,7 +87,7 @@
                 call.route, stores_turns=True, sticky=True
             )
             await recorder.open(call)
-            keys.append(call.affinity_key)
+            keys.append(call.affinity.key)
 
         keys = []
         for previous in (b"c0", b"c2"):
