--- a/bench/soak/machines.py
+++ b/bench/soak/machines.py
@@ -18,8 +18,9 @@
     STABLE_SECONDS,
 )
 from bench.soak.records import Disturbance, Evidence
+from goldcrestvane_daemon.bootstrap import LISTEN_VARIABLE
 
-DAEMON_MODULE = "goldcrestvane_daemon.main"
+DAEMON_MODULE = "goldcrestvane_daemon.bootstrap"
 CLIENT_PORT = 18_490
 READY_PORT = 18_491
 CONTROL_PORT = 18_492
@@ -92,6 +93,8 @@
         names = {"frontend": CLIENT_PORT, "ready": READY_PORT}
         names["control_plane"] = CONTROL_PORT
         addresses = "\n".join(f'{k} = "{self.host}:{v}"' for k, v in names.items())
+        early = (CLIENT_PORT, READY_PORT) if role == "frontend" else (PEER_PORT,)
+        self._early_addresses = ",".join(f"{self.host}:{port}" for port in early)
         self._path.write_text(
             SETTINGS.format(
                 name=self.name,
@@ -116,7 +119,11 @@
         with self._log.open("ab") as log:
             self._process = subprocess.Popen(
                 [sys.executable, "-m", DAEMON_MODULE, f"--role={self._role}"],
-                env={**os.environ, "GOLDCRESTVANE_BOOT": str(self._path)},
+                env={
+                    **os.environ,
+                    "GOLDCRESTVANE_BOOT": str(self._path),
+                    LISTEN_VARIABLE: self._early_addresses,
+                },
                 stdout=log,
                 stderr=log,
             )
