Keep the last members in the ledger's view until a standby comes

Cause: a member that drained without a standby left the view whenever all others had its entries. Of two members the second left as well, and the only one that remained was lost 40 ms later: no process could take its place, and no turn ran again.

Change: a member leaves only if a write quorum of a full group remains. A standby takes the slot of a draining member only while all members respond, so that a lost one is replaced first.

--- a/packages/daemon/src/goldcrestvane_daemon/ledger/membership.py
+++ b/packages/daemon/src/goldcrestvane_daemon/ledger/membership.py
@@ -247,19 +247,20 @@
         if self._local_member.instance in self._watcher.drained:
             # The operator removes this machine, so a slot that it took would be lost.
             return
+        all_respond = all(
+            self._missed_probes.get(member.instance) == 0 for member in view.slots
+        )
         for member in view.slots:
-            if member.instance in self._watcher.draining or await self._is_lost(
-                view, member
-            ):
+            # A draining member keeps its slot while another one may be lost, whose slot
+            # this process must then take.
+            is_draining = member.instance in self._watcher.draining
+            if (is_draining and all_respond) or await self._is_lost(view, member):
                 logger.info("replacing a member", extra={"member": member.instance})
                 await self._update_view(
                     view, view.replace(member.instance, self._local_member)
                 )
                 return
         missing = len(view.slots) < 2 * self._tolerated_losses + 1
-        all_respond = all(
-            self._missed_probes.get(member.instance) == 0 for member in view.slots
-        )
         if missing and all_respond and await self._are_others_synced(view):
             # Adds a member only if all others respond. A member that fails its probes,
             # or was not probed yet, must first be replaced or respond.
@@ -335,6 +336,9 @@
             self._reported_draining = True
         if await self._has_live_standby(view):
             return
+        if len(view.slots) - 1 < view.write_quorum:
+            # Too few disks would have the entries to lose one of them.
+            return
         if await self._are_others_synced(view):
             await self._update_view(view, view.remove(self._local_member.instance))
 
--- a/packages/daemon/tests/ledger/test_members.py
+++ b/packages/daemon/tests/ledger/test_members.py
@@ -229,6 +229,37 @@
 
         run_ledger(script)
 
+    def test_last_members_keep_their_slots_until_a_standby_comes(self):
+        """Retires two of three members, then loses the third for good.
+
+        If the second had left too, the third would have been the only member, and no
+        other process could have taken its place.
+        """
+
+        async def script(ledger):
+            ledger.platform.put(ObjectKind.RETIREMENTS.value, "a", {"duration_s": 10})
+            await ledger.wait(
+                lambda: (
+                    ledger.platform.read(ObjectKind.RETIREMENTS.value, "a")["status"]
+                    == {"state": "completed"}
+                )
+            )
+            await ledger.members["a"].stop()
+            ledger.client = ledger.build_client()
+            await ledger.refresh()
+            await ledger.store_turn("p", "t1")
+            ledger.platform.put(ObjectKind.RETIREMENTS.value, "b", {"duration_s": 10})
+            await trio.sleep(2.0)
+            await ledger.members["c"].stop()
+            await ledger.add("d").start()
+            await ledger.wait_votes("d")
+            ledger.client = ledger.build_client()
+            await ledger.refresh()
+            opened = await ledger.open_turn("p", "c9", 10, previous="t1")
+            self.assertEqual([turn.call for turn in opened.chain], ["t1"])
+
+        run_ledger(script)
+
     def test_drained_member_takes_no_slot_again(self):
         async def script(ledger):
             ledger.platform.put(ObjectKind.RETIREMENTS.value, "a", {"duration_s": 10})
