--- a/packages/daemon/src/goldcrestvane_daemon/frontend/attempts.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/attempts.py
@@ -10,7 +10,7 @@
 from goldcrestvane_common.ids import ServiceId
 from goldcrestvane_common.logs import get_logger
 from goldcrestvane_daemon.frontend.call_context import CallContext
-from goldcrestvane_daemon.frontend.call_log import build_account_fields
+from goldcrestvane_daemon.frontend.call_log import build_program_fields
 from goldcrestvane_daemon.frontend.crash_tracker import CrashTracker, build_fingerprint
 from goldcrestvane_daemon.frontend.event_reader import EventReader, compute_patience
 from goldcrestvane_daemon.frontend.memory_budget import MemoryBudget
@@ -257,10 +257,7 @@
         logger.info(
             "sent to a target",
             extra={
-                "call": call.headers.call,
-                "program": call.headers.program,
-                "route": call.route.name,
-                **build_account_fields(call),
+                **build_program_fields(call),
                 "target": target.instance,
                 "software": target.software,
                 "last_event": call.last_event,
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/call_log.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/call_log.py
@@ -29,6 +29,16 @@
     }
 
 
+def build_program_fields(call: CallContext) -> dict[str, Any]:
+    """Returns the log fields that tell which program a call belongs to, and its account."""
+    return {
+        "call": call.headers.call,
+        "program": call.headers.program,
+        "route": call.route.name,
+        **build_account_fields(call),
+    }
+
+
 def log_refusal(call: CallContext | None, head: RequestHead, refusal: Refusal) -> None:
     """Logs a refusal and its reason."""
     logger.warning(
@@ -57,10 +67,7 @@
     logger.info(
         "call ended",
         extra={
-            "call": call.headers.call,
-            "program": call.headers.program,
-            **build_account_fields(call),
-            "route": call.route.name,
+            **build_program_fields(call),
             "version": call.version,
             "outcome": outcome,
             "targets": call.attempted_targets,
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/ledger_client.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/ledger_client.py
@@ -7,7 +7,7 @@
 
 import trio
 
-from goldcrestvane_common.ids import CallId, Epoch, ProgramId
+from goldcrestvane_common.ids import CallId, ProgramId
 from goldcrestvane_common.logs import get_logger
 from goldcrestvane_daemon.frontend.ledger_answers import (
     OpenedTurn,
@@ -21,14 +21,11 @@
 from goldcrestvane_daemon.frontend.peers import FrontendPeers
 from goldcrestvane_daemon.ledger.frames import PeerConnection, PeerUnreachable
 from goldcrestvane_daemon.ledger.messages import (
-    Announce,
     Entry,
     Failed,
     ForwardResult,
     ForwardWrite,
     Frontend,
-    Frontends,
-    RateLimit,
     ReadChain,
     Response,
     StaleView,
@@ -49,10 +46,6 @@
 sync, 20 ms in total. A lost packet is retransmitted within a second; a disk that hangs
 takes longer."""
 
-ANNOUNCE_INTERVAL_SECONDS = 3.0
-"""Interval at which a frontend announces itself. The other frontends know a new one
-within this time."""
-
 MIN_FORWARDED_BYTES = 1024
 """Minimum size of a turn that is written through one member, which forwards it.
 Smaller turns fit into a packet."""
@@ -68,8 +61,6 @@
 """Time for which the nearest member alone is asked for a chain, before the whole group
 is asked."""
 
-ANNOUNCE_RETRY_SECONDS = 0.5
-
 RELAYED_SECONDS = 2.0
 """Time for which a response that another frontend relayed shows that it relays. It covers
 an announcement that times out and the next one."""
@@ -106,7 +97,6 @@
         self._nursery = nursery
         self._peers: dict[str, PeerConnection] = {}
         self._forward_backoff_until: dict[str, float] = {}
-        self._on_limit: Callable[[RateLimit], None] | None = None
         self._cache = TurnCache(TURN_CACHE_BYTES)
         self._relayed_at: dict[str, float] = {}
         self.view: View | None = None
@@ -114,7 +104,7 @@
     @property
     def is_reachable(self) -> bool:
         """Whether enough members are connected for a quorum."""
-        return self._has_quorum(self._is_connected)
+        return self._has_quorum(self.is_connected)
 
     @property
     def is_usable(self) -> bool:
@@ -128,18 +118,19 @@
         counted = sum(counts(member.address) for member in view.slots)
         return len(view.slots) - counted <= view.group_size - view.write_quorum
 
-    def _is_connected(self, address: str) -> bool:
+    def is_connected(self, address: str) -> bool:
+        """Returns whether this frontend reaches a member without another one."""
         peer = self._peers.get(address)
         return peer is not None and peer.is_connected
 
     def _responds(self, address: str) -> bool:
         relayed_at = self._relayed_at.get(address, -math.inf)
         is_recent = trio.current_time() < relayed_at + RELAYED_SECONDS
-        return is_recent or self._is_connected(address)
+        return is_recent or self.is_connected(address)
 
-    def set_limit_handler(self, on_limit: Callable[[RateLimit], None]) -> None:
-        """Sets the function that receives rate limits that other frontends know."""
-        self._on_limit = on_limit
+    def list_addresses(self) -> list[str]:
+        """Returns the addresses of all members that were ever known."""
+        return list(self._peers)
 
     def adopt(self, view: View) -> None:
         """Adopts a view if it is newer, and connects to its members."""
@@ -352,39 +343,6 @@
             raise PeerUnreachable(f"{address} is not a known member of the ledger.")
         return await peer.call(request, timeout=timeout)
 
-    async def run(self) -> None:
-        """Announces this frontend to the members until cancelled."""
-        while True:
-            for address in list(self._peers):
-                # Others relay only if they are needed, which costs them messages.
-                if self._is_connected(address) or not self.is_reachable:
-                    await self._announce(address)
-            await trio.sleep(
-                ANNOUNCE_INTERVAL_SECONDS
-                if self.is_reachable
-                else ANNOUNCE_RETRY_SECONDS
-            )
-
-    async def _announce(self, address: str) -> None:
-        """Announces this frontend to a member, and learns what the member knows."""
-        epoch = self.view.epoch if self.view else Epoch(0)
-        try:
-            answer = await self.call(address, Announce(self._local_frontend, epoch))
-        except PeerUnreachable as error:
-            logger.info(
-                "announcing this frontend to a member failed",
-                extra={"reason": str(error)},
-            )
-            return
-        if not isinstance(answer, Frontends):
-            return
-        self._frontends.update_frontends(answer.frontends, self._local_frontend.domain)
-        if answer.view is not None:
-            self.adopt(answer.view)
-        if self._on_limit is not None:
-            for limit in answer.limits:
-                self._on_limit(limit)
-
     async def _read_chain(self, call: CallId | None) -> list[Turn]:
         """Returns a chain, newest first, and reads the turns that are not cached.
 
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/process.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/process.py
@@ -18,6 +18,7 @@
 from goldcrestvane_daemon.frontend.copy_bounds import CopyBounds
 from goldcrestvane_daemon.frontend.crash_tracker import CrashTracker
 from goldcrestvane_daemon.frontend.graceful_shutdown import GracefulShutdown
+from goldcrestvane_daemon.frontend.ledger_announcer import LedgerAnnouncer
 from goldcrestvane_daemon.frontend.ledger_client import LedgerClient
 from goldcrestvane_daemon.frontend.memory_budget import build_memory_budgets
 from goldcrestvane_daemon.frontend.object_cache import ObjectCache
@@ -145,10 +146,12 @@
             async def serve_ready(stream: trio.SocketStream) -> None:
                 await _serve_readiness(stream, readiness)
 
-            ledger.set_limit_handler(calls.adopt_rate_limit)
             frontends.set_handlers(ledger.call_member, object_cache.get_copy)
             nursery.start_soon(object_cache.run)
-            nursery.start_soon(ledger.run)
+            announcer = LedgerAnnouncer(
+                ledger, frontends, local_frontend, calls.adopt_rate_limit
+            )
+            nursery.start_soon(announcer.run)
             nursery.start_soon(serve_metrics, settings.host)
             for listener, serve in (
                 (open_listener(settings.ready_address), serve_ready),
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/queue.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/queue.py
@@ -384,8 +384,7 @@
             if target.instance not in waiter.excluded
             and self._health.is_usable(target.instance, now=now)
         ]
-        # If no other target is usable, the excluded targets are used, so that the call
-        # is not refused.
+        # Excluded targets are used if there are no others, so that no call is refused.
         candidates = build_candidates(
             usable or ready,
             table=self._table,
--- a/packages/daemon/tests/frontend/test_ledger_client.py
+++ b/packages/daemon/tests/frontend/test_ledger_client.py
@@ -4,6 +4,7 @@
 import trio
 import trio.testing
 
+from goldcrestvane_daemon.frontend.ledger_announcer import LedgerAnnouncer
 from goldcrestvane_daemon.frontend.ledger_client import (
     RELAYED_SECONDS,
     LedgerClient,
@@ -27,7 +28,8 @@
             async with trio.open_nursery() as nursery:
                 client = LedgerClient(Frontend("local", "d0"), peers, nursery)
                 client.adopt(View(epoch=1, slots=tuple(MEMBERS), tolerated_losses=1))
-                nursery.start_soon(client.run)
+                local = Frontend("local", "d0")
+                nursery.start_soon(LedgerAnnouncer(client, peers, local).run)
                 await script(client, peers)
                 nursery.cancel_scope.cancel()
 
--- a/packages/daemon/tests/frontend/test_turn_recorder.py
+++ b/packages/daemon/tests/frontend/test_turn_recorder.py
@@ -78,7 +78,7 @@
         self.run_script(script, [(b"goldcrestvane-previous-turn", b"c0")])
 
     def test_turns_of_a_chain_have_the_same_affinity_key(self):
-        """Guards against a chain that each program that continues it reads anew."""
+        """Guards against a chain that each program that continues it processes again."""
 
         async def script(ledger, recorder, call):
             ledger.turns["c0"] = Turn("c0", None, b"a", b"b", 60.0)
--- a/packages/daemon/tests/ledger/support.py
+++ b/packages/daemon/tests/ledger/support.py
@@ -11,6 +11,7 @@
 from goldcrestvane_common.transport import Transport
 from goldcrestvane_daemon.accounts.directory import QuotaTolerance
 from goldcrestvane_daemon.frontend.crash_tracker import CrashTracker
+from goldcrestvane_daemon.frontend.ledger_announcer import LedgerAnnouncer
 from goldcrestvane_daemon.frontend.ledger_client import LedgerClient
 from goldcrestvane_daemon.frontend.peers import FrontendPeers
 from goldcrestvane_daemon.ledger.compaction import Compactor
@@ -33,6 +34,7 @@
 from goldcrestvane_standins.platformstore import PlatformStore
 
 HOST = "127.0.0.1"
+LOCAL_FRONTEND = Frontend("none", "d")
 
 
 class RunningMember:
@@ -132,7 +134,11 @@
 
     def build_client(self):
         frontends = FrontendPeers("none", CrashTracker(), self.nursery)
-        return LedgerClient(Frontend("none", "d"), frontends, self.nursery)
+        return LedgerClient(LOCAL_FRONTEND, frontends, self.nursery)
+
+    def build_announcer(self):
+        frontends = FrontendPeers("none", CrashTracker(), self.nursery)
+        return LedgerAnnouncer(self.client, frontends, LOCAL_FRONTEND)
 
     async def open_turn(self, program, call, tokens, previous=None):
         account = TokenAccount(program, [TokenCharge(call, tokens)], 60.0)
