--- a/packages/daemon/tests/ledger/support.py
+++ b/packages/daemon/tests/ledger/support.py
@@ -136,9 +136,9 @@
         frontends = FrontendPeers("none", CrashTracker(), self.nursery)
         return LedgerClient(LOCAL_FRONTEND, frontends, self.nursery)
 
-    def build_announcer(self):
+    def build_announcer(self, client, on_limit=lambda limit: None):
         frontends = FrontendPeers("none", CrashTracker(), self.nursery)
-        return LedgerAnnouncer(self.client, frontends, LOCAL_FRONTEND)
+        return LedgerAnnouncer(client, frontends, LOCAL_FRONTEND, on_limit)
 
     async def open_turn(self, program, call, tokens, previous=None):
         account = TokenAccount(program, [TokenCharge(call, tokens)], 60.0)
--- a/packages/daemon/tests/ledger/test_members.py
+++ b/packages/daemon/tests/ledger/test_members.py
@@ -145,7 +145,7 @@
 
     def test_frontend_learns_the_current_view_from_the_members(self):
         async def script(ledger):
-            ledger.nursery.start_soon(ledger.build_announcer().run)
+            ledger.nursery.start_soon(ledger.build_announcer(ledger.client).run)
             await ledger.members["c"].stop()
             await ledger.add("d").start()
             await ledger.wait_votes("d")
--- a/packages/daemon/tests/ledger/test_permits.py
+++ b/packages/daemon/tests/ledger/test_permits.py
@@ -86,9 +86,9 @@
             await PermitIssuers(ledger.client).report_limit(RateLimit(TARGET, 3.0, 0.0))
             known = []
             other = ledger.build_client()
-            other.set_limit_handler(known.append)
             other.adopt(ledger.client.view)
-            ledger.nursery.start_soon(other.run)
+            announcer = ledger.build_announcer(other, known.append)
+            ledger.nursery.start_soon(announcer.run)
             await ledger.wait(lambda: known)
             self.assertEqual((known[0].target, known[0].rate), (TARGET, 3.0))
             await trio.lowlevel.checkpoint()
