--- a/review/2/case.py
+++ b/review/2/case.py
@@ -68,7 +68,11 @@
             frontends = self._deployment.balancer.ready or self._deployment.frontends
             first = number % len(frontends)
             order = [*frontends[first:], *frontends[:first]]
-            await self._sender.send(self.lines[number], order, self.label)
+            answer = await self._sender.send(self.lines[number], order, self.label)
+            if not answer.served:
+                # The program has failed; a new one continues from the same turn.
+                self._programs += 1
+                self.lines[number].program = f"p{self._programs}"
             await asyncio.sleep(max(0.0, began + TURN_SECONDS - loop.time()))
 
 
