Keep all turns of a chain as long as its newest turn

Hypotheses: (1) a member extends the retention of a chain only up to the first turn that it lacks, and after a rolling restart each member lacks one; (2) the time of the log runs ahead after a restart, so that turns expire early; (3) a read quorum forms without the member that has the turn. Added first: a log line and counter of broken chains (which turn is missing behind how many found), and a counter of chains that a member could not follow.

Cause: the retention of a chain was extended by members, each as far as it knew the chain. The same cause, without any disruption: with more members than a group the turns of a chain lie in different groups, so nobody extends them.

Change: the frontend that stores a turn has read its whole chain. It renews each preceding turn in that turn's own group (RenewTurns) and writes it again to members that lack it, until a write quorum has it with the new expiry on disk; only then is the turn written. It remembers for 6 s what it renewed. Renewals are records of the log; segments with the last renewal of a live turn are kept or rewritten. A turn that is written twice is renewed durably too.

Tests: packages/daemon/tests/frontend/test_chain_renewal.py (real members on disk, a simulated clock; losses in series and overlapping, three and six members).

--- a/packages/daemon/src/goldcrestvane_daemon/frontend/call_context.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/call_context.py
@@ -67,6 +67,7 @@
         copy_age: Seconds since that configuration was known to be the newest, when the
             call arrived; None without accounts.
         prompt: Prompt of the present attempt; None if the client states none.
+        chain: Stored turns that precede the call, newest first.
         chain_root: First turn of the stored chain that the call continues or begins; None
             for a call that is not stored.
         chain_target: Target that ran the preceding turn, if known.
@@ -101,6 +102,7 @@
     accounts_version: Version | None = None
     copy_age: float | None = None
     prompt: PromptRequest | None = None
+    chain: list[Turn] = []
     chain_root: CallId | None = None
     chain_target: InstanceId | None = None
     target: InstanceId = InstanceId("")
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/ledger_client.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/ledger_client.py
@@ -2,13 +2,15 @@
 
 import functools
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import Any, final
 
 import trio
 
 from goldcrestvane_common.ids import CallId, ProgramId
 from goldcrestvane_common.logs import get_logger
+from goldcrestvane_daemon.frontend import metrics
+from goldcrestvane_daemon.frontend.chain_renewal import ChainRenewal, RenewalTimes
 from goldcrestvane_daemon.frontend.ledger_answers import (
     OpenedTurn,
     find_missing_turn,
@@ -98,6 +100,7 @@
         self._peers: dict[str, PeerConnection] = {}
         self._forward_backoff_until: dict[str, float] = {}
         self._cache = TurnCache(TURN_CACHE_BYTES)
+        self._renewal_times = RenewalTimes()
         self._relayed_at: dict[str, float] = {}
         self.view: View | None = None
 
@@ -182,9 +185,17 @@
         charge: TokenCharge,
         turn: Turn | None,
         retention: float,
+        chain: Sequence[Turn] = (),
     ) -> None:
         """Makes the end of a turn durable.
 
+        Args:
+            program: Id of the program in the ledger.
+            charge: Tokens that the turn has generated.
+            turn: The turn, if it is stored.
+            retention: Time in seconds for which the entries are kept.
+            chain: The turns that precede a stored turn. They are kept as long as it.
+
         Raises:
             LedgerUnavailable: No quorum answered.
         """
@@ -192,6 +203,8 @@
         if turn is None:
             await self._write(program, Entry(account=account))
             return
+        await self._renew_chain(chain, retention)
+        sent_at = trio.current_time()
         # A single entry suffices if the same group stores the account and the turn.
         groups = self._list_group(program), self._list_group(turn.call)
         if {m.instance for m in groups[0]} == {m.instance for m in groups[1]}:
@@ -199,8 +212,41 @@
         else:
             await self._write(turn.call, Entry(turn=turn))
             await self._write(program, Entry(account=account))
+        self._renewal_times.record([turn.call], retention, sent_at=sent_at)
         self._cache.put_all([turn])
 
+    async def _renew_chain(self, chain: Sequence[Turn], retention: float) -> None:
+        """Keeps the turns of a chain for a retention from now.
+
+        Raises:
+            LedgerUnavailable: No quorum has one of the turns on disk.
+        """
+        due = self._renewal_times.list_due(chain, retention)
+        if not due:
+            return
+        for _ in range(MAX_VIEW_ATTEMPTS):
+            view = self.view
+            if view is None:
+                raise LedgerUnavailable("No view of the ledger is known yet.")
+            sent_at = trio.current_time()
+            renewal = ChainRenewal(
+                view, due, retention, call_member=self.call, nursery=self._nursery
+            )
+            await renewal.run()
+            if self._adopt_newest(renewal.answers):
+                continue
+            if renewal.unconfirmed:
+                raise LedgerUnavailable(
+                    f"No quorum keeps {len(renewal.unconfirmed)} of the {len(due)} "
+                    "preceding turns."
+                )
+            calls = [turn.call for turn in due]
+            self._renewal_times.record(calls, retention, sent_at=sent_at)
+            return
+        raise LedgerUnavailable(
+            f"The view changed {MAX_VIEW_ATTEMPTS} times during the renewal."
+        )
+
     def _list_group(self, key: str) -> tuple[Member, ...]:
         return self.view.list_group(key) if self.view else ()
 
@@ -355,7 +401,16 @@
             wanted = find_missing_turn(chain, call)
             if wanted is None:
                 return chain
-            await self._read_turn(wanted)
+            try:
+                await self._read_turn(wanted)
+            except TurnNotFound:
+                if chain:
+                    metrics.BROKEN_CHAINS.inc()
+                    logger.error(
+                        "a turn of a kept chain does not exist",
+                        extra={"call": call, "missing": wanted, "found": len(chain)},
+                    )
+                raise
 
     async def _read_turn(self, call: CallId) -> None:
         """Reads a turn and the turns before it into the cache.
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/metrics.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/metrics.py
@@ -25,6 +25,14 @@
     "Time to record a turn's reservation",
     buckets=SECONDS_BUCKETS,
 )
+BROKEN_CHAINS = Counter(
+    "goldcrestvane_broken_chains",
+    "Turns refused because a preceding turn of their chain does not exist",
+)
+REWRITTEN_TURNS = Counter(
+    "goldcrestvane_rewritten_turns",
+    "Stored turns that were written again to a ledger member that lacked them",
+)
 ATTEMPTS = Counter(
     "goldcrestvane_attempts", "Attempts at targets, by what became of them", ["result"]
 )
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/turn_recorder.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/turn_recorder.py
@@ -82,6 +82,7 @@
         if call.is_resumption and began is not None and began.origin:
             call.origin = began.origin
         if call.is_stored:
+            call.chain = opened.chain
             call.body = build_prompt(opened.chain, call.client_body)
             call.chain_root = opened.chain[-1].call if opened.chain else headers.call
             call.chain_target = opened.chain[0].target if opened.chain else None
@@ -169,7 +170,7 @@
             origin_changes=call.origin_changes,
         )
         retention = call.route.retention_seconds
-        await self._ledger.settle(program, charge, turn, retention)
+        await self._ledger.settle(program, charge, turn, retention, call.chain)
 
 
 def _build_reservation(call: CallContext) -> TokenCharge:
--- a/packages/daemon/src/goldcrestvane_daemon/ledger/compaction.py
+++ b/packages/daemon/src/goldcrestvane_daemon/ledger/compaction.py
@@ -16,8 +16,10 @@
 from goldcrestvane_daemon.ledger.log_items import (
     CHARGE_RECORD_BYTES,
     RECORD_BYTES,
+    RENEWAL_RECORD_BYTES,
     LogItem,
     RewrittenAccount,
+    RewrittenRenewals,
     RewrittenTurn,
 )
 from goldcrestvane_daemon.ledger.segments import Segment
@@ -29,6 +31,9 @@
 CHUNK_BYTES = 256_000
 """Size from which a batch of rewritten entries ends."""
 
+CHUNK_RENEWALS = 1000
+"""Number of renewals in a rewritten record."""
+
 CHUNK_PAUSE_SECONDS = 0.02
 """Pause after each batch, which limits rewriting to a tenth of the disk's 120 MB/s."""
 
@@ -56,7 +61,7 @@
     for segment in segments:
         if segment.account_count:
             break
-        if not segment.live_turns:
+        if not segment.live_turns and not segment.renewal_count:
             removable.append(segment)
     return removable
 
@@ -74,7 +79,11 @@
     accounts = 0
     for segment in segments:
         accounts += segment.account_count
-        rewritten = segment.live_bytes + accounts * account_bytes
+        rewritten = (
+            segment.live_bytes
+            + segment.renewal_count * RENEWAL_RECORD_BYTES
+            + accounts * account_bytes
+        )
         is_worth_it = rewritten <= segment.size * max_live_share
         if is_worth_it and not segment.is_damaged:
             return segment
@@ -150,6 +159,11 @@
         turns = self._state.turns.list_in(segment)
         while turns:
             await self._write(await self._read_chunk(turns, segment))
+        # Turns that were just rewritten have their expiry in their own records.
+        renewed = self._state.turns.list_renewed_in(segment)
+        for start in range(0, len(renewed), CHUNK_RENEWALS):
+            part = renewed[start : start + CHUNK_RENEWALS]
+            await self._write([RewrittenRenewals(part)])
 
     async def _write(self, chunk: list[LogItem]) -> None:
         if chunk:
--- a/packages/daemon/src/goldcrestvane_daemon/ledger/log.py
+++ b/packages/daemon/src/goldcrestvane_daemon/ledger/log.py
@@ -12,6 +12,7 @@
 
 import trio
 
+from goldcrestvane_common.ids import CallId
 from goldcrestvane_common.logs import get_logger
 from goldcrestvane_daemon.ledger.disk_files import DiskFiles
 from goldcrestvane_daemon.ledger.limits import (
@@ -20,7 +21,12 @@
     REFUSAL_TEXTS,
     FullReason,
 )
-from goldcrestvane_daemon.ledger.log_items import LogItem, NewCharges, NewTurn
+from goldcrestvane_daemon.ledger.log_items import (
+    LogItem,
+    NewCharges,
+    NewTurn,
+    RenewedTurns,
+)
 from goldcrestvane_daemon.ledger.messages import Entry, Turn
 from goldcrestvane_daemon.ledger.metrics import REFUSALS
 from goldcrestvane_daemon.ledger.records import (
@@ -207,7 +213,7 @@
     async def append(self, entries: list[Entry]) -> None:
         """Writes entries and merges them into the state once they are on the disk.
 
-        Turns that are on the disk already are not written again.
+        Turns that are on the disk already are renewed and not written again.
 
         Raises:
             StorageFull: The entries were refused; nothing was written.
@@ -216,19 +222,54 @@
         charges = [
             NewCharges(entry.account) for entry in entries if entry.account is not None
         ]
-        turns = [
-            NewTurn(entry.turn)
-            for entry in entries
-            if entry.turn is not None and not self._state.use_turn(entry.turn)
+        turns = [entry.turn for entry in entries if entry.turn is not None]
+        known = [turn for turn in turns if self._state.has_turn(turn.call)]
+        new = [NewTurn(turn) for turn in turns if not self._state.has_turn(turn.call)]
+        await self._write_unless_full(
+            [*charges, *new, *self._list_renewals(known)], has_turns=bool(new)
+        )
+
+    async def renew(self, calls: list[CallId], retention_seconds: float) -> None:
+        """Keeps the turns among some calls for a retention from now, durably.
+
+        Args:
+            calls: The calls. Those of which there is no turn are ignored.
+            retention_seconds: Time for which the turns are kept at least.
+
+        Raises:
+            StorageFull: Too many writes wait for the disk; nothing was written.
+            DiskFailed: The write failed.
+        """
+        due = [
+            call for call in calls if self._state.needs_renewal(call, retention_seconds)
         ]
-        reason = self.find_full_reason() if turns else None
+        renewals: list[LogItem] = [RenewedTurns(due, retention_seconds)] if due else []
+        await self._write_unless_full(renewals, has_turns=False)
+
+    def _list_renewals(self, turns: list[Turn]) -> list[LogItem]:
+        due: dict[float, list[CallId]] = {}
+        for turn in turns:
+            if self._state.needs_renewal(turn.call, turn.retention_seconds):
+                due.setdefault(turn.retention_seconds, []).append(turn.call)
+        return [RenewedTurns(calls, retention) for retention, calls in due.items()]
+
+    async def _write_unless_full(
+        self, items: list[LogItem], *, has_turns: bool
+    ) -> None:
+        """Writes items, unless there is no room for them.
+
+        Raises:
+            StorageFull: The items were refused; nothing was written.
+            DiskFailed: The write failed.
+        """
+        reason = self.find_full_reason() if has_turns else None
         if len(self._queue) >= MAX_WAITING_APPENDS:
             reason = FullReason.QUEUE
-        self._report_full(reason, has_turns=bool(turns))
+        self._report_full(reason, has_turns=has_turns)
         if reason is not None:
             raise StorageFull(reason)
-        if charges or turns:
-            await self.write([*charges, *turns])
+        if items:
+            await self.write(items)
 
     @property
     def has_room(self) -> bool:
--- a/packages/daemon/src/goldcrestvane_daemon/ledger/log_items.py
+++ b/packages/daemon/src/goldcrestvane_daemon/ledger/log_items.py
@@ -2,10 +2,12 @@
 
 from typing import Protocol, final
 
+from goldcrestvane_common.ids import CallId
 from goldcrestvane_daemon.ledger.messages import TokenAccount, Turn
 from goldcrestvane_daemon.ledger.records import (
     AccountMeta,
     Meta,
+    RenewalMeta,
     TurnMeta,
     build_turn_meta,
 )
@@ -18,6 +20,8 @@
 """Typical size of a record without the input and output of its turn."""
 
 CHARGE_RECORD_BYTES = 60
+RENEWAL_RECORD_BYTES = 30
+"""Typical sizes of a charge and of the renewal of one turn."""
 
 
 class LogItem(Protocol):
@@ -75,10 +79,12 @@
         self.size = _estimate_turn_size(turn)
         self._indexed = indexed
         self._source = indexed.segment
+        self._until = 0.0
 
     def describe(self, state: LedgerState) -> TurnMeta:
         """Returns the description of the record, with the current expiry."""
-        return build_turn_meta(self._turn, self._indexed.until)
+        self._until = self._indexed.until
+        return build_turn_meta(self._turn, self._until)
 
     def merge(
         self, state: LedgerState, segment: Segment, offset: int, length: int
@@ -86,8 +92,11 @@
         """Updates the turn's place, unless it has expired or moved since."""
         indexed = self._indexed
         is_known = state.turns.get(indexed.call) is indexed
-        if is_known and indexed.segment is self._source:
-            state.turns.move(indexed, segment, offset, length)
+        if not is_known or indexed.segment is not self._source:
+            return
+        state.turns.move(indexed, segment, offset, length)
+        if indexed.until <= self._until:
+            state.turns.drop_renewal(indexed)
 
 
 @final
@@ -136,5 +145,55 @@
         state.accounts.move(self._account, segment)
 
 
+@final
+class RenewedTurns:
+    """Turns whose retention is extended."""
+
+    turn: Turn | None = None
+
+    def __init__(self, calls: list[CallId], retention_seconds: float) -> None:
+        self.size = RECORD_BYTES + RENEWAL_RECORD_BYTES * len(calls)
+        self._calls = calls
+        self._retention_seconds = retention_seconds
+        self._meta = RenewalMeta({})
+
+    def describe(self, state: LedgerState) -> RenewalMeta:
+        """Returns the description of the record."""
+        until = state.compute_expiry(self._retention_seconds)
+        self._meta = RenewalMeta(dict.fromkeys(self._calls, until))
+        return self._meta
+
+    def merge(
+        self, state: LedgerState, segment: Segment, offset: int, length: int
+    ) -> None:
+        """Extends the retention of the turns."""
+        state.merge_renewal(self._meta, segment)
+
+
+@final
+class RewrittenRenewals:
+    """Renewals that are written again, so that their segment can be removed."""
+
+    turn: Turn | None = None
+
+    def __init__(self, calls: list[CallId]) -> None:
+        self.size = RECORD_BYTES + RENEWAL_RECORD_BYTES * len(calls)
+        self._calls = calls
+        self._meta = RenewalMeta({})
+
+    def describe(self, state: LedgerState) -> RenewalMeta:
+        """Returns the description of the record, with the current expiry of each turn."""
+        turns = [state.turns.get(call) for call in self._calls]
+        expiries = {turn.call: turn.until for turn in turns if turn is not None}
+        self._meta = RenewalMeta(expiries)
+        return self._meta
+
+    def merge(
+        self, state: LedgerState, segment: Segment, offset: int, length: int
+    ) -> None:
+        """Records that the turns' former renewals are no longer needed."""
+        state.merge_renewal(self._meta, segment)
+
+
 def _estimate_turn_size(turn: Turn) -> int:
     return RECORD_BYTES + len(turn.input) + len(turn.output)
--- a/packages/daemon/src/goldcrestvane_daemon/ledger/messages.py
+++ b/packages/daemon/src/goldcrestvane_daemon/ledger/messages.py
@@ -164,6 +164,20 @@
     quorum: int
 
 
+class RenewTurns(msgspec.Struct, frozen=True, tag="renew", array_like=True):
+    """Extends the retention of turns that a chain continues.
+
+    Attributes:
+        stamp: View of the sender.
+        calls: The turns.
+        retention_seconds: Time for which they are kept from now on at least.
+    """
+
+    stamp: ViewStamp
+    calls: list[CallId]
+    retention_seconds: float
+
+
 class ReadChain(msgspec.Struct, frozen=True, tag="chain", array_like=True):
     """Requests a turn and the preceding turns that the member has.
 
@@ -279,6 +293,7 @@
 Request = (
     Write
     | ForwardWrite
+    | RenewTurns
     | ReadChain
     | PullEntries
     | PushEntries
@@ -313,6 +328,18 @@
     view: View
 
 
+class TurnsRenewed(msgspec.Struct, frozen=True, tag="renewed", array_like=True):
+    """The extended retention is on disk.
+
+    Attributes:
+        renewed: Turns that the member has, of partitions that it votes for.
+        missing: Turns that the member does not have.
+    """
+
+    renewed: list[CallId]
+    missing: list[CallId]
+
+
 class ForwardResult(msgspec.Struct, frozen=True, tag="passed_on", array_like=True):
     """Responses of the members to a forwarded write, as far as they have arrived."""
 
@@ -429,6 +456,7 @@
 Response = (
     Written
     | StaleView
+    | TurnsRenewed
     | ForwardResult
     | TurnChain
     | EntryPage
--- a/packages/daemon/src/goldcrestvane_daemon/ledger/metrics.py
+++ b/packages/daemon/src/goldcrestvane_daemon/ledger/metrics.py
@@ -27,6 +27,10 @@
     "Turns read, by where they were found",
     ["source"],
 )
+CHAIN_GAPS = Counter(
+    "goldcrestvane_ledger_chain_gaps",
+    "Turns written while this member lacked a preceding turn of their chain",
+)
 REWRITTEN_BYTES = Counter(
     "goldcrestvane_ledger_rewritten_bytes", "Size of the turns written again"
 )
--- a/packages/daemon/src/goldcrestvane_daemon/ledger/records.py
+++ b/packages/daemon/src/goldcrestvane_daemon/ledger/records.py
@@ -2,7 +2,7 @@
 
 A record consists of a header, a small description and a body. The header has a checksum
 of itself and the description, and one of the body. The body of a turn's record is the
-turn; an account has no body. So a scan reads headers and descriptions, and skips the
+turn; accounts and renewals have no body. So a scan reads headers and descriptions, and skips the
 bodies.
 
 Each record has the number of its batch. A batch is written only after the previous one
@@ -67,7 +67,17 @@
     until: float
 
 
-Meta = TurnMeta | AccountMeta
+class RenewalMeta(msgspec.Struct, frozen=True, array_like=True, tag="r"):
+    """Describes a record that extends the retention of turns.
+
+    Attributes:
+        expiries: Times of the log at which the turns expire, by their ids.
+    """
+
+    expiries: dict[CallId, float]
+
+
+Meta = TurnMeta | AccountMeta | RenewalMeta
 
 
 class FoundRecord(msgspec.Struct, frozen=True):
--- a/packages/daemon/src/goldcrestvane_daemon/ledger/segments.py
+++ b/packages/daemon/src/goldcrestvane_daemon/ledger/segments.py
@@ -37,6 +37,7 @@
         size: Size of the synced records in bytes.
         live_bytes: Size of the records of turns that are not expired.
         live_turns: Number of these turns.
+        renewal_count: Turns whose last renewal is in this segment.
         account_count: Token accounts whose oldest needed record is in this segment.
         readers: Reads in progress.
         is_damaged: Whether a record was found that does not match its checksum.
@@ -47,6 +48,7 @@
         self.size = 0
         self.live_bytes = 0
         self.live_turns = 0
+        self.renewal_count = 0
         self.account_count = 0
         self.readers = 0
         self.is_damaged = False
--- a/packages/daemon/src/goldcrestvane_daemon/ledger/service.py
+++ b/packages/daemon/src/goldcrestvane_daemon/ledger/service.py
@@ -32,11 +32,13 @@
     PullEntries,
     PushEntries,
     ReadChain,
+    RenewTurns,
     ReportLimit,
     Response,
     StaleView,
     Turn,
     TurnChain,
+    TurnsRenewed,
     ViewStamp,
     Write,
     Written,
@@ -190,6 +192,27 @@
             ]
         )
 
+    @handle.register
+    async def _(self, request: RenewTurns) -> Response:
+        if self._is_stale(request.stamp):
+            return StaleView(self.view)
+        try:
+            await self._log.renew(request.calls, request.retention_seconds)
+        except (DiskFailed, StorageFull) as error:
+            return Failed(str(error))
+        if self._is_stale(request.stamp):
+            # A new member may have copied the turns of this one during the write.
+            return StaleView(self.view)
+        return TurnsRenewed(
+            renewed=[
+                call
+                for call in request.calls
+                if self._state.has_turn(call)
+                and self._votes_for(request.stamp, [get_partition(call)])
+            ],
+            missing=[call for call in request.calls if not self._state.has_turn(call)],
+        )
+
     @handle.register
     async def _(self, request: ReadChain) -> Response:
         if self._is_stale(request.stamp):
--- a/packages/daemon/src/goldcrestvane_daemon/ledger/state.py
+++ b/packages/daemon/src/goldcrestvane_daemon/ledger/state.py
@@ -12,10 +12,12 @@
 
 from goldcrestvane_common.ids import CallId, ProgramId
 from goldcrestvane_daemon.ledger.limits import DEFAULT_LIMITS, StorageLimits
-from goldcrestvane_daemon.ledger.messages import Entry, TokenAccount, Turn
+from goldcrestvane_daemon.ledger.messages import Entry, TokenAccount
+from goldcrestvane_daemon.ledger.metrics import CHAIN_GAPS
 from goldcrestvane_daemon.ledger.records import (
     AccountMeta,
     FoundRecord,
+    RenewalMeta,
     TurnMeta,
     build_turn_meta,
 )
@@ -36,6 +38,10 @@
 EXPIRY_MARGIN_SECONDS = 10.0
 """Time beyond the retention for turns that arrive just before it ends."""
 
+RENEWAL_SLACK_SECONDS = 1.0
+"""Part of the margin that a renewed turn may lack, so that requests that follow each other
+closely do not each write a record."""
+
 ACCOUNT_KIND = "a"
 TURN_KIND = "t"
 
@@ -128,7 +134,8 @@
             self._calls[get_partition(meta.call)].add(meta.call)
         elif meta.call in self.damaged:
             self._replace_damaged(meta.call, segment, offset, length)
-        self.turns.extend_chain(meta.call, meta.until)
+        if not self.turns.extend_chain(meta.call, meta.until):
+            CHAIN_GAPS.inc()
 
     def _replace_damaged(
         self, call: CallId, segment: Segment, offset: int, length: int
@@ -138,18 +145,30 @@
         self.turns.move(known, segment, offset, length)
         self.damaged.discard(call)
 
-    def use_turn(self, turn: Turn) -> bool:
-        """Extends the retention of a turn's chain; returns False if it must be written."""
-        if self.turns.get(turn.call) is None or turn.call in self.damaged:
-            return False
-        self.turns.extend_chain(turn.call, self.compute_expiry(turn.retention_seconds))
-        return True
+    def merge_renewal(self, meta: RenewalMeta, segment: Segment) -> None:
+        """Merges a renewal of turns that is in a segment."""
+        for call, until in meta.expiries.items():
+            self.turns.renew(call, until, segment)
+
+    def has_turn(self, call: CallId) -> bool:
+        """Returns whether the member has a turn that it can read."""
+        return self.turns.get(call) is not None and call not in self.damaged
+
+    def needs_renewal(self, call: CallId, retention_seconds: float) -> bool:
+        """Returns whether a turn must be renewed to be kept for a retention from now."""
+        turn = self.turns.get(call)
+        until = self.compute_expiry(retention_seconds) - RENEWAL_SLACK_SECONDS
+        return turn is not None and turn.until < until
 
     def restore(self, records: list[FoundRecord], segment: Segment) -> None:
         """Merges the records of a segment at the start, in the order of the log."""
         newest = self.now
+        renewals = []
         for record in records:
             meta = record.meta
+            if isinstance(meta, RenewalMeta):
+                renewals.append(meta)
+                continue
             if isinstance(meta, TurnMeta):
                 self.merge_turn(meta, segment, record.offset, record.length)
                 retention = meta.retention_seconds
@@ -157,6 +176,9 @@
                 self.merge_account(meta, segment)
                 retention = meta.account.retention_seconds
             newest = max(newest, meta.until - retention - EXPIRY_MARGIN_SECONDS)
+        # A batch may hold a renewal before the rewritten record of its turn.
+        for renewal in renewals:
+            self.merge_renewal(renewal, segment)
         self._clock_offset += newest - self.now
 
     def get_account(self, program: ProgramId) -> TokenAccount | None:
--- a/packages/daemon/src/goldcrestvane_daemon/ledger/turn_index.py
+++ b/packages/daemon/src/goldcrestvane_daemon/ledger/turn_index.py
@@ -28,6 +28,7 @@
         length: Size of the record in bytes.
         until: Time of the log at which it expires.
         retention_seconds: Time for which it is kept after its last use.
+        renewal: Segment of its last renewal; None if its own record has its expiry.
     """
 
     call: CallId
@@ -37,6 +38,7 @@
     length: int
     until: float
     retention_seconds: float
+    renewal: Segment | None = None
 
 
 @final
@@ -92,20 +94,45 @@
             yield turn
             call = turn.previous
 
-    def extend_chain(self, call: CallId, until: float) -> None:
-        """Keeps a turn and the preceding ones until a time at least."""
+    def extend_chain(self, call: CallId, until: float) -> bool:
+        """Keeps a turn and the preceding ones until a time at least.
+
+        Returns:
+            Whether the chain was followed to its first turn. It ends early at a turn that
+            this member does not have.
+        """
+        first: CallId | None = call
         for turn in self.iterate_chain(call):
             if turn.until < until:
                 turn.until = until
+            first = turn.previous
+        return first is None
+
+    def renew(self, call: CallId, until: float, segment: Segment) -> None:
+        """Keeps a turn until a time at least, as a record in a segment says."""
+        turn = self._turns.get(call)
+        if turn is None:
+            return
+        turn.until = max(turn.until, until)
+        _set_renewal(turn, segment)
+
+    def drop_renewal(self, turn: IndexedTurn) -> None:
+        """Records that a turn's own record has its expiry."""
+        _set_renewal(turn, None)
 
     def list_in(self, segment: Segment) -> list[IndexedTurn]:
         """Returns the turns whose records are in a segment."""
         return [turn for turn in self._turns.values() if turn.segment is segment]
 
+    def list_renewed_in(self, segment: Segment) -> list[CallId]:
+        """Returns the turns whose last renewals are in a segment."""
+        return [turn.call for turn in self._turns.values() if turn.renewal is segment]
+
     def remove(self, turn: IndexedTurn) -> None:
         """Removes a turn."""
         del self._turns[turn.call]
         _occupy(turn, -1)
+        _set_renewal(turn, None)
         self.live_bytes -= turn.length
 
     def remove_expired(self, now: float) -> list[CallId]:
@@ -123,6 +150,14 @@
         return expired
 
 
+def _set_renewal(turn: IndexedTurn, segment: Segment | None) -> None:
+    if turn.renewal is not None:
+        turn.renewal.renewal_count -= 1
+    if segment is not None:
+        segment.renewal_count += 1
+    turn.renewal = segment
+
+
 def _occupy(turn: IndexedTurn, count: int) -> None:
     turn.segment.live_turns += count
     turn.segment.live_bytes += count * turn.length
--- /dev/null
+++ b/packages/daemon/tests/frontend/test_chain_renewal.py
@@ -0,0 +1,161 @@
+import random
+import unittest
+
+from ledger.direct_ledger import RETENTION_SECONDS, run_direct_ledger
+
+from goldcrestvane_daemon.frontend.ledger_client import LedgerUnavailable
+
+THREE = ["a", "b", "c"]
+SIX = ["a", "b", "c", "d", "e", "f"]
+
+
+def list_calls(opened):
+    return [turn.call for turn in opened.chain]
+
+
+class ChainRetentionTests(unittest.TestCase):
+    """A chain is kept as long as its newest turn."""
+
+    def test_chain_outlives_members_that_each_missed_a_turn(self):
+        """Guards against a 404 for a kept turn after a rolling restart of the members."""
+
+        async def script(ledger):
+            await ledger.run_turn("c0")
+            for number, name in enumerate(THREE):
+                await ledger.stop(name)
+                await ledger.run_turn(f"c{number + 1}", f"c{number}")
+                await ledger.start(name)
+            await ledger.advance(40.0)
+            await ledger.run_turn("c4", "c3")
+            await ledger.advance(36.0)
+            opened = await ledger.open_turn("c5", "c4", frontend="f2")
+            self.assertEqual(list_calls(opened), ["c4", "c3", "c2", "c1", "c0"])
+
+        run_direct_ledger(script, THREE, tolerated_losses=1)
+
+    def test_chain_in_several_groups_is_kept(self):
+        """Guards against a 404 where a ledger has more members than a group."""
+
+        async def script(ledger):
+            calls = [f"c{number}" for number in range(12)]
+            for previous, call in zip([None, *calls], calls, strict=False):
+                await ledger.run_turn(call, previous)
+            await ledger.advance(40.0)
+            await ledger.run_turn("d", calls[-1])
+            await ledger.advance(36.0)
+            opened = await ledger.open_turn("e", "d", frontend="f2")
+            self.assertEqual(list_calls(opened), ["d", *reversed(calls)])
+
+        run_direct_ledger(script, SIX, tolerated_losses=1)
+
+    def test_turn_that_members_missed_survives_the_loss_of_the_others(self):
+        """Guards against a turn whose copies are never made up for."""
+
+        async def script(ledger):
+            await ledger.stop("a")
+            await ledger.run_turn("c0")
+            await ledger.start("a")
+            await ledger.advance(8.0)
+            await ledger.run_turn("c1", "c0")
+            await ledger.lose_disk("b")
+            await ledger.advance(RETENTION_SECONDS - 5.0)
+            await ledger.stop("c")
+            self.assertTrue(ledger.members["a"].state.has_turn("c0"))
+
+        run_direct_ledger(script, THREE, tolerated_losses=1)
+
+    def test_renewal_is_durable(self):
+        async def script(ledger):
+            await ledger.run_turn("c0")
+            await ledger.advance(50.0)
+            await ledger.run_turn("c1", "c0")
+            for name in THREE:
+                await ledger.stop(name)
+                await ledger.start(name)
+            await ledger.advance(50.0)
+            opened = await ledger.open_turn("c2", "c1", frontend="f2")
+            self.assertEqual(list_calls(opened), ["c1", "c0"])
+
+        run_direct_ledger(script, THREE, tolerated_losses=1)
+
+    def test_turn_is_not_stored_while_its_chain_cannot_be_kept(self):
+        async def script(ledger):
+            await ledger.run_turn("c0")
+            await ledger.advance(30.0)
+            opened = await ledger.open_turn("c1", "c0")
+            await ledger.stop("a")
+            await ledger.stop("b")
+            with self.assertRaises(LedgerUnavailable):
+                await ledger.get_client("f1")._renew_chain(
+                    opened.chain, RETENTION_SECONDS
+                )
+
+        run_direct_ledger(script, THREE, tolerated_losses=1)
+
+    def test_chain_that_was_just_renewed_is_not_renewed_again(self):
+        """Guards against a message to every group of a chain for each of its turns."""
+
+        async def script(ledger):
+            requests = []
+
+            async def call(address, request, timeout=None):
+                requests.append(type(request).__name__)
+                return await ledger.call(address, request)
+
+            await ledger.run_turn("c0")
+            ledger.get_client("f1").call = call
+            for number in range(4):
+                await ledger.run_turn(f"c{number + 1}", f"c{number}")
+            self.assertNotIn("RenewTurns", requests)
+            await ledger.advance(7.0)
+            for number in range(4, 8):
+                await ledger.run_turn(f"c{number + 1}", f"c{number}")
+            self.assertEqual(requests.count("RenewTurns"), len(THREE))
+
+        run_direct_ledger(script, THREE, tolerated_losses=1)
+
+
+class RandomLossTests(unittest.TestCase):
+    """Losses within the tolerated number, in series and overlapping, in any order."""
+
+    def play(self, seed, names, tolerated_losses):
+        rng = random.Random(seed)
+
+        async def script(ledger):
+            lines = [[] for _ in range(3)]
+            down = []
+            for step in range(60):
+                await self.change_members(ledger, rng, down, tolerated_losses)
+                line = rng.choice(lines)
+                name = f"f{rng.randrange(4)}-{step // 10}"
+                if line and ledger.clock.current_time() > line[-1][1] + 59.0:
+                    line.clear()
+                previous = line[-1][0] if line else None
+                opened = await ledger.run_turn(f"c{step}", previous, frontend=name)
+                self.assertEqual(list_calls(opened), [c for c, _ in reversed(line)])
+                line.append((f"c{step}", ledger.clock.current_time()))
+                await ledger.advance(rng.choice([0.0, 0.2, 1.0, 3.0, 12.0]))
+
+        run_direct_ledger(script, names, tolerated_losses=tolerated_losses)
+
+    async def change_members(self, ledger, rng, down, tolerated_losses):
+        while down and rng.random() < 0.5:
+            await ledger.start(down.pop(rng.randrange(len(down))))
+        if len(down) < tolerated_losses and rng.random() < 0.6:
+            up = [name for name in ledger.members if ledger.members[name].is_up]
+            down.append(rng.choice(up))
+            await ledger.stop(down[-1])
+
+    def test_kept_turns_are_found_with_three_members(self):
+        for seed in range(6):
+            with self.subTest(seed=seed):
+                self.play(seed, THREE, 1)
+
+    def test_kept_turns_are_found_with_six_members(self):
+        for seed in range(6):
+            with self.subTest(seed=seed):
+                self.play(seed, SIX, 2)
+
+
+if __name__ == "__main__":
+    unittest.main()
