Keep all charges of a program as long as its last one

What callers would have seen: a program whose turns cost more than its token budget, after a rolling restart of the members and a pause.

Cause: each write of a charge extends the retention of the charges that a member has. A member that was down during an earlier write never gets that charge. When the account expires at the members that have it, a quorum may be left that lacks it.

If an answer of the quorum lacks a charge that another one has, the client writes what is missing in a second write. Members that have all charges cost nothing more.

Test: test_charges_outlive_members_that_each_missed_one fails without the second write (c1 is missing of c1 to c4) and passes with it.

--- a/packages/daemon/src/goldcrestvane_daemon/frontend/ledger_answers.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/ledger_answers.py
@@ -44,6 +44,26 @@
     return sum(map(is_write_vote, answers)) >= view.write_quorum
 
 
+def merge_charges(answers: list[Written]) -> dict[CallId, TokenCharge]:
+    """Returns the charges that any of the answers contains, the newest of each call."""
+    charges: dict[CallId, TokenCharge] = {}
+    for written in answers:
+        for charge in written.account.charges if written.account else ():
+            if charge.supersedes(charges.get(charge.call)):
+                charges[charge.call] = charge
+    return charges
+
+
+def find_missing_charges(answers: list[Written]) -> list[TokenCharge]:
+    """Returns the charges that some of the answers lack."""
+    known = [set(answer.account.charges) for answer in answers if answer.account]
+    return [
+        charge
+        for charge in merge_charges(answers).values()
+        if any(charge not in charges for charges in known)
+    ]
+
+
 def has_room_for_turns(answers: list[Written]) -> bool:
     """Returns whether at least half of the members that answered accept turns."""
     accepting = sum(1 for answer in answers if answer.accepts_turns)
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/ledger_client.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/ledger_client.py
@@ -13,12 +13,14 @@
 from goldcrestvane_daemon.frontend.chain_renewal import ChainRenewal, RenewalTimes
 from goldcrestvane_daemon.frontend.ledger_answers import (
     OpenedTurn,
+    find_missing_charges,
     find_missing_turn,
     get_turn_size,
     has_room_for_turns,
     has_turns,
     has_write_quorum,
     is_write_vote,
+    merge_charges,
 )
 from goldcrestvane_daemon.frontend.peers import FrontendPeers
 from goldcrestvane_daemon.ledger.frames import PeerConnection, PeerUnreachable
@@ -168,16 +170,11 @@
         """
         chain = self._cache.get_chain(previous)
         wanted = find_missing_turn(chain, previous)
-        charges: dict[CallId, TokenCharge] = {}
-        entry = Entry(account=account)
-        answers = await self._write(account.program, entry, return_chain_of=wanted)
+        answers = await self._write_account(account, return_chain_of=wanted)
         for written in answers:
-            for charge in written.account.charges if written.account else ():
-                if charge.supersedes(charges.get(charge.call)):
-                    charges[charge.call] = charge
             self._cache.put_all(written.chain)
         chain = await self._read_chain(previous)
-        return OpenedTurn(charges, chain, has_room_for_turns(answers))
+        return OpenedTurn(merge_charges(answers), chain, has_room_for_turns(answers))
 
     async def settle(
         self,
@@ -201,17 +198,17 @@
         """
         account = TokenAccount(program, [charge], retention)
         if turn is None:
-            await self._write(program, Entry(account=account))
+            await self._write_account(account)
             return
         await self._renew_chain(chain, retention)
         sent_at = trio.current_time()
         # A single entry suffices if the same group stores the account and the turn.
         groups = self._list_group(program), self._list_group(turn.call)
         if {m.instance for m in groups[0]} == {m.instance for m in groups[1]}:
-            await self._write(turn.call, Entry(account=account, turn=turn))
+            await self._write_account(account, turn)
         else:
             await self._write(turn.call, Entry(turn=turn))
-            await self._write(program, Entry(account=account))
+            await self._write_account(account)
         self._renewal_times.record([turn.call], retention, sent_at=sent_at)
         self._cache.put_all([turn])
 
@@ -250,6 +247,35 @@
     def _list_group(self, key: str) -> tuple[Member, ...]:
         return self.view.list_group(key) if self.view else ()
 
+    async def _write_account(
+        self,
+        account: TokenAccount,
+        turn: Turn | None = None,
+        return_chain_of: CallId | None = None,
+    ) -> list[Written]:
+        """Writes charges so that a quorum has all charges of the program afterwards.
+
+        A member lacks the charges that were written while it was down. Each write extends
+        the retention of those that a member has, so the others must be made up for: when
+        a member drops an account, a quorum must still have all of it.
+
+        Args:
+            account: The charges.
+            turn: Turn to write with them; its group must be that of the account.
+            return_chain_of: Turn whose chain the answers include, if any.
+
+        Raises:
+            LedgerUnavailable: No quorum answered.
+        """
+        program = account.program
+        entry = Entry(account=account, turn=turn)
+        answers = await self._write(program, entry, return_chain_of=return_chain_of)
+        missing = find_missing_charges(answers)
+        if missing:
+            rest = TokenAccount(program, missing, account.retention_seconds)
+            answers += await self._write(program, Entry(account=rest))
+        return answers
+
     async def _write(
         self, key: str, entry: Entry, return_chain_of: CallId | None = None
     ) -> list[Written]:
--- a/packages/daemon/tests/frontend/test_chain_renewal.py
+++ b/packages/daemon/tests/frontend/test_chain_renewal.py
@@ -115,6 +115,47 @@
         run_direct_ledger(script, THREE, tolerated_losses=1)
 
 
+class AccountRetentionTests(unittest.TestCase):
+    """A program's charges are kept as long as its last one."""
+
+    def test_charges_outlive_members_that_each_missed_one(self):
+        """Guards against a budget that is exceeded after a rolling restart."""
+
+        async def script(ledger):
+            for name, call, seconds in (
+                ("b", "c1", 1.0),
+                ("a", "c2", 20.0),
+                ("c", "c3", 55.0),
+            ):
+                # The time of a member's log goes on from its newest record.
+                await ledger.open_turn(f"other-{call}", program="other")
+                await ledger.stop(name)
+                await ledger.open_turn(call)
+                await ledger.start(name)
+                await ledger.advance(seconds)
+            await ledger.stop("a")
+            opened = await ledger.open_turn("c4", frontend="f2")
+            self.assertEqual(set(opened.charges), {"c1", "c2", "c3", "c4"})
+
+        run_direct_ledger(script, THREE, tolerated_losses=1)
+
+    def test_members_that_have_all_charges_are_written_to_once(self):
+        async def script(ledger):
+            requests = []
+
+            async def call(address, request, timeout=None):
+                requests.append(type(request).__name__)
+                return await ledger.call(address, request)
+
+            for number in range(5):
+                await ledger.open_turn(f"c{number}")
+            ledger.get_client("f1").call = call
+            await ledger.open_turn("c5")
+            self.assertEqual(len(requests), len(THREE))
+
+        run_direct_ledger(script, THREE, tolerated_losses=1)
+
+
 class RandomLossTests(unittest.TestCase):
     """Losses within the tolerated number, in series and overlapping, in any order."""
 
