Replace all members that are lost at the same time

Hypotheses: (1) asking one lost member about the other ends the step, so that neither is replaced; (2) the two successors keep colliding on the view; (3) the successors become members but lack sources to copy from.

Cause: LedgerMembership._is_lost took the silence of one member for a failure of the whole decision, though silence is what a second loss looks like.

The members are asked at the same time, so that several lost ones cost one timeout. Related path: unused machines were reported by the first member only; the first member that responds does it now.

--- a/packages/daemon/src/goldcrestvane_daemon/ledger/membership.py
+++ b/packages/daemon/src/goldcrestvane_daemon/ledger/membership.py
@@ -21,6 +21,7 @@
 from goldcrestvane_daemon.ledger.copying import PartitionCopier
 from goldcrestvane_daemon.ledger.frames import PeerConnection, PeerUnreachable
 from goldcrestvane_daemon.ledger.log import EntryLog
+from goldcrestvane_daemon.ledger.loss_decision import LossPoll
 from goldcrestvane_daemon.ledger.membership_watcher import (
     CANDIDATE_PREFIX,
     VIEW_NAME,
@@ -138,9 +139,7 @@
                 for member in others:
                     nursery.start_soon(self._probe_member, member)
             self._service.unreachable = [
-                member.instance
-                for member in others
-                if self._missed_probes.get(member.instance, 0) >= PROBES_UNTIL_LOST
+                member.instance for member in others if not self._responds(member)
             ]
             await trio.sleep(STEP_INTERVAL_SECONDS)
 
@@ -197,7 +196,7 @@
             await self._copy_pending(view)
         elif self._local_member.instance in self._watcher.draining:
             await self._leave(view)
-        elif member_in_view == view.slots[0]:
+        elif member_in_view == next(filter(self._responds, view.slots)):
             await self._report_unused_machines(view)
 
     async def _report_unused_machines(self, view: View) -> None:
@@ -267,18 +266,34 @@
             await self._update_view(view, view.add(self._local_member))
 
     async def _is_lost(self, view: View, member: Member) -> bool:
-        """Returns whether a majority of the other members cannot reach a member."""
-        if self._missed_probes.get(member.instance, 0) < PROBES_UNTIL_LOST:
+        """Returns whether this process and the other members cannot reach a member."""
+        if self._responds(member):
             return False
-        agreeing = 0
         others = [each for each in view.slots if each.instance != member.instance]
-        for other in others:
-            state = await self._get_peer(other.address).call(
-                GetMemberState(), timeout=PROBE_TIMEOUT_SECONDS
-            )
-            if isinstance(state, MemberState) and member.instance in state.unreachable:
-                agreeing += 1
-        return agreeing * 2 > len(others)
+        poll = LossPoll(
+            member.instance,
+            asked=len(others),
+            tolerated_losses=view.tolerated_losses,
+        )
+
+        async def ask(other: Member) -> None:
+            try:
+                poll.record(
+                    await self._get_peer(other.address).call(
+                        GetMemberState(), timeout=PROBE_TIMEOUT_SECONDS
+                    )
+                )
+            except PeerUnreachable as error:
+                logger.debug("a member does not answer", extra={"reason": str(error)})
+
+        async with trio.open_nursery() as nursery:
+            for other in others:
+                nursery.start_soon(ask, other)
+        return poll.is_lost
+
+    def _responds(self, member: Member) -> bool:
+        """Returns whether a member is this one or has answered a recent probe."""
+        return self._missed_probes.get(member.instance, 0) < PROBES_UNTIL_LOST
 
     async def _update_view(self, view: View, changed: View) -> None:
         """Writes the next view unless another process has changed the view."""
--- a/packages/daemon/tests/ledger/support.py
+++ b/packages/daemon/tests/ledger/support.py
@@ -84,7 +84,7 @@
                         domain=self.name,
                         disk=log.disk,
                     ),
-                    tolerated_losses=1,
+                    tolerated_losses=self.ledger.tolerated_losses,
                     store=StoreClient(self.ledger.transport, self.ledger.store_address),
                     service=service,
                     state=state,
@@ -108,8 +108,9 @@
 class Ledger:
     """The members, the object store and the client of one frontend."""
 
-    def __init__(self, folder):
+    def __init__(self, folder, tolerated_losses=1):
         self.folder = Path(folder)
+        self.tolerated_losses = tolerated_losses
         self.platform = PlatformStore()
         self.members = {}
 
@@ -149,12 +150,12 @@
         await self.client.settle(program, TokenCharge(call, 10, True), turn, 60.0)
 
 
-def run_ledger(script, members=("a", "b", "c")):
+def run_ledger(script, members=("a", "b", "c"), tolerated_losses=1):
     """Runs a script once all members of a new ledger vote."""
 
     async def main():
         with tempfile.TemporaryDirectory() as folder:
-            ledger = Ledger(folder)
+            ledger = Ledger(folder, tolerated_losses)
             async with Transport() as transport, trio.open_nursery() as nursery:
                 ledger.nursery = nursery
                 ledger.transport = transport
--- a/packages/daemon/tests/ledger/test_members.py
+++ b/packages/daemon/tests/ledger/test_members.py
@@ -128,6 +128,55 @@
 
         run_ledger(script)
 
+    def test_members_that_are_lost_at_once_are_all_replaced(self):
+        """Guards against turns that no quorum serves after a second double loss."""
+
+        async def script(ledger):
+            await ledger.store_turn("p", "t1")
+            for name in ("a", "b"):
+                await ledger.members[name].stop()
+            for name in ("g", "h"):
+                await ledger.add(name).start()
+            await ledger.wait_votes("g", "h")
+            for name in ("c", "d"):
+                await ledger.members[name].wipe()
+            for name in ("c", "d"):
+                await ledger.members[name].start()
+            await ledger.wait_votes("c", "d")
+            ledger.client = ledger.build_client()
+            await ledger.refresh()
+            opened = await ledger.open_turn("p", "c9", 10, previous="t1")
+            self.assertEqual([turn.call for turn in opened.chain], ["t1"])
+
+        run_ledger(script, "abcdef", tolerated_losses=2)
+
+    def test_member_that_is_lost_while_another_is_replaced_is_replaced(self):
+        async def script(ledger):
+            await ledger.store_turn("p", "t1")
+            await ledger.members["a"].stop()
+            await ledger.add("g").start()
+            await ledger.wait(lambda: ledger.members["g"].service.holdings.is_member)
+            await ledger.members["b"].stop()
+            await ledger.add("h").start()
+            await ledger.wait_votes("g", "h")
+            self.assertIsNone(ledger.members["c"].service.view.find("b"))
+
+        run_ledger(script, "abcdef", tolerated_losses=2)
+
+    def test_unused_machine_is_reported_while_the_first_member_is_lost(self):
+        async def script(ledger):
+            first = ledger.members["b"].service.view.slots[0].instance
+            await ledger.members[first].stop()
+            ledger.platform.put(ObjectKind.RETIREMENTS.value, "bare", {"duration_s": 9})
+            await ledger.wait(
+                lambda: (
+                    ledger.platform.read(ObjectKind.RETIREMENTS.value, "bare")["status"]
+                    == {"state": "completed"}
+                )
+            )
+
+        run_ledger(script)
+
     def test_replaced_member_does_not_vote_after_a_restart(self):
         async def script(ledger):
             old = ledger.client
