Do not guess the version of a stream from the targets that are left

What callers would see: a stream that was begun by one software version goes on at another one, 200 and to the end, when the frontends were killed at once and the targets of the old version have left meanwhile.

Can it happen here? Yes, shown by a test: for a stream without a record of its version in the ledger a frontend took the only version that it knows. A frontend that has just started knows only what is left. Streams with a record (all resumable turns, unless the ledger had no quorum for 0.5 s at the first event) go on correctly after such a restart: shown by a test as well.

Change: the only version counts only if the process has known no other one for longer than a client takes a stream up again (three timeouts of the route, 30 s at least). Otherwise the answer is 503, not run. The table of targets notes when the set of a service's versions last changed.

Tests: test_stream_is_not_resumed_at_the_version_that_is_left_after_a_restart fails before (200 != 503) and passes now. test_resumed_stream_of_an_unknown_version_goes_on_if_there_is_only_one asserted the guess itself; it is replaced by one that demands both: refused while another version may have begun the stream, and served when none can have. frontend.test_stream_versions and test_targets: 14 passed.

--- a/packages/daemon/src/goldcrestvane_daemon/frontend/process.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/process.py
@@ -12,6 +12,7 @@
 from goldcrestvane_common.transport import Transport
 from goldcrestvane_daemon.accounts.authentication import build_key_bounds
 from goldcrestvane_daemon.accounts.quota_buckets import count_issuers
+from goldcrestvane_daemon.clock import get_elapsed_time
 from goldcrestvane_daemon.frontend.account_gate import AccountGate
 from goldcrestvane_daemon.frontend.calls import CallService
 from goldcrestvane_daemon.frontend.clients import ClientServer
@@ -76,7 +77,7 @@
                 "run it on a machine that serves clients."
             )
         shutdown = GracefulShutdown(settings.grace_seconds)
-        targets = TargetTable()
+        targets = TargetTable(get_elapsed_time)
         async with Transport() as transport, trio.open_nursery() as nursery:
             address = settings.frontend_peer_address or settings.peer_address
             local_frontend = Frontend(address, settings.domain)
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/stream_origins.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/stream_origins.py
@@ -26,6 +26,11 @@
 """Time for which a first event waits for the ledger. Without a record a stream cannot be
 resumed by its client, and is not resumed wrongly."""
 
+MAX_STREAM_SECONDS = 30.0
+MAX_STREAM_TIMEOUTS = 3.0
+"""Time from the first event of a stream until its client no longer takes it up: several
+timeouts of its route, since a client has a few attempts, and 30 s at least."""
+
 logger = get_logger("turn")
 
 
@@ -49,11 +54,16 @@
         """Sets the origin of a stream that the client resumes.
 
         Raises:
-            UnknownOrigin: No record names the origin, and several are possible.
+            UnknownOrigin: No record names the origin, and several are possible: the
+                targets that began the stream may have left, perhaps before this process
+                started.
         """
         if not call.is_resumption or call.origin is not None:
             return
-        call.origin = self._targets.get_only_origin(call.service)
+        seconds = max(
+            MAX_STREAM_SECONDS, MAX_STREAM_TIMEOUTS * call.route.timeout_seconds
+        )
+        call.origin = self._targets.get_lasting_origin(call.service, seconds)
         if call.origin is None:
             raise UnknownOrigin(
                 f"No record tells which version of service {call.service} began stream "
--- a/packages/daemon/src/goldcrestvane_daemon/targets.py
+++ b/packages/daemon/src/goldcrestvane_daemon/targets.py
@@ -1,6 +1,8 @@
 """Targets of the services, and this process's view of their load."""
 
+import time
 from collections import Counter
+from collections.abc import Callable
 from enum import Enum
 from typing import final
 
@@ -141,12 +143,19 @@
 class TargetTable:
     """Table of the current targets."""
 
-    def __init__(self) -> None:
+    def __init__(self, get_time: Callable[[], float] = time.monotonic) -> None:
+        """Creates an empty table.
+
+        Args:
+            get_time: Returns the seconds of a clock that never goes back.
+        """
+        self._get_time = get_time
         self._targets: dict[InstanceId, Target] = {}
         self._ready: dict[ServiceId, dict[InstanceId, Target]] = {}
         self._loads: dict[InstanceId, TargetLoadTracker] = {}
         self._leaving: dict[TargetKey, None] = {}
         self._origins: dict[ServiceId, Counter[StreamOrigin]] = {}
+        self._origins_changed_at: dict[ServiceId, float] = {}
 
     def mark_leaving(self, target: Target) -> bool:
         """Records that a start of a target leaves; returns whether this is new.
@@ -175,7 +184,7 @@
             self._loads[target.instance] = TargetLoadTracker()
         self._drop(known)
         self._targets[target.instance] = target
-        self._origins.setdefault(target.service, Counter())[target.origin] += 1
+        self._count_origin(target, 1)
         if target.state is TargetState.READY:
             self._ready.setdefault(target.service, {})[target.instance] = target
         return True
@@ -191,10 +200,16 @@
         if target is None:
             return
         self._ready.get(target.service, {}).pop(target.instance, None)
-        origins = self._origins[target.service]
-        origins[target.origin] -= 1
+        self._count_origin(target, -1)
+
+    def _count_origin(self, target: Target, change: int) -> None:
+        origins = self._origins.setdefault(target.service, Counter())
+        known = set(origins)
+        origins[target.origin] += change
         if not origins[target.origin]:
             del origins[target.origin]
+        if set(origins) != known:
+            self._origins_changed_at[target.service] = self._get_time()
 
     def get(self, instance: InstanceId) -> Target | None:
         """Returns a target, or None if it does not exist."""
@@ -216,6 +231,22 @@
         origins = self._origins.get(service, Counter())
         return next(iter(origins)) if len(origins) == 1 else None
 
+    def get_lasting_origin(
+        self, service: ServiceId, seconds: float
+    ) -> StreamOrigin | None:
+        """Returns the only origin that a service has had for some time, if any.
+
+        A process that has started later does not know which targets there were before.
+
+        Args:
+            service: The service.
+            seconds: Time for which all targets must have had the origin.
+        """
+        if service not in self._origins_changed_at:
+            return None
+        unchanged = self._get_time() - self._origins_changed_at[service]
+        return self.get_only_origin(service) if unchanged >= seconds else None
+
     def list_all(self) -> list[Target]:
         """Returns all targets."""
         return list(self._targets.values())
--- a/packages/daemon/tests/frontend/frontend_case.py
+++ b/packages/daemon/tests/frontend/frontend_case.py
@@ -137,6 +137,7 @@
         self.shutdown = GracefulShutdown(8.0)
         self.key_bounds = build_key_bounds(None)
         self.targets = []
+        self.table_seconds = 0.0
 
     async def start(self, transport, scripts, configuration):
         for script in scripts:
@@ -151,7 +152,7 @@
         )
         crash_tracker = CrashTracker()
         frontends = FrontendPeers("none", crash_tracker, self.nursery)
-        table = TargetTable()
+        table = TargetTable(lambda: trio.current_time() + self.table_seconds)
         self.crash_tracker = crash_tracker
         self.object_cache = ObjectCache(
             store=StoreClient(transport, store_address),
--- a/packages/daemon/tests/frontend/test_stream_versions.py
+++ b/packages/daemon/tests/frontend/test_stream_versions.py
@@ -12,6 +12,8 @@
 )
 from frontend.support import ScriptedTarget, SharedScript
 from goldcrestvane_common.transport import Transport
+from goldcrestvane_daemon.frontend.ledger_client import LedgerUnavailable
+from goldcrestvane_daemon.frontend.stream_origins import MAX_STREAM_SECONDS
 from goldcrestvane_daemon.platform.store import ObjectKind
 
 REST = build_stream([3, 4])
@@ -86,17 +88,25 @@
 
         async def main():
             async with Transport() as transport, trio.open_nursery() as nursery:
-                first, second = Frontend(nursery), Frontend(nursery)
+                self.transport = transport
+                first = Frontend(nursery)
                 await first.start(transport, targets, CONFIGURATION)
-                second.platform, second.ledger = first.platform, first.ledger
-                second.targets = first.targets
-                await second.start(transport, (), CONFIGURATION)
+                second = await self.start_another(first)
                 with trio.fail_after(60):
                     await script(first, second)
                 nursery.cancel_scope.cancel()
 
         trio.run(main)
 
+    async def start_another(self, first):
+        """Starts another frontend, which knows the targets that are listed now."""
+        frontend = Frontend(first.nursery)
+        frontend.platform, frontend.ledger = first.platform, first.ledger
+        frontend.targets = first.targets
+        await frontend.start(self.transport, (), CONFIGURATION)
+        await frontend.wait_synced(ObjectKind.TARGETS)
+        return frontend
+
     async def list_targets(self, frontends, entries):
         for target, (version, state) in zip(frontends[0].targets, entries, strict=True):
             frontends[0].list_target(target, state=state, version=version)
@@ -208,13 +218,59 @@
 
         self.run_frontends(script, [REST_OF_C2], [REST_OF_C2])
 
-    def test_resumed_stream_of_an_unknown_version_goes_on_if_there_is_only_one(self):
+    def test_resumed_stream_of_an_unknown_version_goes_on_if_there_was_only_one(self):
+        """Goes on only if no other version can have begun the stream."""
+
         async def script(*frontends):
+            second = frontends[1]
             await self.list_targets(frontends, [("v1", "ready")])
-            self.check_resumed(await self.resume(frontends[1], resumes="unknown"))
+            response = await self.resume(second, resumes="unknown")
+            self.assertEqual(response.status, 503)
+            second.table_seconds += MAX_STREAM_SECONDS
+            self.check_resumed(await self.resume(second, resumes="unknown"))
 
         self.run_frontends(script, [REST_OF_C2])
 
+    def test_stream_is_not_resumed_at_the_version_that_is_left_after_a_restart(self):
+        """Guards against joined streams after a kill of all frontends.
+
+        No record tells the version, and the restarted frontends have only seen the new
+        one: the targets that began the stream have left.
+        """
+
+        async def fail(*_):
+            raise LedgerUnavailable("out")
+
+        async def script(*frontends):
+            first, _ = frontends
+            await self.list_targets(frontends, [("v1", "ready"), ("v2", "draining")])
+            # The killed frontend does not settle the turn either.
+            first.ledger.settle = fail
+            await self.begin(first)
+            first.list_target(first.targets[1], version="v2")
+            first.platform.delete("servers", f"i-{first.targets[0].port}")
+            restarted = await self.start_another(first)
+            for _ in range(3):
+                response = await self.resume(restarted)
+                self.assertEqual(response.status, 503)
+                self.assertIn("retry-after", response.headers)
+            self.assertEqual(first.targets[1].requests, [])
+
+        self.run_frontends(script, [WAITING], [REST_OF_C2] * 3)
+
+    def test_recorded_stream_goes_on_after_a_restart_of_all_frontends(self):
+        async def script(*frontends):
+            first, _ = frontends
+            await self.list_targets(frontends, [("v1", "ready"), ("v2", "draining")])
+            await self.begin(first)
+            await self.prefer(frontends, 1)
+            restarted = await self.start_another(first)
+            for _ in range(3):
+                self.check_resumed(await self.resume(restarted))
+            self.assertEqual(first.targets[1].requests, [])
+
+        self.run_frontends(script, [WAITING, *[REST_OF_C2] * 3], [REST_OF_C2] * 3)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/packages/daemon/tests/test_targets.py
+++ b/packages/daemon/tests/test_targets.py
@@ -8,7 +8,8 @@
 
 class TargetTableTests(unittest.TestCase):
     def setUp(self):
-        self.table = TargetTable()
+        self.now = 0.0
+        self.table = TargetTable(lambda: self.now)
 
     def put(self, instance, software, **changes):
         target = build_target(1, instance=instance)
@@ -27,6 +28,23 @@
         self.assertEqual(self.table.get_only_origin("s1"), first.origin)
         self.assertIsNone(self.table.get_only_origin("s2"))
 
+    def test_origin_that_another_one_preceded_is_not_lasting(self):
+        self.put("i-1", "v1")
+        self.now = 5.0
+        second = self.put("i-2", "v2")
+        self.now = 20.0
+        self.assertIsNone(self.table.get_lasting_origin("s1", 10.0))
+        self.table.remove("i-1")
+        self.now = 29.0
+        self.assertIsNone(self.table.get_lasting_origin("s1", 10.0))
+        self.now = 30.0
+        origin = self.table.get_lasting_origin("s1", 10.0)
+        self.assertEqual(origin, second.origin)
+        self.table.remove("i-2")
+        self.put("i-3", "v2")
+        self.assertIsNone(self.table.get_lasting_origin("s1", 10.0))
+        self.assertIsNone(self.table.get_lasting_origin("s2", 0.0))
+
     def test_streams_of_two_services_have_two_origins(self):
         first = self.put("i-1", "v1")
         second = self.put("i-2", "v1", service="s2")
