Take answers that end with their connection, and no cut for a whole one

On the platform such answers were served, but a stream that was cut right behind its head was an empty answer, 200 and whole.

Cause: Transport rejects each body without framing, since a cut could not be noticed; the engine's reader worked by lines, so that `data: [DONE]` without its blank line, inside an event, ended an answer. EventReader took any end of a body for the end of the stream.

Change: Transport takes an unframed body where the caller says that it finds out by itself whether the body is whole: tools (a whole JSON value; no number, since the beginning of one is one), engines (the [DONE] event), the platform's store (a JSON object). Between our own processes framing stays required. The engine's reader yields events at their blank line and fails at an end inside one; the rest is asked for behind the last whole event. A stream without framing and without an event has failed, and may run at another target. The caller of the stand-ins reads whole events only.

Open by nature: a stream without framing that ends between two events with a close cannot be told from a whole one; only a reset can.

--- a/packages/common/src/goldcrestvane_common/transport.py
+++ b/packages/common/src/goldcrestvane_common/transport.py
@@ -43,6 +43,11 @@
     headers: Mapping[str, str]
     body: bytes
 
+    @property
+    def is_framed(self) -> bool:
+        """Whether a body that was cut off would have been noticed by its framing."""
+        return _is_framed(self.status, self.headers)
+
     def decode(self, body_type: type[Any]) -> Any:
         """Decodes the JSON body to a type.
 
@@ -176,6 +181,7 @@
         content: bytes | None = None,
         headers: Mapping[str, str] | None = None,
         timeout: float | None = 5.0,
+        allow_unframed: bool = False,
     ) -> ClientResponse:
         """Sends a request and returns the complete response.
 
@@ -188,6 +194,10 @@
             headers: Additional headers.
             timeout: Seconds without progress after which the exchange fails; None
                 waits indefinitely.
+            allow_unframed: Whether the body may have neither a length nor chunks and end
+                with its connection (RFC 9112, section 6.3). If the peer dies, the
+                connection may end in the same way, so the caller must find out from the
+                body whether it is whole.
 
         Raises:
             ConnectFailed: Nothing was sent.
@@ -201,6 +211,7 @@
             content=content,
             headers=headers,
             timeout=timeout,
+            allow_unframed=allow_unframed,
         ) as response:
             body = await response.read()
         return ClientResponse(
@@ -218,6 +229,7 @@
         content: bytes | None = None,
         headers: Mapping[str, str] | None = None,
         timeout: float | None = 5.0,
+        allow_unframed: bool = False,
     ) -> AsyncIterator[StreamedClientResponse]:
         """Sends a request and yields the response while its body arrives.
 
@@ -252,18 +264,18 @@
             raise ExchangeBroken(f"Exchange with {peer} failed: {error!r}.") from error
         try:
             reply = StreamedClientResponse(response)
-            _check_framing(peer, reply)
+            if not allow_unframed and not _is_framed(reply.status, reply.headers):
+                raise ExchangeBroken(
+                    f"{peer} sent a body with neither a length nor chunks; a truncated "
+                    "body could not be detected."
+                )
             yield reply
         finally:
             await manager.__aexit__(None, None, None)
 
 
-def _check_framing(peer: str, response: StreamedClientResponse) -> None:
-    """Rejects a body whose truncation could not be detected."""
-    has_no_body = response.status in (204, 304)
-    framing_headers = {"content-length", "transfer-encoding"} & set(response.headers)
-    if not has_no_body and not framing_headers:
-        raise ExchangeBroken(
-            f"{peer} sent a body with neither a length nor chunks; a truncated body "
-            "could not be detected."
-        )
+def _is_framed(status: int, headers: Mapping[str, str]) -> bool:
+    """Returns whether the end of a body does not depend on that of the connection."""
+    if status in (204, 304):
+        return True
+    return "content-length" in headers or "transfer-encoding" in headers
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/event_reader.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/event_reader.py
@@ -60,10 +60,12 @@
             patience_seconds: Seconds without an event after which the client has left.
             has_events: Whether the client already has events of the stream.
         """
+        self._request = request
         self._chunks = request.read_chunks()
         self._splitter = EventSplitter()
         self._max_wait = patience_seconds + STALL_MARGIN_SECONDS
         self._has_events = has_events
+        self._has_read = False
         self._waited = 0.0
         self._read_at = trio.current_time()
         self.left_unread = False
@@ -72,7 +74,8 @@
         """Returns the next events; None at the end of the stream.
 
         Raises:
-            TargetFailed: The response is invalid, or it ended in the middle of an event.
+            TargetFailed: The response is invalid, or it ended in the middle of an event
+                or without any.
             StreamStalled: No event arrived for longer than the client waits.
         """
         began = trio.current_time()
@@ -104,9 +107,14 @@
             except EventTooLong as error:
                 raise TargetFailed(str(error)) from error
             if events:
+                self._has_read = True
                 return events
         if self._splitter.remainder:
             raise TargetFailed("The stream ended in the middle of an event.")
+        if not self._has_read and not self._request.is_framed:
+            raise TargetFailed(
+                "The stream ended with its connection, without an event."
+            )
         return None
 
 
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/upstream.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/upstream.py
@@ -248,6 +248,12 @@
                 return
         await trio.aclose_forcefully(self._connection.stream)
 
+    @property
+    def is_framed(self) -> bool:
+        """Whether the end of the response does not depend on that of its connection."""
+        assert self._exchange is not None
+        return self._exchange.is_framed
+
     def _is_reusable(self) -> bool:
         """Returns whether another call may use the connection.
 
--- a/packages/daemon/src/goldcrestvane_daemon/http1.py
+++ b/packages/daemon/src/goldcrestvane_daemon/http1.py
@@ -19,6 +19,8 @@
 MAX_HEAD_BYTES = 32_768
 """Maximum size of the head of a message. The platform's clients send half of it."""
 
+FRAMING_HEADERS = frozenset((b"content-length", b"transfer-encoding"))
+
 MAX_INTERIM_RESPONSES = 8
 """Maximum number of interim responses before a final one."""
 
@@ -279,6 +281,10 @@
 
     Each request needs a new exchange. `leftover` holds bytes that an earlier exchange on
     the connection received but did not use.
+
+    Attributes:
+        is_framed: Whether the body of the response has a length or chunks. Otherwise it
+            ends with the connection (RFC 9112, section 6.3).
     """
 
     def __init__(self, stream: trio.SocketStream, leftover: bytes = b"") -> None:
@@ -288,6 +294,7 @@
         )
         self._eof_received = False
         self._leftover = leftover
+        self.is_framed = True
 
     async def send(
         self, method: bytes, path: bytes, headers: Headers, body: bytes
@@ -321,6 +328,8 @@
         for _ in range(1 + MAX_INTERIM_RESPONSES):
             event = await self._next_event()
             if isinstance(event, h11.Response):
+                names = {name for name, _ in event.headers}
+                self.is_framed = bool(names & FRAMING_HEADERS)
                 return event
             if not isinstance(event, h11.InformationalResponse):
                 raise ConnectionLost(
--- a/packages/daemon/src/goldcrestvane_daemon/platform/store.py
+++ b/packages/daemon/src/goldcrestvane_daemon/platform/store.py
@@ -199,7 +199,12 @@
         self.call_count += 1
         try:
             response = await self._transport.send(
-                method, self._address, path, value=body, timeout=CALL_TIMEOUT_SECONDS
+                method,
+                self._address,
+                path,
+                value=body,
+                timeout=CALL_TIMEOUT_SECONDS,
+                allow_unframed=True,
             )
         except ConnectFailed as error:
             raise ObjectStoreUnavailable(str(error)) from error
@@ -224,7 +229,7 @@
         self.call_count += 1
         try:
             response = await self._transport.send(
-                "GET", self._address, path, timeout=timeout
+                "GET", self._address, path, timeout=timeout, allow_unframed=True
             )
         except ConnectFailed as error:
             raise ObjectStoreUnavailable(str(error)) from error
--- a/packages/daemon/src/goldcrestvane_daemon/target/engine.py
+++ b/packages/daemon/src/goldcrestvane_daemon/target/engine.py
@@ -33,7 +33,7 @@
 MAX_STREAM_RESUMES = 3
 RESUME_DELAY_SECONDS = 0.1
 LOAD_INTERVAL_SECONDS = 1.0
-MAX_LINE_BYTES = 1024 * 1024
+MAX_EVENT_BYTES = 1024 * 1024
 EVENT_PREFIX = b"data: "
 END_MARK = b"[DONE]"
 ENGINE_PRIORITIES = {
@@ -185,11 +185,17 @@
                 value=_build_completion_request(request),
                 headers=ONE_CALL_HEADERS,
                 timeout=timeout,
+                allow_unframed=True,
             )
         else:
             path = f"/v1/streams/{request.call}?offset={progress.tokens}"
             exchange = self._transport.stream(
-                "GET", self._peer, path, headers=ONE_CALL_HEADERS, timeout=timeout
+                "GET",
+                self._peer,
+                path,
+                headers=ONE_CALL_HEADERS,
+                timeout=timeout,
+                allow_unframed=True,
             )
         async with exchange as response:
             await _check_status(response)
@@ -200,14 +206,19 @@
     async def cancel_stream(self, stream_id: str) -> None:
         """Cancels a stream to free its slot; failures are ignored."""
         try:
-            await self._transport.send("DELETE", self._peer, f"/v1/streams/{stream_id}")
+            await self._transport.send(
+                "DELETE",
+                self._peer,
+                f"/v1/streams/{stream_id}",
+                allow_unframed=True,
+            )
         except (ConnectFailed, ExchangeBroken):
             return
 
     async def refresh_load(self) -> None:
         """Reads the engine's incarnation and its load, which is reported late."""
         response = await self._transport.send(
-            "GET", self._peer, "/v1/load", timeout=1.0
+            "GET", self._peer, "/v1/load", timeout=1.0, allow_unframed=True
         )
         load = response.decode(_EngineLoad)
         self.incarnation = load.incarnation
@@ -225,7 +236,9 @@
 
     async def list_sessions(self) -> CacheListing:
         """Returns the sessions with cached prefixes in the engine."""
-        response = await self._transport.send("GET", self._peer, "/v1/cache")
+        response = await self._transport.send(
+            "GET", self._peer, "/v1/cache", allow_unframed=True
+        )
         return response.decode(CacheListing)
 
     async def release_session(self, session: str, *, fence: int) -> ClientResponse:
@@ -235,6 +248,7 @@
             self._peer,
             "/v1/cache/release",
             value=SessionReleaseRequest(session, fence),
+            allow_unframed=True,
         )
 
 
@@ -305,19 +319,30 @@
 async def read_events(chunks: AsyncIterator[bytes]) -> AsyncIterator[bytes]:
     """Yields the data of the server-sent events in a stream.
 
+    An event ends with a blank line. A stream that ends before that has been cut off.
+
     Raises:
-        ExchangeBroken: A line has more than `MAX_LINE_BYTES` bytes.
+        ExchangeBroken: The stream ends in the middle of an event, or an event has more
+            than `MAX_EVENT_BYTES` bytes.
     """
     rest = bytearray()
+    data: list[bytes] = []
+    size = 0
     async for chunk in chunks:
+        size += len(chunk)
         rest += chunk
-        if b"\n" in chunk:
-            *lines, rest = rest.split(b"\n")
-            for line in lines:
-                if line.startswith(EVENT_PREFIX):
-                    yield bytes(line[len(EVENT_PREFIX) :].strip())
-        if len(rest) > MAX_LINE_BYTES:
+        *lines, rest = rest.split(b"\n") if b"\n" in chunk else [rest]
+        for line in lines:
+            if line.startswith(EVENT_PREFIX):
+                data.append(bytes(line[len(EVENT_PREFIX) :].strip()))
+            elif not line.strip():
+                if data:
+                    yield b"\n".join(data)
+                data, size = [], len(rest)
+        if size > MAX_EVENT_BYTES:
             raise ExchangeBroken(
-                f"Got {len(rest)} bytes of a line without its end, expected at most "
-                f"{MAX_LINE_BYTES}."
+                f"Got {size} bytes of an event without its end, expected at most "
+                f"{MAX_EVENT_BYTES}."
             )
+    if rest or data:
+        raise ExchangeBroken("The stream ended in the middle of an event.")
--- a/packages/daemon/src/goldcrestvane_daemon/target/tool.py
+++ b/packages/daemon/src/goldcrestvane_daemon/target/tool.py
@@ -48,6 +48,7 @@
                 content=bytes(request.tool),
                 headers={CALL_HEADER: request.call, **ONE_CALL_HEADERS},
                 timeout=request.deadline_seconds,
+                allow_unframed=True,
             )
         except ConnectFailed as error:
             raise Unavailable(
@@ -60,6 +61,8 @@
             raise _build_lost_response(
                 request, f"The tool returned status {response.status}."
             )
+        if not response.is_framed and not _is_whole(response.body):
+            raise _build_lost_response(request, "The tool's response was cut off.")
         execution.finish(_validate_json(response.body), TokenUsage())
 
     async def _build_broken_exchange(
@@ -90,6 +93,18 @@
     return OutcomeUnknown(f"{reason} Look the result up in the tool.")
 
 
+def _is_whole(body: bytes) -> bool:
+    """Returns whether a body that ended with its connection is a whole JSON value.
+
+    The beginning of a number is a number, too, so none counts as whole.
+    """
+    try:
+        value = msgspec.json.decode(body)
+    except msgspec.DecodeError:
+        return False
+    return isinstance(value, bool) or not isinstance(value, int | float)
+
+
 def _validate_json(body: bytes) -> msgspec.Raw:
     try:
         msgspec.json.decode(body)
--- a/standins/src/goldcrestvane_standins/caller.py
+++ b/standins/src/goldcrestvane_standins/caller.py
@@ -217,7 +217,9 @@
     """
     parts: list[str] = []
     usage: dict[str, Any] = {}
-    for line in data.split(b"\n"):
+    # What follows the last blank line is no whole event.
+    whole_events = data.rpartition(b"\n\n")[0]
+    for line in whole_events.split(b"\n"):
         if not line.startswith(EVENT_PREFIX):
             continue
         event = line.removeprefix(EVENT_PREFIX).strip()
