Tell a frontend that connects which requests crash targets

Hypotheses: (1) a started frontend knows no deaths, since reports go only to those that are connected at that moment; (2) the fingerprints differ between frontends; (3) reports are lost.

Cause: state that is shared by reports only; who was not there never gets it. The same holds for a frontend that was cut off.

Change: each time that a frontend connects to a peer it fetches the deaths that the peer knows, with the time for which they still count, and forwards what is new to it.

Open: when all frontends are killed at once nobody knows the deaths any more.

--- a/packages/daemon/src/goldcrestvane_daemon/frontend/crash_tracker.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/crash_tracker.py
@@ -4,8 +4,10 @@
 its caller sends it repeatedly, through any frontend.
 """
 
+from itertools import islice
 from typing import final
 
+import msgspec
 import trio
 import xxhash
 
@@ -28,6 +30,20 @@
     return Fingerprint(digest.hexdigest())
 
 
+class TrackedDeaths(msgspec.Struct, frozen=True, array_like=True):
+    """Targets that died while they ran a request.
+
+    Attributes:
+        fingerprint: Identifies the request.
+        targets: The targets.
+        seconds_left: Time for which the request is still tracked.
+    """
+
+    fingerprint: Fingerprint
+    targets: list[str]
+    seconds_left: float = RETENTION_SECONDS
+
+
 @final
 class CrashTracker:
     """Records deaths of targets by the request that they ran."""
@@ -35,12 +51,24 @@
     def __init__(self) -> None:
         self._deaths: dict[Fingerprint, tuple[set[str], float]] = {}
 
-    def record_deaths(self, fingerprint: Fingerprint, targets: list[str]) -> bool:
-        """Records deaths and returns whether any of them was new."""
-        known, _ = self._deaths.pop(fingerprint, (set(), 0.0))
+    def record_deaths(
+        self,
+        fingerprint: Fingerprint,
+        targets: list[str],
+        seconds_left: float = RETENTION_SECONDS,
+    ) -> bool:
+        """Records deaths and returns whether any of them was new.
+
+        Args:
+            fingerprint: Identifies the request.
+            targets: The targets that died.
+            seconds_left: Time for which the request is tracked at least.
+        """
+        known, expires_at = self._deaths.pop(fingerprint, (set(), 0.0))
         is_new = not known.issuperset(targets)
         known.update(targets)
-        self._deaths[fingerprint] = (known, trio.current_time() + RETENTION_SECONDS)
+        expires_at = max(expires_at, trio.current_time() + seconds_left)
+        self._deaths[fingerprint] = (known, expires_at)
         while len(self._deaths) > MAX_TRACKED_REQUESTS:
             del self._deaths[next(iter(self._deaths))]
         return is_new
@@ -50,6 +78,17 @@
         known, expires_at = self._deaths.get(fingerprint, (set(), 0.0))
         return len(known) >= MAX_DEATHS and trio.current_time() < expires_at
 
+    def list_recent(self, maximum: int) -> list[TrackedDeaths]:
+        """Returns the requests that were tracked last, up to a number, newest first."""
+        now = trio.current_time()
+        return [
+            TrackedDeaths(fingerprint, sorted(targets), expires_at - now)
+            for fingerprint, (targets, expires_at) in islice(
+                reversed(self._deaths.items()), maximum
+            )
+            if expires_at > now
+        ]
+
     @property
     def is_empty(self) -> bool:
         """Whether no death is recorded."""
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/peer_messages.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/peer_messages.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from goldcrestvane_common.ids import Fingerprint, Version
+from goldcrestvane_daemon.frontend.crash_tracker import TrackedDeaths
 from goldcrestvane_daemon.ledger.messages import Request as LedgerRequest
 from goldcrestvane_daemon.ledger.messages import Response as LedgerResponse
 from goldcrestvane_daemon.platform.store import StoreChanges
@@ -37,7 +38,11 @@
     targets: list[str]
 
 
-FrontendRequest = Relay | FetchObjects | ReportDeaths
+class FetchDeaths(msgspec.Struct, frozen=True, tag="known_deaths", array_like=True):
+    """Asks a frontend for the requests of which it knows that targets died with them."""
+
+
+FrontendRequest = Relay | FetchObjects | ReportDeaths | FetchDeaths
 
 
 class Relayed(msgspec.Struct, frozen=True, tag="relayed", array_like=True):
@@ -67,4 +72,10 @@
     """Acknowledges a report."""
 
 
-FrontendResponse = Relayed | ObjectsCopy | ReportAccepted
+class KnownDeaths(msgspec.Struct, frozen=True, tag="died", array_like=True):
+    """Requests with which targets died, those that were tracked last."""
+
+    deaths: list[TrackedDeaths]
+
+
+FrontendResponse = Relayed | ObjectsCopy | ReportAccepted | KnownDeaths
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/peers.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/peers.py
@@ -13,11 +13,13 @@
 
 from goldcrestvane_common.ids import DomainId, Fingerprint, Version, hash_text
 from goldcrestvane_common.logs import get_logger
-from goldcrestvane_daemon.frontend.crash_tracker import CrashTracker
+from goldcrestvane_daemon.frontend.crash_tracker import CrashTracker, TrackedDeaths
 from goldcrestvane_daemon.frontend.peer_messages import (
+    FetchDeaths,
     FetchObjects,
     FrontendRequest,
     FrontendResponse,
+    KnownDeaths,
     ObjectsCopy,
     Relay,
     Relayed,
@@ -41,6 +43,12 @@
 
 RELAY_MARGIN_SECONDS = 0.2
 
+MAX_FETCHED_DEATHS = 1000
+"""Maximum number of requests in a response about deaths, which has about 100 KB then."""
+
+RECONNECT_CHECK_SECONDS = 0.2
+"""Time after which a frontend notices that a peer has connected again."""
+
 logger = get_logger("peers")
 
 CallMember = Callable[[str, Any, float], Awaitable[Any]]
@@ -104,7 +112,38 @@
 
     async def _run_peer(self, peer: PeerConnection, scope: trio.CancelScope) -> None:
         with scope:
-            await peer.run()
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(peer.run)
+                nursery.start_soon(self._fetch_deaths_on_connect, peer)
+
+    async def _fetch_deaths_on_connect(self, peer: PeerConnection) -> None:
+        """Fetches the deaths that a peer knows each time that it connects.
+
+        A frontend that has just started, or was cut off, has not got the reports.
+        """
+        while True:
+            connection = peer.connected
+            await connection.wait()
+            try:
+                answer = await peer.call(FetchDeaths(), timeout=REQUEST_TIMEOUT_SECONDS)
+            except PeerUnreachable as error:
+                logger.info(
+                    "a frontend does not tell the deaths that it knows",
+                    extra={"peer": peer.address, "reason": str(error)},
+                )
+                await trio.sleep(RECONNECT_CHECK_SECONDS)
+                continue
+            for each in answer.deaths if isinstance(answer, KnownDeaths) else ():
+                self._record_deaths(each)
+            while peer.connected is connection:
+                await trio.sleep(RECONNECT_CHECK_SECONDS)
+
+    def _record_deaths(self, deaths: TrackedDeaths) -> None:
+        """Records deaths that a peer knows, and forwards those that are new."""
+        if self._crash_tracker.record_deaths(
+            deaths.fingerprint, deaths.targets, deaths.seconds_left
+        ):
+            self.report_deaths(deaths.fingerprint, deaths.targets)
 
     def list_addresses(self) -> list[str]:
         """Returns the addresses of the frontends that this one connects to."""
@@ -199,7 +238,10 @@
 
     @handle.register
     async def _(self, request: ReportDeaths) -> FrontendResponse:
-        if self._crash_tracker.record_deaths(request.fingerprint, request.targets):
-            # Each frontend forwards a new report once, so that it reaches all of them.
-            self.report_deaths(request.fingerprint, request.targets)
+        # Each frontend forwards a new report once, so that it reaches all of them.
+        self._record_deaths(TrackedDeaths(request.fingerprint, request.targets))
         return ReportAccepted()
+
+    @handle.register
+    async def _(self, request: FetchDeaths) -> FrontendResponse:
+        return KnownDeaths(self._crash_tracker.list_recent(MAX_FETCHED_DEATHS))
--- a/packages/daemon/tests/frontend/test_peers.py
+++ b/packages/daemon/tests/frontend/test_peers.py
@@ -3,6 +3,7 @@
 from unittest import mock
 
 import trio
+import trio.testing
 
 from goldcrestvane_daemon.frontend.crash_tracker import CrashTracker
 from goldcrestvane_daemon.frontend.peers import MAX_PEERS, FrontendPeers
@@ -60,5 +61,76 @@
         trio.run(main)
 
 
+class SharedDeathsTests(unittest.TestCase):
+    """Deaths that frontends tell each other, over loopback."""
+
+    async def start(self, nursery, tracker, seeds=()):
+        """Starts a frontend and returns its address."""
+        listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        address = f"127.0.0.1:{listeners[0].socket.getsockname()[1]}"
+        peers = FrontendPeers(address, tracker, nursery)
+        nursery.start_soon(trio.serve_listeners, peers.serve, listeners)
+        peers.connect_seeds(list(seeds))
+        return address
+
+    async def wait_blocked(self, tracker, fingerprint):
+        with trio.fail_after(10):
+            while not tracker.is_blocked(fingerprint):
+                await trio.sleep(0.01)
+
+    def test_started_frontend_learns_the_deaths_that_others_know(self):
+        """Guards against a request that crashes targets again at each restart."""
+
+        async def main():
+            first, second = CrashTracker(), CrashTracker()
+            first.record_deaths("f", ["t1", "t2", "t3"], 50.0)
+            async with trio.open_nursery() as nursery:
+                address = await self.start(nursery, first)
+                await self.start(nursery, second, [address])
+                await self.wait_blocked(second, "f")
+                (known,) = second.list_recent(10)
+                self.assertLessEqual(known.seconds_left, 50.0)
+                nursery.cancel_scope.cancel()
+
+        trio.run(main)
+
+    def test_frontend_that_was_restarted_is_asked_again(self):
+        async def main():
+            first, second = CrashTracker(), CrashTracker()
+            async with trio.open_nursery() as nursery:
+                listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+                address = f"127.0.0.1:{listeners[0].socket.getsockname()[1]}"
+                peers = FrontendPeers(address, first, nursery)
+                connections = []
+
+                async def serve(stream):
+                    connections.append(stream)
+                    await peers.serve(stream)
+
+                nursery.start_soon(trio.serve_listeners, serve, listeners)
+                await self.start(nursery, second, [address])
+                with trio.fail_after(10):
+                    while not connections:
+                        await trio.sleep(0.01)
+                await trio.sleep(0.1)
+                first.record_deaths("f", ["t1", "t2", "t3"])
+                await trio.aclose_forcefully(connections[0])
+                await self.wait_blocked(second, "f")
+                nursery.cancel_scope.cancel()
+
+        trio.run(main)
+
+    def test_expired_deaths_are_not_told(self):
+        async def main():
+            tracker = CrashTracker()
+            tracker.record_deaths("old", ["t1"], 5.0)
+            tracker.record_deaths("new", ["t1"], 50.0)
+            trio.lowlevel.current_clock().jump(10.0)
+            self.assertEqual([d.fingerprint for d in tracker.list_recent(9)], ["new"])
+            self.assertEqual(tracker.list_recent(0), [])
+
+        trio.run(main, clock=trio.testing.MockClock())
+
+
 if __name__ == "__main__":
     unittest.main()
