Grant no second burst when a limit is lowered and restored

Hypotheses: (1) a rise adds the whole difference of the capacities to the level, also if the burst was used a moment before; (2) frontends use tokens of the higher limit after the change; (3) a second member issues meanwhile. A unit test of one bucket without frontends shows (1): 64 tokens in place of 34 with one pair of changes at once.

Cause: the level alone does not tell what was issued under the former limit, since lowering cuts it off.

Change: a bucket counts what it issued within the last window and the life of a token. When the limit rises, the level is at most what a bucket with the new limit would have left after that.

Tests: test_limit_that_is_lowered_and_restored_grants_no_second_burst checks each window of 5 s over twelve changes with six pauses; 41 of its checks fail without the history, none with it.

--- a/packages/daemon/src/goldcrestvane_daemon/accounts/quota_buckets.py
+++ b/packages/daemon/src/goldcrestvane_daemon/accounts/quota_buckets.py
@@ -13,6 +13,7 @@
 
 from goldcrestvane_common.ids import AccountId
 from goldcrestvane_daemon.accounts.directory import Quota, QuotaTolerance
+from goldcrestvane_daemon.accounts.issue_history import IssueHistory
 from goldcrestvane_daemon.accounts.quota_items import (
     GrantId,
     GrantUse,
@@ -140,6 +141,7 @@
         members: int,
         began: float,
         now: float,
+        history_seconds: float,
     ) -> None:
         """Creates a bucket as if it had existed since the member began to issue.
 
@@ -149,6 +151,7 @@
             members: Number of members that have a share.
             began: Time at which the member began to issue the account's tokens.
             now: Current time.
+            history_seconds: Time for which issued tokens count when the limit rises.
         """
         self.limit = limit
         self.share = share
@@ -161,6 +164,7 @@
         self._grants: dict[GrantId, _Issued] = {}
         self._order: deque[GrantId] = deque()
         self._next_retry_at = now
+        self._history = IssueHistory(history_seconds)
         self._update(now)
 
     def adopt(
@@ -175,8 +179,13 @@
             self.limit = limit
         share = compute_share(self.limit.quota, tolerance, members)
         if is_newer and members == self._members:
-            # A higher limit takes effect at once.
-            self._level += max(0.0, share.capacity - self.share.capacity)
+            # A higher limit takes effect at once. What was issued before counts as if the
+            # limit had been in force then, so that a limit that was lowered and restored
+            # does not grant its burst again.
+            raised = self._level + max(0.0, share.capacity - self.share.capacity)
+            backlog = self._history.compute_backlog(share.rate, now)
+            unused = max(0.0, share.capacity - backlog)
+            self._level = max(self._level, min(raised, unused))
         self.share, self._members = share, members
         self._level = min(self._level, share.capacity)
 
@@ -207,6 +216,7 @@
             count += max(0, min(prefetched, int(spare + ROUNDING)))
         if count:
             self._level -= count
+            self._history.add(count, now)
             self.outstanding += count
             self._grants[grant] = _Issued(live=count, expires_at=now + ISSUED_SECONDS)
             self._order.append(grant)
@@ -226,6 +236,8 @@
         issued.returned += returned
         self.outstanding -= used + returned
         self._level = min(self.share.capacity, self._level + returned)
+        if returned:
+            self._history.add(-returned, now)
         if not issued.live:
             del self._grants[use.grant]
 
@@ -332,7 +344,12 @@
                 limit = bucket.limit
             share = compute_share(limit.quota, self._tolerance, members)
             bucket = self._buckets[item.account] = QuotaBucket(
-                limit, share, members=members, began=began, now=now
+                limit,
+                share,
+                members=members,
+                began=began,
+                now=now,
+                history_seconds=self._tolerance.window_seconds + ISSUED_SECONDS,
             )
         bucket.adopt(item.limit, self._tolerance, members, now)
         bucket.asked_at = now
--- a/packages/daemon/tests/accounts/test_quota_buckets.py
+++ b/packages/daemon/tests/accounts/test_quota_buckets.py
@@ -132,6 +132,44 @@
         member.drain(now=100.0)
         self.assertGreater(member.drain(now=100.0, version=2, burst=90.0), 20)
 
+    def test_limit_that_is_lowered_and_restored_grants_no_second_burst(self):
+        """Guards against an operator's two changes that double an account's burst."""
+        high, low = {"rate": 20.0, "burst": 100.0}, {"rate": 2.0, "burst": 2.0}
+        share = compute_share(Quota(**high), TOLERANCE, 3)
+        window = TOLERANCE.window_seconds
+        allowed = share.capacity + share.rate * window
+        for pause in (0.0, 0.3, 0.5, 1.0, 2.0, 3.0):
+            member = Member()
+            issued = [(100.0, member.drain(now=100.0, **high))]
+            for number in range(1, 13):
+                now = 100.0 + pause * number
+                limit = low if number % 2 else high
+                tokens = member.drain(now=now, version=number + 1, **limit)
+                issued.append((now, tokens))
+            for start, _ in issued:
+                within = [n for at, n in issued if start <= at <= start + window]
+                with self.subTest(pause=pause, start=start):
+                    self.assertLessEqual(sum(within), allowed + 1)
+
+    def test_restored_limit_grants_what_was_not_used(self):
+        """Guards against refusals of calls below a limit that was restored."""
+        member = Member()
+        member.ask(0, now=100.0, rate=20.0, burst=100.0)
+        member.ask(0, now=101.0, rate=2.0, burst=2.0, version=2)
+        share = compute_share(Quota(rate=20, burst=100), TOLERANCE, 3)
+        total = member.drain(now=102.0, rate=20.0, burst=100.0, version=3)
+        self.assertEqual(total, int(share.capacity))
+
+    def test_returned_tokens_do_not_count_when_the_limit_rises(self):
+        member = Member()
+        grant = member.ask(12, now=100.0, rate=20.0, burst=100.0)
+        use = GrantUse(grant.grant, 0, grant.tokens)
+        member.ask(0, now=100.2, rate=20.0, burst=100.0, uses=[use])
+        member.ask(0, now=100.3, rate=2.0, burst=2.0, version=2)
+        share = compute_share(Quota(rate=20, burst=100), TOLERANCE, 3)
+        total = member.drain(now=100.4, rate=20.0, burst=100.0, version=3)
+        self.assertEqual(total, int(share.capacity))
+
     def test_forgotten_account_gains_no_tokens(self):
         """Guards against a new burst because a member dropped an account's bucket."""
         member = Member(began=0.0)
