Serve chains that are larger than a frontend's cache of turns

PROTOCOL.md promises the whole chain to the replica without such a limit.

Cause: a chain was put together from the cache alone. Reading the older turns pushed the newer ones out, and the reader began again.

Change: the turns that were read are joined as they come; the cache only saves reads.

Test: test_chain_that_is_larger_than_the_cache_is_read_once counts reads with a small cache, three and six members; before, it read without end (stopped by the test at 37 reads of 36), now it passes. frontend.test_chain_renewal and frontend.test_ledger_client: 14 passed.

--- a/packages/daemon/src/goldcrestvane_daemon/frontend/ledger_client.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/ledger_client.py
@@ -173,7 +173,10 @@
         answers = await self._write_account(account, return_chain_of=wanted)
         for written in answers:
             self._cache.put_all(written.chain)
-        chain = await self._read_chain(previous)
+            if written.chain and written.chain[0].call == wanted:
+                chain += written.chain
+                wanted = find_missing_turn(chain, previous)
+        await self._complete_chain(chain, previous)
         return OpenedTurn(merge_charges(answers), chain, has_room_for_turns(answers))
 
     async def settle(
@@ -415,20 +418,23 @@
             raise PeerUnreachable(f"{address} is not a known member of the ledger.")
         return await peer.call(request, timeout=timeout)
 
-    async def _read_chain(self, call: CallId | None) -> list[Turn]:
-        """Returns a chain, newest first, and reads the turns that are not cached.
+    async def _complete_chain(self, chain: list[Turn], call: CallId | None) -> None:
+        """Adds the older turns to a chain from the cache and from the ledger.
+
+        The chain may be larger than the cache.
+
+        Args:
+            chain: The newest turns of the chain, newest first.
+            call: The newest turn of the whole chain.
 
         Raises:
             LedgerUnavailable: Too few members answered.
             TurnNotFound: A turn of the chain does not exist.
         """
-        while True:
-            chain = self._cache.get_chain(call)
-            wanted = find_missing_turn(chain, call)
-            if wanted is None:
-                return chain
+        while (wanted := find_missing_turn(chain, call)) is not None:
+            cached = self._cache.get_chain(wanted)
             try:
-                await self._read_turn(wanted)
+                chain += cached or await self._read_turns(wanted)
             except TurnNotFound:
                 if chain:
                     metrics.BROKEN_CHAINS.inc()
@@ -438,8 +444,8 @@
                     )
                 raise
 
-    async def _read_turn(self, call: CallId) -> None:
-        """Reads a turn and the turns before it into the cache.
+    async def _read_turns(self, call: CallId) -> list[Turn]:
+        """Reads a turn and the turns before it, as far as a member has them.
 
         Raises:
             LedgerUnavailable: Too few members answered.
@@ -458,8 +464,9 @@
                 )
             found = [answer for answer in answers if has_turns(answer)]
             if found:
-                self._cache.put_all(max((a.turns for a in found), key=len))
-                return
+                turns = max((a.turns for a in found), key=len)
+                self._cache.put_all(turns)
+                return turns
             if self._adopt_newest(answers):
                 continue
             voted = [a for a in answers if isinstance(a, TurnChain) and a.votes]
--- a/packages/daemon/tests/frontend/test_chain_renewal.py
+++ b/packages/daemon/tests/frontend/test_chain_renewal.py
@@ -4,6 +4,8 @@
 from ledger.direct_ledger import RETENTION_SECONDS, run_direct_ledger
 
 from goldcrestvane_daemon.frontend.ledger_client import LedgerUnavailable
+from goldcrestvane_daemon.ledger.messages import ReadChain
+from goldcrestvane_daemon.ledger.turn_cache import TurnCache
 
 THREE = ["a", "b", "c"]
 SIX = ["a", "b", "c", "d", "e", "f"]
@@ -115,6 +117,34 @@
         run_direct_ledger(script, THREE, tolerated_losses=1)
 
 
+class LargeChainTests(unittest.TestCase):
+    def test_chain_that_is_larger_than_the_cache_is_read_once(self):
+        """Guards against reading older turns that push the newer ones out for ever."""
+
+        async def script(ledger):
+            client = ledger.get_client("f2")
+            client._cache = TurnCache(3000)
+            calls = [f"c{number}" for number in range(12)]
+            for previous, call in zip([None, *calls], calls, strict=False):
+                await ledger.run_turn(call, previous, size=800)
+            reads = []
+
+            async def call(address, request, timeout=None):
+                if isinstance(request, ReadChain):
+                    reads.append(request.call)
+                    self.assertLessEqual(len(reads), 3 * len(calls))
+                return await ledger.call(address, request)
+
+            client.call = call
+            for _ in range(2):
+                reads.clear()
+                opened = await ledger.open_turn("d", calls[-1], frontend="f2")
+                self.assertEqual(list_calls(opened), [*reversed(calls)])
+
+        for names in (THREE, SIX):
+            run_direct_ledger(script, names, tolerated_losses=1)
+
+
 class AccountRetentionTests(unittest.TestCase):
     """A program's charges are kept as long as its last one."""
 
--- a/packages/daemon/tests/ledger/direct_ledger.py
+++ b/packages/daemon/tests/ledger/direct_ledger.py
@@ -144,12 +144,15 @@
         client = self.get_client(frontend)
         return await client.open_turn(account=account, previous=previous)
 
-    async def run_turn(self, call, previous=None, *, frontend="f1", program="p"):
+    async def run_turn(
+        self, call, previous=None, *, frontend="f1", program="p", size=0
+    ):
         """Opens and stores a turn; returns what the ledger knew at its start."""
         opened = await self.open_turn(
             call, previous, frontend=frontend, program=program
         )
-        turn = Turn(call, previous, b"in-" + call.encode(), b"out", RETENTION_SECONDS)
+        text = b"in-" + call.encode() + bytes(size)
+        turn = Turn(call, previous, text, b"out", RETENTION_SECONDS)
         await self.get_client(frontend).settle(
             program, TokenCharge(call, 10, True), turn, RETENTION_SECONDS, opened.chain
         )
