Serve entries under a view only once the view is on the disk

A page of entries could be served under a view that a loss of power took back; no caller has seen it.

Cause: "adopted in memory" stood for "recorded".

Change: the service knows the newest epoch that is recorded. Each caller waits until the newest view is on the disk; if the write fails, the next caller tries again, where before nobody did.

Test: test_view_counts_as_recorded_only_once_it_is_on_the_disk fails before (a page is served while nothing is written) and passes now.

--- a/packages/daemon/src/goldcrestvane_daemon/ledger/service.py
+++ b/packages/daemon/src/goldcrestvane_daemon/ledger/service.py
@@ -88,6 +88,8 @@
         self._observations = ObservationAggregator(random.getrandbits(START_BITS))
         self._call_member: CallMember | None = None
         self._nursery: trio.Nursery | None = None
+        self._recorded_epoch = Epoch(0)
+        self._recording: trio.Event | None = None
         self.view: View | None = None
         self.holdings = Holdings(instance, log.disk, log.read_synced_view())
         self.unreachable: list[InstanceId] = []
@@ -127,13 +129,28 @@
     async def adopt_durably(self, view: View) -> None:
         """Adopts a newer view and records it on the disk before anyone relies on it.
 
+        Returns only once the newest view is on the disk, also if another task writes it.
+
         Raises:
-            OSError: Writing to the disk failed.
+            OSError: Writing to the disk failed. The next call tries again.
         """
-        if self.adopt(view):
+        self.adopt(view)
+        while self.view is not None and self.view.epoch > self._recorded_epoch:
+            if self._recording is not None:
+                await self._recording.wait()
+                continue
+            await self._record_view(self.view)
+
+    async def _record_view(self, view: View) -> None:
+        recording = self._recording = trio.Event()
+        try:
             await self._log.write_view(view)
-            if self.quotas is not None:
-                self.quotas.adopt(view)
+        finally:
+            self._recording = None
+            recording.set()
+        self._recorded_epoch = view.epoch
+        if self.quotas is not None:
+            self.quotas.adopt(view)
 
     async def run_expiry(self) -> None:
         """Drops expired entries until cancelled."""
--- a/packages/daemon/tests/ledger/test_service.py
+++ b/packages/daemon/tests/ledger/test_service.py
@@ -89,6 +89,35 @@
         trio.run(main)
         self.assertEqual(answers, [StaleView(self.newer)])
 
+    def test_view_counts_as_recorded_only_once_it_is_on_the_disk(self):
+        """Guards against entries served under a view that a power loss takes back."""
+
+        async def main():
+            service = self.build_service(self.view)
+            written, finish = [], trio.Event()
+
+            async def write_view(view):
+                await finish.wait()
+                written.append(view.epoch)
+
+            async def pull():
+                await service.handle(PullEntries(self.newer, [get_partition(CALL)]))
+                self.assertEqual(written, [self.newer.epoch])
+                answered.append(True)
+
+            answered = []
+            self.log.write_view = write_view
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(service.adopt_durably, self.newer)
+                await trio.testing.wait_all_tasks_blocked()
+                nursery.start_soon(pull)
+                await trio.testing.wait_all_tasks_blocked()
+                self.assertEqual(answered, [])
+                finish.set()
+            self.assertEqual(answered, [True])
+
+        trio.run(main)
+
     def test_member_does_not_vote_for_partitions_of_other_groups(self):
         service = self.build_service(self.view)
         own = self.view.list_partitions("m0")
