Keep a ledger member running when its disk is full at a change of the view

Change: the watcher logs the error with what to do and lists again after its pause; requests of other members get Failed. Nothing is acknowledged under a view that is not recorded.

--- a/packages/daemon/src/goldcrestvane_daemon/ledger/membership_watcher.py
+++ b/packages/daemon/src/goldcrestvane_daemon/ledger/membership_watcher.py
@@ -90,6 +90,13 @@
                     )
             except RevisionTooOld:
                 continue
+            except OSError as error:
+                # The member keeps serving; the list that follows tries again.
+                logger.error(
+                    "recording the view failed; free space on the disk, or replace it",
+                    extra={"reason": str(error)},
+                )
+                await trio.sleep(RETRY_DELAY_SECONDS)
             except ObjectStoreError as error:
                 logger.warning(
                     "the object store is unavailable",
--- a/packages/daemon/src/goldcrestvane_daemon/ledger/service.py
+++ b/packages/daemon/src/goldcrestvane_daemon/ledger/service.py
@@ -242,7 +242,10 @@
 
     @handle.register
     async def _(self, request: PullEntries) -> Response:
-        await self.adopt_durably(request.view)
+        try:
+            await self.adopt_durably(request.view)
+        except OSError as error:
+            return _build_view_failure(error)
         assert self.view is not None
         if request.view.epoch < self.view.epoch:
             return StaleView(self.view)
@@ -261,7 +264,10 @@
 
     @handle.register
     async def _(self, request: PushEntries) -> Response:
-        await self.adopt_durably(request.view)
+        try:
+            await self.adopt_durably(request.view)
+        except OSError as error:
+            return _build_view_failure(error)
         return await self.store(request.entries) or EntriesMerged()
 
     @handle.register
@@ -355,3 +361,11 @@
         except (DiskFailed, StorageFull) as error:
             return Failed(str(error))
         return None
+
+
+def _build_view_failure(error: OSError) -> Failed:
+    logger.error("recording a view failed", extra={"reason": str(error)})
+    return Failed(
+        f"Recording the view on the disk failed: {error}. Free space on it, or replace it "
+        "if it has space."
+    )
--- a/packages/daemon/tests/ledger/test_members.py
+++ b/packages/daemon/tests/ledger/test_members.py
@@ -1,4 +1,5 @@
 import unittest
+from unittest import mock
 
 import trio
 
@@ -177,6 +178,24 @@
 
         run_ledger(script)
 
+    def test_member_with_a_full_disk_adopts_a_view_once_there_is_space(self):
+        """Guards against a full disk that ends a member when the view changes."""
+
+        async def script(ledger):
+            member = ledger.members["b"]
+            write_view = member.service._log.write_view
+            full = mock.AsyncMock(side_effect=OSError("no space left"))
+            member.service._log.write_view = full
+            await ledger.members["c"].stop()
+            await ledger.add("d").start()
+            await ledger.wait(lambda: full.await_count >= 2)
+            member.service._log.write_view = write_view
+            await ledger.wait_votes("b", "d")
+            recorded = member.service._log.read_view()
+            self.assertIsNotNone(recorded.find("d"))
+
+        run_ledger(script)
+
     def test_replaced_member_does_not_vote_after_a_restart(self):
         async def script(ledger):
             old = ledger.client
--- a/packages/daemon/tests/ledger/test_service.py
+++ b/packages/daemon/tests/ledger/test_service.py
@@ -7,6 +7,8 @@
 from goldcrestvane_daemon.ledger import state as state_module
 from goldcrestvane_daemon.ledger.messages import (
     Entry,
+    EntryPage,
+    Failed,
     PullEntries,
     ReadChain,
     StaleView,
@@ -118,6 +120,21 @@
 
         trio.run(main)
 
+    def test_view_that_could_not_be_recorded_is_recorded_by_the_next_request(self):
+        """Guards against a full disk that ends a process or is forgotten."""
+
+        async def main():
+            service = self.build_service(self.view)
+            write_view = mock.AsyncMock(side_effect=[OSError("full"), None])
+            self.log.write_view = write_view
+            pull = PullEntries(self.newer, [get_partition(CALL)])
+            self.assertIsInstance(await service.handle(pull), Failed)
+            self.assertIsInstance(await service.handle(pull), EntryPage)
+            self.assertIsInstance(await service.handle(pull), EntryPage)
+            self.assertEqual(write_view.await_count, 2)
+
+        trio.run(main)
+
     def test_member_does_not_vote_for_partitions_of_other_groups(self):
         service = self.build_service(self.view)
         own = self.view.list_partitions("m0")
