Send a call to a restarted sidecar again before its caller hears of it

Cause: the owner remembers the incarnation of each sidecar. The test before had restarted one; the first call to it was refused, and sending it elsewhere or again needs a token of the retry budget, which a few calls do not earn. The error says nothing about the target; only the owner's knowledge was out of date.

Change: such a call is sent again, once for each target that has restarted, without counting as an attempt or as a retry. The sidecar has not run it, as before.

Tests: owner.test_runner (own form; fakes of connector and selector): test_call_is_sent_to_a_restarted_sidecar_again and test_many_restarted_sidecars_use_up_no_attempts fail before. That the seen case was this one is by reading: its logs were not kept.

--- a/packages/daemon/src/goldcrestvane_daemon/owner/runner.py
+++ b/packages/daemon/src/goldcrestvane_daemon/owner/runner.py
@@ -6,7 +6,12 @@
 import msgspec
 import trio
 
-from goldcrestvane_common.errors import Outcome, ServiceError, Unavailable
+from goldcrestvane_common.errors import (
+    Outcome,
+    ServiceError,
+    Unavailable,
+    WrongIncarnation,
+)
 from goldcrestvane_common.ids import CallId, InstanceId, ServiceId, hash_text
 from goldcrestvane_common.logs import get_logger
 from goldcrestvane_common.messages import (
@@ -151,34 +156,71 @@
             return
         self._selector.count_call(call.request.service)
         attempted_targets: set[InstanceId] = set()
-        for attempt in range(1, MAX_ATTEMPTS + 1):
+        restarted_targets: set[InstanceId] = set()
+        attempts = 0
+        while True:
             try:
                 await self._run_attempt(shard, call, execution, attempted_targets)
                 return
             except ServiceError as error:
                 may_have_run |= error.call_outcome not in NOT_RUN_OUTCOMES
-                is_last = attempt == MAX_ATTEMPTS
+                if self._may_send_again(
+                    shard, call, execution, error, restarted_targets
+                ):
+                    attempted_targets.discard(execution.target)
+                    continue
+                attempts += 1
+                is_last = attempts == MAX_ATTEMPTS
                 if is_last or not self._may_retry(shard, call, execution, error):
                     raise finalize_error(error, may_have_run=may_have_run) from error
                 execution.discard_text()
 
+    def _may_send_again(
+        self,
+        shard: OwnedShard,
+        call: Call,
+        execution: Execution,
+        error: ServiceError,
+        restarted_targets: set[InstanceId],
+    ) -> bool:
+        """Returns whether only this owner's knowledge of a sidecar was out of date.
+
+        The sidecar has restarted since its incarnation was asked for. The call has not
+        reached the target, so sending it again is no retry. Each target has one chance.
+        """
+        if not isinstance(error, WrongIncarnation):
+            return False
+        if execution.target in restarted_targets:
+            return False
+        restarted_targets.add(execution.target)
+        return self._is_repeatable(shard, call, execution, error)
+
     def _may_retry(
         self,
         shard: OwnedShard,
         call: Call,
         execution: Execution,
         error: ServiceError,
+    ) -> bool:
+        """Returns whether another attempt is allowed, and counts it."""
+        if not self._is_repeatable(shard, call, execution, error):
+            return False
+        return self._selector.try_acquire_retry(call.request.service)
+
+    def _is_repeatable(
+        self,
+        shard: OwnedShard,
+        call: Call,
+        execution: Execution,
+        error: ServiceError,
     ) -> bool:
         is_repeatable = error.call_outcome is Outcome.NOT_RUN or (
             error.call_outcome is Outcome.INCOMPLETE and not call.at_most_once
         )
         is_current = not shard.journal.ownership_lost.is_set() and call.program.is_open
         before_deadline = trio.current_time() < call.deadline
-        if execution.partially_delivered or not (
-            is_repeatable and is_current and before_deadline
-        ):
-            return False
-        return self._selector.try_acquire_retry(call.request.service)
+        is_undelivered = not execution.partially_delivered
+        return is_undelivered and is_repeatable and is_current and before_deadline
 
     async def _run_attempt(
         self,
