Resume streams at the version that their program's turns had

What callers saw: after a kill of all frontends a turn that was taken up again got 503 "No record tells which version ... began stream None".

Change: a client that names no attempt takes up a stream of its program, and the program's token account has the version of each of its streams. If they all had one, that is the stream's. With several, the answer stays 503.

Beside it, seen in the same logs: members that still copy a partition are not written to by renewals, and do not count as lacking charges, since they get all of it from other members.

Tests: test_recorded_stream_goes_on_after_a_restart_of_all_frontends now also takes up without a name (fails before, 503); test_unnamed_stream_of_a_program_with_two_versions_is_not_resumed. frontend.test_stream_versions and test_turn_recorder: 18 passed; frontend.test_chain_renewal passed.

--- a/packages/daemon/src/goldcrestvane_daemon/frontend/ledger_answers.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/ledger_answers.py
@@ -55,8 +55,12 @@
 
 
 def find_missing_charges(answers: list[Written]) -> list[TokenCharge]:
-    """Returns the charges that some of the answers lack."""
-    known = [set(answer.account.charges) for answer in answers if answer.account]
+    """Returns the charges that some of the answers lack that count towards a quorum."""
+    known = [
+        set(answer.account.charges)
+        for answer in answers
+        if answer.votes and answer.account
+    ]
     return [
         charge
         for charge in merge_charges(answers).values()
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/turn_recorder.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/turn_recorder.py
@@ -4,7 +4,7 @@
 
 import trio
 
-from goldcrestvane_common.ids import AccountId, StreamOrigin
+from goldcrestvane_common.ids import AccountId, CallId, StreamOrigin
 from goldcrestvane_common.logs import get_logger
 from goldcrestvane_daemon.frontend.admission import AdmissionClass, get_admission_class
 from goldcrestvane_daemon.frontend.call_context import CallContext, build_prompt
@@ -78,9 +78,8 @@
                 f"may use {committed}. Start a new program."
             )
         call.admission_class = _find_admission_class(call, opened)
-        began = opened.charges.get(headers.resumes) if headers.resumes else None
-        if call.is_resumption and began is not None and began.origin:
-            call.origin = began.origin
+        if call.is_resumption:
+            call.origin = find_resumed_origin(headers.resumes, opened.charges)
         if call.is_stored:
             call.chain = opened.chain
             call.body = build_prompt(opened.chain, call.client_body)
@@ -196,6 +195,23 @@
         raise UnknownTurn(f"Turn {call.headers.previous_turn} does not exist.")
 
 
+def find_resumed_origin(
+    resumes: CallId | None, charges: dict[CallId, TokenCharge]
+) -> StreamOrigin | None:
+    """Returns the origin of a stream that a client takes up, if its program tells.
+
+    Args:
+        resumes: Attempt that brought the stream's first event, as the client names it. A
+            client need not name it; the stream is then one of its program's.
+        charges: Token charges of the program.
+    """
+    if resumes is not None:
+        began = charges.get(resumes)
+        return began.origin or None if began is not None else None
+    origins = {charge.origin for charge in charges.values() if charge.origin}
+    return next(iter(origins)) if len(origins) == 1 else None
+
+
 def _find_admission_class(call: CallContext, opened: OpenedTurn) -> AdmissionClass:
     """Returns the admission class of a turn, from its program's token charges."""
     others = [
--- a/packages/daemon/src/goldcrestvane_daemon/ledger/messages.py
+++ b/packages/daemon/src/goldcrestvane_daemon/ledger/messages.py
@@ -333,7 +333,7 @@
 
     Attributes:
         renewed: Turns that the member has, of partitions that it votes for.
-        missing: Turns that the member does not have.
+        missing: Turns of these partitions that the member does not have.
     """
 
     renewed: list[CallId]
--- a/packages/daemon/src/goldcrestvane_daemon/ledger/service.py
+++ b/packages/daemon/src/goldcrestvane_daemon/ledger/service.py
@@ -220,14 +220,15 @@
         if self._is_stale(request.stamp):
             # A new member may have copied the turns of this one during the write.
             return StaleView(self.view)
+        # Pending partitions are being copied from other members, with fresh retentions.
+        held = [
+            call
+            for call in request.calls
+            if self._votes_for(request.stamp, [get_partition(call)])
+        ]
         return TurnsRenewed(
-            renewed=[
-                call
-                for call in request.calls
-                if self._state.has_turn(call)
-                and self._votes_for(request.stamp, [get_partition(call)])
-            ],
-            missing=[call for call in request.calls if not self._state.has_turn(call)],
+            renewed=[call for call in held if self._state.has_turn(call)],
+            missing=[call for call in held if not self._state.has_turn(call)],
         )
 
     @handle.register
--- a/packages/daemon/tests/frontend/test_stream_versions.py
+++ b/packages/daemon/tests/frontend/test_stream_versions.py
@@ -14,6 +14,7 @@
 from goldcrestvane_common.transport import Transport
 from goldcrestvane_daemon.frontend.ledger_client import LedgerUnavailable
 from goldcrestvane_daemon.frontend.stream_origins import MAX_STREAM_SECONDS
+from goldcrestvane_daemon.ledger.messages import TokenCharge
 from goldcrestvane_daemon.platform.store import ObjectKind
 
 REST = build_stream([3, 4])
@@ -138,8 +139,9 @@
                 received += await stream.receive_some()
 
     async def resume(self, frontend, *, resumes="c1"):
+        headers = {} if resumes is None else {"Resumes": resumes}
         return await frontend.send_turn(
-            "/resume/x", call="c2", Last_Event_Id=2, Resumes=resumes
+            "/resume/x", call="c2", Last_Event_Id=2, **headers
         )
 
     def check_resumed(self, response):
@@ -259,17 +261,32 @@
         self.run_frontends(script, [WAITING], [REST_OF_C2] * 3)
 
     def test_recorded_stream_goes_on_after_a_restart_of_all_frontends(self):
+        """Also if the client does not name the attempt: the program had one version."""
+
         async def script(*frontends):
             first, _ = frontends
             await self.list_targets(frontends, [("v1", "ready"), ("v2", "draining")])
             await self.begin(first)
             await self.prefer(frontends, 1)
             restarted = await self.start_another(first)
-            for _ in range(3):
+            for _ in range(2):
                 self.check_resumed(await self.resume(restarted))
+                self.check_resumed(await self.resume(restarted, resumes=None))
             self.assertEqual(first.targets[1].requests, [])
 
-        self.run_frontends(script, [WAITING, *[REST_OF_C2] * 3], [REST_OF_C2] * 3)
+        self.run_frontends(script, [WAITING, *[REST_OF_C2] * 4], [REST_OF_C2] * 4)
+
+    def test_unnamed_stream_of_a_program_with_two_versions_is_not_resumed(self):
+        async def script(*frontends):
+            first, second = frontends
+            await self.list_targets(frontends, [("v1", "ready"), ("v2", "draining")])
+            await self.begin(first)
+            charges = first.ledger.charges["p1"]
+            charges["c0"] = TokenCharge("c0", 5, True, origin="s1 v2")
+            response = await self.resume(second, resumes=None)
+            self.assertEqual(response.status, 503)
+
+        self.run_frontends(script, [WAITING], [])
 
 
 if __name__ == "__main__":
