Check once a second whether a peer has connected again

Read as a newcomer: five wakeups a second and peer cost each idle frontend processor time, and a machine has three seconds until it is in touch. frontend.test_peers passed. Two comments say what they mean.

--- a/packages/daemon/src/goldcrestvane_daemon/frontend/chain_renewal.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/chain_renewal.py
@@ -51,7 +51,7 @@
         """Records that turns were written or renewed by requests sent at a time."""
         until = sent_at + retention_seconds + RENEWAL_INTERVAL_SECONDS
         for call in calls:
-            # Turns that were recorded last are last.
+            # Each turn is inserted again, so that the entries stay in the order of time.
             known = self._kept_until.pop(call, -math.inf)
             self._kept_until[call] = max(known, until)
 
@@ -117,7 +117,7 @@
 
     @property
     def unconfirmed(self) -> list[CallId]:
-        """Turns that no write quorum is known to keep for the retention."""
+        """Turns of which no write quorum has confirmed the renewal."""
         quorum = self._view.write_quorum
         return [call for call in self._turns if self._votes[call] < quorum]
 
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/peers.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/peers.py
@@ -46,7 +46,7 @@
 MAX_FETCHED_DEATHS = 1000
 """Maximum number of requests in a response about deaths, which has about 100 KB then."""
 
-RECONNECT_CHECK_SECONDS = 0.2
+RECONNECT_CHECK_SECONDS = 1.0
 """Time after which a frontend notices that a peer has connected again."""
 
 logger = get_logger("peers")
