Play members that come back with an empty disk beside kept chains

The random losses of the test of chains now also empty disks, which are filled from the other members, and check that no charge of a program is forgotten. frontend.test_chain_renewal: 11 passed.

--- a/packages/daemon/tests/frontend/test_chain_renewal.py
+++ b/packages/daemon/tests/frontend/test_chain_renewal.py
@@ -187,7 +187,10 @@
 
 
 class RandomLossTests(unittest.TestCase):
-    """Losses within the tolerated number, in series and overlapping, in any order."""
+    """Losses within the tolerated number, in series and overlapping, in any order.
+
+    Some members come back with an empty disk.
+    """
 
     def play(self, seed, names, tolerated_losses):
         rng = random.Random(seed)
@@ -204,6 +207,8 @@
                 previous = line[-1][0] if line else None
                 opened = await ledger.run_turn(f"c{step}", previous, frontend=name)
                 self.assertEqual(list_calls(opened), [c for c, _ in reversed(line)])
+                charged = {f"c{number}" for number in range(step + 1)}
+                self.assertEqual(set(opened.charges), charged)
                 line.append((f"c{step}", ledger.clock.current_time()))
                 await ledger.advance(rng.choice([0.0, 0.2, 1.0, 3.0, 12.0]))
 
@@ -211,7 +216,11 @@
 
     async def change_members(self, ledger, rng, down, tolerated_losses):
         while down and rng.random() < 0.5:
-            await ledger.start(down.pop(rng.randrange(len(down))))
+            name = down.pop(rng.randrange(len(down)))
+            if rng.random() < 0.3:
+                await ledger.replace_disk(name)
+            else:
+                await ledger.start(name)
         if len(down) < tolerated_losses and rng.random() < 0.6:
             up = [name for name in ledger.members if ledger.members[name].is_up]
             down.append(rng.choice(up))
--- a/packages/daemon/tests/ledger/direct_ledger.py
+++ b/packages/daemon/tests/ledger/direct_ledger.py
@@ -9,10 +9,12 @@
 from pathlib import Path
 from unittest import mock
 
+import msgspec
 import trio
 import trio.testing
 
 from goldcrestvane_daemon.frontend.ledger_client import LedgerClient
+from goldcrestvane_daemon.ledger.copying import PartitionCopier
 from goldcrestvane_daemon.ledger.frames import PeerConnection, PeerUnreachable
 from goldcrestvane_daemon.ledger.log import EntryLog
 from goldcrestvane_daemon.ledger.messages import (
@@ -67,6 +69,19 @@
         self.log.close()
 
 
+class DirectPeer:
+    """What one member needs of its connection to another one."""
+
+    def __init__(self, ledger, address):
+        self.ledger = ledger
+        self.address = address
+        self.connected = trio.Event()
+        self.connected.set()
+
+    async def call(self, request, *, timeout):
+        return await self.ledger.call(self.address, request)
+
+
 class DirectLedger:
     """The members and the clients of any number of frontends."""
 
@@ -121,6 +136,7 @@
         await self.members[name].stop()
 
     async def start(self, name):
+        """Starts a member that was down."""
         await self.members[name].start(self.nursery, self.view)
 
     async def lose_disk(self, name):
@@ -128,6 +144,29 @@
         await self.stop(name)
         shutil.rmtree(self.members[name].folder)
 
+    async def replace_disk(self, name):
+        """Starts a member that is down with an empty disk, which it fills from others."""
+        member = self.members[name]
+        shutil.rmtree(member.folder)
+        await member.start(self.nursery)
+        registration = msgspec.structs.replace(
+            self.view.find(name), disk=member.log.disk
+        )
+        self.view = self.view.replace(name, registration)
+        for each in self.members.values():
+            if each.is_up:
+                await each.service.adopt_durably(self.view)
+        copier = PartitionCopier(
+            name,
+            member.service,
+            member.state,
+            lambda address: DirectPeer(self, address),
+        )
+        await copier.copy_pending(self.view)
+        assert member.service.holdings.is_complete
+        member.service.holdings.synced = self.view
+        await member.log.write_synced_view(self.view)
+
     async def advance(self, seconds):
         """Lets time pass in steps in which the members drop what has expired."""
         while seconds > 0:
