Spare short programs the renewal of chains and late charges a second write

Cause: chains were renewed each 6 s, and programs with concurrent sub-agents looked all the time as if a member lacked charges, which were on their way; each such answer cost a second write at once, on the path of the turn.

Change: turns are stored for 15 s beyond their retention, so that a chain is renewed each 20 s; the margin of members stays. Missing charges are written 2 s later, once for all that were seen by then, beside the turn. Only reservations compare answers; what a settlement misses is seen by the next one.

Tests: frontend.test_chain_renewal (11) passed with the longer times; without the renewal ten checks fail, without the second write of charges one.

--- a/packages/daemon/src/goldcrestvane_daemon/frontend/chain_renewal.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/chain_renewal.py
@@ -29,9 +29,14 @@
 )
 from goldcrestvane_daemon.ledger.view import Member, View
 
-RENEWAL_INTERVAL_SECONDS = 6.0
-"""Time for which a renewed turn is not renewed again. It is shorter than the margin that
-members add to the retention, by the time that a response may take to end."""
+EXTRA_RETENTION_SECONDS = 15.0
+"""Time beyond its retention for which a turn is stored. The chains of programs that end
+within it need no renewal."""
+
+RENEWAL_INTERVAL_SECONDS = 20.0
+"""Time for which a stored or renewed turn is not renewed again. It is shorter than the
+extra retention and the margin of the members together, by the time that a response may
+take to end."""
 
 CallMember = Callable[[str, Any], Awaitable[Any]]
 
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/ledger_answers.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/ledger_answers.py
@@ -61,6 +61,8 @@
         for answer in answers
         if answer.votes and answer.account
     ]
+    if all(charges == known[0] for charges in known[1:]):
+        return []
     return [
         charge
         for charge in merge_charges(answers).values()
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/ledger_client.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/ledger_client.py
@@ -5,12 +5,17 @@
 from collections.abc import Callable, Sequence
 from typing import Any, final
 
+import msgspec
 import trio
 
 from goldcrestvane_common.ids import CallId, ProgramId
 from goldcrestvane_common.logs import get_logger
 from goldcrestvane_daemon.frontend import metrics
-from goldcrestvane_daemon.frontend.chain_renewal import ChainRenewal, RenewalTimes
+from goldcrestvane_daemon.frontend.chain_renewal import (
+    EXTRA_RETENTION_SECONDS,
+    ChainRenewal,
+    RenewalTimes,
+)
 from goldcrestvane_daemon.frontend.ledger_answers import (
     OpenedTurn,
     find_missing_charges,
@@ -69,6 +74,10 @@
 """Time for which a response that another frontend relayed shows that it relays. It covers
 an announcement that times out and the next one."""
 
+REPAIR_DELAY_SECONDS = 2.0
+"""Time after which charges that a member lacks are written again. Concurrent writes reach
+all members sooner."""
+
 MAX_VIEW_ATTEMPTS = 3
 TURN_CACHE_BYTES = 8 * 1024 * 1024
 """Size of a frontend's cache of turns. Turns that are not cached are read from the
@@ -103,6 +112,7 @@
         self._forward_backoff_until: dict[str, float] = {}
         self._cache = TurnCache(TURN_CACHE_BYTES)
         self._renewal_times = RenewalTimes()
+        self._missing_charges: dict[ProgramId, dict[CallId, TokenCharge]] = {}
         self._relayed_at: dict[str, float] = {}
         self.view: View | None = None
 
@@ -170,7 +180,9 @@
         """
         chain = self._cache.get_chain(previous)
         wanted = find_missing_turn(chain, previous)
-        answers = await self._write_account(account, return_chain_of=wanted)
+        entry = Entry(account=account)
+        answers = await self._write(account.program, entry, return_chain_of=wanted)
+        self._repair_account_later(account, answers)
         for written in answers:
             self._cache.put_all(written.chain)
             if written.chain and written.chain[0].call == wanted:
@@ -201,17 +213,20 @@
         """
         account = TokenAccount(program, [charge], retention)
         if turn is None:
-            await self._write_account(account)
+            await self._write(program, Entry(account=account))
             return
         await self._renew_chain(chain, retention)
+        turn = msgspec.structs.replace(
+            turn, retention_seconds=retention + EXTRA_RETENTION_SECONDS
+        )
         sent_at = trio.current_time()
         # A single entry suffices if the same group stores the account and the turn.
         groups = self._list_group(program), self._list_group(turn.call)
         if {m.instance for m in groups[0]} == {m.instance for m in groups[1]}:
-            await self._write_account(account, turn)
+            await self._write(turn.call, Entry(account=account, turn=turn))
         else:
             await self._write(turn.call, Entry(turn=turn))
-            await self._write_account(account)
+            await self._write(program, Entry(account=account))
         self._renewal_times.record([turn.call], retention, sent_at=sent_at)
         self._cache.put_all([turn])
 
@@ -230,7 +245,11 @@
                 raise LedgerUnavailable("No view of the ledger is known yet.")
             sent_at = trio.current_time()
             renewal = ChainRenewal(
-                view, due, retention, call_member=self.call, nursery=self._nursery
+                view,
+                due,
+                retention + EXTRA_RETENTION_SECONDS,
+                call_member=self.call,
+                nursery=self._nursery,
             )
             await renewal.run()
             if self._adopt_newest(renewal.answers):
@@ -250,34 +269,40 @@
     def _list_group(self, key: str) -> tuple[Member, ...]:
         return self.view.list_group(key) if self.view else ()
 
-    async def _write_account(
-        self,
-        account: TokenAccount,
-        turn: Turn | None = None,
-        return_chain_of: CallId | None = None,
-    ) -> list[Written]:
-        """Writes charges so that a quorum has all charges of the program afterwards.
+    def _repair_account_later(
+        self, account: TokenAccount, answers: list[Written]
+    ) -> None:
+        """Writes again the charges of a program that a member of the quorum lacks.
 
         A member lacks the charges that were written while it was down. Each write extends
         the retention of those that a member has, so the others must be made up for: when
-        a member drops an account, a quorum must still have all of it.
-
-        Args:
-            account: The charges.
-            turn: Turn to write with them; its group must be that of the account.
-            return_chain_of: Turn whose chain the answers include, if any.
-
-        Raises:
-            LedgerUnavailable: No quorum answered.
+        a member drops an account, a quorum must still have all of it. That is long after
+        now, so charges that are still on their way to a member get time to arrive.
         """
-        program = account.program
-        entry = Entry(account=account, turn=turn)
-        answers = await self._write(program, entry, return_chain_of=return_chain_of)
         missing = find_missing_charges(answers)
-        if missing:
-            rest = TokenAccount(program, missing, account.retention_seconds)
-            answers += await self._write(program, Entry(account=rest))
-        return answers
+        if not missing:
+            return
+        program = account.program
+        if program not in self._missing_charges:
+            self._missing_charges[program] = {}
+            self._nursery.start_soon(
+                self._repair_account, program, account.retention_seconds
+            )
+        self._missing_charges[program].update(
+            {charge.call: charge for charge in missing}
+        )
+
+    async def _repair_account(self, program: ProgramId, retention: float) -> None:
+        await trio.sleep(REPAIR_DELAY_SECONDS)
+        missing = list(self._missing_charges.pop(program).values())
+        account = TokenAccount(program, missing, retention)
+        try:
+            await self._write(program, Entry(account=account))
+        except LedgerUnavailable as error:
+            logger.warning(
+                "charges that a member lacks were not written again",
+                extra={"program": program, "reason": str(error)},
+            )
 
     async def _write(
         self, key: str, entry: Entry, return_chain_of: CallId | None = None
