Log and count events of targets that are out of order, and how a response was framed

No log line or metric compared the ids of events, and none named the framing of a response, so that the hypotheses H2 (a target repeats events) and H3 (a cut that looks like an end) could not be told apart.

Change: EventSequence compares ids, which increase and need not be consecutive (PROTOCOL). 'call: an event is out of order' and goldcrestvane_disordered_events name a repeat or a step back; 'call: call ended' has resumed_after, last_event, event_gaps and framed. No logic changes.

--- a/packages/daemon/src/goldcrestvane_daemon/frontend/attempts.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/attempts.py
@@ -14,7 +14,10 @@
 from goldcrestvane_daemon.frontend.crash_tracker import CrashTracker, build_fingerprint
 from goldcrestvane_daemon.frontend.event_reader import EventReader, compute_patience
 from goldcrestvane_daemon.frontend.memory_budget import MemoryBudget
-from goldcrestvane_daemon.frontend.metrics import FIRST_EVENT_SECONDS
+from goldcrestvane_daemon.frontend.metrics import (
+    DISORDERED_EVENTS,
+    FIRST_EVENT_SECONDS,
+)
 from goldcrestvane_daemon.frontend.peers import FrontendPeers
 from goldcrestvane_daemon.frontend.queue import ServiceQueue
 from goldcrestvane_daemon.frontend.rate_limits import TargetRateLimits
@@ -209,6 +212,7 @@
             body: bytes | None = None
             with _create_lookup_timeout(call) as timeout:
                 head = await self._send(call, target, request)
+                call.is_framed = request.is_framed
                 queue.update_load(target, head.load)
                 if not _is_stream(call, head):
                     body = await request.read_body()
@@ -300,6 +304,18 @@
             },
         )
 
+    def _record_disorder(self, call: CallContext, number: int | None) -> None:
+        DISORDERED_EVENTS.inc()
+        logger.warning(
+            "an event is out of order",
+            extra={
+                "call": call.headers.call,
+                "target": call.target,
+                "event": number,
+                "last_event": call.sequence.last,
+            },
+        )
+
     async def _forward_stream(
         self,
         connection: ServerConnection,
@@ -336,6 +352,8 @@
                 await connection.start_response(200, headers)
             for event in events:
                 call.events += 1
+                if not call.sequence.advance(event.number):
+                    self._record_disorder(call, event.number)
                 call.last_event = event.number or call.last_event
                 if call.route.stores_turns:
                     await request.hold(len(event.data))
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/call_context.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/call_context.py
@@ -15,6 +15,7 @@
 from goldcrestvane_daemon.accounts.directory import ClientAccount, KeyDigest
 from goldcrestvane_daemon.frontend.admission import AdmissionClass, get_admission_class
 from goldcrestvane_daemon.frontend.affinity import Affinity, build_affinity
+from goldcrestvane_daemon.frontend.event_sequence import EventSequence
 from goldcrestvane_daemon.frontend.refusals import (
     InvalidCall,
     NoTarget,
@@ -49,6 +50,9 @@
         tokens_per_event: Tokens that are charged for each event.
         events: Number of events that were forwarded to the client.
         last_event: Id of the last forwarded event, or the id that the client sent.
+        sequence: Order of the forwarded events.
+        is_framed: Whether the last response of a target had a length or chunks; None
+            before the first one.
         output: Data of the forwarded events, for a turn that is stored.
         attempted_targets: Targets that may have run the call.
         departed_targets: Attempted targets that have died or left since.
@@ -87,6 +91,8 @@
     tokens_per_event: int = 1
     events: int = 0
     last_event: int | None = None
+    sequence: EventSequence = msgspec.field(default_factory=EventSequence)
+    is_framed: bool | None = None
     output: bytearray = msgspec.field(default_factory=bytearray)
     attempted_targets: list[InstanceId] = msgspec.field(default_factory=list)
     departed_targets: set[InstanceId] = msgspec.field(default_factory=set)
@@ -237,6 +243,7 @@
             program_ms_left=headers.program_deadline_ms,
         ),
         last_event=headers.last_event,
+        sequence=EventSequence(headers.last_event),
     )
 
 
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/call_log.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/call_log.py
@@ -72,6 +72,10 @@
             "outcome": outcome,
             "targets": call.attempted_targets,
             "events": call.events,
+            "resumed_after": call.headers.last_event,
+            "last_event": call.last_event,
+            "event_gaps": call.sequence.gaps,
+            "framed": call.is_framed,
             "ms": round(seconds * 1000, 1),
         },
     )
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/metrics.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/metrics.py
@@ -36,6 +36,10 @@
 ATTEMPTS = Counter(
     "goldcrestvane_attempts", "Attempts at targets, by what became of them", ["result"]
 )
+DISORDERED_EVENTS = Counter(
+    "goldcrestvane_disordered_events",
+    "Events of targets whose id is not greater than that of the event before them",
+)
 RATE_LIMITED_TARGETS = Gauge(
     "goldcrestvane_rate_limited_targets",
     "Targets that state in their responses how many calls per second they take",
