End an attempt at a target whose events repeat or go back

Cause: the frontend forwarded events without comparing their ids. Class: input of an outside system that is passed on without checking what its protocol promises.

Change: EventReader compares ids; one that is not greater than the last is a failure of the target. The events before it are forwarded. A stream that may be resumed goes on at another target after the last event in order; any other is cut off and not stored. Repeats are not dropped: what follows them is no continuation of what the client has. Gaps are allowed, since PROTOCOL demands increasing ids only. 'call: a target failed' names both ids; it takes the place of the log line 'an event is out of order'.

Evidence: frontend.test_event_order failed before (5 failures in 3 tests), for instance AssertionError: b'id: 2 ... id: 3 ...' != b'id: 3 ... id: 4 ...'. Measured: the frontend's tests of calls, streams and events pass.

--- a/packages/daemon/src/goldcrestvane_daemon/frontend/attempts.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/attempts.py
@@ -14,10 +14,7 @@
 from goldcrestvane_daemon.frontend.crash_tracker import CrashTracker, build_fingerprint
 from goldcrestvane_daemon.frontend.event_reader import EventReader, compute_patience
 from goldcrestvane_daemon.frontend.memory_budget import MemoryBudget
-from goldcrestvane_daemon.frontend.metrics import (
-    DISORDERED_EVENTS,
-    FIRST_EVENT_SECONDS,
-)
+from goldcrestvane_daemon.frontend.metrics import FIRST_EVENT_SECONDS
 from goldcrestvane_daemon.frontend.peers import FrontendPeers
 from goldcrestvane_daemon.frontend.queue import ServiceQueue
 from goldcrestvane_daemon.frontend.rate_limits import TargetRateLimits
@@ -304,18 +301,6 @@
             },
         )
 
-    def _record_disorder(self, call: CallContext, number: int | None) -> None:
-        DISORDERED_EVENTS.inc()
-        logger.warning(
-            "an event is out of order",
-            extra={
-                "call": call.headers.call,
-                "target": call.target,
-                "event": number,
-                "last_event": call.sequence.last,
-            },
-        )
-
     async def _forward_stream(
         self,
         connection: ServerConnection,
@@ -337,6 +322,7 @@
             request,
             patience_seconds=compute_patience(call.route),
             has_events=call.events > 0,
+            sequence=call.sequence,
         )
         events_before = call.events
         first_at = 0.0
@@ -352,8 +338,6 @@
                 await connection.start_response(200, headers)
             for event in events:
                 call.events += 1
-                if not call.sequence.advance(event.number):
-                    self._record_disorder(call, event.number)
                 call.last_event = event.number or call.last_event
                 if call.route.stores_turns:
                     await request.hold(len(event.data))
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/event_reader.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/event_reader.py
@@ -5,11 +5,13 @@
 
 import trio
 
+from goldcrestvane_daemon.frontend.event_sequence import EventSequence
 from goldcrestvane_daemon.frontend.events import (
     EventSplitter,
     EventTooLong,
     StreamEvent,
 )
+from goldcrestvane_daemon.frontend.metrics import DISORDERED_EVENTS
 from goldcrestvane_daemon.frontend.refusals import StreamStalled
 from goldcrestvane_daemon.frontend.upstream import TargetFailed, TargetRequest
 from goldcrestvane_daemon.routes import Route
@@ -51,7 +53,12 @@
     """
 
     def __init__(
-        self, request: TargetRequest, *, patience_seconds: float, has_events: bool
+        self,
+        request: TargetRequest,
+        *,
+        patience_seconds: float,
+        has_events: bool,
+        sequence: EventSequence,
     ) -> None:
         """Creates a reader.
 
@@ -59,12 +66,16 @@
             request: Request at the target.
             patience_seconds: Seconds without an event after which the client has left.
             has_events: Whether the client already has events of the stream.
+            sequence: Order of the events that the client has. The events that are read
+                are added.
         """
         self._request = request
         self._chunks = request.read_chunks()
         self._splitter = EventSplitter()
         self._max_wait = patience_seconds + STALL_MARGIN_SECONDS
         self._has_events = has_events
+        self._sequence = sequence
+        self._failure: TargetFailed | None = None
         self._has_read = False
         self._waited = 0.0
         self._read_at = trio.current_time()
@@ -74,8 +85,8 @@
         """Returns the next events; None at the end of the stream.
 
         Raises:
-            TargetFailed: The response is invalid, or it ended in the middle of an event
-                or without any.
+            TargetFailed: The response is invalid, an event is out of order, or the
+                response ended in the middle of an event or without any.
             StreamStalled: No event arrived for longer than the client waits.
         """
         began = trio.current_time()
@@ -101,6 +112,8 @@
         raise StreamStalled(f"The target sent no event for {self._max_wait} s.")
 
     async def _read_events(self) -> list[StreamEvent] | None:
+        if self._failure is not None:
+            raise self._failure
         while (chunk := await anext(self._chunks, None)) is not None:
             try:
                 events = self._splitter.feed(chunk)
@@ -108,7 +121,7 @@
                 raise TargetFailed(str(error)) from error
             if events:
                 self._has_read = True
-                return events
+                return self._take_in_order(events)
         if self._splitter.remainder:
             raise TargetFailed("The stream ended in the middle of an event.")
         if not self._has_read and not self._request.is_framed:
@@ -117,6 +130,26 @@
             )
         return None
 
+    def _take_in_order(self, events: list[StreamEvent]) -> list[StreamEvent]:
+        """Returns the events before the first one that is out of order.
+
+        Raises:
+            TargetFailed: There is no such event. The next call to `read` raises it
+                otherwise.
+        """
+        for index, event in enumerate(events):
+            last = self._sequence.last
+            if self._sequence.advance(event.number):
+                continue
+            DISORDERED_EVENTS.inc()
+            self._failure = TargetFailed(
+                f"Got event {event.number} after event {last}, expected a greater id."
+            )
+            if index == 0:
+                raise self._failure
+            return events[:index]
+        return events
+
 
 def _is_progress(event: StreamEvent) -> bool:
     """Returns whether an event is more than a comment."""
