Test that event 0 is not sent again after a resumption (fails)

What callers see: a stream whose ids begin at 0 and that breaks off after its first event begins again at the next target; the answer has event 0 twice, or is cut off there.

Evidence: AssertionError: Lists differ: [b'', b''] != [b'', b'0'] (the Last-Event-Id of the two requests).

--- a/packages/daemon/tests/frontend/test_event_order.py
+++ b/packages/daemon/tests/frontend/test_event_order.py
@@ -46,6 +46,14 @@
 
         self.run_streams(script, [b"".join(build_stream([2, 3]))], build_stream([3, 4]))
 
+    def test_event_zero_is_not_sent_again_after_a_resumption(self):
+        async def script(frontend):
+            response = await frontend.send_turn("/resume/x")
+            self.assertEqual(response.body, build_events([0, 1, 2]))
+            self.assertEqual(sorted(self.list_positions(frontend)), [b"", b"0"])
+
+        self.run_streams(script, build_stream([0], end=False), build_stream([1, 2]))
+
     def test_stream_that_goes_back_is_cut_off_and_not_stored(self):
         async def script(frontend):
             response = await frontend.send_turn("/kept/x")
