Resume a stream after its event 0

Cause: 'event.number or call.last_event' took the id 0 for no id. Class: a valid value that is taken for absence.

Change: the call's EventSequence is the only place that has the last id.

Evidence: test_event_zero_is_not_sent_again_after_a_resumption failed before: Lists differ: [b'', b''] != [b'', b'0']. Measured: frontend.test_event_order, test_calls, test_unframed_responses and test_stream_versions, 63 tests, pass.

--- a/packages/daemon/src/goldcrestvane_daemon/frontend/attempts.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/attempts.py
@@ -338,7 +338,6 @@
                 await connection.start_response(200, headers)
             for event in events:
                 call.events += 1
-                call.last_event = event.number or call.last_event
                 if call.route.stores_turns:
                     await request.hold(len(event.data))
                     call.output += event.data + b"\n"
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/call_context.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/call_context.py
@@ -49,8 +49,7 @@
         body: Body of the request to the target.
         tokens_per_event: Tokens that are charged for each event.
         events: Number of events that were forwarded to the client.
-        last_event: Id of the last forwarded event, or the id that the client sent.
-        sequence: Order of the forwarded events.
+        sequence: Order of the events that the client has.
         is_framed: Whether the last response of a target had a length or chunks; None
             before the first one.
         output: Data of the forwarded events, for a turn that is stored.
@@ -90,7 +89,6 @@
     account: ClientAccount | None = None
     tokens_per_event: int = 1
     events: int = 0
-    last_event: int | None = None
     sequence: EventSequence = msgspec.field(default_factory=EventSequence)
     is_framed: bool | None = None
     output: bytearray = msgspec.field(default_factory=bytearray)
@@ -154,6 +152,11 @@
             self.route.kind is CallKind.STREAM and self.headers.last_event is not None
         )
 
+    @property
+    def last_event(self) -> int | None:
+        """Id of the last forwarded event, or the id that the client sent."""
+        return self.sequence.last
+
     @property
     def records_origin(self) -> bool:
         """Whether the ledger stores the stream's origin, so that it can be resumed."""
@@ -242,7 +245,6 @@
             refused_before=False,
             program_ms_left=headers.program_deadline_ms,
         ),
-        last_event=headers.last_event,
         sequence=EventSequence(headers.last_event),
     )
 
