Test that an event without an id is not sent again (fails)

What callers see: a stream that breaks off after an event without an id goes on after the last event that has one, so that the event comes twice.

Evidence: AssertionError, the body has events 1, d, 2, 3 instead of 1, d and a cut.

--- a/packages/daemon/tests/frontend/test_event_order.py
+++ b/packages/daemon/tests/frontend/test_event_order.py
@@ -4,6 +4,8 @@
 from frontend.support import ScriptedTarget, SharedScript
 from goldcrestvane_daemon.frontend.stream_origins import MAX_STREAM_SECONDS
 
+UNNUMBERED = b"data: d\n\n"
+
 
 class EventOrderTests(FrontendCase):
     """The ids of the events that a client receives increase."""
@@ -54,6 +56,19 @@
 
         self.run_streams(script, build_stream([0], end=False), build_stream([1, 2]))
 
+    def test_stream_is_not_begun_again_after_an_event_without_an_id(self):
+        """No target can tell where such a stream goes on."""
+
+        async def script(frontend):
+            response = await frontend.send_turn("/resume/x")
+            self.assertEqual(response.body, build_events([1]) + UNNUMBERED)
+            self.assertFalse(response.whole)
+            self.assertEqual(len(frontend.requests), 1)
+
+        head = build_stream([1], end=False)[:-1]
+        chunk = b"%x\r\n%s\r\n" % (len(UNNUMBERED), UNNUMBERED)
+        self.run_streams(script, [*head, chunk, None], build_stream([2, 3]))
+
     def test_stream_that_goes_back_is_cut_off_and_not_stored(self):
         async def script(frontend):
             response = await frontend.send_turn("/kept/x")
