Cut off a stream that breaks off after an event without an id

Cause: a stream went on after the last event that had an id, though the client had got more. Class as before: a missing value that is replaced by an older one.

Change: EventSequence knows whether the last event has an id; only then may another target go on. Comments don't count as events.

Evidence: test_stream_is_not_begun_again_after_an_event_without_an_id failed before with the body 1, d, 2, 3 instead of 1, d and a cut. Measured: seven modules of the frontend's tests, 84 tests, pass.

--- a/packages/daemon/src/goldcrestvane_daemon/frontend/event_reader.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/event_reader.py
@@ -139,7 +139,7 @@
         """
         for index, event in enumerate(events):
             last = self._sequence.last
-            if self._sequence.advance(event.number):
+            if not _is_progress(event) or self._sequence.advance(event.number):
                 continue
             DISORDERED_EVENTS.inc()
             self._failure = TargetFailed(
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/event_sequence.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/event_sequence.py
@@ -11,6 +11,7 @@
 
     Attributes:
         last: Id of the last event in order; None before the first one.
+        ends_with_id: Whether the last event has an id, so that the stream can go on after it.
         gaps: Number of events in order whose id is not the next integer.
     """
 
@@ -21,6 +22,7 @@
             last: Id of the last event that the client has; None if it has none.
         """
         self.last = last
+        self.ends_with_id = True
         self.gaps = 0
 
     def advance(self, number: int | None) -> bool:
@@ -30,10 +32,12 @@
             number: Id of the event; None if it has no numeric id.
         """
         if number is None:
+            self.ends_with_id = False
             return True
         if self.last is not None:
             if number <= self.last:
                 return False
             self.gaps += number > self.last + 1
         self.last = number
+        self.ends_with_id = True
         return True
