--- a/packages/daemon/src/goldcrestvane_daemon/frontend/attempts.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/attempts.py
@@ -209,6 +209,7 @@
             body: bytes | None = None
             with _create_lookup_timeout(call) as timeout:
                 head = await self._send(call, target, request)
+                call.is_framed = request.is_framed
                 queue.update_load(target, head.load)
                 if not _is_stream(call, head):
                     body = await request.read_body()
@@ -321,6 +322,7 @@
             request,
             patience_seconds=compute_patience(call.route),
             has_events=call.events > 0,
+            sequence=call.sequence,
         )
         events_before = call.events
         first_at = 0.0
@@ -336,7 +338,6 @@
                 await connection.start_response(200, headers)
             for event in events:
                 call.events += 1
-                call.last_event = event.number or call.last_event
                 if call.route.stores_turns:
                     await request.hold(len(event.data))
                     call.output += event.data + b"\n"
