Show that a number in a client's header ends a frontend

The task that sends its reservation to a member raises OverflowError in the nursery of the process, so the frontend ends with all its calls. Provoked from outside, by one request.

Output: OverflowError: can't serialize ints < -2**63 or > 2**64 - 1

--- a/packages/daemon/tests/frontend/test_clients.py
+++ b/packages/daemon/tests/frontend/test_clients.py
@@ -48,6 +48,26 @@
 
         self.run_frontend(script, [[build_response(b"ok")]] * 2)
 
+    def test_number_that_no_process_can_encode_is_refused(self):
+        """Guards against a number that ends the frontend in its request to the ledger."""
+
+        numbers = (
+            ("Goldcrestvane-Token-Usage", "10,18446744073709551616"),
+            ("Goldcrestvane-Token-Usage", "18446744073709551616,10"),
+            ("Goldcrestvane-Token-Usage", "10,-1"),
+            ("Goldcrestvane-Token-Budget", "18446744073709551616"),
+            ("Goldcrestvane-Program-Deadline-Ms", "nan"),
+        )
+
+        async def script(frontend):
+            statuses = [
+                (await frontend.send_turn(**{name.replace("-", "_"): value})).status
+                for name, value in numbers
+            ]
+            self.assertEqual(statuses, [400] * len(numbers))
+
+        self.run_frontend(script, [[build_response(b"ok")]] * len(numbers))
+
     def test_malformed_key_is_not_logged(self):
         """Guards against error texts of the HTTP parser, which quote the header."""
 
