Refuse numbers of tokens that no message can hold

What callers saw: after one turn with a token count above 64 bits, the frontend ended with all its calls. Negative counts lowered what a program had committed, and a program deadline that is not a number was taken.

Cause: the counts of Goldcrestvane-Token-Usage and Goldcrestvane-Token-Budget were decoded without a range. MessagePack holds 64 bits, so the first message to a member of the ledger raised OverflowError.

Change: they are 0 to 10^12, and the deadline is finite; other values are answered with 400, which is final.

Evidence: before, [402, 502, 502, 502, 502] != [400, 400, 400, 400, 400]; now it passes, with frontend.test_clients and platform_.test_headers (21 tests).

That one request can end a process at all is another fault, which stays listed.

--- a/packages/daemon/src/goldcrestvane_daemon/platform/headers.py
+++ b/packages/daemon/src/goldcrestvane_daemon/platform/headers.py
@@ -14,6 +14,10 @@
 
 Value = TypeVar("Value")
 
+MAX_TOKENS = 10**12
+"""Limit on the numbers of tokens that a client states. Sums of many of them still fit into
+the 64 bits of a number in a message."""
+
 CALL_ID = b"goldcrestvane-request-id"
 DEADLINE = b"goldcrestvane-deadline-ms"
 EXPECTED_INSTANCE = b"goldcrestvane-expected-instance"
@@ -136,22 +140,22 @@
             continue
         if name not in _SYSTEM_HEADERS:
             forwarded.append((name, value))
-    usage = (values.get(TOKEN_USAGE) or "0,0").split(",")
+    usage = [_read_tokens(v) for v in (values.get(TOKEN_USAGE) or "0,0").split(",")[:2]]
     return CallHeaders(
         host=values.get(b"host", "").partition(":")[0].lower(),
         call=_convert(values, CALL_ID, CallId),
         deadline_ms=_convert(values, DEADLINE, _read_milliseconds),
         program=_convert(values, PROGRAM, ProgramId),
         session=values.get(SESSION),
-        program_deadline_ms=_convert(values, PROGRAM_DEADLINE, float),
-        token_budget=_convert(values, TOKEN_BUDGET, int),
-        prompt_tokens=int(usage[0]),
-        output_tokens=int(usage[1]) if len(usage) > 1 else 0,
+        program_deadline_ms=_convert(values, PROGRAM_DEADLINE, _read_finite),
+        token_budget=_convert(values, TOKEN_BUDGET, _read_tokens),
+        prompt_tokens=usage[0],
+        output_tokens=usage[1] if len(usage) > 1 else 0,
         previous_turn=_convert(values, PREVIOUS_TURN, CallId),
         last_event=_convert(values, LAST_EVENT_ID, int),
         resumes=_convert(values, RESUMES, CallId),
         affinity=_find_cookie(values.get(b"cookie", "")),
-        prompt=_read_prompt(values.get(PROMPT_PREFIX, ""), int(usage[0])),
+        prompt=_read_prompt(values.get(PROMPT_PREFIX, ""), usage[0]),
         key_digest=_read_key_digest(values.get(AUTHORIZATION, "")),
         forwarded=forwarded,
     )
@@ -171,6 +175,20 @@
     return value
 
 
+def _read_finite(text: str) -> float:
+    value = float(text)
+    if not math.isfinite(value):
+        raise ValueError(f"got {text!r}, expected a finite number")
+    return value
+
+
+def _read_tokens(text: str) -> int:
+    tokens = int(text)
+    if not 0 <= tokens <= MAX_TOKENS:
+        raise ValueError(f"got {tokens} tokens, expected 0 to {MAX_TOKENS}")
+    return tokens
+
+
 def _read_prompt(prefix: str, tokens: int) -> Prompt | None:
     """Returns a prompt from `ID:TOKENS,ID:TOKENS,...`; None if it is empty or invalid.
 
