Contain an unexpected error of a request to a member

What callers saw: one turn with a number that no message can hold ended the frontend and all its calls.

Cause: the requests to the members of a quorum run in the nursery of the process, since they outlast the call. Only PeerUnreachable was caught; any other error ended all tasks. A waiter of the quorum would have hung, had the error been swallowed: the count of running requests was lowered only without an error.

--- a/packages/daemon/src/goldcrestvane_daemon/frontend/chain_renewal.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/chain_renewal.py
@@ -28,6 +28,7 @@
     get_stamp,
 )
 from goldcrestvane_daemon.ledger.view import Member, View
+from goldcrestvane_daemon.tasks import Task, run_supervised
 
 EXTRA_RETENTION_SECONDS = 15.0
 """Time beyond its retention for which a turn is stored. The chains of programs that end
@@ -137,7 +138,9 @@
                 calls_by_member.setdefault(member, []).append(call)
         self._running = len(calls_by_member)
         for member, calls in calls_by_member.items():
-            self._nursery.start_soon(self._renew_at, member, calls)
+            self._nursery.start_soon(
+                run_supervised, Task.PEER_CALL, self._renew_at, member, calls
+            )
         while self._running and self.unconfirmed:
             await self._changed.wait()
             self._changed = trio.Event()
--- a/packages/daemon/src/goldcrestvane_daemon/ledger/quorum.py
+++ b/packages/daemon/src/goldcrestvane_daemon/ledger/quorum.py
@@ -7,6 +7,7 @@
 
 from goldcrestvane_common.logs import get_logger
 from goldcrestvane_daemon.ledger.frames import PeerUnreachable
+from goldcrestvane_daemon.tasks import Task, run_supervised
 
 logger = get_logger("ledger")
 
@@ -38,11 +39,12 @@
             responses.append(await call())
         except PeerUnreachable as error:
             logger.debug("a member does not respond", extra={"reason": str(error)})
-        pending_count -= 1
-        changed.set()
+        finally:
+            pending_count -= 1
+            changed.set()
 
     for call in calls:
-        nursery.start_soon(run_call, call)
+        nursery.start_soon(run_supervised, Task.PEER_CALL, run_call, call)
     while pending_count:
         await changed.wait()
         changed = trio.Event()
