--- a/packages/daemon/tests/frontend/test_clients.py
+++ b/packages/daemon/tests/frontend/test_clients.py
@@ -68,6 +68,22 @@
 
         self.run_frontend(script, [[build_response(b"ok")]] * len(numbers))
 
+    def test_head_request_is_refused_by_the_rules_of_http(self):
+        """Guards against a connection that is cut off since HEAD allows no body."""
+
+        async def script(frontend):
+            request = b"HEAD /none/x HTTP/1.1\r\nHost: shop.example\r\n\r\n"
+            stream = await trio.open_tcp_stream(HOST, frontend.port)
+            async with stream:
+                await stream.send_all(request + request)
+                await stream.send_eof()
+                received = b"".join([part async for part in stream])
+            self.assertEqual(received.count(b"HTTP/1.1 404"), 2)
+            self.assertEqual(received.count(b"content-length: "), 2)
+            self.assertNotIn(b"{", received)
+
+        self.run_frontend(script)
+
     def test_malformed_key_is_not_logged(self):
         """Guards against error texts of the HTTP parser, which quote the header."""
 
--- a/packages/daemon/tests/frontend/test_peers.py
+++ b/packages/daemon/tests/frontend/test_peers.py
@@ -1,3 +1,4 @@
+import random
 import unittest
 from collections import Counter
 from unittest import mock
@@ -5,8 +6,16 @@
 import trio
 import trio.testing
 
+from goldcrestvane_daemon.frontend.copy_bounds import CopyBounds
 from goldcrestvane_daemon.frontend.crash_tracker import CrashTracker
+from goldcrestvane_daemon.frontend.object_cache import ObjectCache
+from goldcrestvane_daemon.frontend.peer_messages import (
+    FetchObjects,
+    FrontendResponse,
+    ObjectsCopy,
+)
 from goldcrestvane_daemon.frontend.peers import MAX_PEERS, FrontendPeers
+from goldcrestvane_daemon.ledger.frames import PeerConnection
 from goldcrestvane_daemon.ledger.messages import Frontend
 from goldcrestvane_daemon.platform.store import ObjectKind
 
@@ -61,6 +70,38 @@
         trio.run(main)
 
 
+class ForeignRequestTests(unittest.TestCase):
+    """Requests that no frontend of this version sends."""
+
+    def test_request_for_a_kind_without_a_copy_does_not_end_the_frontend(self):
+        async def main():
+            cache = ObjectCache(
+                store=mock.Mock(),
+                targets=mock.Mock(),
+                ledger=mock.Mock(),
+                frontends=mock.Mock(),
+                bounds=CopyBounds(),
+                rng=random.Random(1),
+                on_change=mock.Mock(),
+            )
+            async with trio.open_nursery() as nursery:
+                peers = FrontendPeers("local", CrashTracker(), nursery)
+                peers.set_handlers(mock.AsyncMock(), cache.get_copy)
+                listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+                address = f"127.0.0.1:{listeners[0].socket.getsockname()[1]}"
+                nursery.start_soon(trio.serve_listeners, peers.serve, listeners)
+                peer = PeerConnection(address, FrontendResponse)
+                nursery.start_soon(peer.run)
+                with trio.fail_after(60):
+                    await peer.connected.wait()
+                    for kind in ("retirements", "another"):
+                        answer = await peer.call(FetchObjects(kind, 0), timeout=60)
+                        self.assertEqual(answer, ObjectsCopy(None))
+                nursery.cancel_scope.cancel()
+
+        trio.run(main)
+
+
 class SharedDeathsTests(unittest.TestCase):
     """Deaths that frontends tell each other, over loopback."""
 
--- a/packages/daemon/tests/ledger/test_frames.py
+++ b/packages/daemon/tests/ledger/test_frames.py
@@ -4,6 +4,7 @@
 import trio.testing
 
 from goldcrestvane_daemon.ledger.frames import (
+    LENGTH,
     MAX_REQUESTS_PER_CONNECTION,
     FrameReader,
     PeerConnection,
@@ -15,8 +16,10 @@
 from goldcrestvane_daemon.ledger.messages import (
     Failed,
     GetMemberState,
+    ReadChain,
     Request,
     Response,
+    ViewStamp,
 )
 
 TIMEOUT_SECONDS = 60.0
@@ -98,6 +101,66 @@
         await trio.lowlevel.checkpoint()
 
 
+class FailedRequestTests(unittest.TestCase):
+    """Unexpected errors in one of several processes' requests, over loopback."""
+
+    def run_script(self, script, handle):
+        async def main():
+            async with trio.open_nursery() as nursery:
+                listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+                address = f"127.0.0.1:{listeners[0].socket.getsockname()[1]}"
+
+                async def serve(stream):
+                    await serve_frames(stream, Request, handle)
+
+                nursery.start_soon(trio.serve_listeners, serve, listeners)
+                peer = PeerConnection(address, Response)
+                nursery.start_soon(peer.run)
+                with trio.fail_after(TIMEOUT_SECONDS):
+                    await peer.connected.wait()
+                    await script(peer)
+                nursery.cancel_scope.cancel()
+
+        trio.run(main)
+
+    def test_request_whose_handler_fails_is_answered_and_the_others_too(self):
+        """Guards against one request that ends each member that it is sent to."""
+
+        async def handle(request):
+            await trio.lowlevel.checkpoint()
+            if isinstance(request, ReadChain):
+                raise RuntimeError("unforeseen")
+            return Failed("answered")
+
+        async def script(peer):
+            stamp = ViewStamp(1, 0)
+            answers = [
+                await peer.call(request, timeout=TIMEOUT_SECONDS)
+                for request in (ReadChain(stamp, "c1"), GetMemberState())
+            ]
+            self.assertEqual(answers, [Failed("error"), Failed("answered")])
+
+        self.run_script(script, handle)
+
+    def test_deeply_nested_frame_closes_only_its_connection(self):
+        """Guards against a frame that ends the process by RecursionError."""
+
+        async def handle(_):
+            await trio.lowlevel.checkpoint()
+            return Failed("answered")
+
+        async def script(peer):
+            body = b"\x92\x01\x92\xa5state" + b"\x91" * 5000 + b"\xc0"
+            host, _, port = peer.address.partition(":")
+            async with await trio.open_tcp_stream(host, int(port)) as stream:
+                await stream.send_all(LENGTH.pack(len(body)) + body)
+                self.assertEqual(await stream.receive_some(), b"")
+            answer = await peer.call(GetMemberState(), timeout=TIMEOUT_SECONDS)
+            self.assertEqual(answer, Failed("answered"))
+
+        self.run_script(script, handle)
+
+
 class UnreadPeerTests(unittest.TestCase):
     def test_requests_are_not_read_while_their_responses_are_not_taken(self):
         """Guards against memory for the responses of a peer that does not read."""
