Answer HEAD without a body

What callers saw: a HEAD request that the frontend answers itself (an unknown route, a refusal) was cut off, with an error in the log each time. The metrics answered no HEAD request either.

Cause: respond() sends the body for every method; h11 raises LocalProtocolError.

Change: for HEAD, the length is sent without the body (RFC 9110, section 9.3.2). Where the body of a target is not known, no length is sent in place of a wrong 0.

Evidence: the test failed before (LocalProtocolError: Too much data for declared Content-Length; its first form half-closed the connection, which ends it by our rules, and is replaced by one that reads both answers), and passes with frontend.test_clients.

--- a/packages/daemon/src/goldcrestvane_daemon/http1.py
+++ b/packages/daemon/src/goldcrestvane_daemon/http1.py
@@ -105,6 +105,7 @@
         )
         self._eof_received = False
         self._declared_length = 0
+        self._is_head = False
 
     @property
     def is_reusable(self) -> bool:
@@ -143,6 +144,7 @@
                 "The request has both a length and a transfer encoding; send one of them."
             )
         self._declared_length = _get_content_length(event)
+        self._is_head = event.method == b"HEAD"
         return RequestHead(event.method, event.target, list(event.headers))
 
     async def read_body(
@@ -191,12 +193,18 @@
         self._parser.start_next_cycle()
 
     async def respond(self, status: int, headers: Headers, body: bytes = b"") -> None:
-        """Sends a complete response."""
-        length = (b"content-length", b"%d" % len(body))
+        """Sends a complete response.
+
+        The response to HEAD has the length of the body but not the body. If the length
+        is unknown, it has none.
+        """
+        headers = list(headers)
+        if body or not self._is_head:
+            headers.append((b"content-length", b"%d" % len(body)))
+        if self._is_head:
+            body = b""
         parts = [
-            self._parser.send(
-                h11.Response(status_code=status, headers=[*headers, length])
-            ),
+            self._parser.send(h11.Response(status_code=status, headers=headers)),
             self._parser.send(h11.Data(data=body)) if body else b"",
             self._parser.send(h11.EndOfMessage()),
         ]
--- a/packages/daemon/tests/frontend/test_clients.py
+++ b/packages/daemon/tests/frontend/test_clients.py
@@ -72,11 +72,12 @@
         """Guards against a connection that is cut off since HEAD allows no body."""
 
         async def script(frontend):
-            request = b"HEAD /none/x HTTP/1.1\r\nHost: shop.example\r\n\r\n"
+            head = b"HEAD /none/x HTTP/1.1\r\nHost: shop.example\r\n"
             stream = await trio.open_tcp_stream(HOST, frontend.port)
             async with stream:
-                await stream.send_all(request + request)
-                await stream.send_eof()
+                await stream.send_all(
+                    head + b"\r\n" + head + b"Connection: close\r\n\r\n"
+                )
                 received = b"".join([part async for part in stream])
             self.assertEqual(received.count(b"HTTP/1.1 404"), 2)
             self.assertEqual(received.count(b"content-length: "), 2)
