Answer a frontend that asks for a kind without a copy

What callers saw: nothing yet; a frontend of a version that watches a further kind would have ended each frontend that it asks, with all calls. No frontend of this version asks.

Cause: get_copy looked up the kind without a check; KeyError left the nursery.

Change: the answer is that there is no copy.

Evidence: failed before with KeyError out of the nursery; passes with frontend.test_peers and frontend.test_object_cache.

--- a/packages/daemon/src/goldcrestvane_daemon/frontend/object_cache.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/object_cache.py
@@ -95,6 +95,9 @@
         self._on_change = on_change
         self._bounds = bounds
         self._snapshots = {kind: Snapshot() for kind in WATCHED_KINDS}
+        self._snapshots_by_name = {
+            kind.value: snapshot for kind, snapshot in self._snapshots.items()
+        }
         self._missing: dict[InstanceId, float] = {}
         self._watcher = CopyWatcher(
             store=store,
@@ -156,9 +159,12 @@
         return self._ledger.view is None or not self._ledger.is_reachable
 
     def get_copy(self, request: FetchObjects) -> ObjectsCopy:
-        """Returns the state of the copy of a kind, for another frontend."""
-        snapshot = self._snapshots[ObjectKind(request.kind)]
-        if snapshot.revision == 0:
+        """Returns the state of the copy of a kind, for another frontend.
+
+        A frontend of another version may ask for a kind of which this one has no copy.
+        """
+        snapshot = self._snapshots_by_name.get(request.kind)
+        if snapshot is None or snapshot.revision == 0:
             return ObjectsCopy(None)
         digest = snapshot.compute_digest()
         changes = None
