Let the soak judge the starts and ends of processes

Change: each process that ends without an order of the soak, or with another code than ordered (0 after SIGTERM, -9 after SIGKILL), breaks FAULT; the breach names the code, the signals, whether the process handled signals when the last one was sent, and the last lines of its log. A process that ends by itself is started again, without an excuse for other rules. Starts that take longer than catch_up_s, and processes that outlive grace_s, break "FAULT, late", which is checked only by hand, since both compare with times.

--- a/bench/soak/machines.py
+++ b/bench/soak/machines.py
@@ -2,7 +2,6 @@
 
 import os
 import signal
-import subprocess
 import sys
 from collections.abc import Iterator
 from contextlib import contextmanager
@@ -17,6 +16,8 @@
     REVOCATION_SECONDS,
     STABLE_SECONDS,
 )
+from bench.soak.process_checks import CATCH_UP_SECONDS
+from bench.soak.processes import POLL_SECONDS, Process
 from bench.soak.records import Disturbance, Evidence
 from goldcrestvane_daemon.bootstrap import LISTEN_VARIABLE
 
@@ -26,7 +27,6 @@
 CONTROL_PORT = 18_492
 PEER_PORT = 18_480
 GRACE_SECONDS = 8.0
-POLL_SECONDS = 0.05
 START_SECONDS = 60.0
 
 SETTINGS = """
@@ -45,6 +45,7 @@
 [bounds]
 drain_ms = {drain}
 grace_s = {grace}
+catch_up_s = {catch_up}
 stable_window_ms = {stable}
 config_propagation_ms = {propagation}
 revocation_strict = true
@@ -86,7 +87,7 @@
         self.stopping = False
         self._role = role
         self._evidence = evidence
-        self._process: subprocess.Popen[bytes] | None = None
+        self._process: Process | None = None
         self._path = folder / f"{self.name}.toml"
         self._log = folder / f"{self.name}.log"
         data = f'data_directory = "{folder / self.name}"' if role == "ledger" else ""
@@ -107,6 +108,7 @@
                 store=store,
                 drain=int(DRAIN_SECONDS * 1000),
                 grace=GRACE_SECONDS,
+                catch_up=CATCH_UP_SECONDS,
                 stable=int(STABLE_SECONDS * 1000),
                 propagation=int(PROPAGATION_SECONDS * 1000),
                 revocation=int(REVOCATION_SECONDS * 1000),
@@ -116,68 +118,81 @@
     def start(self) -> None:
         """Starts the process."""
         self.start_count += 1
-        with self._log.open("ab") as log:
-            self._process = subprocess.Popen(
-                [sys.executable, "-m", DAEMON_MODULE, f"--role={self._role}"],
-                env={
-                    **os.environ,
-                    "GOLDCRESTVANE_BOOT": str(self._path),
-                    LISTEN_VARIABLE: self._early_addresses,
-                },
-                stdout=log,
-                stderr=log,
-            )
+        self._process = Process(
+            [sys.executable, "-m", DAEMON_MODULE, f"--role={self._role}"],
+            name=self.name,
+            start=self.start_count,
+            environment={
+                "GOLDCRESTVANE_BOOT": str(self._path),
+                LISTEN_VARIABLE: self._early_addresses,
+            },
+            log=self._log,
+            evidence=self._evidence,
+        )
+
+    async def run(self) -> None:
+        """Starts the process again whenever it ends by itself."""
+        while True:
+            await trio.sleep(POLL_SECONDS)
+            if not self.stopping and not self._get_process().is_running():
+                self.stopping = True
+                await self._restart()
+                self.stopping = False
 
     async def wait_until_listening(self) -> None:
-        """Waits until the process accepts connections."""
+        """Waits until the process accepts connections or ends."""
         port = CLIENT_PORT if self._role == "frontend" else PEER_PORT
+        process = self._get_process()
         with trio.fail_after(START_SECONDS):
-            while True:
+            while process.is_running():
                 try:
                     stream = await trio.open_tcp_stream(self.host, port)
                 except OSError:
                     await trio.sleep(POLL_SECONDS)
                 else:
                     await stream.aclose()
+                    process.record_start()
                     return
 
     async def terminate(self) -> None:
         """Stops the process with SIGTERM and starts it again."""
         with self._record("term"):
-            self._send(signal.SIGTERM)
+            process = self._get_process()
+            process.send(signal.SIGTERM)
             with trio.move_on_after(GRACE_SECONDS):
-                await self._wait_exit()
-            self._send(signal.SIGKILL)
+                await process.wait()
+            process.kill_after_grace()
             await self._restart()
 
     async def kill(self, down_seconds: float) -> None:
         """Kills the process and starts it again after a pause."""
         with self._record("kill"):
-            self._send(signal.SIGKILL)
-            await self._wait_exit()
+            process = self._get_process()
+            process.send(signal.SIGKILL)
+            await process.wait()
             await trio.sleep(down_seconds)
             await self._restart()
 
     async def freeze(self, seconds: float) -> None:
         """Suspends the process for some seconds."""
         with self._record("freeze"):
-            self._send(signal.SIGSTOP)
+            process = self._get_process()
+            process.send(signal.SIGSTOP)
             try:
                 await trio.sleep(seconds)
             finally:
-                self._send(signal.SIGCONT)
+                process.send(signal.SIGCONT)
 
     async def hang_up(self) -> None:
         """Tells the process that its settings file has changed."""
         with self._record("hup"):
-            self._send(signal.SIGHUP)
+            self._get_process().send(signal.SIGHUP)
             await trio.sleep(POLL_SECONDS)
 
     def end(self) -> None:
         """Ends the process for good."""
         if self._process is not None:
-            self._send(signal.SIGKILL)
-            self._process.wait()
+            self._process.end()
 
     @contextmanager
     def _record(self, kind: str) -> Iterator[None]:
@@ -197,17 +212,11 @@
                 )
             )
 
-    def _send(self, number: signal.Signals) -> None:
+    def _get_process(self) -> Process:
         assert self._process is not None
-        if self._process.poll() is None:
-            self._process.send_signal(number)
-
-    async def _wait_exit(self) -> None:
-        assert self._process is not None
-        while self._process.poll() is None:
-            await trio.sleep(POLL_SECONDS)
+        return self._process
 
     async def _restart(self) -> None:
-        await self._wait_exit()
+        await self._get_process().wait()
         self.start()
         await self.wait_until_listening()
--- a/bench/soak/records.py
+++ b/bench/soak/records.py
@@ -2,6 +2,7 @@
 
 import itertools
 import math
+import signal
 from enum import Enum
 from typing import final
 
@@ -138,6 +139,44 @@
     ended_at: float
 
 
+class ProcessStart(msgspec.Struct, frozen=True, kw_only=True):
+    """A start of a process that no order interrupted.
+
+    Attributes:
+        process: Name of the process.
+        start: Number of the start.
+        seconds: Time until it accepted connections.
+    """
+
+    process: str
+    start: int
+    seconds: float
+
+
+class ProcessEnd(msgspec.Struct, frozen=True, kw_only=True):
+    """The end of a process.
+
+    Attributes:
+        process: Name of the process.
+        start: Number of its start.
+        seconds: Time from its start until the end was noticed.
+        code: Exit code; the negative number of the signal that killed it, if any.
+        signals: Signals that the soak sent to it while it ran.
+        handled_signals: Whether it held or handled SIGTERM when the last one was sent.
+        outlived_grace: Whether the soak killed it since it did not stop in time.
+        last_lines: End of its log.
+    """
+
+    process: str
+    start: int
+    seconds: float
+    code: int
+    signals: tuple[signal.Signals, ...] = ()
+    handled_signals: bool = True
+    outlived_grace: bool = False
+    last_lines: str = ""
+
+
 class KeyLife(msgspec.Struct, frozen=True, kw_only=True):
     """Time for which configurations contained an API key.
 
@@ -181,6 +220,8 @@
         attempts: Attempts of clients.
         arrivals: Requests at targets.
         disturbances: Faults and planned work.
+        starts: Starts of processes.
+        ends: Ends of processes.
         limits: Rate limits of targets.
         changes: Time at which each version of the configuration was acknowledged.
         keys: API keys that configurations contained; empty without accounts.
@@ -192,6 +233,8 @@
         self.attempts: list[Attempt] = []
         self.arrivals: list[Arrival] = []
         self.disturbances: list[Disturbance] = []
+        self.starts: list[ProcessStart] = []
+        self.ends: list[ProcessEnd] = []
         self.limits: list[RateLimit] = []
         self.changes: dict[Version, float] = {}
         self.keys: dict[str, KeyLife] = {}
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -27,6 +27,7 @@
 from bench.soak.clients import PAUSE_SECONDS, SoakClient
 from bench.soak.faults import SoakFaults
 from bench.soak.machines import CONTROL_PORT, Machine, build_prefix
+from bench.soak.process_checks import PROCESS_CHECKS, TIMED_PROCESS_CHECKS
 from bench.soak.records import Evidence
 from bench.soak.store_access import StoreAccess
 from goldcrestvane_common.server import Application, serve_http
@@ -120,6 +121,7 @@
                 machine.start()
             for machine in machines:
                 await machine.wait_until_listening()
+                nursery.start_soon(machine.run)
             for number in range(options.clients):
                 client_rng = random.Random(f"{options.seed} {number}")
                 client = SoakClient(
@@ -153,9 +155,9 @@
     evidence: Evidence, *, timed: bool, has_quotas: bool = False
 ) -> list[str]:
     """Returns the breaches of all rules, those with time bounds only if asked for."""
-    checks = {**CHECKS, **ACCOUNT_CHECKS}
+    checks = {**CHECKS, **ACCOUNT_CHECKS, **PROCESS_CHECKS}
     if timed:
-        checks |= {**TIMED_CHECKS, **TIMED_ACCOUNT_CHECKS}
+        checks |= {**TIMED_CHECKS, **TIMED_ACCOUNT_CHECKS, **TIMED_PROCESS_CHECKS}
     if timed and has_quotas:
         checks |= QUOTA_CHECKS
     return [
--- a/bench/tests/test_soak.py
+++ b/bench/tests/test_soak.py
@@ -1,17 +1,26 @@
+import signal
+import sys
+import tempfile
 import unittest
+from pathlib import Path
 
+import trio
 from bench.soak.account_checks import (
     ACCOUNT_CHECKS,
     QUOTA_CHECKS,
     TIMED_ACCOUNT_CHECKS,
 )
 from bench.soak.checks import CHECKS, TIMED_CHECKS
+from bench.soak.process_checks import PROCESS_CHECKS, TIMED_PROCESS_CHECKS
+from bench.soak.processes import Process
 from bench.soak.records import (
     Arrival,
     Attempt,
     Disturbance,
     Evidence,
     KeyLife,
+    ProcessEnd,
+    ProcessStart,
     QuotaChange,
     RateLimit,
     RequestKind,
@@ -24,6 +33,8 @@
     **ACCOUNT_CHECKS,
     **TIMED_ACCOUNT_CHECKS,
     **QUOTA_CHECKS,
+    **PROCESS_CHECKS,
+    **TIMED_PROCESS_CHECKS,
 }
 
 
@@ -70,6 +81,10 @@
     return Arrival(call=call, target="i-1", **{"at": 10.1, **changes})
 
 
+def build_end(**changes):
+    return ProcessEnd(process="frontend-0", start=1, seconds=1.0, **changes)
+
+
 class SoakChecksTests(unittest.TestCase):
     """Each check finds a planted breach and accepts the case beside it."""
 
@@ -85,6 +100,8 @@
         keys=None,
         quotas=(),
         logs=(),
+        starts=(),
+        ends=(),
     ):
         evidence = Evidence()
         evidence.attempts += attempts
@@ -94,6 +111,8 @@
         evidence.keys = keys or {}
         evidence.quotas += quotas
         evidence.logs_with_keys += logs
+        evidence.starts += starts
+        evidence.ends += ends
         evidence.changes = {1: 0.0, 2: 5.0}
         find = ALL_CHECKS[rule]
         self.assertEqual(len(list(find(evidence))), breaches)
@@ -213,6 +232,34 @@
         self.check("LOST, held", breaches=1, attempts=[held], disturbances=stops)
         self.check("LOST, held", breaches=0, attempts=[crossed], disturbances=stops)
 
+    def test_process_that_ends_without_an_order(self):
+        term, hup, kill = signal.SIGTERM, signal.SIGHUP, signal.SIGKILL
+        for code, signals, breaches in (
+            (0, (term,), 0),
+            (-9, (term, kill), 0),
+            (-9, (kill,), 0),
+            (0, (), 1),
+            (1, (), 1),
+            (-1, (hup,), 1),
+            (0, (hup,), 1),
+            (-1, (term, hup), 1),
+            (1, (term,), 1),
+            (-15, (term,), 1),
+            (-9, (term,), 1),
+            (1, (kill,), 1),
+        ):
+            with self.subTest(code=code, signals=signals):
+                end = build_end(code=code, signals=signals)
+                self.check("FAULT", breaches=breaches, ends=[end])
+
+    def test_process_that_starts_or_stops_late(self):
+        for seconds, breaches in ((4.9, 0), (5.1, 1)):
+            start = ProcessStart(process="frontend-0", start=1, seconds=seconds)
+            self.check("FAULT, late", breaches=breaches, starts=[start])
+        for outlived, breaches in ((False, 0), (True, 1)):
+            end = build_end(code=-9, outlived_grace=outlived)
+            self.check("FAULT, late", breaches=breaches, ends=[end])
+
     def test_key_at_a_target_or_in_a_log(self):
         rule = "KEY, disclosed"
         self.check(rule, breaches=0, arrivals=[build_run()])
@@ -366,5 +413,35 @@
         self.check_quota(1, 32, 40.0, disturbances=[frozen])
 
 
+class ProcessTests(unittest.TestCase):
+    """The end of a process is recorded once, with its cause."""
+
+    def test_ends_are_recorded_with_signals_and_log(self):
+        async def run(code, number):
+            with tempfile.NamedTemporaryFile() as log:
+                process = Process(
+                    [sys.executable, "-c", code],
+                    name="frontend-0",
+                    start=1,
+                    environment={},
+                    log=Path(log.name),
+                    evidence=evidence,
+                )
+                if number is not None:
+                    process.send(number)
+                await process.wait()
+                process.send(signal.SIGKILL)
+                process.end()
+
+        evidence = Evidence()
+        trio.run(run, "import sys; sys.exit('cannot start')", None)
+        trio.run(run, "import signal; signal.pause()", signal.SIGTERM)
+        failed, stopped = evidence.ends
+        self.assertEqual((failed.code, failed.signals), (1, ()))
+        self.assertEqual(failed.last_lines, "cannot start")
+        self.assertEqual((stopped.code, stopped.signals), (-15, (signal.SIGTERM,)))
+        self.assertFalse(stopped.handled_signals)
+
+
 if __name__ == "__main__":
     unittest.main()
