Keep signals from killing a process beside a planned stop

Callers saw calls break off when the platform sent SIGHUP or repeated SIGTERM to a process that finished its calls, and when two signals came together: exit codes -1 and -15, no line 'stopped'.

Cause: signals were handled only between the end of the start and the first SIGTERM. The frontend and the ledger left trio's receiver on the first one, which put the default actions back and raised unread signals again; the own form did the same and never handled SIGHUP, nor held signals back during its start. Class: a resource of the process that is tied to one phase of it.

One task handles the signals until the process is gone, in both forms.

--- a/packages/daemon/src/goldcrestvane_daemon/drain.py
+++ b/packages/daemon/src/goldcrestvane_daemon/drain.py
@@ -4,7 +4,6 @@
 list shows the instance as leaving.
 """
 
-import signal
 from collections.abc import Awaitable, Callable
 from typing import final
 
@@ -76,7 +75,6 @@
     async def run(self) -> None:
         """Waits for a drain request, then shuts the process down gracefully."""
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._watch_signals)
             nursery.start_soon(self._watch_list)
             await self.requested.wait()
             nursery.cancel_scope.cancel()
@@ -88,11 +86,6 @@
         logger.info("no calls are in flight")
         self.finished.set()
 
-    async def _watch_signals(self) -> None:
-        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-            async for _ in signals:
-                self.requested.set()
-
     async def _watch_list(self) -> None:
         while not self._membership.is_listed_as_leaving():
             await trio.sleep(LIST_CHECK_INTERVAL_SECONDS)
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/clients.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/clients.py
@@ -129,7 +129,9 @@
     async def _handle_request(
         self, connection: ServerConnection, head: RequestHead, body: bytes
     ) -> bool:
-        headers = [(b"connection", b"close")] if self._shutdown.requested else []
+        headers = (
+            [(b"connection", b"close")] if self._shutdown.requested.is_set() else []
+        )
         client_gone = False
         async with trio.open_nursery() as nursery:
 
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/graceful_shutdown.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/graceful_shutdown.py
@@ -9,7 +9,6 @@
 import trio
 
 from goldcrestvane_common.logs import get_logger
-from goldcrestvane_daemon.shutdown_signals import wait_for_shutdown_signal
 
 BALANCER_REMOVAL_SECONDS = 2.5
 """Time after which the balancer sends no new connections. It checks readiness once a
@@ -31,23 +30,22 @@
     """Shuts a frontend down gracefully.
 
     Attributes:
-        requested: Whether a shutdown signal was received.
+        requested: Set when the frontend is to stop.
         closing: Set when idle connections are to be closed.
     """
 
     def __init__(self, grace_seconds: float) -> None:
         self._grace_seconds = grace_seconds
-        self.requested = False
+        self.requested = trio.Event()
         self.closing = trio.Event()
 
     async def wait(self, count_in_flight: Callable[[], int]) -> None:
-        """Waits for a shutdown signal, and then for the running calls to end.
+        """Waits for a request to stop, and then for the running calls to end.
 
         Calls that still run at the end of the grace period are abandoned.
         """
-        await wait_for_shutdown_signal()
-        logger.info("received a shutdown signal", extra={"running": count_in_flight()})
-        self.requested = True
+        await self.requested.wait()
+        logger.info("finishing the running calls", extra={"running": count_in_flight()})
         end = trio.current_time() + self._grace_seconds - KILL_MARGIN_SECONDS
         await trio.sleep(BALANCER_REMOVAL_SECONDS)
         self.closing.set()
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/process.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/process.py
@@ -44,6 +44,7 @@
 from goldcrestvane_daemon.platform.machine import MachineSettings
 from goldcrestvane_daemon.platform.store import StoreClient
 from goldcrestvane_daemon.settings import InvalidSettings
+from goldcrestvane_daemon.shutdown_signals import handle_signals
 from goldcrestvane_daemon.targets import Target, TargetTable
 
 READY_HEAD_BYTES = 8192
@@ -140,7 +141,8 @@
 
             def is_ready() -> bool:
                 configured = object_cache.routes is not None
-                return configured and ledger.is_usable and not shutdown.requested
+                stopping = shutdown.requested.is_set()
+                return configured and ledger.is_usable and not stopping
 
             readiness = Readiness(is_ready)
 
@@ -169,6 +171,7 @@
                     "start_ms": measure_start(),
                 },
             )
+            nursery.start_soon(handle_signals, shutdown.requested)
             client_listener = self._listener
             await shutdown.wait(
                 lambda: clients.busy_count + has_pending_connection(client_listener)
--- a/packages/daemon/src/goldcrestvane_daemon/ledger/process.py
+++ b/packages/daemon/src/goldcrestvane_daemon/ledger/process.py
@@ -21,7 +21,7 @@
 from goldcrestvane_daemon.metrics_server import serve_metrics
 from goldcrestvane_daemon.platform.machine import MachineSettings
 from goldcrestvane_daemon.platform.store import StoreClient
-from goldcrestvane_daemon.shutdown_signals import wait_for_shutdown_signal
+from goldcrestvane_daemon.shutdown_signals import handle_signals
 
 logger = get_logger("ledger")
 
@@ -111,7 +111,9 @@
             nursery.start_soon(
                 trio.serve_listeners, serve, [trio.SocketListener(wrapped)]
             )
-            await wait_for_shutdown_signal()
+            shutdown = trio.Event()
+            nursery.start_soon(handle_signals, shutdown)
+            await shutdown.wait()
             nursery.cancel_scope.cancel()
         log.close()
         logger.info("stopped")
--- a/packages/daemon/src/goldcrestvane_daemon/main.py
+++ b/packages/daemon/src/goldcrestvane_daemon/main.py
@@ -69,6 +69,7 @@
     Args:
         arguments: Command line without the flags that absl has parsed.
     """
+    hold_signals()
     if len(arguments) > 1:
         _exit_invalid_settings(
             f"Unexpected argument {arguments[1]!r}; all settings are flags."
@@ -99,7 +100,6 @@
     """
     settings = read_machine_settings()
     address = PLATFORM_ROLES[role].get_address(settings)
-    hold_signals()
     listener = open_listener(address) if address else None
     process = import_role(role)
     # Imported here so that the process listens before these imports.
--- a/packages/daemon/src/goldcrestvane_daemon/supervisor.py
+++ b/packages/daemon/src/goldcrestvane_daemon/supervisor.py
@@ -26,6 +26,7 @@
 from goldcrestvane_daemon.membership import Membership
 from goldcrestvane_daemon.settings import DaemonSettings
 from goldcrestvane_daemon.shared_components import SharedComponents
+from goldcrestvane_daemon.shutdown_signals import handle_signals
 from goldcrestvane_daemon.sidecar_process import SidecarProcess
 
 logger = get_logger("process")
@@ -93,6 +94,7 @@
         nursery.start_soon(components.feed.run)
         await nursery.start(process.run)
         nursery.start_soon(drain.run)
+        nursery.start_soon(handle_signals, drain.requested)
         async with trio.open_nursery() as server:
             address = await server.start(
                 lambda *, task_status: serve_http(
--- a/packages/daemon/tests/frontend/test_graceful_shutdown.py
+++ b/packages/daemon/tests/frontend/test_graceful_shutdown.py
@@ -1,12 +1,10 @@
 import unittest
-from unittest import mock
 
 import trio
 import trio.testing
 
 from frontend.frontend_case import HOST, FrontendCase, read_response
 from frontend.support import build_response
-from goldcrestvane_daemon.frontend import graceful_shutdown
 from goldcrestvane_daemon.frontend.graceful_shutdown import GracefulShutdown
 from goldcrestvane_daemon.listening import has_pending_connection, open_listener
 
@@ -20,7 +18,7 @@
             await stream.send_all(frontend.build_request("/once/x"))
             first = await read_response(stream)
             self.assertNotIn("connection", first.headers)
-            frontend.shutdown.requested = True
+            frontend.shutdown.requested.set()
             await stream.send_all(frontend.build_request("/once/x"))
             second = await read_response(stream)
             self.assertEqual(second.status, 200)
@@ -30,7 +28,7 @@
         self.run_frontend(script, [OK] * 2)
 
     def close_connections(self, frontend):
-        frontend.shutdown.requested = True
+        frontend.shutdown.requested.set()
         frontend.shutdown.closing.set()
 
     def test_request_that_has_begun_to_arrive_is_answered(self):
@@ -47,7 +45,7 @@
                 await trio.testing.wait_all_tasks_blocked()
                 await stream.send_all(request[len(first_part) :])
                 self.assertEqual((await read_response(stream)).status, 200)
-                frontend.shutdown.requested = False
+                frontend.shutdown.requested = trio.Event()
                 frontend.shutdown.closing = trio.Event()
 
         self.run_frontend(script, [OK] * 4)
@@ -85,10 +83,8 @@
 
         async def main():
             shutdown = GracefulShutdown(8.0)
-            with mock.patch.object(
-                graceful_shutdown, "wait_for_shutdown_signal", trio.lowlevel.checkpoint
-            ):
-                await shutdown.wait(lambda: counts.pop(0) if counts else 0)
+            shutdown.requested.set()
+            await shutdown.wait(lambda: counts.pop(0) if counts else 0)
 
         trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
         return counts
--- a/packages/daemon/tests/test_shutdown_signals.py
+++ b/packages/daemon/tests/test_shutdown_signals.py
@@ -1,36 +1,10 @@
-import os
 import signal
 import unittest
 
-import trio
 from daemon_process import ProcessCase
 
-from goldcrestvane_daemon.shutdown_signals import wait_for_shutdown_signal
-
-
-class ShutdownSignalTests(unittest.TestCase):
-    def test_sighup_does_not_stop_the_process(self):
-        async def main():
-            ended = trio.Event()
-
-            async def wait(*, task_status):
-                await wait_for_shutdown_signal(task_status=task_status)
-                ended.set()
-
-            with trio.fail_after(5):
-                async with trio.open_nursery() as nursery:
-                    await nursery.start(wait)
-                    os.kill(os.getpid(), signal.SIGHUP)
-                    await trio.sleep(0.1)
-                    self.assertFalse(ended.is_set())
-                    os.kill(os.getpid(), signal.SIGTERM)
-                    await ended.wait()
-
-        trio.run(main)
-
-
 STARTED = {"frontend": "started", "ledger": "started", "entry": "listens on"}
-STOPPING = {"frontend": "received a shutdown signal", "entry": "new calls are refused"}
+STOPPING = {"frontend": "finishing the running calls", "entry": "new calls are refused"}
 
 
 class LateSignalTests(ProcessCase):
@@ -57,14 +31,15 @@
             self.wait_for_line(process, "stopped")
             self.assertEqual(process.wait(), 0)
 
-    def test_sighup_does_not_end_a_process_of_the_own_form(self):
-        process = self.start("entry")
-        self.wait_for_line(process, STARTED["entry"])
-        process.send_signal(signal.SIGHUP)
-        self.wait_for_line(process, "settings file changed")
-        process.terminate()
-        self.wait_for_line(process, "stopped")
-        self.assertEqual(process.wait(), 0)
+    def test_sighup_does_not_end_a_process(self):
+        for role, started in STARTED.items():
+            process = self.start(role)
+            self.wait_for_line(process, started)
+            process.send_signal(signal.SIGHUP)
+            self.wait_for_line(process, "settings file changed")
+            process.terminate()
+            self.wait_for_line(process, "stopped")
+            self.assertEqual(process.wait(), 0)
 
 
 if __name__ == "__main__":
--- a/packages/daemon/tests/test_startup_signals.py
+++ b/packages/daemon/tests/test_startup_signals.py
@@ -8,13 +8,16 @@
 
 STARTING_PROCESS = """
 import os, signal, trio
-from goldcrestvane_daemon.shutdown_signals import wait_for_shutdown_signal
+from goldcrestvane_daemon.shutdown_signals import handle_signals
 from goldcrestvane_daemon.startup_signals import hold_signals
 
 async def main():
     async with trio.open_nursery() as nursery:
-        await nursery.start(wait_for_shutdown_signal)
+        shutdown = trio.Event()
+        await nursery.start(handle_signals, shutdown)
         print("running", flush=True)
+        await shutdown.wait()
+        nursery.cancel_scope.cancel()
 
 hold_signals()
 os.kill(os.getpid(), signal.{name})
@@ -55,11 +58,12 @@
             raise KeyboardInterrupt
 
         with (
+            mock.patch.object(main, "FLAGS", role="frontend"),
             mock.patch.object(main, "read_machine_settings"),
             mock.patch.object(main, "open_listener", listen),
             self.assertRaises(KeyboardInterrupt),
         ):
-            main.run_on_platform("frontend")
+            main.main([])
         self.assertLessEqual(set(startup_signals.HANDLED_SIGNALS), masks[0])
 
 
