Hold signals back before the bootstrap imports the sockets

A signal kills a process that has just been started until it is held back. The test failed before: {'socket'} is not false. The rest remains: the program of a role is started without a shell, and only its parent could hold signals back earlier.

--- a/packages/daemon/src/goldcrestvane_daemon/bootstrap.py
+++ b/packages/daemon/src/goldcrestvane_daemon/bootstrap.py
@@ -11,7 +11,6 @@
 import os
 import sys
 
-from goldcrestvane_daemon.listening import listen_early
 from goldcrestvane_daemon.startup_signals import hold_signals
 
 LISTEN_VARIABLE = "GOLDCRESTVANE_LISTEN_EARLY"
@@ -28,6 +27,9 @@
     """
     addresses = os.environ.get(LISTEN_VARIABLE, "").split(",")
     hold_signals()
+    # Imported here since a signal kills the process until it is held.
+    from goldcrestvane_daemon.listening import listen_early
+
     for address in filter(None, addresses):
         try:
             listen_early(address)
--- a/packages/daemon/tests/test_bootstrap.py
+++ b/packages/daemon/tests/test_bootstrap.py
@@ -8,7 +8,7 @@
 from goldcrestvane_daemon import bootstrap, listening, startup_signals
 
 LIST_MODULES = "import sys, goldcrestvane_daemon.bootstrap; print(*sys.modules)"
-LATER_MODULES = ("absl", "logging", "msgspec", "tomllib", "trio")
+LATER_MODULES = ("absl", "logging", "msgspec", "socket", "tomllib", "trio")
 
 
 class BootstrapTests(unittest.TestCase):
@@ -26,7 +26,7 @@
         with socket.create_server(("127.0.0.1", 0)) as server:
             return f"127.0.0.1:{server.getsockname()[1]}"
 
-    def test_process_listens_before_it_imports_what_it_runs(self):
+    def test_signals_are_held_and_addresses_listened_on_before_other_imports(self):
         output = subprocess.run(
             [sys.executable, "-S", "-c", LIST_MODULES],
             env={**os.environ, "PYTHONPATH": os.pathsep.join(sys.path)},
