Log why an owner takes a shard over and what becomes of its calls

A stream that ends with "The stream was lost with its owner and its target" left no trace of which owner began it, whether the next owner knew its start, or why the shard moved: a handover and a takeover on the strength of the shard map gave the same lines. No change of behaviour.

--- a/packages/daemon/src/goldcrestvane_daemon/entry/_owners.py
+++ b/packages/daemon/src/goldcrestvane_daemon/entry/_owners.py
@@ -22,6 +22,7 @@
     decode_error,
 )
 from goldcrestvane_common.ids import ShardId, locate_shard
+from goldcrestvane_common.logs import get_logger
 from goldcrestvane_common.messages import (
     CallRequest,
     ShardOwner,
@@ -55,6 +56,8 @@
 
 BODY_DRAIN_TIMEOUT_SECONDS = 1.0
 
+logger = get_logger("owners")
+
 OwnerMessage = (
     CallRequest | ProgramBeginRequest | ProgramEndRequest | ProgramShowRequest
 )
@@ -182,6 +185,7 @@
         owner: ShardOwner | None,
     ) -> None:
         """Waits before the next attempt; refreshes the shard map if it is outdated."""
+        logger.info("shard %s is tried again: %s", shard, failure.detail)
         current = self._owners.find_owner(shard)
         await retries.back_off(
             failure.reason,
@@ -217,9 +221,17 @@
         retries: RetryState,
         progress: StreamProgress,
     ) -> AsyncIterator[StreamHead | StreamDelta | StreamEnd]:
+        position = progress.get_resume_position()
+        if position is not None:
+            logger.info(
+                "stream %s is resumed at character %s by %s",
+                position.stream_id,
+                position.offset,
+                owner.owner,
+            )
         value = msgspec.structs.replace(
             update_deadline(call, self._compute_owner_seconds(retries)),
-            resume=progress.get_resume_position(),
+            resume=position,
         )
         async with AsyncExitStack() as stack:
             stream_context = self._transport.stream(
--- a/packages/daemon/src/goldcrestvane_daemon/owner/manager.py
+++ b/packages/daemon/src/goldcrestvane_daemon/owner/manager.py
@@ -155,6 +155,8 @@
         self._remove_lost_shards(shard_map)
         self._membership.watch_peers(self._watched_owners)
         for shard in self._list_shards_to_take_over():
+            entry = self._get_entry(shard_map, shard)
+            logger.info("shard %s is taken over, since the map says %s", shard, entry)
             self._taking_over.add(shard)
             self._nursery.start_soon(self._take_over, shard)
         await self._publish_owned(shard_map)
--- a/packages/daemon/src/goldcrestvane_daemon/owner/runner.py
+++ b/packages/daemon/src/goldcrestvane_daemon/owner/runner.py
@@ -316,9 +316,17 @@
         """
         started = call.program.started_calls.get(call.request.sequence)
         if started is None:
+            if call.request.resume is not None:
+                logger.warning(
+                    "shard %s with epoch %s has no start of attempt %s",
+                    shard.shard,
+                    shard.journal.epoch,
+                    call.request.resume.stream_id,
+                )
             return False
         target = self._directory.find_instance(started.target)
         if target is None or started.request_hash != call.request_hash:
+            logger.warning("attempt %s cannot be joined by its target", started.call)
             shard.append(build_rollback(call, spent_tokens=started.reserved_tokens))
             return False
         dispatch = msgspec.structs.replace(
@@ -390,6 +398,7 @@
         try:
             await shard.commit_or_replicate(record)
         except ServiceError as error:
+            logger.info("call %s ended after its shard was lost", execution.call)
             if call.at_most_once:
                 return  # The next owner gets the same answer from the target's sidecar.
             raise build_wrong_owner(shard.shard, outcome=Outcome.INCOMPLETE) from error
