Test that an owner takes no shard back on an outdated map

What callers see: calls are delayed by one more change of owner, and a stream that the new owner has begun can end with "The stream was lost with its owner and its target".

Evidence: in two runs of RollingRestartTests at loads of 21 to 28 an owner took a shard back twice each, 0.15 to 0.54 s after it had handed it over, for example "shard 7 was handed over to sidecar-llm-1" at 05:12:48.519 and "shard 7 was taken over with epoch 5" by the former owner at 05:12:48.672. The tests fail with "[0] != []"; the third, on a new owner that is never published, passes and must go on doing so.

--- a/packages/daemon/tests/owner/test_manager.py
+++ b/packages/daemon/tests/owner/test_manager.py
@@ -4,7 +4,7 @@
 import trio
 import trio.testing
 
-from goldcrestvane_common.messages import Instance, Role, ShardMap
+from goldcrestvane_common.messages import Instance, Role, ShardMap, ShardOwner
 from goldcrestvane_common.paths import ADOPT_PATH
 from goldcrestvane_common.transport import ClientResponse, ExchangeBroken
 from goldcrestvane_daemon.owner.manager import ShardManager
@@ -25,9 +25,17 @@
         self.live = live
         self.ready = trio.Event()
 
+        self.change_count = 0
+
     def list_live(self, role):
         return self.live
 
+    def list_owner_candidates(self):
+        return self.live
+
+    def is_dead(self, instance):
+        return False
+
 
 class FakeTransport:
     """Transport on which frozen peers never respond and the others always do."""
@@ -48,9 +56,13 @@
 
 class FakeJournal:
     store_unavailable = False
+    epoch = 1
+
+    def __init__(self):
+        self.ownership_lost = trio.Event()
 
     def relinquish(self):
-        pass
+        self.ownership_lost.set()
 
 
 class FakeShard:
@@ -115,5 +127,52 @@
         self.assertEqual(owned_shard.stop_count, 0)
 
 
+class OutdatedMapTests(unittest.TestCase):
+    """Owners that gave up a shard while the shard map still names them."""
+
+    def run_with_owner(self, give_up, check, *, seconds=0.0):
+        """Gives up shard 0 and checks, `seconds` later, which shards are taken over."""
+        local_instance, peer = build_instance("own"), build_instance("peer")
+        outdated = ShardMap([ShardOwner("own", "own:1", 1)])
+
+        async def main():
+            manager = ShardManager(
+                objects=None,
+                transport=FakeTransport(set()),
+                membership=FakeMembership(local_instance, [local_instance, peer]),
+                recovery=None,
+                get_map=lambda: outdated,
+                shard_count=1,
+                rng=random.Random(0),
+            )
+            manager.owned[0] = FakeShard()
+            await give_up(manager, peer)
+            self.assertEqual(manager.owned, {})
+            await trio.sleep(seconds)
+            manager._update_members(outdated)
+            check(manager._list_shards_to_take_over())
+
+        trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+    async def hand_over(self, manager, peer):
+        await manager._hand_over(0, [peer])
+
+    async def lose(self, manager, peer):
+        manager.owned[0].journal.relinquish()
+        manager._remove_lost_shards(ShardMap([]))
+
+    def test_shard_that_was_handed_over_is_not_taken_back(self):
+        """Guards against streams that the new owner loses with their starts."""
+        self.run_with_owner(self.hand_over, lambda shards: self.assertEqual(shards, []))
+
+    def test_shard_that_was_lost_is_not_taken_back(self):
+        self.run_with_owner(self.lose, lambda shards: self.assertEqual(shards, []))
+
+    def test_shard_whose_new_owner_is_never_published_is_taken_over(self):
+        self.run_with_owner(
+            self.hand_over, lambda shards: self.assertEqual(shards, [0]), seconds=60.0
+        )
+
+
 if __name__ == "__main__":
     unittest.main()
