Let an owner take no shard back on the strength of an outdated map

Callers saw one more change of owner, and streams of the new owner could be lost with their starts. After a handover, or after another instance has taken over, the shard map names the former owner until the new one has published itself. The former owner took the shard back in that time, as after a restart, without a flush by the new owner.

An owner now notes the epoch that has a successor. While the map has no later epoch it takes the shard over only if the new owner does not publish itself within 3 s.

--- a/packages/daemon/src/goldcrestvane_daemon/owner/manager.py
+++ b/packages/daemon/src/goldcrestvane_daemon/owner/manager.py
@@ -7,12 +7,13 @@
 
 import random
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Any, final
 
 import trio
 
 from goldcrestvane_common.errors import Unavailable, WrongOwner
-from goldcrestvane_common.ids import InstanceId, ShardId
+from goldcrestvane_common.ids import Epoch, InstanceId, ShardId
 from goldcrestvane_common.logs import get_logger
 from goldcrestvane_common.messages import (
     Accepted,
@@ -66,12 +67,32 @@
 The instance list can still name a failed peer for this long.
 """
 
+MAP_GRACE_SECONDS = 3.0
+"""How long the next owner of a shard has to publish itself in the shard map.
+
+Afterwards it is considered lost, and the owner in the map may take the shard over.
+"""
+
 MAX_CONCURRENT_TAKEOVERS = 16
 MEMBERSHIP_STABLE_SECONDS = 3.0
 
 logger = get_logger("ownership")
 
 
+@final
+@dataclass(frozen=True, kw_only=True)
+class SucceededEpoch:
+    """Epoch of a shard that is known to have a successor.
+
+    Attributes:
+        epoch: The epoch. The shard map is out of date while it has no later one.
+        seen_at: Time on trio's clock at which the successor became known.
+    """
+
+    epoch: Epoch
+    seen_at: float
+
+
 @final
 class ShardManager:
     """Acquires, publishes and gives up the shards of this sidecar.
@@ -106,6 +127,7 @@
         self._taking_over: set[ShardId] = set()
         self._takeover_limiter = trio.CapacityLimiter(MAX_CONCURRENT_TAKEOVERS)
         self._handing_over: set[ShardId] = set()
+        self._succeeded: dict[ShardId, SucceededEpoch] = {}
         self._unresponsive_until: dict[InstanceId, float] = {}
         self._members: frozenset[InstanceId] = frozenset()
         self._members_since = 0.0
@@ -186,7 +208,25 @@
                 owned.journal.relinquish()
             if owned.journal.ownership_lost.is_set():
                 logger.info("shard %s was taken over by another instance", shard)
-                del self.owned[shard]
+                self._remove(shard, owned)
+
+    def _remove(self, shard: ShardId, owned: OwnedShard) -> None:
+        """Removes a shard that has another owner."""
+        self.owned.pop(shard, None)
+        self._note_successor(shard, owned.journal.epoch)
+
+    def _note_successor(self, shard: ShardId, epoch: Epoch) -> None:
+        self._succeeded[shard] = SucceededEpoch(
+            epoch=epoch, seen_at=trio.current_time()
+        )
+
+    def _is_map_outdated(self, shard: ShardId) -> bool:
+        """Returns whether a later owner than the one in the map may publish itself."""
+        entry = self._get_entry(self._index.shard_map, shard)
+        succeeded = self._succeeded.get(shard)
+        if succeeded is None or (entry is not None and entry.epoch > succeeded.epoch):
+            return False
+        return trio.current_time() - succeeded.seen_at < MAP_GRACE_SECONDS
 
     def _list_watched_owners(self) -> dict[InstanceId, float]:
         """Returns the probe interval for each owner that this sidecar may succeed."""
@@ -218,7 +258,9 @@
         return [
             shard
             for shard in candidates
-            if shard not in self.owned and shard not in self._taking_over
+            if shard not in self.owned
+            and shard not in self._taking_over
+            and not self._is_map_outdated(shard)
         ]
 
     def _should_take_over_from(self, owner: InstanceId) -> bool:
@@ -314,7 +356,7 @@
                 continue
             if await self._send_command(successor, ADOPT_PATH, AdoptRequest(shard)):
                 logger.info("shard %s was handed over to %s", shard, successor.instance)
-                self.owned.pop(shard, None)
+                self._remove(shard, owned)
                 owned.journal.relinquish()
                 return
         owned.admitting = True
