Contain unexpected errors of a peer's requests and connection

What callers saw: an error that nobody foresaw in the handling of one request ended the whole process. The sender then asks the next member, and would end it as well.

Cause: the handlers of a connection, and the connections, run in the nursery of the process; only the errors of a closed stream and ValueError were caught. A frame of 5,000 nested arrays, well below the limit on its size, raises RecursionError while it is decoded.

Change: serve_frames runs each request and each connection under a policy. The sender of a request that failed is told so at once (Failed of a member, an empty Relayed of a frontend), its slot is free again, and other requests go on. A frame that cannot be decoded for its depth counts as unreadable, in responses too.

--- a/packages/daemon/src/goldcrestvane_daemon/frontend/peers.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/peers.py
@@ -210,7 +210,7 @@
 
     async def serve(self, stream: trio.SocketStream) -> None:
         """Serves one connection of another frontend."""
-        await serve_frames(stream, FrontendRequest, self.handle)
+        await serve_frames(stream, FrontendRequest, self.handle, failure=Relayed(None))
 
     @singledispatchmethod
     async def handle(self, request: object) -> FrontendResponse:
--- a/packages/daemon/src/goldcrestvane_daemon/ledger/frames.py
+++ b/packages/daemon/src/goldcrestvane_daemon/ledger/frames.py
@@ -16,6 +16,7 @@
 
 from goldcrestvane_common.keepalive import KEEPALIVE_OPTIONS
 from goldcrestvane_common.logs import get_logger
+from goldcrestvane_daemon.tasks import Task, run_supervised
 
 LENGTH = struct.Struct(">I")
 MAX_FRAME_BYTES = 32 * 1024 * 1024
@@ -39,6 +40,9 @@
 """Size from which a response may be refused since others are unsent. Smaller ones, such
 as the response to a write, are always sent."""
 
+UNREADABLE_ERRORS = (ValueError, msgspec.DecodeError, RecursionError)
+"""Errors of frames that cannot be decoded. Deep nesting exceeds the decoder's stack."""
+
 logger = get_logger("peers")
 
 
@@ -151,7 +155,7 @@
                 pending = self._pending.get(request_id)
                 if pending is not None:
                     pending.resolve(response)
-        except (ValueError, msgspec.DecodeError) as error:
+        except UNREADABLE_ERRORS as error:
             logger.warning(
                 "a peer sent an unreadable frame; reconnecting",
                 extra={"peer": self.address, "reason": str(error)},
@@ -253,51 +257,92 @@
     request_type: Any,
     handle: Handler,
     unsent: UnsentResponses | None = None,
+    *,
+    failure: Any = None,
 ) -> None:
     """Serves the connection of one peer until the peer closes it.
 
+    An unexpected error in one request, or on the connection, ends nothing else.
+
     Args:
         stream: The connection.
         request_type: Type of the requests.
         handle: Returns the response to a request.
         unsent: Bound on the responses of all connections together, if any.
+        failure: Response to a request whose handler failed; None sends none.
     """
-    decoder = msgspec.msgpack.Decoder(tuple[int, request_type])
-    lock = trio.Lock()
-    slots = trio.Semaphore(MAX_REQUESTS_PER_CONNECTION)
-    enable_keepalive(stream)
+    server = _FrameServer(stream, handle, unsent, failure)
+    try:
+        await run_supervised(Task.PEER_CONNECTION, server.run, request_type)
+    finally:
+        await trio.aclose_forcefully(stream)
+
+
+@final
+class _FrameServer:
+    """Serves the requests of one connection."""
+
+    def __init__(
+        self,
+        stream: trio.SocketStream,
+        handle: Handler,
+        unsent: UnsentResponses | None,
+        failure: Any,
+    ) -> None:
+        self._stream = stream
+        self._handle = handle
+        self._unsent = unsent
+        self._failure = failure
+        self._lock = trio.Lock()
+        self._slots = trio.Semaphore(MAX_REQUESTS_PER_CONNECTION)
+
+    async def run(self, request_type: Any) -> None:
+        """Reads requests until the end of the stream."""
+        decoder = msgspec.msgpack.Decoder(tuple[int, request_type])
+        enable_keepalive(self._stream)
+        try:
+            async with trio.open_nursery() as nursery:
+                reader = FrameReader(self._stream)
+                while (frame := await reader.read()) is not None:
+                    request_id, request = decoder.decode(frame)
+                    await self._slots.acquire()
+                    nursery.start_soon(self._serve_request, request_id, request)
+                nursery.cancel_scope.cancel()
+        except* (trio.BrokenResourceError, trio.ClosedResourceError):
+            pass
+        except* UNREADABLE_ERRORS as group:
+            logger.warning(
+                "a peer sent an unreadable frame; closing",
+                extra={"reason": str(group.exceptions[0])},
+            )
 
-    async def respond(request_id: int, request: Any) -> None:
+    async def _serve_request(self, request_id: int, request: Any) -> None:
+        response: Any = None
+
+        async def build() -> None:
+            nonlocal response
+            response = encode_frame(request_id, await self._handle(request))
+
+        try:
+            if not await run_supervised(Task.PEER_REQUEST, build):
+                if self._failure is None:
+                    return
+                response = encode_frame(request_id, self._failure)
+            await self._send(request_id, response)
+        finally:
+            self._slots.release()
+
+    async def _send(self, request_id: int, frame: bytes) -> None:
         size = 0
         try:
-            frame = encode_frame(request_id, await handle(request))
-            if unsent is not None:
-                frame = unsent.limit_frame(request_id, frame)
+            if self._unsent is not None:
+                frame = self._unsent.limit_frame(request_id, frame)
                 size = len(frame)
-                unsent.size += size
-            async with lock:
-                await stream.send_all(frame)
+                self._unsent.size += size
+            async with self._lock:
+                await self._stream.send_all(frame)
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             return
         finally:
-            slots.release()
-            if unsent is not None:
-                unsent.size -= size
-
-    try:
-        async with trio.open_nursery() as nursery:
-            reader = FrameReader(stream)
-            while (frame := await reader.read()) is not None:
-                request_id, request = decoder.decode(frame)
-                await slots.acquire()
-                nursery.start_soon(respond, request_id, request)
-            nursery.cancel_scope.cancel()
-    except* (trio.BrokenResourceError, trio.ClosedResourceError):
-        pass
-    except* (ValueError, msgspec.DecodeError) as group:
-        logger.warning(
-            "a peer sent an unreadable frame; closing",
-            extra={"reason": str(group.exceptions[0])},
-        )
-    finally:
-        await trio.aclose_forcefully(stream)
+            if self._unsent is not None:
+                self._unsent.size -= size
--- a/packages/daemon/src/goldcrestvane_daemon/ledger/process.py
+++ b/packages/daemon/src/goldcrestvane_daemon/ledger/process.py
@@ -23,6 +23,8 @@
 from goldcrestvane_daemon.platform.store import StoreClient
 from goldcrestvane_daemon.shutdown_signals import wait_for_shutdown_signal
 
+REQUEST_FAILED = Failed("the request met an unexpected error; see the member's log")
+
 logger = get_logger("ledger")
 
 
@@ -100,7 +102,9 @@
             )
 
             async def serve(stream: trio.SocketStream) -> None:
-                await serve_frames(stream, Request, service.handle, unsent)
+                await serve_frames(
+                    stream, Request, service.handle, unsent, failure=REQUEST_FAILED
+                )
 
             nursery.start_soon(log.run)
             nursery.start_soon(Compactor(log, state).run)
--- a/packages/daemon/src/goldcrestvane_daemon/tasks.py
+++ b/packages/daemon/src/goldcrestvane_daemon/tasks.py
@@ -45,10 +45,14 @@
     """Tasks of a process, by what they do."""
 
     PEER_CALL = "peer_call"
+    PEER_CONNECTION = "peer_connection"
+    PEER_REQUEST = "peer_request"
 
 
 POLICIES = {
     Task.PEER_CALL: FailurePolicy.CONTAIN,
+    Task.PEER_CONNECTION: FailurePolicy.CONTAIN,
+    Task.PEER_REQUEST: FailurePolicy.CONTAIN,
 }
 
 OPTIONAL_TASKS: frozenset[Task] = frozenset()
--- a/packages/daemon/tests/ledger/test_frames.py
+++ b/packages/daemon/tests/ledger/test_frames.py
@@ -111,7 +111,7 @@
                 address = f"127.0.0.1:{listeners[0].socket.getsockname()[1]}"
 
                 async def serve(stream):
-                    await serve_frames(stream, Request, handle)
+                    await serve_frames(stream, Request, handle, failure=Failed("error"))
 
                 nursery.start_soon(trio.serve_listeners, serve, listeners)
                 peer = PeerConnection(address, Response)
