Contain unexpected errors of the connections to peers

What callers saw: a frontend that learned of an address that it cannot read ended with all its calls; so did the next one that was told. A member that was to forward a write to such an address ended too.

Cause: the task that connects to a peer runs in the nursery of the process and catches errors of the network only.

The tasks that fetch and report deaths are supervised too.

--- a/packages/daemon/src/goldcrestvane_daemon/frontend/peers.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/peers.py
@@ -33,6 +33,7 @@
 )
 from goldcrestvane_daemon.ledger.messages import Frontend
 from goldcrestvane_daemon.platform.store import ObjectKind
+from goldcrestvane_daemon.tasks import Task, run_supervised
 
 MAX_PEERS = 4
 """Number of frontends to stay connected to. They forward reports to the others."""
@@ -114,7 +115,12 @@
         with scope:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(peer.run)
-                nursery.start_soon(self._fetch_deaths_on_connect, peer)
+                nursery.start_soon(
+                    run_supervised,
+                    Task.DEATH_FETCH,
+                    self._fetch_deaths_on_connect,
+                    peer,
+                )
 
     async def _fetch_deaths_on_connect(self, peer: PeerConnection) -> None:
         """Fetches the deaths that a peer knows each time that it connects.
@@ -197,7 +203,9 @@
         """Reports targets that died with a request to the connected frontends."""
         for peer in self._list_connected():
             report = ReportDeaths(fingerprint, targets)
-            self._nursery.start_soon(self._send_report, peer, report)
+            self._nursery.start_soon(
+                run_supervised, Task.DEATH_REPORT, self._send_report, peer, report
+            )
 
     async def _send_report(self, peer: PeerConnection, report: ReportDeaths) -> None:
         try:
--- a/packages/daemon/src/goldcrestvane_daemon/ledger/frames.py
+++ b/packages/daemon/src/goldcrestvane_daemon/ledger/frames.py
@@ -125,6 +125,9 @@
 
     async def run(self) -> None:
         """Connects, and reconnects after each failure, until cancelled."""
+        await run_supervised(Task.PEER, self._run)
+
+    async def _run(self) -> None:
         backoff = MIN_BACKOFF_SECONDS
         while True:
             try:
--- a/packages/daemon/src/goldcrestvane_daemon/tasks.py
+++ b/packages/daemon/src/goldcrestvane_daemon/tasks.py
@@ -44,18 +44,24 @@
 class Task(Enum):
     """Tasks of a process, by what they do."""
 
+    DEATH_FETCH = "death_fetch"
+    DEATH_REPORT = "death_report"
+    PEER = "peer"
     PEER_CALL = "peer_call"
     PEER_CONNECTION = "peer_connection"
     PEER_REQUEST = "peer_request"
 
 
 POLICIES = {
+    Task.DEATH_FETCH: FailurePolicy.RESTART,
+    Task.DEATH_REPORT: FailurePolicy.CONTAIN,
+    Task.PEER: FailurePolicy.RESTART,
     Task.PEER_CALL: FailurePolicy.CONTAIN,
     Task.PEER_CONNECTION: FailurePolicy.CONTAIN,
     Task.PEER_REQUEST: FailurePolicy.CONTAIN,
 }
 
-OPTIONAL_TASKS: frozenset[Task] = frozenset()
+OPTIONAL_TASKS = frozenset({Task.DEATH_FETCH, Task.PEER})
 """Tasks without which a process serves all calls. Their failure is no lack of readiness."""
 
 
