Contain unexpected errors of the connections of a frontend

What callers saw: nothing that could be shown; an error that nobody foresaw on one connection for readiness or metrics, or in closing or opening one for clients, ended the frontend with all its calls.

Cause: serve_listeners runs the connections in the nursery of the process. clients.serve caught errors only between the socket options and the answer to a bad request.

Change: each kind of connection is a contained task, which is closed, counted and logged once a minute.

Evidence: the injected error ended the process before (RuntimeError out of the nursery); now the next connection of each port is served: frontend.test_connections, frontend.test_clients, frontend.test_readiness, test_main (16 tests).

--- a/packages/daemon/src/goldcrestvane_daemon/frontend/clients.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/clients.py
@@ -26,6 +26,7 @@
 from goldcrestvane_daemon.ledger.frames import enable_keepalive
 from goldcrestvane_daemon.platform.headers import build_refusal_headers
 from goldcrestvane_daemon.routes import ClientLimits
+from goldcrestvane_daemon.tasks import Task, run_supervised
 
 BODY_TIMEOUT_SECONDS = 10.0
 """Timeout for a client to send a body. It exceeds the longest time limit of a call by
@@ -69,6 +70,9 @@
 
     async def serve(self, stream: trio.SocketStream) -> None:
         """Serves one connection until either side closes it."""
+        await run_supervised(Task.CLIENT_CONNECTION, self._serve, stream)
+
+    async def _serve(self, stream: trio.SocketStream) -> None:
         limits = self._get_limits()
         connection = ServerConnection(stream, head_bytes=limits.max_header_bytes)
         enable_keepalive(stream, unread_seconds=WRITE_TIMEOUT_SECONDS)
@@ -82,9 +86,6 @@
             await self._respond_violation(connection, violation)
         except ConnectionLost as error:
             logger.debug("a client's connection ended", extra={"reason": str(error)})
-        except Exception:
-            # An error in one call must not end the calls of all other clients.
-            logger.exception("closed a connection after an unexpected error")
         finally:
             CONNECTIONS.dec()
             await connection.close()
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/process.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/process.py
@@ -45,6 +45,7 @@
 from goldcrestvane_daemon.platform.store import StoreClient
 from goldcrestvane_daemon.settings import InvalidSettings
 from goldcrestvane_daemon.targets import Target, TargetTable
+from goldcrestvane_daemon.tasks import Task, run_supervised
 
 READY_HEAD_BYTES = 8192
 READY_IDLE_SECONDS = 30.0
@@ -145,7 +146,7 @@
             readiness = Readiness(is_ready)
 
             async def serve_ready(stream: trio.SocketStream) -> None:
-                await _serve_readiness(stream, readiness)
+                await serve_readiness(stream, readiness)
 
             frontends.set_handlers(ledger.call_member, object_cache.get_copy)
             nursery.start_soon(object_cache.run)
@@ -181,8 +182,12 @@
     return trio.SocketListener(trio.socket.from_stdlib_socket(listener))
 
 
-async def _serve_readiness(stream: trio.SocketStream, readiness: Readiness) -> None:
+async def serve_readiness(stream: trio.SocketStream, readiness: Readiness) -> None:
     """Answers the balancer's readiness checks on one connection."""
+    await run_supervised(Task.READINESS_CONNECTION, _answer_checks, stream, readiness)
+
+
+async def _answer_checks(stream: trio.SocketStream, readiness: Readiness) -> None:
     connection = ServerConnection(stream, head_bytes=READY_HEAD_BYTES)
     try:
         with trio.move_on_after(READY_IDLE_SECONDS):
--- a/packages/daemon/src/goldcrestvane_daemon/metrics_server.py
+++ b/packages/daemon/src/goldcrestvane_daemon/metrics_server.py
@@ -9,6 +9,7 @@
     ProtocolViolation,
     ServerConnection,
 )
+from goldcrestvane_daemon.tasks import Task, run_supervised
 
 METRICS_PORT = 9464
 """Must match the port in deploy/system.toml."""
@@ -20,10 +21,15 @@
 async def serve_metrics(host: str) -> None:
     """Responds to every request with all metrics as text, until cancelled."""
     listeners = await trio.open_tcp_listeners(METRICS_PORT, host=host)
-    await trio.serve_listeners(_serve_connection, listeners)
+    await trio.serve_listeners(serve_connection, listeners)
 
 
-async def _serve_connection(stream: trio.SocketStream) -> None:
+async def serve_connection(stream: trio.SocketStream) -> None:
+    """Responds to one request with all metrics."""
+    await run_supervised(Task.METRICS_CONNECTION, _respond, stream)
+
+
+async def _respond(stream: trio.SocketStream) -> None:
     connection = ServerConnection(stream, head_bytes=MAX_HEAD_BYTES)
     try:
         with trio.move_on_after(REQUEST_TIMEOUT_SECONDS):
--- a/packages/daemon/src/goldcrestvane_daemon/tasks.py
+++ b/packages/daemon/src/goldcrestvane_daemon/tasks.py
@@ -44,21 +44,27 @@
 class Task(Enum):
     """Tasks of a process, by what they do."""
 
+    CLIENT_CONNECTION = "client_connection"
     DEATH_FETCH = "death_fetch"
     DEATH_REPORT = "death_report"
+    METRICS_CONNECTION = "metrics_connection"
     PEER = "peer"
     PEER_CALL = "peer_call"
     PEER_CONNECTION = "peer_connection"
     PEER_REQUEST = "peer_request"
+    READINESS_CONNECTION = "readiness_connection"
 
 
 POLICIES = {
+    Task.CLIENT_CONNECTION: FailurePolicy.CONTAIN,
     Task.DEATH_FETCH: FailurePolicy.RESTART,
     Task.DEATH_REPORT: FailurePolicy.CONTAIN,
+    Task.METRICS_CONNECTION: FailurePolicy.CONTAIN,
     Task.PEER: FailurePolicy.RESTART,
     Task.PEER_CALL: FailurePolicy.CONTAIN,
     Task.PEER_CONNECTION: FailurePolicy.CONTAIN,
     Task.PEER_REQUEST: FailurePolicy.CONTAIN,
+    Task.READINESS_CONNECTION: FailurePolicy.CONTAIN,
 }
 
 OPTIONAL_TASKS = frozenset({Task.DEATH_FETCH, Task.PEER})
--- a/packages/daemon/tests/frontend/test_connections.py
+++ b/packages/daemon/tests/frontend/test_connections.py
@@ -74,12 +74,12 @@
         readiness = Readiness(lambda: True)
 
         async def serve_readiness(stream):
-            await process._serve_readiness(stream, readiness)
+            await process.serve_readiness(stream, readiness)
 
         return [
             frontend.port,
             await self.listen(frontend, serve_readiness),
-            await self.listen(frontend, metrics_server._serve_connection),
+            await self.listen(frontend, metrics_server.serve_connection),
         ]
 
     async def exchange(self, port, request, end="close"):
