Show that an entry of another writer ends all frontends

An entry of a target may come from another writer, with any value. Two kinds end every frontend that reads it, and again at each start, while the entry is there: - an address whose port has another kind of digit (127.0.0.1:², isdigit() holds) or thousands of them: ValueError: invalid literal for int() with base 10 - an object that is nested 5,000 deep, of any kind: RecursionError Both are provoked from outside, through the platform's store.

--- /dev/null
+++ b/packages/daemon/tests/frontend/test_foreign_entries.py
@@ -0,0 +1,37 @@
+import unittest
+
+from frontend.frontend_case import FrontendCase
+from frontend.support import build_response
+from goldcrestvane_daemon.platform.store import ObjectKind
+
+ENTRY = {
+    "service": "s1",
+    "address": "127.0.0.1:80",
+    "zone": "d1",
+    "slots": 4,
+    "state": "ready",
+}
+ENTRIES = (
+    {"address": "127.0.0.1:²"},
+    {"address": "127.0.0.1:" + "9" * 5000},
+    {"address": "127.0.0.1:65536"},
+    {"slots": 2**63},
+)
+
+
+class ForeignEntryTests(FrontendCase):
+    def test_entries_of_another_writer_end_no_frontend(self):
+        """Guards against one entry that ends all frontends, also after a restart."""
+
+        async def script(frontend):
+            for number, changes in enumerate(ENTRIES):
+                entry = {**ENTRY, **changes}
+                frontend.platform.put("servers", f"x-{number}", entry)
+            await frontend.wait_synced(ObjectKind.TARGETS)
+            self.assertEqual((await frontend.send("/once/x")).status, 200)
+
+        self.run_frontend(script, [[build_response(b"ok")]])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/daemon/tests/platform_/test_store.py
+++ b/packages/daemon/tests/platform_/test_store.py
@@ -62,6 +62,30 @@
         with mock.patch.object(store_module, "CHECK_TIMEOUT_SECONDS", 0.2):
             trio.run(run)
 
+    def test_object_that_is_nested_too_deeply_is_no_answer(self):
+        """Guards against an object of another writer that ends the process."""
+        value = b"[" * 5000 + b"]" * 5000
+        body = (
+            b'{"items":[{"metadata":{"name":"a"},"specification":%b}],"at":3}' % value
+        )
+
+        async def serve(stream):
+            await stream.receive_some()
+            await stream.send_all(
+                b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n%b" % (len(body), body)
+            )
+
+        async def main():
+            async with Transport() as transport, trio.open_nursery() as nursery:
+                listeners = await nursery.start(serve_on_loopback, serve)
+                port = listeners[0].socket.getsockname()[1]
+                store = StoreClient(transport, f"127.0.0.1:{port}")
+                with self.assertRaises(ObjectStoreUnavailable):
+                    await store.list(ObjectKind.TARGETS)
+                nursery.cancel_scope.cancel()
+
+        trio.run(main)
+
 
 if __name__ == "__main__":
     unittest.main()
