Ignore the entry of a target whose numbers are out of range

What callers saw: all frontends ended at once, and again at each start, while an entry of another writer was listed whose port is no number.

Cause: the port was checked with isdigit(), which holds for digits that int() does not read, and converted outside the part that catches errors.

Change: the port is converted where errors are caught, and has to be a port; so has the number of slots a limit. Such an entry names no target, as PROTOCOL says; the others hold.

Evidence: frontend.test_foreign_entries failed before (ValueError: invalid literal for int() with base 10: '²', out of the nursery) and passes, with platform_.test_object_decoding.

--- a/packages/daemon/src/goldcrestvane_daemon/platform/object_decoding.py
+++ b/packages/daemon/src/goldcrestvane_daemon/platform/object_decoding.py
@@ -1,6 +1,7 @@
 """Decodes the configuration object and the target objects of the object store."""
 
 import math
+import re
 from typing import Any
 
 import msgspec
@@ -36,6 +37,10 @@
 }
 
 CONFIGURATION_NAME = "main"
+MAX_PORT = 65_535
+_PORT = re.compile("[0-9]{1,5}")
+MAX_SLOTS = 1_000_000
+"""Limit on the slots of a target, far above those of any real one."""
 
 
 class _Share(msgspec.Struct, frozen=True):
@@ -193,16 +198,17 @@
     try:
         raw: Any = msgspec.json.decode(value, type=_Entry)
         state = TargetState(raw.state)
-        host, _, port = raw.address.rpartition(":")
-        if not host or not port.isdigit() or raw.slots < 1:
-            return None
-    except (msgspec.DecodeError, UnicodeDecodeError, ValueError):
+        host, _, port_text = raw.address.rpartition(":")
+        port = int(port_text) if _PORT.fullmatch(port_text) else 0
+    except (msgspec.DecodeError, ValueError, RecursionError):
+        return None
+    if not host or not 0 < port <= MAX_PORT or not 1 <= raw.slots <= MAX_SLOTS:
         return None
     return Target(
         instance=InstanceId(name),
         service=ServiceId(raw.service),
         host=host,
-        port=int(port),
+        port=port,
         domain=DomainId(raw.zone),
         slots=raw.slots,
         state=state,
