Take an answer of the store that is nested too deeply for unreadable

What callers saw: all frontends and all members of the ledger ended at once, and again at each start, while an object of one of their kinds was nested some thousands deep.

Cause: the decoder raises RecursionError, which is no DecodeError.

Change: such an answer counts as malformed, so the store counts as unavailable: a process keeps its copy and tries again.

What remains: a process without a copy gets none while the object is listed. The same holds for an object with half of a surrogate pair ("\ud800"), which makes the whole list malformed.

Evidence: platform_.test_store failed before (RecursionError in place of ObjectStoreUnavailable) and passes, with frontend.test_object_cache and frontend.test_copy_checker.

--- a/packages/daemon/src/goldcrestvane_daemon/platform/store.py
+++ b/packages/daemon/src/goldcrestvane_daemon/platform/store.py
@@ -262,7 +262,7 @@
 def _decode(response: ClientResponse, body_type: type[Any]) -> Any:
     try:
         return msgspec.json.decode(response.body, type=body_type)
-    except msgspec.DecodeError as error:
+    except (msgspec.DecodeError, RecursionError) as error:
         raise ObjectStoreUnavailable(
             f"The object store's response is malformed: {error}."
         ) from error
