Ignore loads and parts of prompts whose numbers are out of range

What callers saw: calls of a service failed with a closed connection after one target had stated a load of hundreds of digits.

Cause: the figures of a target's load, and the sizes of the parts of a prompt, were taken without a range and enter calculations with floats.

Change: such a load counts as not stated, and such a prompt as unknown; both only affect the choice of a target.

Evidence: frontend.test_odd_numbers failed before (0 != 200, OverflowError) and passes, with platform_.test_headers, test_target_selection and test_target_observations. For the prompt no failing call was found.

--- a/packages/daemon/src/goldcrestvane_daemon/platform/headers.py
+++ b/packages/daemon/src/goldcrestvane_daemon/platform/headers.py
@@ -14,7 +14,11 @@
 
 Value = TypeVar("Value")
 
-MAX_TOKENS = 10**12
+MAX_LOAD = 1_000_000
+"""Limit on the numbers of calls and slots that a target states, far above real ones."""
+
+MAX_TOKEN_DIGITS = 12
+MAX_TOKENS = 10**MAX_TOKEN_DIGITS
 """Limit on the numbers of tokens that a client states. Sums of many of them still fit into
 the 64 bits of a number in a message."""
 
@@ -199,6 +203,8 @@
         name, _, count = part.strip().rpartition(":")
         if not name or not (count.isascii() and count.isdigit()):
             return None
+        if len(count) > MAX_TOKEN_DIGITS:
+            return None
         parts.append((PromptPartId(name), int(count)))
     return Prompt(tuple(parts), max(tokens, sum(count for _, count in parts)))
 
@@ -339,7 +345,7 @@
         counts = [int(figure) for figure in figures[:3]]
     except ValueError:
         return None
-    if len(counts) < 3:
+    if len(counts) < 3 or not all(0 <= count <= MAX_LOAD for count in counts):
         return None
     percent = _read_percent(figures[3]) if len(figures) > 3 else None
     return ReportedLoad(
