--- a/bench/soak/records.py
+++ b/bench/soak/records.py
@@ -162,7 +162,8 @@
         seconds: Time from its start until the end was noticed.
         code: Exit code; the negative number of the signal that killed it, if any.
         signals: Signals that the soak sent to it while it ran.
-        handled_signals: Whether it held or handled SIGTERM when the last one was sent.
+        handled_signals: Whether it has held or handled SIGTERM when a signal was sent;
+            the interpreter itself does not.
         outlived_grace: Whether the soak killed it since it did not stop in time.
         last_lines: End of its log.
     """
@@ -172,7 +173,7 @@
     seconds: float
     code: int
     signals: tuple[signal.Signals, ...] = ()
-    handled_signals: bool = True
+    handled_signals: bool = False
     outlived_grace: bool = False
     last_lines: str = ""
 
--- a/bench/tests/test_soak.py
+++ b/bench/tests/test_soak.py
@@ -11,6 +11,7 @@
     TIMED_ACCOUNT_CHECKS,
 )
 from bench.soak.checks import CHECKS, TIMED_CHECKS
+from bench.soak.outages import ALL_FRONTENDS
 from bench.soak.process_checks import PROCESS_CHECKS, TIMED_PROCESS_CHECKS
 from bench.soak.processes import Process
 from bench.soak.records import (
@@ -26,6 +27,7 @@
     RequestKind,
     StreamedEvent,
 )
+from bench.soak.summary import count_resumed_after_kills
 
 ALL_CHECKS = {
     **CHECKS,
@@ -249,8 +251,16 @@
             (1, (kill,), 1),
         ):
             with self.subTest(code=code, signals=signals):
-                end = build_end(code=code, signals=signals)
+                end = build_end(code=code, signals=signals, handled_signals=True)
                 self.check("FAULT", breaches=breaches, ends=[end])
+                self.check("FAULT, start", breaches=0, ends=[end])
+
+    def test_process_that_a_signal_kills_before_it_handles_signals(self):
+        term, hup = signal.SIGTERM, signal.SIGHUP
+        for code, signals, late in ((-1, (hup,), 1), (1, (term,), 0), (-11, (), 0)):
+            end = build_end(code=code, signals=signals)
+            self.check("FAULT, start", breaches=late, ends=[end])
+            self.check("FAULT", breaches=1 - late, ends=[end])
 
     def test_process_that_starts_or_stops_late(self):
         for seconds, breaches in ((4.9, 0), (5.1, 1)):
@@ -379,6 +389,27 @@
         check(1, "k-a", 404, [build_run(executed=False)])
         check(0, "k-a", 200, [build_run()], previous=None)
 
+    def test_turn_that_is_said_not_to_exist(self):
+        def check(breaches, ended_at=10.5, key="k-a", whole_at=9.0, status=404):
+            first = build_turn("c0", [(1, "v1")], key="k-a", ended_at=whole_at)
+            turn = build_turn(
+                "c1", [], key=key, status=status, previous="c0", ended_at=ended_at
+            )
+            self.check(
+                "LOST, turn",
+                breaches=breaches,
+                attempts=[first, turn],
+                keys=build_keys(),
+            )
+
+        check(1)
+        check(1, status=410)
+        check(0, status=503)
+        check(0, key="k-b")
+        check(0, key="unknown")
+        check(1, ended_at=68.9)
+        check(0, ended_at=69.1)
+
     def check_quota(self, breaches, count, began_at, **options):
         """Checks runs within 4.9 s against a quota that is lowered at 20 s."""
         times = [began_at + 4.9 * number / count for number in range(count)]
@@ -413,6 +444,23 @@
         self.check_quota(1, 32, 40.0, disturbances=[frozen])
 
 
+class SummaryTests(unittest.TestCase):
+    def test_streams_taken_up_after_kills_of_all_frontends(self):
+        """Counts streams, not attempts, and only those that the kill broke."""
+        evidence = Evidence()
+        kill = build_stop(ALL_FRONTENDS, began_at=10.5, ended_at=11.5)
+        evidence.disturbances.append(kill)
+        for call, ended_at in (("c1", 10.6), ("c2", 10.4)):
+            rest = [(2, "v1")]
+            evidence.attempts += (
+                build_turn(call, [(1, "v1")], ended_at=ended_at, whole=False),
+                build_turn(f"{call}a", rest, stream=call, status=503),
+                build_turn(f"{call}b", rest, stream=call, whole=False),
+                build_turn(f"{call}c", [(3, "v1")], stream=call),
+            )
+        self.assertEqual(count_resumed_after_kills(evidence), 1)
+
+
 class ProcessTests(unittest.TestCase):
     """The end of a process is recorded once, with its cause."""
 
