Let a stand-in for a target go on after the event that it is told

test_limited_target_gets_no_more_resumed_streams_than_it_states fails since: its second target answers a stream that goes on after event 1 with the events 1 and 2, which no target may do (PROTOCOL: ids increase; a stream is resumed with Last-Event-Id). The frontend now ends such an attempt and closes the connection, and the stand-in's send fails.

Change: the stand-in sends event 2, which is right both from the start and after event 1. The checks (status 200, calls in a window) and their bounds are as they were.

Measured: the module's tests pass; before, 1 of 739 tests of packages/daemon/tests failed (BrokenPipeError in the stand-in).

--- a/packages/daemon/tests/frontend/test_rate_limited_targets.py
+++ b/packages/daemon/tests/frontend/test_rate_limited_targets.py
@@ -62,7 +62,7 @@
 
     def test_limited_target_gets_no_more_resumed_streams_than_it_states(self):
         broken = build_limited_stream([1], end=False)
-        self.run_calls("/resume/x", broken, build_stream([1, 2]))
+        self.run_calls("/resume/x", broken, build_stream([2]))
 
     def test_call_returns_to_a_full_target_when_the_others_have_no_permit_left(self):
         """Guards against calls that wait until their deadline beside a free target."""
