Continue no stream at a target that may have restarted

Cause: an entry names the software of one start of a target. If the target ends and starts again under its former id, the frontend uses the former entry until the new one reaches it (watch lag; as long as the store is down). Class: a copy that is used as evidence after a sign that it is out of date.

Change: a refused connection is a sign that the start has ended. From then on its entry is no evidence for a stream that goes on, until the entry names another start, or a copy that is newer by four heartbeats still has it: the entry of a target that ended would be removed after three or replaced by then. Other calls go there as before. 'call: a target seems to have ended' tells which entry is doubted. heartbeat_interval_ms is read from the settings.

Remains: a frontend that saw no refused connection still trusts the former entry; a stream that begins at a restarted target is recorded with the version of the former entry.

--- a/packages/daemon/src/goldcrestvane_daemon/frontend/attempts.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/attempts.py
@@ -9,6 +9,7 @@
 
 from goldcrestvane_common.ids import ServiceId
 from goldcrestvane_common.logs import get_logger
+from goldcrestvane_daemon.clock import get_elapsed_time
 from goldcrestvane_daemon.frontend.call_context import CallContext
 from goldcrestvane_daemon.frontend.call_log import build_program_fields
 from goldcrestvane_daemon.frontend.crash_tracker import CrashTracker, build_fingerprint
@@ -144,6 +145,8 @@
             )
         except ConnectFailed as error:
             self._record_failure(call, target, error, unreachable=True)
+            if error.refused:
+                self._record_end(target)
             if target.instance in call.attempted_targets:
                 call.departed_targets.add(target.instance)
             return AttemptResult.NOT_RUN
@@ -301,6 +304,17 @@
             },
         )
 
+    def _record_end(self, target: Target) -> None:
+        if self._targets.mark_ended(target, now=get_elapsed_time()):
+            logger.info(
+                "a target seems to have ended",
+                extra={
+                    "target": target.instance,
+                    "software": target.software,
+                    "born_ms": target.born_ms,
+                },
+            )
+
     async def _forward_stream(
         self,
         connection: ServerConnection,
@@ -358,7 +372,9 @@
         """Checks whether a failed target has died, and reports its death to peers."""
         try:
             stream = await self._connections.connect(target)
-        except ConnectFailed:
+        except ConnectFailed as error:
+            if error.refused:
+                self._record_end(target)
             head = call.head
             fingerprint = build_fingerprint(head.method, head.path, call.client_body)
             deaths = [target.instance]
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/copy_bounds.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/copy_bounds.py
@@ -9,6 +9,10 @@
 """Margin by which a removed target is dropped before its drain time ends. It covers the
 delay of a watch, the expiry check and the time that a call takes to reach the target."""
 
+STALE_ENTRY_HEARTBEATS = 4
+"""Heartbeat intervals after which no entry of a target that has ended is left: it is removed
+after three, unless the target starts again and replaces it with its first heartbeat."""
+
 LIST_TIMEOUT_SECONDS = 0.75
 MIN_RETRY_SECONDS = 0.25
 MAX_RETRY_SECONDS = 1.0
@@ -33,11 +37,13 @@
         propagation_seconds: Time within which a configuration must be in force.
         drain_seconds: Time after which a leaving target must get no new calls.
         stable_seconds: Time after an outage within which the copies must be current.
+        heartbeat_seconds: Interval at which a target writes its entry.
     """
 
     propagation_seconds: float = 2.0
     drain_seconds: float = 2.0
     stable_seconds: float = 3.0
+    heartbeat_seconds: float = 1.2
 
     @property
     def check_interval(self) -> float:
@@ -62,6 +68,11 @@
         """Time for which a target is used after its entry was removed."""
         return max(0.0, self.drain_seconds - REMOVAL_MARGIN_SECONDS)
 
+    @property
+    def stale_entry_seconds(self) -> float:
+        """Time for which the entry of a target that has ended may still be listed."""
+        return STALE_ENTRY_HEARTBEATS * self.heartbeat_seconds
+
     @property
     def retry_seconds(self) -> float:
         """Pause between two calls to a store that does not answer.
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/object_cache.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/object_cache.py
@@ -363,8 +363,14 @@
         while True:
             await trio.sleep(EXPIRY_CHECK_SECONDS)
             self._expire_missing()
+            self._confirm_targets()
             self._measure_ages()
 
+    def _confirm_targets(self) -> None:
+        """Confirms the entries that are listed too long after a sign of their target's end."""
+        confirmed_at = self._snapshots[ObjectKind.TARGETS].confirmed_at
+        self._targets.confirm(confirmed_at - self._bounds.stale_entry_seconds)
+
     def _expire_missing(self) -> None:
         now = get_elapsed_time()
         for instance, expires_at in list(self._missing.items()):
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/process.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/process.py
@@ -101,6 +101,7 @@
                     propagation_seconds=settings.propagation_seconds,
                     drain_seconds=settings.drain_seconds,
                     stable_seconds=settings.stable_seconds,
+                    heartbeat_seconds=settings.heartbeat_seconds,
                 ),
                 key_bounds=key_bounds,
                 rng=random.Random(hash_text(settings.instance)),
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/queue.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/queue.py
@@ -191,7 +191,13 @@
         ready = self._table.list_ready(self._service)
         if not waiter.is_restricted:
             return ready
-        return [each for each in ready if waiter.may_use(each)]
+        return [
+            each
+            for each in ready
+            if waiter.may_use(each)
+            # A stream goes on only where the software is certain.
+            and (waiter.origin is None or not self._table.may_have_restarted(each))
+        ]
 
     def _check_has_target(self, waiter: Waiter) -> None:
         """Checks whether a target may run a call in time.
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/upstream.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/upstream.py
@@ -51,7 +51,15 @@
 
 
 class ConnectFailed(Exception):
-    """No connection could be opened, and nothing was sent."""
+    """No connection could be opened, and nothing was sent.
+
+    Attributes:
+        refused: Whether nothing listens at the address.
+    """
+
+    def __init__(self, message: str, *, refused: bool = False) -> None:
+        super().__init__(message)
+        self.refused = refused
 
 
 class TargetFailed(Exception):
@@ -171,7 +179,8 @@
                 stream = await trio.open_tcp_stream(target.host, target.port)
         except (OSError, trio.TooSlowError) as error:
             raise ConnectFailed(
-                f"No connection to {target.host}:{target.port}: {error!r}."
+                f"No connection to {target.host}:{target.port}: {error!r}.",
+                refused=_is_refusal(error),
             ) from error
         enable_keepalive(stream)
         return stream
@@ -201,6 +210,14 @@
             await trio.aclose_forcefully(connection.stream)
 
 
+def _is_refusal(error: BaseException) -> bool:
+    """Returns whether an attempt to connect was refused; trio raises it as a cause."""
+    cause = error.__cause__
+    if isinstance(cause, BaseExceptionGroup):
+        return cause.subgroup(ConnectionRefusedError) is not None
+    return isinstance(cause or error, ConnectionRefusedError)
+
+
 @final
 class TargetRequest:
     """One request on one connection to one target.
--- a/packages/daemon/src/goldcrestvane_daemon/platform/machine.py
+++ b/packages/daemon/src/goldcrestvane_daemon/platform/machine.py
@@ -55,6 +55,7 @@
     internal_port_range: list[int]
     platform: _Platform
     bootstrap: bool = False
+    heartbeat_interval_ms: float = 1200
     data_directory: str | None = None
     seeds: list[str] = []
     listen_addresses: _ListenAddresses = _ListenAddresses()
@@ -83,6 +84,7 @@
         propagation_seconds: Time within which a configuration must be in force.
         stable_seconds: Time after an outage within which the copies of the platform's
             objects must be current.
+        heartbeat_seconds: Interval at which a target writes its entry.
         grace_seconds: Time between the shutdown signal and the kill.
         memory_mb: Memory limit at which the platform kills the process.
         disk_mb: Size of the machine's disk.
@@ -106,6 +108,7 @@
     drain_seconds: float = 2.0
     propagation_seconds: float = 2.0
     stable_seconds: float = 3.0
+    heartbeat_seconds: float = 1.2
     grace_seconds: float = 8.0
     memory_mb: float = 0
     disk_mb: float = 0
@@ -162,6 +165,7 @@
         drain_seconds=raw.bounds.drain_ms / 1000,
         propagation_seconds=raw.bounds.config_propagation_ms / 1000,
         stable_seconds=raw.bounds.stable_window_ms / 1000,
+        heartbeat_seconds=raw.heartbeat_interval_ms / 1000,
         grace_seconds=raw.bounds.grace_s,
         memory_mb=raw.limits.memory_mb,
         disk_mb=raw.limits.disk_mb,
--- a/packages/daemon/src/goldcrestvane_daemon/targets.py
+++ b/packages/daemon/src/goldcrestvane_daemon/targets.py
@@ -154,6 +154,7 @@
         self._ready: dict[ServiceId, dict[InstanceId, Target]] = {}
         self._loads: dict[InstanceId, TargetLoadTracker] = {}
         self._leaving: dict[TargetKey, None] = {}
+        self._ended: dict[TargetKey, float] = {}
         self._origins: dict[ServiceId, Counter[StreamOrigin]] = {}
         self._origins_changed_at: dict[ServiceId, float] = {}
 
@@ -173,6 +174,26 @@
             self.put(known)
         return True
 
+    def mark_ended(self, target: Target, *, now: float) -> bool:
+        """Records that a start of a target seems to have ended; returns whether this is new.
+
+        Its entry may be that of a former start from then on: the target may start again
+        with other software before its new entry is known.
+        """
+        is_new = target.key not in self._ended
+        self._ended[target.key] = now
+        return is_new
+
+    def confirm(self, before: float) -> None:
+        """Confirms the entries of targets that seemed to have ended before some time."""
+        for key, ended_at in list(self._ended.items()):
+            if ended_at < before:
+                del self._ended[key]
+
+    def may_have_restarted(self, target: Target) -> bool:
+        """Returns whether the target's entry may be that of a former start."""
+        return target.key in self._ended
+
     def put(self, target: Target) -> bool:
         """Adds or replaces a target; returns whether anything changed."""
         if target.key in self._leaving:
--- a/packages/daemon/tests/frontend/test_object_cache.py
+++ b/packages/daemon/tests/frontend/test_object_cache.py
@@ -239,6 +239,24 @@
 
         self.run_script(script)
 
+    def test_entry_is_certain_again_if_it_outlasts_the_heartbeats_of_an_ended_target(
+        self,
+    ):
+        async def script(store, is_target_used):
+            table = self.object_cache._targets
+            target = table.get("i-1")
+            seconds = CopyBounds().stale_entry_seconds
+            for outage in (0.0, 10.0):
+                store.set_outage(outage > 0)
+                table.mark_ended(target, now=trio.current_time())
+                await trio.sleep(outage + seconds - 0.1)
+                self.assertTrue(table.may_have_restarted(target))
+                store.set_outage(False)
+                await trio.sleep(0.1 + 2 * CONFIG_PROPAGATION_SECONDS)
+                self.assertFalse(table.may_have_restarted(target))
+
+        self.run_script(script)
+
     def test_draining_target_is_dropped_at_once(self):
         async def script(store, is_target_used):
             store.put("i-1", state="draining")
--- a/packages/daemon/tests/test_targets.py
+++ b/packages/daemon/tests/test_targets.py
@@ -60,6 +60,17 @@
         restarted = self.put("i-1", "v1", born_ms=5)
         self.assertEqual(self.table.list_ready("s1"), [restarted])
 
+    def test_entry_of_an_ended_target_is_uncertain_until_it_changes(self):
+        target = self.put("i-1", "v1", born_ms=1)
+        self.assertTrue(self.table.mark_ended(target, now=5.0))
+        self.assertFalse(self.table.mark_ended(target, now=6.0))
+        self.table.confirm(6.0)
+        self.assertTrue(self.table.may_have_restarted(target))
+        restarted = self.put("i-1", "v1", born_ms=2)
+        self.assertFalse(self.table.may_have_restarted(restarted))
+        self.table.confirm(6.1)
+        self.assertFalse(self.table.may_have_restarted(target))
+
 
 if __name__ == "__main__":
     unittest.main()
