List a stream without a record that goes on at the version of others (fails)

What callers see: a stream joined from two versions, if four things meet: the ledger has no quorum for 0.5 s at the first event, the frontend is killed before it settles the turn, the client does not name the attempt, and the other turns of its program had one other version.

Not fixed: the charge of such a stream cannot be told from that of a turn that was killed while it waited for a target, nor from that of an earlier resumption. Refusing all of them would refuse streams whose version is certain, which has cost callers before. A fix needs a charge that says that its turn has been sent.

--- a/packages/daemon/tests/frontend/test_stream_versions.py
+++ b/packages/daemon/tests/frontend/test_stream_versions.py
@@ -288,6 +288,24 @@
 
         self.run_frontends(script, [WAITING], [])
 
+    def test_unnamed_stream_without_a_record_does_not_go_on_at_the_others_version(self):
+        """The frontend that began it was killed while the ledger did not answer."""
+
+        async def fail(*_):
+            raise LedgerUnavailable("out")
+
+        async def script(*frontends):
+            first, second = frontends
+            await self.list_targets(frontends, [("v2", "ready"), ("v1", "draining")])
+            first.ledger.charges["p1"] = {"c0": TokenCharge("c0", 5, True, "s1 v1")}
+            first.ledger.settle = fail
+            await self.begin(first)
+            await self.list_targets(frontends, [("v2", "ready"), ("v1", "ready")])
+            response = await self.resume(second, resumes=None)
+            self.assertEqual(response.status, 503)
+
+        self.run_frontends(script, [WAITING], [REST_OF_C2])
+
 
 if __name__ == "__main__":
     unittest.main()
