Test that a stream of a sidecar that skips text is not joined (fails)

What callers would see: an answer without a piece, in the product's own form.

Evidence: AssertionError: b'"one three"' != b'"one two three"'.

--- a/packages/daemon/tests/owner/test_target_connector.py
+++ b/packages/daemon/tests/owner/test_target_connector.py
@@ -1,4 +1,6 @@
+import contextlib
 import unittest
+from unittest import mock
 
 import msgspec
 import trio
@@ -17,6 +19,10 @@
     InstanceState,
     PingResponse,
     Role,
+    StreamDelta,
+    StreamEnd,
+    TokenUsage,
+    encode_json_line,
 )
 from goldcrestvane_common.paths import (
     PING_PATH,
@@ -85,8 +91,28 @@
     return ClientResponse(status=421, headers={}, body=body)
 
 
+class StreamingTransport(FakeTransport):
+    """Transport whose dispatches each get a stream of frames."""
+
+    def __init__(self, *streams):
+        super().__init__([])
+        self.streams = list(streams)
+        self.offsets = []
+
+    @contextlib.asynccontextmanager
+    async def stream(self, method, peer, path, *, value, **options):
+        self.offsets.append(value.resume_offset)
+        frames = self.streams.pop(0)
+
+        async def iterate():
+            for frame in frames:
+                yield encode_json_line(frame)
+
+        yield mock.Mock(status=200, iterate=iterate)
+
+
 class TargetConnectorTests(unittest.TestCase):
-    def run_call(self, transport, *, idempotent):
+    def run_call(self, transport, *, idempotent, stream=False):
         result = []
 
         async def main():
@@ -98,7 +124,7 @@
                     request = build_request(idempotent=idempotent)
                     result.append(
                         await connector.send_call(
-                            TARGET, request, execution, stream=False
+                            TARGET, request, execution, stream=stream
                         )
                     )
                 except Exception as error:
@@ -144,6 +170,16 @@
         answer = self.run_call(SlowTransport([build_response()]), idempotent=True)
         self.assertEqual(bytes(answer.value), b"1")
 
+    def test_stream_that_skips_text_goes_on_where_it_was_whole(self):
+        end = StreamEnd(TokenUsage())
+        transport = StreamingTransport(
+            [StreamDelta(0, "one "), StreamDelta(8, "three"), end],
+            [StreamDelta(4, "two three"), end],
+        )
+        answer = self.run_call(transport, idempotent=False, stream=True)
+        self.assertEqual(bytes(answer.value), b'"one two three"')
+        self.assertEqual(transport.offsets, [0, 4])
+
 
 if __name__ == "__main__":
     unittest.main()
