Resume a sidecar's stream that skips text

What callers would see: an answer without a piece (own form). By test only.

Cause: the owner drops text that it has, but did not notice text that it lacks, unlike the entry. Class: as the frontend's, offsets of a stream that are not compared.

Change: a frame that begins after the end of the text so far breaks the exchange, and the call is sent again from there with its call id, as after a broken connection.

Evidence: the test failed before: b'"one three"' != b'"one two three"'. Measured: owner.test_target_connector, test_local_target, test_runner and entry.test_streams pass.

--- a/packages/daemon/src/goldcrestvane_daemon/owner/target_connector.py
+++ b/packages/daemon/src/goldcrestvane_daemon/owner/target_connector.py
@@ -324,8 +324,12 @@
     if isinstance(frame, StreamFailure):
         raise build_error(frame.error)
     if isinstance(frame, StreamDelta):
-        new_text = frame.text[max(0, execution.length - frame.offset) :]
-        execution.add_text(new_text)
+        known = execution.length - frame.offset
+        if known < 0:
+            raise ExchangeBroken(
+                f"Got text at character {frame.offset}, expected {execution.length}."
+            )
+        execution.add_text(frame.text[known:])
 
 
 def _build_target_lost(request: DispatchRequest, target: Instance) -> ServiceError:
