Test that an id with too many digits does not end the call (fails)

What callers see: a faulty target that sends an id of more than 4,300 digits makes the frontend close the client's connection after an unexpected error, though another target could go on.

Evidence: ValueError: Exceeds the limit (4300 digits) for integer string conversion.

--- a/packages/daemon/tests/frontend/test_events.py
+++ b/packages/daemon/tests/frontend/test_events.py
@@ -24,6 +24,10 @@
         self.assertEqual(len(splitter.feed(STREAM + b"id: 3\ndata: c")), 2)
         self.assertEqual(splitter.remainder, b"id: 3\ndata: c")
 
+    def test_id_with_too_many_digits_is_no_number(self):
+        event = b"id: %s\ndata: a\n\n" % (b"9" * 5000)
+        self.assertIsNone(EventSplitter().feed(event)[0].number)
+
     def test_event_without_end_is_rejected(self):
         splitter = EventSplitter()
         block = b"x" * 65_536
