Take an id with too many digits for none

Cause: int() raises ValueError above 4,300 digits. Class: input of an outside system that is converted without a bound.

--- a/packages/daemon/src/goldcrestvane_daemon/frontend/events.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/events.py
@@ -9,6 +9,9 @@
 DATA_FIELD = b"data:"
 ID_FIELD = b"id:"
 
+MAX_ID_DIGITS = 18
+"""Digits of a numeric id, which fits into 64 bits."""
+
 
 class EventTooLong(Exception):
     """An event has more than `MAX_EVENT_BYTES` bytes."""
@@ -73,5 +76,6 @@
             data.append(line[len(DATA_FIELD) :].removeprefix(b" "))
         elif line.startswith(ID_FIELD):
             text = line[len(ID_FIELD) :].strip()
-            number = int(text) if text.isdigit() else None
+            is_number = text.isdigit() and len(text) <= MAX_ID_DIGITS
+            number = int(text) if is_number else None
     return StreamEvent(raw, number, b"\n".join(data))
