Keep a frontend running after an unexpected error in one of its tasks

What callers saw: an error that nobody foresaw in any task of a frontend (a watch, an announcement, the end of one turn) ended it, with all its calls.

Cause: all tasks share the nursery of the process.

Change: each has a policy. Waiters are released: a call that waits for a permit is told that there is none, an origin without a record has its timeout, and the exchange of observations starts again with the next report.

--- a/packages/daemon/src/goldcrestvane_daemon/frontend/attempts.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/attempts.py
@@ -36,6 +36,7 @@
 from goldcrestvane_daemon.platform.headers import ResponseHead, build_target_headers
 from goldcrestvane_daemon.routes import CallKind
 from goldcrestvane_daemon.targets import Target, TargetTable
+from goldcrestvane_daemon.tasks import Task, run_supervised
 
 LOOKUP_TIMEOUT_FACTOR = 2.0
 """Multiple of the route's objective after which a lookup goes to another target."""
@@ -126,7 +127,12 @@
         """Drops the state and the connections of a target that no longer exists."""
         self._health.forget(target.instance)
         self._rate_limits.forget(target)
-        self._nursery.start_soon(self._connections.close_target, target)
+        self._nursery.start_soon(
+            run_supervised,
+            Task.CONNECTION_CLOSE,
+            self._connections.close_target,
+            target,
+        )
 
     async def run(
         self,
@@ -155,7 +161,9 @@
                 return AttemptResult.LOST
             self._record_failure(call, target, error, unreachable=False)
             if error.before_response:
-                self._nursery.start_soon(self._detect_death, call, target)
+                self._nursery.start_soon(
+                    run_supervised, Task.DEATH_REPORT, self._detect_death, call, target
+                )
             return AttemptResult.LOST
         except StreamStalled as error:
             # The client has left by now, so no other target continues the stream.
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/calls.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/calls.py
@@ -46,6 +46,7 @@
 from goldcrestvane_daemon.platform.headers import build_refusal_headers
 from goldcrestvane_daemon.routes import RouteTable
 from goldcrestvane_daemon.targets import Target, TargetTable
+from goldcrestvane_daemon.tasks import Task, run_supervised
 
 MAX_REJECTIONS = 40
 """Number of rejected attempts after which a call is refused."""
@@ -245,7 +246,9 @@
             finally:
                 if not call.settled:
                     # This also applies if the client disconnected or the deadline passed.
-                    self._nursery.start_soon(self._turns.settle, call)
+                    self._nursery.start_soon(
+                        run_supervised, Task.TURN, self._turns.settle, call
+                    )
         if scope.cancelled_caught:
             raise _build_timeout(call)
 
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/copy_checker.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/copy_checker.py
@@ -21,6 +21,7 @@
 from goldcrestvane_daemon.frontend.peers import FrontendPeers
 from goldcrestvane_daemon.frontend.snapshot import ChangeSource, Snapshot
 from goldcrestvane_daemon.platform.store import ObjectKind, StoreChanges, StoreClient
+from goldcrestvane_daemon.tasks import Task, run_supervised
 
 logger = get_logger("directory")
 
@@ -90,8 +91,18 @@
         """Checks the copies until cancelled."""
         async with trio.open_nursery() as nursery:
             for kind in self._snapshots:
-                nursery.start_soon(self._ask_frontends_periodically, kind)
-                nursery.start_soon(self._ask_store_periodically, kind)
+                nursery.start_soon(
+                    run_supervised,
+                    Task.OBJECT_CHECK,
+                    self._ask_frontends_periodically,
+                    kind,
+                )
+                nursery.start_soon(
+                    run_supervised,
+                    Task.OBJECT_CHECK,
+                    self._ask_store_periodically,
+                    kind,
+                )
 
     def _is_older_than(self, seconds: float, kind: ObjectKind) -> bool:
         """Returns whether a copy that has to be current needs a check."""
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/copy_confirmer.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/copy_confirmer.py
@@ -25,6 +25,7 @@
     ObjectKind,
     StoreClient,
 )
+from goldcrestvane_daemon.tasks import Task, run_supervised
 
 CONFIRMATION_SHARES = (0.35, 0.4)
 """Range of the age at which the store is asked, as a share of the maximum age. Each
@@ -90,7 +91,11 @@
             self._nursery = nursery
             if self._bounds.max_copy_age is not None:
                 nursery.start_soon(
-                    self._confirm_periodically, nursery, self._bounds.max_copy_age
+                    run_supervised,
+                    Task.OBJECT_CONFIRMATION,
+                    self._confirm_periodically,
+                    nursery,
+                    self._bounds.max_copy_age,
                 )
             await trio.sleep_forever()
 
@@ -106,7 +111,12 @@
         """
         if self._nursery is not None and self.get_key_check_delay() == 0:
             self._next_key_check = get_elapsed_time() + KEY_CHECK_INTERVAL_SECONDS
-            self._nursery.start_soon(self._request_confirmation, "unknown_key")
+            self._nursery.start_soon(
+                run_supervised,
+                Task.CONFIRMATION_REQUEST,
+                self._request_confirmation,
+                "unknown_key",
+            )
         since = get_elapsed_time() - self._bounds.max_unknown_key_age
         with trio.move_on_after(MAX_KEY_WAIT_SECONDS):
             await self._snapshot.wait_confirmed(since)
@@ -121,7 +131,12 @@
             while (age := self._snapshot.get_age(get_elapsed_time())) < max_age:
                 await trio.sleep(max(MIN_PAUSE_SECONDS, max_age - age))
             if self._is_needed():
-                nursery.start_soon(self._request_confirmation, "revocation_bound")
+                nursery.start_soon(
+                    run_supervised,
+                    Task.CONFIRMATION_REQUEST,
+                    self._request_confirmation,
+                    "revocation_bound",
+                )
             await trio.sleep(
                 self._rng.uniform(0.8, 1.2) * CONFIRMATION_INTERVAL_SECONDS
             )
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/copy_watcher.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/copy_watcher.py
@@ -17,6 +17,7 @@
     StoreChanges,
     StoreClient,
 )
+from goldcrestvane_daemon.tasks import Task, run_supervised
 
 WATCH_TIMEOUT_SECONDS = 10.0
 """Duration of one watch. Shorter watches cost more calls."""
@@ -85,7 +86,9 @@
         """Watches the store until cancelled."""
         async with trio.open_nursery() as nursery:
             for kind in self._snapshots:
-                nursery.start_soon(self._follow_kind, kind)
+                nursery.start_soon(
+                    run_supervised, Task.OBJECT_WATCH, self._follow_kind, kind
+                )
 
     def is_available(self, kind: ObjectKind) -> bool:
         """Returns whether there is a copy and the store answered the last list.
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/ledger_announcer.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/ledger_announcer.py
@@ -20,6 +20,7 @@
     Frontends,
     RateLimit,
 )
+from goldcrestvane_daemon.tasks import Task, run_supervised
 
 ANNOUNCE_INTERVAL_SECONDS = 3.0
 """Interval at which a frontend announces itself. The other frontends know a new one
@@ -57,6 +58,9 @@
 
     async def run(self) -> None:
         """Announces the frontend until cancelled."""
+        await run_supervised(Task.ANNOUNCEMENT, self._run)
+
+    async def _run(self) -> None:
         while True:
             for address in self._ledger.list_addresses():
                 # Others relay only if they are needed, which costs them messages.
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/ledger_client.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/ledger_client.py
@@ -49,6 +49,7 @@
 from goldcrestvane_daemon.ledger.quorum import call_until_quorum
 from goldcrestvane_daemon.ledger.turn_cache import TurnCache
 from goldcrestvane_daemon.ledger.view import Member, View
+from goldcrestvane_daemon.tasks import Task, run_supervised
 
 REQUEST_TIMEOUT_SECONDS = 0.5
 """Timeout of a request to a member. A write takes a round trip between domains and a
@@ -286,7 +287,11 @@
         if program not in self._missing_charges:
             self._missing_charges[program] = {}
             self._nursery.start_soon(
-                self._repair_account, program, account.retention_seconds
+                run_supervised,
+                Task.TURN,
+                self._repair_account,
+                program,
+                account.retention_seconds,
             )
         self._missing_charges[program].update(
             {charge.call: charge for charge in missing}
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/object_cache.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/object_cache.py
@@ -32,6 +32,7 @@
 )
 from goldcrestvane_daemon.routes import RouteTable
 from goldcrestvane_daemon.targets import Target, TargetState, TargetTable
+from goldcrestvane_daemon.tasks import Task, run_supervised
 
 EXPIRY_CHECK_SECONDS = 0.1
 
@@ -138,7 +139,9 @@
             nursery.start_soon(self._watcher.run)
             nursery.start_soon(self._checker.run)
             nursery.start_soon(self._confirmer.run)
-            nursery.start_soon(self._maintain_periodically)
+            nursery.start_soon(
+                run_supervised, Task.OBJECT_EXPIRY, self._maintain_periodically
+            )
 
     async def wait_until_needed(self, kind: ObjectKind) -> bool:
         """Waits while a kind needs no watch; returns whether it had to wait.
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/observation_exchange.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/observation_exchange.py
@@ -26,6 +26,7 @@
     TargetObservation,
 )
 from goldcrestvane_daemon.ledger.view import Member, View
+from goldcrestvane_daemon.tasks import Task, run_supervised
 
 ANSWER_TIMEOUT_SECONDS = 0.15
 """Time for which a member is asked. An answer takes a round trip between domains."""
@@ -127,20 +128,25 @@
         is_new = service not in self._reported_at
         self._reported_at[service] = trio.current_time()
         if is_new:
-            self._nursery.start_soon(self._run, service)
+            self._nursery.start_soon(
+                run_supervised, Task.OBSERVATIONS, self._run, service
+            )
 
     async def _run(self, service: ServiceId) -> None:
         """Exchanges observations about a service while its targets report slowdowns."""
         logger.info("sharing observations", extra={"service": service})
-        while True:
-            started_at = trio.current_time()
-            if started_at - self._reported_at[service] > ACTIVE_SECONDS:
-                break
-            interval = await self._exchange(service)
-            await trio.sleep_until(started_at + interval)
-        del self._reported_at[service]
-        for key in [key for key in self._sessions if key[0] == service]:
-            del self._sessions[key]
+        try:
+            while True:
+                started_at = trio.current_time()
+                if started_at - self._reported_at[service] > ACTIVE_SECONDS:
+                    break
+                interval = await self._exchange(service)
+                await trio.sleep_until(started_at + interval)
+        finally:
+            # The next report of a slowdown starts the exchange again.
+            del self._reported_at[service]
+            for key in [key for key in self._sessions if key[0] == service]:
+                del self._sessions[key]
         logger.info("sharing no observations", extra={"service": service})
 
     async def _exchange(self, service: ServiceId) -> float:
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/permits.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/permits.py
@@ -9,6 +9,7 @@
 from goldcrestvane_daemon.frontend.ledger_client import LedgerUnavailable
 from goldcrestvane_daemon.frontend.metrics import PERMITS
 from goldcrestvane_daemon.ledger.messages import AcquirePermit, Permit, RateLimit
+from goldcrestvane_daemon.tasks import Task, run_supervised
 
 logger = get_logger("rate")
 
@@ -35,16 +36,26 @@
         self, request: AcquirePermit, on_answer: Callable[[Permit | None], None]
     ) -> None:
         """Asks for a permit; calls `on_answer` with None if no member answers."""
-        self._nursery.start_soon(self._ask, request, on_answer)
+        self._nursery.start_soon(self._run_ask, request, on_answer)
 
     def report(self, limit: RateLimit) -> None:
         """Reports that a target states another limit than before."""
-        self._nursery.start_soon(self._report, limit)
+        self._nursery.start_soon(run_supervised, Task.PERMIT, self._report, limit)
 
-    async def _ask(
+    async def _run_ask(
         self, request: AcquirePermit, on_answer: Callable[[Permit | None], None]
     ) -> None:
         permit = None
+
+        async def ask() -> None:
+            nonlocal permit
+            permit = await self._ask(request)
+
+        await run_supervised(Task.PERMIT, ask)
+        await run_supervised(Task.PERMIT, _answer, on_answer, permit)
+
+    async def _ask(self, request: AcquirePermit) -> Permit | None:
+        permit = None
         try:
             permit = await self._source.acquire_permit(request)
         except LedgerUnavailable as error:
@@ -56,7 +67,7 @@
         if permit is not None and permit.wait_seconds is None:
             result = "denied"
         PERMITS.labels(result).inc()
-        on_answer(permit)
+        return permit
 
     async def _report(self, limit: RateLimit) -> None:
         try:
@@ -67,3 +78,9 @@
                 "reporting a rate limit failed",
                 extra={"target": limit.target, "reason": str(error)},
             )
+
+
+async def _answer(
+    on_answer: Callable[[Permit | None], None], permit: Permit | None
+) -> None:
+    on_answer(permit)
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/process.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/process.py
@@ -45,7 +45,7 @@
 from goldcrestvane_daemon.platform.store import StoreClient
 from goldcrestvane_daemon.settings import InvalidSettings
 from goldcrestvane_daemon.targets import Target, TargetTable
-from goldcrestvane_daemon.tasks import Task, run_supervised
+from goldcrestvane_daemon.tasks import Task, has_failing_task, run_supervised
 
 READY_HEAD_BYTES = 8192
 READY_IDLE_SECONDS = 30.0
@@ -141,7 +141,12 @@
 
             def is_ready() -> bool:
                 configured = object_cache.routes is not None
-                return configured and ledger.is_usable and not shutdown.requested
+                return (
+                    configured
+                    and ledger.is_usable
+                    and not shutdown.requested
+                    and not has_failing_task()
+                )
 
             readiness = Readiness(is_ready)
 
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/quota_client.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/quota_client.py
@@ -28,6 +28,7 @@
 from goldcrestvane_daemon.ledger.frames import PeerUnreachable
 from goldcrestvane_daemon.ledger.messages import AcquireQuota, QuotaGrants
 from goldcrestvane_daemon.ledger.view import Member, View
+from goldcrestvane_daemon.tasks import Task, run_supervised
 
 ASK_TIMEOUT_SECONDS = 0.2
 """Time for which a member is asked for tokens. Calls wait for it."""
@@ -227,7 +228,9 @@
         for member in members:
             items = self._tokens.build_items(member, get_elapsed_time())
             if items:
-                self._nursery.start_soon(self._run_exchange, member, items)
+                self._nursery.start_soon(
+                    run_supervised, Task.QUOTA, self._run_exchange, member, items
+                )
 
     async def _run_exchange(self, member: str, items: list[QuotaItem]) -> None:
         try:
@@ -272,7 +275,7 @@
     def _start_updates(self) -> None:
         if not self._is_updating:
             self._is_updating = True
-            self._nursery.start_soon(self._run_updates)
+            self._nursery.start_soon(run_supervised, Task.QUOTA, self._run_updates)
 
     async def _run_updates(self) -> None:
         """Sends reports and returns tokens while accounts with quotas are active."""
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/stream_origins.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/stream_origins.py
@@ -18,6 +18,7 @@
     TurnRecorder,
 )
 from goldcrestvane_daemon.targets import Target, TargetTable
+from goldcrestvane_daemon.tasks import Task, run_supervised
 
 UNKNOWN_ORIGIN_RETRY_SECONDS = 0.3
 """Retry delay for streams of an unknown origin: the ledger may answer again by then."""
@@ -91,7 +92,9 @@
             await self._replace(call)
             recorded.set()
         else:
-            self._nursery.start_soon(self._record, call, recorded)
+            self._nursery.start_soon(
+                run_supervised, Task.TURN, self._record, call, recorded
+            )
         return recorded
 
     async def _replace(self, call: CallContext) -> None:
--- a/packages/daemon/src/goldcrestvane_daemon/tasks.py
+++ b/packages/daemon/src/goldcrestvane_daemon/tasks.py
@@ -44,30 +44,68 @@
 class Task(Enum):
     """Tasks of a process, by what they do."""
 
+    ANNOUNCEMENT = "announcement"
     CLIENT_CONNECTION = "client_connection"
+    COMPACTION = "compaction"
+    CONFIRMATION_REQUEST = "confirmation_request"
+    CONNECTION_CLOSE = "connection_close"
     DEATH_FETCH = "death_fetch"
     DEATH_REPORT = "death_report"
+    EXPIRY = "expiry"
+    LOG = "log"
+    MEMBERSHIP = "membership"
+    MEMBERSHIP_WATCH = "membership_watch"
     METRICS_CONNECTION = "metrics_connection"
+    METRICS_SERVER = "metrics_server"
+    OBJECT_CHECK = "object_check"
+    OBJECT_CONFIRMATION = "object_confirmation"
+    OBJECT_EXPIRY = "object_expiry"
+    OBJECT_WATCH = "object_watch"
+    OBSERVATIONS = "observations"
     PEER = "peer"
     PEER_CALL = "peer_call"
     PEER_CONNECTION = "peer_connection"
     PEER_REQUEST = "peer_request"
+    PERMIT = "permit"
+    PROBES = "probes"
+    QUOTA = "quota"
+    QUOTA_ISSUE = "quota_issue"
     READINESS_CONNECTION = "readiness_connection"
+    TURN = "turn"
 
 
 POLICIES = {
+    Task.ANNOUNCEMENT: FailurePolicy.RESTART,
     Task.CLIENT_CONNECTION: FailurePolicy.CONTAIN,
+    Task.COMPACTION: FailurePolicy.RESTART,
+    Task.CONFIRMATION_REQUEST: FailurePolicy.CONTAIN,
+    Task.CONNECTION_CLOSE: FailurePolicy.CONTAIN,
     Task.DEATH_FETCH: FailurePolicy.RESTART,
     Task.DEATH_REPORT: FailurePolicy.CONTAIN,
+    Task.EXPIRY: FailurePolicy.RESTART,
+    Task.LOG: FailurePolicy.END,
+    Task.MEMBERSHIP: FailurePolicy.RESTART,
+    Task.MEMBERSHIP_WATCH: FailurePolicy.RESTART,
     Task.METRICS_CONNECTION: FailurePolicy.CONTAIN,
+    Task.METRICS_SERVER: FailurePolicy.RESTART,
+    Task.OBJECT_CHECK: FailurePolicy.RESTART,
+    Task.OBJECT_CONFIRMATION: FailurePolicy.RESTART,
+    Task.OBJECT_EXPIRY: FailurePolicy.RESTART,
+    Task.OBJECT_WATCH: FailurePolicy.RESTART,
+    Task.OBSERVATIONS: FailurePolicy.CONTAIN,
     Task.PEER: FailurePolicy.RESTART,
     Task.PEER_CALL: FailurePolicy.CONTAIN,
     Task.PEER_CONNECTION: FailurePolicy.CONTAIN,
     Task.PEER_REQUEST: FailurePolicy.CONTAIN,
+    Task.PERMIT: FailurePolicy.CONTAIN,
+    Task.PROBES: FailurePolicy.RESTART,
+    Task.QUOTA: FailurePolicy.CONTAIN,
+    Task.QUOTA_ISSUE: FailurePolicy.RESTART,
     Task.READINESS_CONNECTION: FailurePolicy.CONTAIN,
+    Task.TURN: FailurePolicy.CONTAIN,
 }
 
-OPTIONAL_TASKS = frozenset({Task.DEATH_FETCH, Task.PEER})
+OPTIONAL_TASKS = frozenset({Task.DEATH_FETCH, Task.METRICS_SERVER, Task.PEER})
 """Tasks without which a process serves all calls. Their failure is no lack of readiness."""
 
 
