Keep a member running after an unexpected error in one of its tasks

What callers saw: an error that nobody foresaw in the compaction, the expiry, the probes, the steps, the watches or the quotas of a member ended it; the frontends lost its answers until it was started again.

Change: these tasks are run again with back-off.

Evidence: ledger.test_injected_errors ended the members before (RuntimeError out of the nursery); each task runs again now, and a turn is opened. The expiry and the quotas were not injected.

--- a/packages/daemon/src/goldcrestvane_daemon/ledger/compaction.py
+++ b/packages/daemon/src/goldcrestvane_daemon/ledger/compaction.py
@@ -26,6 +26,7 @@
 from goldcrestvane_daemon.ledger.state import LedgerState
 from goldcrestvane_daemon.ledger.turn_index import IndexedTurn
 from goldcrestvane_daemon.ledger.turn_reader import TurnReader, TurnUnreadable
+from goldcrestvane_daemon.tasks import Task, run_supervised
 
 INTERVAL_SECONDS = 0.5
 CHUNK_BYTES = 256_000
@@ -101,6 +102,9 @@
 
     async def run(self) -> None:
         """Frees space until cancelled."""
+        await run_supervised(Task.COMPACTION, self._run)
+
+    async def _run(self) -> None:
         while True:
             await trio.sleep(INTERVAL_SECONDS)
             try:
--- a/packages/daemon/src/goldcrestvane_daemon/ledger/membership.py
+++ b/packages/daemon/src/goldcrestvane_daemon/ledger/membership.py
@@ -41,6 +41,7 @@
     build_first_view,
 )
 from goldcrestvane_daemon.platform.store import ObjectKind, StoreClient, StoreObject
+from goldcrestvane_daemon.tasks import Task, run_supervised
 
 BOOTSTRAP_WAIT_SECONDS = 1.5
 """Minimum wait for the other initial members.
@@ -102,10 +103,15 @@
         """Maintains the membership until cancelled."""
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._watcher.run)
-            nursery.start_soon(self._run_steps)
-            nursery.start_soon(self._probe)
+            nursery.start_soon(run_supervised, Task.MEMBERSHIP, self._run_steps)
+            nursery.start_soon(run_supervised, Task.PROBES, self._probe)
             if self._service.quotas is not None:
-                nursery.start_soon(self._service.quotas.run, self._watcher.check_view)
+                nursery.start_soon(
+                    run_supervised,
+                    Task.QUOTA_ISSUE,
+                    self._service.quotas.run,
+                    self._watcher.check_view,
+                )
 
     # Peers
 
--- a/packages/daemon/src/goldcrestvane_daemon/ledger/membership_watcher.py
+++ b/packages/daemon/src/goldcrestvane_daemon/ledger/membership_watcher.py
@@ -17,6 +17,7 @@
     StoreClient,
     StoreObject,
 )
+from goldcrestvane_daemon.tasks import Task, run_supervised
 
 WATCHED_KINDS = (ObjectKind.LEDGER, ObjectKind.RETIREMENTS)
 VIEW_NAME = "view"
@@ -61,7 +62,9 @@
         """Watches the object store until cancelled."""
         async with trio.open_nursery() as nursery:
             for kind in WATCHED_KINDS:
-                nursery.start_soon(self._watch_kind, kind)
+                nursery.start_soon(
+                    run_supervised, Task.MEMBERSHIP_WATCH, self._watch_kind, kind
+                )
 
     async def wait_for_change(self, seconds: float) -> None:
         """Returns at the next change or after the given time."""
--- a/packages/daemon/src/goldcrestvane_daemon/ledger/service.py
+++ b/packages/daemon/src/goldcrestvane_daemon/ledger/service.py
@@ -50,6 +50,7 @@
 from goldcrestvane_daemon.ledger.state import LedgerState
 from goldcrestvane_daemon.ledger.turn_reader import TurnReader, TurnUnreadable
 from goldcrestvane_daemon.ledger.view import PartitionId, View, get_partition
+from goldcrestvane_daemon.tasks import Task, run_supervised
 
 EXPIRY_INTERVAL_SECONDS = 1.0
 FRONTEND_TTL_SECONDS = 8.0
@@ -154,6 +155,9 @@
 
     async def run_expiry(self) -> None:
         """Drops expired entries until cancelled."""
+        await run_supervised(Task.EXPIRY, self._run_expiry)
+
+    async def _run_expiry(self) -> None:
         while True:
             await trio.sleep(EXPIRY_INTERVAL_SECONDS)
             dropped = self._state.drop_expired()
