Tell waiting writes that the log of a member has ended

What callers saw: nothing yet. The log has to end its member after an unexpected error, since it is not known what was merged; the writes that waited were not told, and would have waited for ever had the task been contained.

Change: the log wakes all that wait, with an error that says so, and ends the process.

Evidence: ledger.test_injected_errors.FailedLogTests failed before ([] != ['t1', 't2']) and passes, with ledger.test_log.

--- a/packages/daemon/src/goldcrestvane_daemon/ledger/log.py
+++ b/packages/daemon/src/goldcrestvane_daemon/ledger/log.py
@@ -44,6 +44,7 @@
 )
 from goldcrestvane_daemon.ledger.state import LedgerState
 from goldcrestvane_daemon.ledger.view import View
+from goldcrestvane_daemon.tasks import Task, run_supervised
 
 SEGMENT_BYTES = 4_000_000
 """Size from which a segment gets no further batch. Space is freed in these units; a disk
@@ -103,6 +104,7 @@
         self._segment_bytes = segment_bytes
         self._queue: list[Append] = []
         self._queued_bytes = 0
+        self._committing: list[Append] = []
         self._has_queued = trio.Event()
         self._active: Segment | None = None
         self._last_number = 0
@@ -325,13 +327,25 @@
             )
 
     async def run(self) -> None:
-        """Writes the queued entries until cancelled."""
+        """Writes the queued entries until cancelled.
+
+        After an unexpected error it is not known what was merged, so the process ends.
+        The writes that wait then fail.
+        """
+        try:
+            await run_supervised(Task.LOG, self._run)
+        except Exception:
+            self._fail_waiting()
+            raise
+
+    async def _run(self) -> None:
         while True:
             await self._has_queued.wait()
             batch = self._take_batch()
             if not batch:
                 self._has_queued = trio.Event()
                 continue
+            self._committing = batch
             try:
                 await self._commit([item for each in batch for item in each.items])
             except OSError as error:
@@ -340,6 +354,12 @@
             else:
                 self._finish(batch, None)
 
+    def _fail_waiting(self) -> None:
+        """Wakes all tasks that wait for a write; none follows."""
+        for append in [*self._committing, *self._queue]:
+            append.error = OSError("the log has ended; see the log of the member")
+            append.done.set()
+
     def _finish(self, batch: list[Append], error: OSError | None) -> None:
         """Wakes the tasks that wait for a batch; logs when the disk fails or recovers."""
         if error is not None and self._is_writable:
@@ -351,6 +371,7 @@
             append.error = error
             self._queued_bytes -= append.size
             append.done.set()
+        self._committing = []
         self.update_room()
 
     def update_room(self) -> None:
