Serve calls while the metrics port is in use

What callers saw: a process whose metrics port was in use ended at its start.

Cause: serve_metrics opens its port in the nursery of the process; OSError ended it.

Evidence: test_metrics_server failed before (Address already in use) and passes, with frontend.test_connections.

--- a/packages/daemon/src/goldcrestvane_daemon/metrics_server.py
+++ b/packages/daemon/src/goldcrestvane_daemon/metrics_server.py
@@ -19,7 +19,14 @@
 
 
 async def serve_metrics(host: str) -> None:
-    """Responds to every request with all metrics as text, until cancelled."""
+    """Responds to every request with all metrics as text, until cancelled.
+
+    While the port is in use, the process serves its calls without metrics.
+    """
+    await run_supervised(Task.METRICS_SERVER, _listen, host)
+
+
+async def _listen(host: str) -> None:
     listeners = await trio.open_tcp_listeners(METRICS_PORT, host=host)
     await trio.serve_listeners(serve_connection, listeners)
 
