--- a/packages/daemon/tests/owner/test_manager.py
+++ b/packages/daemon/tests/owner/test_manager.py
@@ -1,14 +1,24 @@
 import random
 import unittest
 
+import msgspec
 import trio
 import trio.testing
 
-from goldcrestvane_common.messages import Instance, Role, ShardMap, ShardOwner
+from goldcrestvane_common.errors import Unavailable
+from goldcrestvane_common.messages import (
+    AdoptRequest,
+    Instance,
+    Role,
+    ShardMap,
+    ShardOwner,
+)
 from goldcrestvane_common.paths import ADOPT_PATH
+from goldcrestvane_common.routing import Request
 from goldcrestvane_common.transport import ClientResponse, ExchangeBroken
 from goldcrestvane_daemon.owner.manager import ShardManager
 from goldcrestvane_daemon.owner.ranking import rank_owners
+from owner.fakes import FakeObjects
 
 SHARDS = 64
 
@@ -174,5 +184,30 @@
         )
 
 
+class StartTests(unittest.TestCase):
+    def test_starting_owner_refuses_a_shard_before_it_fences_its_owner(self):
+        """Guards against journals that are taken over by an owner that then fails."""
+        local_instance = build_instance("own")
+        objects = FakeObjects()
+
+        async def main():
+            manager = ShardManager(
+                objects=objects,
+                transport=FakeTransport(set()),
+                membership=FakeMembership(local_instance, [local_instance]),
+                recovery=None,
+                get_map=lambda: ShardMap([]),
+                shard_count=1,
+                rng=random.Random(0),
+            )
+            body = msgspec.json.encode(AdoptRequest(0))
+            request = Request(method="POST", path=ADOPT_PATH, body=body)
+            with self.assertRaises(Unavailable):
+                await manager._serve_adopt(request)
+
+        trio.run(main)
+        self.assertEqual(objects.writes, 0)
+
+
 if __name__ == "__main__":
     unittest.main()
