Let a starting sidecar refuse shards before it writes their journals

A sidecar announces itself as live before its manager runs. It now answers that it is starting, and the former owner asks the next sidecar.

Measured: the test failed before with the AttributeError; owner tests 62 passed.

--- a/packages/daemon/src/goldcrestvane_daemon/owner/manager.py
+++ b/packages/daemon/src/goldcrestvane_daemon/owner/manager.py
@@ -314,6 +314,12 @@
 
     async def _serve_adopt(self, request: Request) -> Response:
         shard = request.decode(AdoptRequest).shard
+        if self._nursery is None:
+            raise Unavailable(
+                f"This sidecar is starting and cannot take over shard {shard} yet. Ask "
+                "another sidecar.",
+                retry_after=STARTUP_DELAY_SECONDS,
+            )
         if shard not in self.owned and shard not in self._taking_over:
             self._taking_over.add(shard)
             await self._take_over(shard)
