Test that a stream does not start after its shard was taken over

What callers see: "The stream was lost with its owner and its target" after a part of the text, though neither has died. An owner waits 50 ms for the start of a stream to become durable and then sends the call in any case. If another instance has taken the shard over and the write takes longer, the start is refused after text was delivered, and the next owner knows of no attempt to join.

Evidence: the test, with writes of 0.2 s, fails with "WrongOwner not raised". The second test keeps that a stream starts while the platform does not respond; it passes already.

--- a/packages/daemon/tests/owner/fakes.py
+++ b/packages/daemon/tests/owner/fakes.py
@@ -1,4 +1,5 @@
 import msgspec
+import trio
 
 from goldcrestvane_common.objects import (
     ObjectStoreUnavailable,
@@ -15,6 +16,7 @@
         down: Whether reads and writes fail.
         lose_answers: Number of the next writes that take effect but fail to report it.
         writes: Number of writes that took effect.
+        write_seconds: Time that a write takes.
     """
 
     def __init__(self):
@@ -23,6 +25,7 @@
         self.down = False
         self.lose_answers = 0
         self.writes = 0
+        self.write_seconds = 0.0
 
     async def read(self, key):
         if self.down:
@@ -30,6 +33,8 @@
         return self.stored.get(key)
 
     async def write(self, key, value, *, expected_version):
+        if self.write_seconds:
+            await trio.sleep(self.write_seconds)
         if self.down:
             raise ObjectStoreUnavailable("down")
         current = self.stored[key].version if key in self.stored else 0
--- a/packages/daemon/tests/owner/test_call_start.py
+++ b/packages/daemon/tests/owner/test_call_start.py
@@ -92,6 +92,26 @@
 
         self.run_with_shard(check)
 
+    def test_stream_does_not_start_after_its_shard_was_taken_over(self):
+        """Guards against streams whose start is lost after a part was delivered."""
+
+        async def check(objects, shard):
+            await Journal(objects, 0, "next").open()
+            objects.write_seconds = 0.2
+            with self.assertRaises(WrongOwner) as caught:
+                await self.start(objects, shard, ServiceKind.MODEL, stream=True)
+            self.assertIs(caught.exception.call_outcome, Outcome.NOT_RUN)
+
+        self.run_with_shard(check)
+
+    def test_stream_starts_while_the_platform_does_not_respond(self):
+        async def check(objects, shard):
+            objects.write_seconds = 60.0
+            dispatch = await self.start(objects, shard, ServiceKind.MODEL, stream=True)
+            self.assertGreater(dispatch.deadline_seconds, 0.0)
+
+        self.run_with_shard(check)
+
     def test_at_most_once_call_is_rolled_back_if_its_start_is_not_durable(self):
         async def check(objects, shard):
             objects.down = True
