Send a stream only once the next owner would know its start

An owner waited 50 ms for the start of a stream to become durable and then sent the call in any case, so a start that another owner's takeover refused was noticed after a part of the text had been delivered. The next owner had no attempt to join and ended the stream with "The stream was lost with its owner and its target".

The start of a stream is now committed, or copied to witnesses, as the answer is: for at most 0.5 s before witnesses are asked and about 2 s in all, after which the stream starts as before. A refused start redirects the call, which has not run.

--- a/packages/daemon/src/goldcrestvane_daemon/owner/call_start.py
+++ b/packages/daemon/src/goldcrestvane_daemon/owner/call_start.py
@@ -1,6 +1,7 @@
 """Starts calls: reserves their budgets and records the starts in the journal.
 
-The start of an at-most-once call is durable before any byte is sent to the target.
+The start of an at-most-once call is durable before any byte is sent to the target. That
+of a stream is durable or held by a witness, unless neither responds for some time.
 A started at-most-once call whose outcome is unknown is never run again.
 """
 
@@ -61,11 +62,16 @@
             raise build_wrong_owner(shard.shard)
         # There is no checkpoint between the reservation and its record, so no other
         # task can reserve the same budget.
-        durable = shard.append(_build_call_started(call, dispatch, target, reservation))
+        started = _build_call_started(call, dispatch, target, reservation)
         if call.at_most_once:
-            await self._wait_until_durable(shard, call, durable)
-        elif call.stream or has_token_budget(shard.state, call.program):
-            await shard.wait_durable(durable, timeout_seconds=RESERVATION_WAIT_SECONDS)
+            await self._wait_until_durable(shard, call, shard.append(started))
+        elif call.stream:
+            # The next owner can join a stream only if it knows the start.
+            await shard.commit_or_replicate(started)
+        elif has_token_budget(shard.state, call.program):
+            await shard.commit(started, timeout_seconds=RESERVATION_WAIT_SECONDS)
+        else:
+            shard.append(started)
         model = dispatch.model
         if model is not None:
             model = ModelRequest(model.messages, reservation.max_tokens)
