Release software beside kills of all frontends in a soak

A stream without a record goes wrong only if the last targets of its version leave while no frontend runs, which the soak did not draw.

--- a/bench/soak/clients.py
+++ b/bench/soak/clients.py
@@ -36,6 +36,9 @@
 RECENT_KEYS = 3
 """Number of an account's last revoked keys that its clients go on using."""
 
+PLAIN_STREAM_SHARE = 0.3
+"""Share of the streams without a program, if any are."""
+
 CONTINUATION_SHARE = 0.5
 """Share of the turns that name a previous turn: half of these another account's."""
 
@@ -48,7 +51,7 @@
 
     Attributes:
         kind: Kind of the request.
-        name: Id of the program.
+        name: Id of the program; empty for a stream that is no turn.
         key: API key; None if the request has none.
         previous: Turn that the request continues.
     """
@@ -71,12 +74,14 @@
         *,
         account: AccountId | None = None,
         pause_seconds: float = PAUSE_SECONDS,
+        plain_stream_share: float = 0.0,
     ) -> None:
         self._machines = machines
         self._evidence = evidence
         self._rng = rng
         self._account = account
         self._pause_seconds = pause_seconds
+        self._plain_stream_share = plain_stream_share
         self._stream: trio.SocketStream | None = None
         self._parser = h11.Connection(h11.CLIENT)
         self._machine = machines[0]
@@ -99,6 +104,8 @@
         """
         name = f"p-{self._evidence.create_call_id()}"
         previous = self._draw_previous(kind)
+        if previous is None and self._draws_plain_stream(kind):
+            name = ""
         program = SoakProgram(
             kind=kind,
             name=previous.program if previous else name,
@@ -124,6 +131,10 @@
             if began is None and attempt_count > MAX_RESUMPTIONS:
                 return
 
+    def _draws_plain_stream(self, kind: RequestKind) -> bool:
+        share = self._plain_stream_share
+        return share > 0 and kind is RequestKind.TURN and self._rng.random() < share
+
     def _draw_key(self) -> str | None:
         """Returns a key: mostly a valid one of the client's account."""
         if self._account is None:
@@ -153,7 +164,7 @@
             attempt
             for attempt in self._evidence.attempts
             if attempt.kind is RequestKind.TURN
-            and (attempt.whole and attempt.status == 200)
+            and (attempt.program and attempt.whole and attempt.status == 200)
             and attempt.key in keys
             and (keys[attempt.key].account == self._account) == is_own
         ]
@@ -208,7 +219,7 @@
             "content-length": "0",
             **self._build_identity(program),
         }
-        if kind is RequestKind.TURN:
+        if kind is RequestKind.TURN and program.name:
             headers["goldcrestvane-program-id"] = program.name
             headers["goldcrestvane-token-budget"] = "100000"
             headers["goldcrestvane-token-usage"] = "10,1000"
--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -1,8 +1,7 @@
 """Draws faults and planned work of a soak; they come in series and overlap."""
 
 import random
-from collections.abc import Awaitable, Callable, Iterator
-from contextlib import contextmanager
+from collections.abc import Awaitable, Callable
 from typing import final
 
 import trio
@@ -14,21 +13,15 @@
     STORE_ACCESS,
 )
 from bench.soak.machines import Machine
-from bench.soak.records import Disturbance, Evidence, RateLimit
+from bench.soak.records import Evidence
 from bench.soak.store_access import AccessState, StoreAccess
-from bench.soak.targets import SoakTarget
-from goldcrestvane_common.ids import InstanceId, Version
+from bench.soak.target_faults import TargetFaults
+from goldcrestvane_common.ids import Version
 from goldcrestvane_standins.platformstore import PlatformStore
 
 MIN_INTERVAL_SECONDS = 0.3
 MAX_INTERVAL_SECONDS = 1.5
-LEAVING_SECONDS = 2.5
-"""Minimum time for which a target serves after it has announced that it leaves."""
-
 MAX_KEY_CHANGES = 4
-VERSIONS = ("v1", "v2", "v3")
-TARGETS = 4
-MIN_TARGETS = 2
 
 Fault = Callable[[], Awaitable[None]]
 
@@ -46,6 +39,7 @@
         evidence: Evidence,
         rng: random.Random,
         nursery: trio.Nursery,
+        targets: TargetFaults,
         accesses: list[StoreAccess],
         accounts: SoakAccounts | None,
         has_quotas: bool,
@@ -56,18 +50,12 @@
         self._evidence = evidence
         self._rng = rng
         self._nursery = nursery
+        self._targets = targets
         self._accesses = accesses
         self._accounts = accounts
         self._has_quotas = has_quotas
-        self._targets: list[SoakTarget] = []
-        self._target_count = 0
         self._version = Version(0)
 
-    async def start_targets(self) -> None:
-        """Starts the first targets, of two software versions."""
-        for number in range(TARGETS):
-            await self._start_target(VERSIONS[number % 2])
-
     def change_configuration(self) -> None:
         """Writes a version that adds a route for probes, with the accounts, if any."""
         self._version = Version(self._version + self._rng.randint(1, 3))
@@ -131,13 +119,13 @@
             self._disturb_member,
             self._change,
             self._change,
-            self._replace_target,
-            self._replace_target,
-            self._crash_target,
+            self._targets.replace_target,
+            self._targets.replace_target,
+            self._targets.crash_target,
             self._refuse_calls_of_store,
             self._silence_watches,
-            self._limit_target,
-            self._limit_target,
+            self._targets.limit_target,
+            self._targets.limit_target,
         ]
 
     def _draw_frontend(self) -> Machine | None:
@@ -205,7 +193,7 @@
     async def _interrupt_access(
         self, number: int, state: AccessState, seconds: float
     ) -> None:
-        with self._record(STORE_ACCESS, self._frontends[number].name):
+        with self._evidence.record(STORE_ACCESS, self._frontends[number].name):
             await self._accesses[number].interrupt(state, seconds)
 
     async def _lower_quota(self) -> None:
@@ -217,54 +205,8 @@
             self.change_configuration()
             await trio.sleep(self._rng.uniform(6, 12))
 
-    async def _start_target(self, software: str) -> SoakTarget:
-        self._target_count += 1
-        target = SoakTarget(
-            InstanceId(f"i-{self._target_count}"),
-            software,
-            platform=self._platform,
-            evidence=self._evidence,
-            rng=self._rng,
-        )
-        await self._nursery.start(target.run)
-        self._targets.append(target)
-        return target
-
-    def _draw_target(self) -> SoakTarget | None:
-        if len(self._targets) <= MIN_TARGETS:
-            return None
-        target = self._rng.choice(self._targets)
-        self._targets.remove(target)
-        return target
-
-    async def _replace_target(self) -> None:
-        """Starts a target, and lets another one leave, with or without notice."""
-        await self._start_target(self._rng.choice(VERSIONS))
-        target = self._draw_target()
-        if target is None:
-            return
-        target.leaving = True
-        if self._rng.random() < 0.5:
-            target.write_entry("draining")
-        elif self._rng.random() < 0.5:
-            target.remove_entry()
-        await trio.sleep(LEAVING_SECONDS + self._rng.uniform(0, 2))
-        with self._record("target"):
-            target.stop()
-            target.remove_entry()
-
-    async def _crash_target(self) -> None:
-        target = self._draw_target()
-        if target is None:
-            return
-        with self._record("target"):
-            target.stop()
-            await trio.sleep(self._rng.uniform(0.5, 2))
-            target.remove_entry()
-        await self._start_target(target.software)
-
     async def _refuse_calls_of_store(self) -> None:
-        with self._record("outage", ALL_PROCESSES):
+        with self._evidence.record("outage", ALL_PROCESSES):
             self._platform.faults.outage = True
             self._platform.store.wake()
             await trio.sleep(self._rng.uniform(0.5, 4))
@@ -278,40 +220,3 @@
         self._platform.faults.deaf_watches = True
         await trio.sleep(self._rng.uniform(1, 5))
         self._platform.faults.deaf_watches = False
-
-    async def _limit_target(self) -> None:
-        """Lets a target state a rate limit, which may change."""
-        free = [each for each in self._targets if each.rate_limit is None]
-        if not free:
-            return
-        target = self._rng.choice(free)
-        first_named_at = trio.current_time()
-        for _ in range(self._rng.randint(1, 2)):
-            target.rate_limit = self._rng.uniform(0.5, 6)
-            began_at = trio.current_time()
-            await trio.sleep(self._rng.uniform(4, 9))
-            limit = RateLimit(
-                target=target.instance,
-                rate=target.rate_limit,
-                first_named_at=first_named_at,
-                began_at=began_at,
-                ended_at=trio.current_time(),
-            )
-            self._evidence.limits.append(limit)
-        target.rate_limit = None
-
-    @contextmanager
-    def _record(self, kind: str, subject: str = "targets") -> Iterator[None]:
-        began_at = trio.current_time()
-        try:
-            yield
-        finally:
-            self._evidence.disturbances.append(
-                Disturbance(
-                    kind=kind,
-                    subject=subject,
-                    start=0,
-                    began_at=began_at,
-                    ended_at=trio.current_time(),
-                )
-            )
--- a/bench/soak/machines.py
+++ b/bench/soak/machines.py
@@ -19,7 +19,7 @@
 )
 from bench.soak.process_checks import CATCH_UP_SECONDS
 from bench.soak.processes import POLL_SECONDS, Process
-from bench.soak.records import Disturbance, Evidence
+from bench.soak.records import Evidence
 from goldcrestvane_daemon.bootstrap import LISTEN_VARIABLE
 
 DAEMON_MODULE = "goldcrestvane_daemon.bootstrap"
@@ -233,20 +233,11 @@
     @contextmanager
     def _record(self, kind: str) -> Iterator[None]:
         self._order_count += 1
-        start, began_at = self.start_count, trio.current_time()
         try:
-            yield
+            with self._evidence.record(kind, self.name, self.start_count):
+                yield
         finally:
             self._order_count -= 1
-            self._evidence.disturbances.append(
-                Disturbance(
-                    kind=kind,
-                    subject=self.name,
-                    start=start,
-                    began_at=began_at,
-                    ended_at=trio.current_time(),
-                )
-            )
 
     def _get_process(self) -> Process:
         assert self._process is not None
--- a/bench/soak/outages.py
+++ b/bench/soak/outages.py
@@ -11,7 +11,8 @@
 import trio
 
 from bench.soak.machines import Machine, SignalAfter
-from bench.soak.records import Disturbance, Evidence
+from bench.soak.records import Evidence
+from bench.soak.target_faults import TargetFaults
 
 MIN_INTERVAL_SECONDS = 0.5
 MAX_INTERVAL_SECONDS = 3.0
@@ -22,6 +23,9 @@
 MAX_STOP_SECONDS = 2.0
 """Time after SIGTERM within which further signals are drawn."""
 
+RELEASE_SECONDS = (0.3, 5.0)
+"""Times after the begin of a release within which all frontends are killed."""
+
 ALL_FRONTENDS = "kill of all frontends"
 """Kind of disturbance in which no frontend is left."""
 
@@ -40,19 +44,22 @@
         evidence: Evidence,
         rng: random.Random,
         nursery: trio.Nursery,
+        targets: TargetFaults,
     ) -> None:
         self._frontends = frontends
         self._members = members
         self._evidence = evidence
         self._rng = rng
         self._nursery = nursery
+        self._targets = targets
         self._has_lost_disk = False
 
     async def run(self, seconds: float) -> None:
         """Injects outages for some seconds."""
         outages: tuple[Outage, ...] = (
             self._kill_frontends,
-            self._kill_frontends,
+            self._kill_frontends_beside_release,
+            self._kill_frontends_beside_release,
             self._kill_all,
             self._kill_members,
             self._lose_disk,
@@ -70,10 +77,18 @@
                 )
 
     async def _kill_frontends(self) -> None:
-        await self._kill(self._frontends)
+        with self._evidence.record(ALL_FRONTENDS, "frontends"):
+            await self._kill(self._frontends)
 
     async def _kill_all(self) -> None:
-        await self._kill([*self._members, *self._frontends])
+        with self._evidence.record(ALL_FRONTENDS, "frontends"):
+            await self._kill([*self._members, *self._frontends])
+
+    async def _kill_frontends_beside_release(self) -> None:
+        """Kills all frontends while targets of one version replace all others."""
+        self._nursery.start_soon(self._targets.release)
+        await trio.sleep(self._rng.uniform(0, self._rng.choice(RELEASE_SECONDS)))
+        await self._kill_frontends()
 
     async def _kill_members(self) -> None:
         """Kills some members; mostly more than may be lost at once."""
@@ -82,22 +97,11 @@
 
     async def _kill(self, machines: list[Machine]) -> None:
         """Kills processes at once; some are killed again while they start."""
-        began_at = trio.current_time()
         async with trio.open_nursery() as nursery:
             for machine in machines:
                 signals = self._draw_start_signals() if self._rng.random() < 0.3 else ()
                 down_seconds = self._rng.uniform(0, MAX_DOWN_SECONDS)
                 nursery.start_soon(machine.kill, down_seconds, signals)
-        if set(self._frontends) <= set(machines):
-            self._evidence.disturbances.append(
-                Disturbance(
-                    kind=ALL_FRONTENDS,
-                    subject="frontends",
-                    start=0,
-                    began_at=began_at,
-                    ended_at=trio.current_time(),
-                )
-            )
 
     async def _lose_disk(self) -> None:
         """Empties the disk of one member, at most once in a run."""
--- a/bench/soak/records.py
+++ b/bench/soak/records.py
@@ -3,10 +3,13 @@
 import itertools
 import math
 import signal
+from collections.abc import Iterator
+from contextlib import contextmanager
 from enum import Enum
 from typing import final
 
 import msgspec
+import trio
 
 from goldcrestvane_common.ids import AccountId, CallId, InstanceId, Version
 
@@ -246,3 +249,20 @@
     def create_call_id(self) -> CallId:
         """Returns a new id for an attempt."""
         return CallId(f"c{next(self._calls):06d}")
+
+    @contextmanager
+    def record(self, kind: str, subject: str, start: int = 0) -> Iterator[None]:
+        """Records a disturbance that lasts as long as the context."""
+        began_at = trio.current_time()
+        try:
+            yield
+        finally:
+            self.disturbances.append(
+                Disturbance(
+                    kind=kind,
+                    subject=subject,
+                    start=start,
+                    began_at=began_at,
+                    ended_at=trio.current_time(),
+                )
+            )
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -23,7 +23,7 @@
 )
 from bench.soak.accounts import ACCOUNTS, KEY_PREFIX, SoakAccounts
 from bench.soak.checks import CHECKS, TIMED_CHECKS
-from bench.soak.clients import PAUSE_SECONDS, SoakClient
+from bench.soak.clients import PAUSE_SECONDS, PLAIN_STREAM_SHARE, SoakClient
 from bench.soak.faults import SoakFaults
 from bench.soak.machines import CONTROL_PORT, Machine, build_prefix
 from bench.soak.outages import SoakOutages
@@ -31,6 +31,7 @@
 from bench.soak.records import Evidence
 from bench.soak.store_access import StoreAccess
 from bench.soak.summary import print_breaches, summarize
+from bench.soak.target_faults import TargetFaults
 from goldcrestvane_common.server import Application, serve_http
 from goldcrestvane_standins.platformstore import PlatformStore
 
@@ -105,6 +106,9 @@
                 if options.has_accounts
                 else None
             )
+            targets = TargetFaults(
+                platform=platform, evidence=evidence, rng=rng, nursery=nursery
+            )
             faults = SoakFaults(
                 frontends=frontends,
                 members=members,
@@ -112,12 +116,13 @@
                 evidence=evidence,
                 rng=rng,
                 nursery=nursery,
+                targets=targets,
                 accesses=accesses,
                 accounts=accounts,
                 has_quotas=options.has_accounts and options.has_quotas,
             )
             faults.change_configuration()
-            await faults.start_targets()
+            await targets.start_targets()
             for machine in machines:
                 machine.start()
             for machine in machines:
@@ -131,6 +136,7 @@
                     client_rng,
                     account=ACCOUNTS[number % len(ACCOUNTS)] if accounts else None,
                     pause_seconds=0.0 if options.has_quotas else PAUSE_SECONDS,
+                    plain_stream_share=PLAIN_STREAM_SHARE if options.has_outages else 0,
                 )
                 nursery.start_soon(client.run)
             if options.has_outages:
@@ -140,6 +146,7 @@
                     evidence=evidence,
                     rng=random.Random(f"{options.seed} outages"),
                     nursery=nursery,
+                    targets=targets,
                 )
                 nursery.start_soon(outages.run, options.seconds)
             await faults.run(options.seconds)
