--- a/packages/daemon/src/goldcrestvane_daemon/frontend/call_context.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/call_context.py
@@ -15,6 +15,7 @@
 from goldcrestvane_daemon.accounts.directory import ClientAccount, KeyDigest
 from goldcrestvane_daemon.frontend.admission import AdmissionClass, get_admission_class
 from goldcrestvane_daemon.frontend.affinity import Affinity, build_affinity
+from goldcrestvane_daemon.frontend.event_sequence import EventSequence
 from goldcrestvane_daemon.frontend.refusals import (
     InvalidCall,
     NoTarget,
@@ -48,7 +49,9 @@
         body: Body of the request to the target.
         tokens_per_event: Tokens that are charged for each event.
         events: Number of events that were forwarded to the client.
-        last_event: Id of the last forwarded event, or the id that the client sent.
+        sequence: Order of the events that the client has.
+        is_framed: Whether the last response of a target had a length or chunks; None
+            before the first one.
         output: Data of the forwarded events, for a turn that is stored.
         attempted_targets: Targets that may have run the call.
         departed_targets: Attempted targets that have died or left since.
@@ -86,7 +89,8 @@
     account: ClientAccount | None = None
     tokens_per_event: int = 1
     events: int = 0
-    last_event: int | None = None
+    sequence: EventSequence = msgspec.field(default_factory=EventSequence)
+    is_framed: bool | None = None
     output: bytearray = msgspec.field(default_factory=bytearray)
     attempted_targets: list[InstanceId] = msgspec.field(default_factory=list)
     departed_targets: set[InstanceId] = msgspec.field(default_factory=set)
@@ -148,6 +152,11 @@
             self.route.kind is CallKind.STREAM and self.headers.last_event is not None
         )
 
+    @property
+    def last_event(self) -> int | None:
+        """Id of the last forwarded event, or the id that the client sent."""
+        return self.sequence.last
+
     @property
     def records_origin(self) -> bool:
         """Whether the ledger stores the stream's origin, so that it can be resumed."""
@@ -236,7 +245,7 @@
             refused_before=False,
             program_ms_left=headers.program_deadline_ms,
         ),
-        last_event=headers.last_event,
+        sequence=EventSequence(headers.last_event),
     )
 
 
--- a/packages/daemon/tests/frontend/test_clients.py
+++ b/packages/daemon/tests/frontend/test_clients.py
@@ -48,6 +48,43 @@
 
         self.run_frontend(script, [[build_response(b"ok")]] * 2)
 
+    def test_number_that_no_process_can_encode_is_refused(self):
+        """Guards against a number that ends the frontend in its request to the ledger."""
+
+        numbers = (
+            ("Goldcrestvane-Token-Usage", "10,18446744073709551616"),
+            ("Goldcrestvane-Token-Usage", "18446744073709551616,10"),
+            ("Goldcrestvane-Token-Usage", "10,-1"),
+            ("Goldcrestvane-Token-Budget", "18446744073709551616"),
+            ("Goldcrestvane-Program-Deadline-Ms", "nan"),
+        )
+
+        async def script(frontend):
+            statuses = [
+                (await frontend.send_turn(**{name.replace("-", "_"): value})).status
+                for name, value in numbers
+            ]
+            self.assertEqual(statuses, [400] * len(numbers))
+
+        self.run_frontend(script, [[build_response(b"ok")]] * len(numbers))
+
+    def test_head_request_is_refused_by_the_rules_of_http(self):
+        """Guards against a connection that is cut off since HEAD allows no body."""
+
+        async def script(frontend):
+            head = b"HEAD /none/x HTTP/1.1\r\nHost: shop.example\r\n"
+            stream = await trio.open_tcp_stream(HOST, frontend.port)
+            async with stream:
+                await stream.send_all(
+                    head + b"\r\n" + head + b"Connection: close\r\n\r\n"
+                )
+                received = b"".join([part async for part in stream])
+            self.assertEqual(received.count(b"HTTP/1.1 404"), 2)
+            self.assertEqual(received.count(b"content-length: "), 2)
+            self.assertNotIn(b"{", received)
+
+        self.run_frontend(script)
+
     def test_malformed_key_is_not_logged(self):
         """Guards against error texts of the HTTP parser, which quote the header."""
 
