--- a/packages/daemon/src/goldcrestvane_daemon/frontend/event_reader.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/event_reader.py
@@ -134,8 +134,8 @@
         """Returns the events before the first one that is out of order.
 
         Raises:
-            TargetFailed: There is no such event. The next call to `read` raises it
-                otherwise.
+            TargetFailed: The first event is out of order. For a later one, the next call
+                to `read` raises it.
         """
         for index, event in enumerate(events):
             last = self._sequence.last
