Delay, hold and reset what passes between frontends and targets of a soak

Connections to ledger members and between frontends do not pass links yet: settings have one address for both listening and reaching a process.

--- a/bench/soak/outages.py
+++ b/bench/soak/outages.py
@@ -10,6 +10,7 @@
 
 import trio
 
+from bench.soak.links import LinkState
 from bench.soak.machines import Machine, SignalAfter
 from bench.soak.records import Evidence
 from bench.soak.target_faults import TargetFaults
@@ -68,6 +69,8 @@
             self._interrupt_start,
             self._interrupt_start,
             self._hang_up,
+            self._disturb_link,
+            self._disturb_link,
         )
         with trio.move_on_after(seconds):
             while True:
@@ -135,6 +138,10 @@
         if machine is not None:
             await machine.hang_up()
 
+    async def _disturb_link(self) -> None:
+        state = self._rng.choice(list(LinkState)[1:])
+        await self._targets.disturb_link(state, self._rng.uniform(0.5, 4))
+
     def _draw(self, machines: list[Machine]) -> Machine | None:
         """Returns a machine whose process is not being disturbed, if any."""
         running = [each for each in machines if not each.stopping]
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -107,7 +107,11 @@
                 else None
             )
             targets = TargetFaults(
-                platform=platform, evidence=evidence, rng=rng, nursery=nursery
+                platform=platform,
+                evidence=evidence,
+                rng=rng,
+                nursery=nursery,
+                has_links=options.has_outages,
             )
             faults = SoakFaults(
                 frontends=frontends,
--- a/bench/soak/target_faults.py
+++ b/bench/soak/target_faults.py
@@ -5,6 +5,8 @@
 
 import trio
 
+from bench.soak.checks import LINK
+from bench.soak.links import Link, LinkState
 from bench.soak.records import Evidence, RateLimit
 from bench.soak.targets import SoakTarget
 from goldcrestvane_common.ids import InstanceId
@@ -29,7 +31,9 @@
         evidence: Evidence,
         rng: random.Random,
         nursery: trio.Nursery,
+        has_links: bool,
     ) -> None:
+        self._has_links = has_links
         self._platform = platform
         self._evidence = evidence
         self._rng = rng
@@ -50,6 +54,7 @@
             platform=self._platform,
             evidence=self._evidence,
             rng=self._rng,
+            link=Link() if self._has_links else None,
         )
         await self._nursery.start(target.run)
         self._targets.append(target)
@@ -107,6 +112,14 @@
             target.remove_entry()
         await self._start_target(target.software)
 
+    async def disturb_link(self, state: LinkState, seconds: float) -> None:
+        """Delays, holds or resets what passes between frontends and a target."""
+        links = [(each.link, each) for each in self._targets if each.link is not None]
+        if links:
+            link, target = self._rng.choice(links)
+            with self._evidence.record(LINK, target.instance):
+                await link.disturb(state, seconds)
+
     async def limit_target(self) -> None:
         """Lets a target state a rate limit, which may change."""
         free = [each for each in self._targets if each.rate_limit is None]
--- a/bench/soak/targets.py
+++ b/bench/soak/targets.py
@@ -7,6 +7,7 @@
 import trio
 
 from bench.soak.accounts import KEY_PREFIX
+from bench.soak.links import Link
 from bench.soak.records import Arrival, Evidence
 from goldcrestvane_common.ids import AccountId, CallId, InstanceId
 from goldcrestvane_standins.platformstore import PlatformStore
@@ -32,6 +33,7 @@
         software: Version of its software.
         leaving: Whether its responses say that it leaves.
         rate_limit: Requests per second that its responses state as its limit, if any.
+        link: What stands before its port, if anything.
     """
 
     def __init__(
@@ -42,11 +44,13 @@
         platform: PlatformStore,
         evidence: Evidence,
         rng: random.Random,
+        link: Link | None = None,
     ) -> None:
         self.instance = instance
         self.software = software
         self.leaving = False
         self.rate_limit: float | None = None
+        self.link = link
         self._platform = platform
         self._evidence = evidence
         self._rng = rng
@@ -59,9 +63,13 @@
         with self._scope:
             listeners = await trio.open_tcp_listeners(0, host=HOST)
             self._port = listeners[0].socket.getsockname()[1]
-            self.write_entry("ready")
-            task_status.started()
-            await trio.serve_listeners(self._serve, listeners)
+            async with trio.open_nursery() as nursery:
+                if self.link is not None:
+                    await nursery.start(self.link.run, self._port)
+                    self._port = self.link.port
+                self.write_entry("ready")
+                task_status.started()
+                await trio.serve_listeners(self._serve, listeners)
 
     def write_entry(self, state: str) -> None:
         """Writes the target's entry in the store."""
--- a/bench/tests/test_soak.py
+++ b/bench/tests/test_soak.py
@@ -5,12 +5,14 @@
 from pathlib import Path
 
 import trio
+import trio.testing
 from bench.soak.account_checks import (
     ACCOUNT_CHECKS,
     QUOTA_CHECKS,
     TIMED_ACCOUNT_CHECKS,
 )
-from bench.soak.checks import CHECKS, TIMED_CHECKS
+from bench.soak.checks import CHECKS, LINK, TIMED_CHECKS
+from bench.soak.links import Link, LinkState
 from bench.soak.outages import ALL_FRONTENDS
 from bench.soak.process_checks import PROCESS_CHECKS, TIMED_PROCESS_CHECKS
 from bench.soak.processes import Process
@@ -164,6 +166,15 @@
             disturbances=[build_stop("freeze")],
             **build_calls(18),
         )
+        for subject, breaches in (("i-1", 0), ("i-2", 1)):
+            link = build_stop(LINK, subject=subject, began_at=11.0, ended_at=11.5)
+            self.check(
+                "LIMIT",
+                breaches=breaches,
+                limits=[limit],
+                disturbances=[link],
+                **build_calls(18),
+            )
 
     def test_stream_of_two_versions(self):
         first = build_turn("c1", [(1, "v1"), (2, "v1")], whole=False)
@@ -491,5 +502,60 @@
         self.assertFalse(stopped.handled_signals)
 
 
+class LinkTests(unittest.TestCase):
+    """A link forwards bytes, holds them until the end of a fault, and resets."""
+
+    def exchange(self, state, seconds=0.2):
+        """Returns the order in which a request, a response and a fault's end came."""
+
+        async def serve(stream):
+            async with stream:
+                await stream.receive_some()
+                order.append("request")
+                await stream.send_all(b"response")
+                await stream.receive_some()
+
+        async def disturb(link):
+            await link.disturb(state, seconds)
+            order.append("end")
+
+        async def send(port):
+            async with await trio.open_tcp_stream("127.0.0.1", port) as stream:
+                try:
+                    await stream.send_all(b"request")
+                    order.append((await stream.receive_some()).decode())
+                except trio.BrokenResourceError:
+                    order.append("reset")
+
+        async def run():
+            async with trio.open_nursery() as nursery:
+                listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+                nursery.start_soon(trio.serve_listeners, serve, listeners)
+                link = Link()
+                port = listeners[0].socket.getsockname()[1]
+                await nursery.start(link.run, port)
+                nursery.start_soon(disturb, link)
+                await trio.testing.wait_all_tasks_blocked()
+                await send(link.port)
+                nursery.cancel_scope.cancel()
+
+        order = []
+        trio.run(run)
+        return order
+
+    def test_link_that_holds_bytes(self):
+        self.assertEqual(
+            self.exchange(LinkState.SILENT), ["end", "request", "response"]
+        )
+        order = self.exchange(LinkState.ONE_WAY)
+        self.assertEqual(sorted(order), ["end", "request", "response"])
+        self.assertLess(order.index("end"), order.index("response"))
+
+    def test_link_that_delays_or_resets(self):
+        order = self.exchange(LinkState.DELAYING, seconds=60)
+        self.assertEqual(order, ["request", "response"])
+        self.assertEqual(self.exchange(LinkState.RESETTING, seconds=60), ["reset"])
+
+
 if __name__ == "__main__":
     unittest.main()
