--- a/packages/daemon/src/goldcrestvane_daemon/frontend/attempts.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/attempts.py
@@ -9,6 +9,7 @@
 
 from goldcrestvane_common.ids import ServiceId
 from goldcrestvane_common.logs import get_logger
+from goldcrestvane_daemon.clock import get_elapsed_time
 from goldcrestvane_daemon.frontend.call_context import CallContext
 from goldcrestvane_daemon.frontend.call_log import build_program_fields
 from goldcrestvane_daemon.frontend.crash_tracker import CrashTracker, build_fingerprint
@@ -36,6 +37,7 @@
 from goldcrestvane_daemon.platform.headers import ResponseHead, build_target_headers
 from goldcrestvane_daemon.routes import CallKind
 from goldcrestvane_daemon.targets import Target, TargetTable
+from goldcrestvane_daemon.tasks import Task, run_supervised
 
 LOOKUP_TIMEOUT_FACTOR = 2.0
 """Multiple of the route's objective after which a lookup goes to another target."""
@@ -126,7 +128,12 @@
         """Drops the state and the connections of a target that no longer exists."""
         self._health.forget(target.instance)
         self._rate_limits.forget(target)
-        self._nursery.start_soon(self._connections.close_target, target)
+        self._nursery.start_soon(
+            run_supervised,
+            Task.CONNECTION_CLOSE,
+            self._connections.close_target,
+            target,
+        )
 
     async def run(
         self,
@@ -144,6 +151,8 @@
             )
         except ConnectFailed as error:
             self._record_failure(call, target, error, unreachable=True)
+            if error.refused:
+                self._record_end(target)
             if target.instance in call.attempted_targets:
                 call.departed_targets.add(target.instance)
             return AttemptResult.NOT_RUN
@@ -155,7 +164,9 @@
                 return AttemptResult.LOST
             self._record_failure(call, target, error, unreachable=False)
             if error.before_response:
-                self._nursery.start_soon(self._detect_death, call, target)
+                self._nursery.start_soon(
+                    run_supervised, Task.DEATH_REPORT, self._detect_death, call, target
+                )
             return AttemptResult.LOST
         except StreamStalled as error:
             # The client has left by now, so no other target continues the stream.
@@ -301,6 +312,17 @@
             },
         )
 
+    def _record_end(self, target: Target) -> None:
+        if self._targets.mark_ended(target, now=get_elapsed_time()):
+            logger.info(
+                "a target seems to have ended",
+                extra={
+                    "target": target.instance,
+                    "software": target.software,
+                    "born_ms": target.born_ms,
+                },
+            )
+
     async def _forward_stream(
         self,
         connection: ServerConnection,
@@ -358,7 +380,9 @@
         """Checks whether a failed target has died, and reports its death to peers."""
         try:
             stream = await self._connections.connect(target)
-        except ConnectFailed:
+        except ConnectFailed as error:
+            if error.refused:
+                self._record_end(target)
             head = call.head
             fingerprint = build_fingerprint(head.method, head.path, call.client_body)
             deaths = [target.instance]
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/process.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/process.py
@@ -46,7 +46,7 @@
 from goldcrestvane_daemon.settings import InvalidSettings
 from goldcrestvane_daemon.shutdown_signals import handle_signals
 from goldcrestvane_daemon.targets import Target, TargetTable
-from goldcrestvane_daemon.tasks import Task, run_supervised
+from goldcrestvane_daemon.tasks import Task, has_failing_task, run_supervised
 
 READY_HEAD_BYTES = 8192
 READY_IDLE_SECONDS = 30.0
@@ -103,6 +103,7 @@
                     propagation_seconds=settings.propagation_seconds,
                     drain_seconds=settings.drain_seconds,
                     stable_seconds=settings.stable_seconds,
+                    heartbeat_seconds=settings.heartbeat_seconds,
                 ),
                 key_bounds=key_bounds,
                 rng=random.Random(hash_text(settings.instance)),
@@ -142,8 +143,12 @@
 
             def is_ready() -> bool:
                 configured = object_cache.routes is not None
-                stopping = shutdown.requested.is_set()
-                return configured and ledger.is_usable and not stopping
+                return (
+                    configured
+                    and ledger.is_usable
+                    and not shutdown.requested.is_set()
+                    and not has_failing_task()
+                )
 
             readiness = Readiness(is_ready)
 
