--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -111,7 +111,7 @@
                 evidence=evidence,
                 rng=rng,
                 nursery=nursery,
-                has_links=options.has_outages,
+                has_outages=options.has_outages,
             )
             faults = SoakFaults(
                 frontends=frontends,
--- a/bench/soak/target_faults.py
+++ b/bench/soak/target_faults.py
@@ -8,7 +8,7 @@
 from bench.soak.checks import LINK
 from bench.soak.links import Link, LinkState
 from bench.soak.records import Evidence, RateLimit
-from bench.soak.targets import SoakTarget
+from bench.soak.targets import EVENT_SECONDS, LONG_EVENT_SECONDS, SoakTarget
 from goldcrestvane_common.ids import InstanceId
 from goldcrestvane_standins.platformstore import PlatformStore
 
@@ -31,9 +31,9 @@
         evidence: Evidence,
         rng: random.Random,
         nursery: trio.Nursery,
-        has_links: bool,
+        has_outages: bool,
     ) -> None:
-        self._has_links = has_links
+        self._has_outages = has_outages
         self._platform = platform
         self._evidence = evidence
         self._rng = rng
@@ -54,7 +54,8 @@
             platform=self._platform,
             evidence=self._evidence,
             rng=self._rng,
-            link=Link() if self._has_links else None,
+            link=Link() if self._has_outages else None,
+            event_seconds=LONG_EVENT_SECONDS if self._has_outages else EVENT_SECONDS,
         )
         await self._nursery.start(target.run)
         self._targets.append(target)
--- a/bench/soak/targets.py
+++ b/bench/soak/targets.py
@@ -15,6 +15,9 @@
 HOST = "127.0.0.1"
 EVENTS = 8
 EVENT_SECONDS = 0.04
+LONG_EVENT_SECONDS = 0.12
+"""Time between events where outages are to meet many streams."""
+
 RUN_SECONDS = 0.02
 SLOTS = 8
 BREAK_SHARE = 0.15
@@ -45,12 +48,14 @@
         evidence: Evidence,
         rng: random.Random,
         link: Link | None = None,
+        event_seconds: float = EVENT_SECONDS,
     ) -> None:
         self.instance = instance
         self.software = software
         self.leaving = False
         self.rate_limit: float | None = None
         self.link = link
+        self._event_seconds = event_seconds
         self._platform = platform
         self._evidence = evidence
         self._rng = rng
@@ -164,7 +169,7 @@
         last = self._rng.randint(min(first, EVENTS), EVENTS) if breaks else EVENTS
         await _send(stream, parser, h11.Response(status_code=200, headers=common))
         for number in range(first, last + 1):
-            await trio.sleep(EVENT_SECONDS)
+            await trio.sleep(self._event_seconds)
             data = f"id: {number}\ndata: {self.software}\n\n".encode()
             await _send(stream, parser, h11.Data(data=data))
         if not breaks:
