Show that a retention that is no time ends a member at each start

A write with a retention of NaN or infinity is put on the disk, and its merge raises ValueError or OverflowError: the log ends the member. The record is read again at the next start. Provoked from outside, through the port for peers; no frontend sends it, since JSON has no such numbers.

Output: ValueError: cannot convert float NaN to integer

--- a/packages/daemon/tests/ledger/test_messages.py
+++ b/packages/daemon/tests/ledger/test_messages.py
@@ -1,8 +1,20 @@
+import math
 import unittest
 
 import msgspec
 
-from goldcrestvane_daemon.ledger.messages import Entry, Turn, build_program_key
+from goldcrestvane_daemon.ledger.frames import PeerConnection, PeerUnreachable
+from goldcrestvane_daemon.ledger.messages import (
+    Entry,
+    Response,
+    TokenAccount,
+    TokenCharge,
+    Turn,
+    Write,
+    build_program_key,
+    get_stamp,
+)
+from ledger.support import run_ledger
 
 
 class AccountTests(unittest.TestCase):
@@ -23,5 +35,25 @@
         self.assertEqual(build_program_key(None, "p"), "p")
 
 
+class RetentionTests(unittest.TestCase):
+    def test_write_whose_retention_is_no_time_does_not_end_the_member(self):
+        """Guards against a record on the disk that ends the member at each start too."""
+
+        async def script(ledger):
+            stamp = get_stamp(ledger.client.view)
+            address = f"127.0.0.1:{ledger.members['a'].port}"
+            for retention in (math.nan, math.inf):
+                member = PeerConnection(address, Response)
+                ledger.nursery.start_soon(member.run)
+                await member.connected.wait()
+                account = TokenAccount("p", [TokenCharge("c", 1)], retention)
+                with self.assertRaises(PeerUnreachable):
+                    write = Write(stamp, Entry(account=account))
+                    await member.call(write, timeout=60)
+            await ledger.open_turn("p1", "c1", 10)
+
+        run_ledger(script)
+
+
 if __name__ == "__main__":
     unittest.main()
