Refuse a retention that is no time

What callers saw: nothing that could be shown from a frontend. A write with a retention of NaN or infinity ended each member that it was sent to, also at each later start.

Change: such a message cannot be decoded, so its connection is closed before anything is written.

Evidence: ledger.test_messages failed before (ValueError: cannot convert float NaN to integer, out of the nursery) and passes, with ledger.test_records, test_state, test_log and test_members.

--- a/packages/daemon/src/goldcrestvane_daemon/ledger/messages.py
+++ b/packages/daemon/src/goldcrestvane_daemon/ledger/messages.py
@@ -1,5 +1,6 @@
 """Messages between frontends and ledger members, and between members."""
 
+from typing import Annotated
 from urllib.parse import quote
 
 import msgspec
@@ -22,6 +23,10 @@
 CHARGE_BYTES = 60
 """Typical sizes of an encoded entry without its turn, and of a charge."""
 
+Retention = Annotated[float, msgspec.Meta(ge=0, le=1e12)]
+"""Seconds for which an entry is kept. A message with another value cannot be decoded: NaN or
+infinity on the disk would end its member, also at each start."""
+
 
 class TokenCharge(msgspec.Struct, frozen=True, array_like=True):
     """Tokens that one turn charges to its program.
@@ -67,7 +72,7 @@
     previous: CallId | None
     input: bytes
     output: bytes
-    retention_seconds: float
+    retention_seconds: Retention
     account: AccountId = AccountId("")
     target: InstanceId = InstanceId("")
 
@@ -94,7 +99,7 @@
 
     program: ProgramId
     charges: list[TokenCharge]
-    retention_seconds: float
+    retention_seconds: Retention
 
 
 class Entry(msgspec.Struct, frozen=True, array_like=True):
@@ -175,7 +180,7 @@
 
     stamp: ViewStamp
     calls: list[CallId]
-    retention_seconds: float
+    retention_seconds: Retention
 
 
 class ReadChain(msgspec.Struct, frozen=True, tag="chain", array_like=True):
