Serve calls while the metrics address is in use

Callers saw all calls of a frontend break off because another process used its metrics address: exit code 1, OSError from serve_metrics. Cause: a task that callers do not need shared the nursery of those that serve. The address is tried again each second, with a log line at the first failure and one when it serves.

--- a/packages/daemon/src/goldcrestvane_daemon/metrics_server.py
+++ b/packages/daemon/src/goldcrestvane_daemon/metrics_server.py
@@ -4,6 +4,7 @@
 import trio
 from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
 
+from goldcrestvane_common.logs import get_logger
 from goldcrestvane_daemon.http1 import (
     ConnectionLost,
     ProtocolViolation,
@@ -15,14 +16,40 @@
 
 MAX_HEAD_BYTES = 8192
 REQUEST_TIMEOUT_SECONDS = 5.0
+LISTEN_RETRY_SECONDS = 1.0
+
+logger = get_logger("metrics")
 
 
 async def serve_metrics(host: str) -> None:
-    """Responds to every request with all metrics as text, until cancelled."""
-    listeners = await trio.open_tcp_listeners(METRICS_PORT, host=host)
+    """Responds to every request with all metrics as text, until cancelled.
+
+    Metrics are no reason to end a process that serves calls, so an address that cannot
+    be used is tried again until it can.
+    """
+    listeners = await _open_listeners(host)
     await trio.serve_listeners(_serve_connection, listeners)
 
 
+async def _open_listeners(host: str) -> list[trio.SocketListener]:
+    address = {"address": f"{host}:{METRICS_PORT}"}
+    is_reported = False
+    while True:
+        try:
+            listeners = await trio.open_tcp_listeners(METRICS_PORT, host=host)
+        except OSError as error:
+            if not is_reported:
+                logger.warning(
+                    "the address cannot be used; trying again",
+                    extra={**address, "reason": str(error)},
+                )
+            is_reported = True
+            await trio.sleep(LISTEN_RETRY_SECONDS)
+        else:
+            logger.info("serves metrics", extra=address)
+            return listeners
+
+
 async def _serve_connection(stream: trio.SocketStream) -> None:
     connection = ServerConnection(stream, head_bytes=MAX_HEAD_BYTES)
     try:
--- a/packages/daemon/tests/test_start_conditions.py
+++ b/packages/daemon/tests/test_start_conditions.py
@@ -3,6 +3,7 @@
 import unittest
 
 from daemon_process import ProcessCase
+
 from goldcrestvane_daemon.metrics_server import METRICS_PORT
 
 STARTED = {"frontend": "started", "ledger": "started", "entry": "listens on"}
