Wait at the start for an address that is still in use

Operators saw processes that did not start: exit code 2 at once when another process, such as the one that ends, still used the address; the own form ended with a traceback while its other tasks ran. Cause: every error of the start counted as one that an operator has to mend.

The own form listens before it starts its tasks. The bootstrap also listens on the address for peers of a frontend, so that this wait does not hold up its other tasks.

The test of an address that stays in use shortens the wait; what it demands is unchanged.

--- a/packages/common/src/goldcrestvane_common/server.py
+++ b/packages/common/src/goldcrestvane_common/server.py
@@ -328,7 +328,8 @@
 
     Args:
         application: Application to serve.
-        address: ``host:port`` to listen on; port 0 selects a free port.
+        address: ``host:port`` to listen on; port 0 selects a free port. Or ``fd://N``
+            with the descriptor of a listening socket, which is closed at the end.
         shutdown: Event that starts a graceful shutdown; None serves until cancelled.
         task_status: Receives the actual ``host:port``.
     """
--- a/packages/daemon/src/goldcrestvane_daemon/listening.py
+++ b/packages/daemon/src/goldcrestvane_daemon/listening.py
@@ -4,10 +4,13 @@
 `bootstrap`.
 """
 
+import errno
 import select
 import socket
 import time
 
+from goldcrestvane_daemon.start_retries import StartRetries
+
 LISTEN_BACKLOG = 512
 """Maximum number of pending connections. A full backlog delays clients by seconds."""
 
@@ -27,7 +30,7 @@
         address: ``host:port``.
 
     Raises:
-        OSError: The address is in use or does not belong to this machine.
+        OSError: The address stays in use or does not belong to this machine.
         ValueError: The address is malformed.
     """
     _early_listeners[address] = _listen(address)
@@ -40,15 +43,23 @@
         address: ``host:port``.
 
     Raises:
-        OSError: The address is in use or does not belong to this machine.
+        OSError: The address stays in use or does not belong to this machine.
         ValueError: The address is malformed.
     """
     return _early_listeners.pop(address, None) or _listen(address)
 
 
 def _listen(address: str) -> socket.socket:
+    """Listens on an address once no other process uses it."""
     host, _, port = address.rpartition(":")
-    return socket.create_server((host, int(port)), backlog=LISTEN_BACKLOG)
+    retries = StartRetries(address)
+    while True:
+        try:
+            return socket.create_server((host, int(port)), backlog=LISTEN_BACKLOG)
+        except OSError as error:
+            if error.errno != errno.EADDRINUSE:
+                raise
+            retries.wait_after(error)
 
 
 def has_pending_connection(listener: socket.socket) -> bool:
--- a/packages/daemon/src/goldcrestvane_daemon/main.py
+++ b/packages/daemon/src/goldcrestvane_daemon/main.py
@@ -89,7 +89,13 @@
 
     configure_logs(level=settings.log_level, process=settings.instance)
     logging.getLogger("goldcrestvane").setLevel(settings.log_level)
-    trio.run(run_process, settings)
+    try:
+        listener = open_listener(settings.listen)
+    except OSError as error:
+        _exit_invalid_settings(
+            f"--listen: got {settings.listen!r}, expected a free host:port: {error}"
+        )
+    trio.run(run_process, settings, listener)
 
 
 def run_on_platform(role: str) -> None:
--- a/packages/daemon/src/goldcrestvane_daemon/supervisor.py
+++ b/packages/daemon/src/goldcrestvane_daemon/supervisor.py
@@ -1,6 +1,7 @@
 """Starts the components of a process in order and supervises their tasks."""
 
 import random
+import socket
 import uuid
 
 import trio
@@ -70,8 +71,13 @@
     )
 
 
-async def run_process(settings: DaemonSettings) -> None:
-    """Runs a process until its graceful shutdown has finished."""
+async def run_process(settings: DaemonSettings, listener: socket.socket) -> None:
+    """Runs a process until its graceful shutdown has finished.
+
+    Args:
+        settings: Settings of the process.
+        listener: Socket that listens on the address of the process.
+    """
     router = Router()
     application = Application(router, peer_token=settings.peer_token)
     async with (
@@ -99,7 +105,7 @@
             address = await server.start(
                 lambda *, task_status: serve_http(
                     application,
-                    settings.listen,
+                    f"fd://{listener.detach()}",
                     shutdown=drain.finished,
                     task_status=task_status,
                 )
--- a/packages/daemon/tests/test_bootstrap.py
+++ b/packages/daemon/tests/test_bootstrap.py
@@ -5,7 +5,7 @@
 import unittest
 from unittest import mock
 
-from goldcrestvane_daemon import bootstrap, listening, startup_signals
+from goldcrestvane_daemon import bootstrap, listening, start_retries, startup_signals
 
 LIST_MODULES = "import sys, goldcrestvane_daemon.bootstrap; print(*sys.modules)"
 LATER_MODULES = ("absl", "logging", "msgspec", "socket", "tomllib", "trio")
@@ -54,6 +54,7 @@
                 with (
                     self.subTest(address),
                     mock.patch("sys.stderr") as stderr,
+                    mock.patch.object(start_retries, "MAX_WAIT_SECONDS", 0.05),
                     self.assertRaises(SystemExit) as stopped,
                 ):
                     self.run_with(address)
