Wait at the start for a settings file that is missing or half written

Operators saw processes that did not start: exit code 2 at once when a process started while its settings file was being written; half a character ended it with a traceback. Cause: as for addresses, every error counted as one that an operator has to mend.

--- a/packages/daemon/src/goldcrestvane_daemon/main.py
+++ b/packages/daemon/src/goldcrestvane_daemon/main.py
@@ -11,8 +11,13 @@
 from absl import app, flags
 
 from goldcrestvane_daemon.listening import open_listener
-from goldcrestvane_daemon.platform.machine import MachineSettings, read_machine_settings
+from goldcrestvane_daemon.platform.machine import (
+    MachineSettings,
+    UnusableSettingsFile,
+    read_machine_settings,
+)
 from goldcrestvane_daemon.settings import InvalidSettings, load_settings
+from goldcrestvane_daemon.start_retries import StartRetries
 from goldcrestvane_daemon.startup_signals import hold_signals
 
 EXIT_INVALID_SETTINGS = 2
@@ -102,9 +107,9 @@
     """Runs a role that reads its settings from the platform's file.
 
     Raises:
-        InvalidSettings: The file is missing or not valid for the role.
+        InvalidSettings: The file stays missing or is not valid for the role.
     """
-    settings = read_machine_settings()
+    settings = wait_for_machine_settings()
     address = PLATFORM_ROLES[role].get_address(settings)
     listener = open_listener(address) if address else None
     process = import_role(role)
@@ -118,6 +123,20 @@
     trio.run(process(settings, listener).run)
 
 
+def wait_for_machine_settings() -> MachineSettings:
+    """Returns the settings of this machine once their file is there and complete.
+
+    Raises:
+        InvalidSettings: The file stays missing or malformed.
+    """
+    retries = StartRetries("settings")
+    while True:
+        try:
+            return read_machine_settings()
+        except UnusableSettingsFile as error:
+            retries.wait_after(error)
+
+
 def import_role(role: str) -> type[PlatformProcess]:
     """Imports and returns the class of a role, with garbage collection disabled.
 
--- a/packages/daemon/src/goldcrestvane_daemon/platform/machine.py
+++ b/packages/daemon/src/goldcrestvane_daemon/platform/machine.py
@@ -14,6 +14,10 @@
 SETTINGS_PATH_VARIABLE = "GOLDCRESTVANE_BOOT"
 
 
+class UnusableSettingsFile(InvalidSettings):
+    """The settings file is missing, unreadable or malformed, perhaps half written."""
+
+
 class _ListenAddresses(msgspec.Struct, frozen=True):
     frontend: str | None = None
     ready: str | None = None
@@ -124,7 +128,8 @@
     """Returns the settings of this machine.
 
     Raises:
-        InvalidSettings: The file is missing, unreadable or malformed.
+        UnusableSettingsFile: The file is missing, unreadable or malformed.
+        InvalidSettings: The environment does not name a file.
     """
     path = environment.get(SETTINGS_PATH_VARIABLE)
     if not path:
@@ -135,9 +140,9 @@
     try:
         return decode_machine_settings(Path(path).read_text())
     except OSError as error:
-        raise InvalidSettings(f"{path} cannot be read: {error}.") from error
-    except (tomllib.TOMLDecodeError, msgspec.ValidationError) as error:
-        raise InvalidSettings(f"{path}: {error}.") from error
+        raise UnusableSettingsFile(f"{path} cannot be read: {error}.") from error
+    except (ValueError, msgspec.ValidationError) as error:
+        raise UnusableSettingsFile(f"{path}: {error}.") from error
 
 
 def decode_machine_settings(text: str) -> MachineSettings:
--- a/packages/daemon/tests/platform_/test_machine.py
+++ b/packages/daemon/tests/platform_/test_machine.py
@@ -63,11 +63,12 @@
             for text in (
                 None,
                 "= no toml",
+                "\udcc3",
                 "zone = 3",
                 SETTINGS.replace("[7380", '["a"'),
             ):
                 if text is not None:
-                    path.write_text(text)
+                    path.write_text(text, errors="surrogateescape")
                 with self.subTest(text), self.assertRaises(InvalidSettings):
                     read_machine_settings(environment)
 
