Wait at the start of a ledger member for a disk that is full or fails

Operators saw members that ended again and again: exit code 1, a traceback of OSError, while the disk was full or failed at the start. A disk passes by itself, so the member tries again each second from an empty state, logs each new reason and can be stopped meanwhile. A folder that the process can never use (no permission, no folder, read-only) ends it with code 2 and a message that names the remedy, as does a machine without a data folder.

--- a/packages/daemon/src/goldcrestvane_daemon/ledger/log.py
+++ b/packages/daemon/src/goldcrestvane_daemon/ledger/log.py
@@ -184,6 +184,7 @@
         await trio.to_thread.run_sync(self.files.open)
         for segment in await trio.to_thread.run_sync(list_segments, self._folder):
             self._last_number = segment.number
+            self.segments[segment.number] = segment
             records, size = await trio.to_thread.run_sync(_open_segment, segment)
             if segment.size < size:
                 logger.warning(
@@ -194,7 +195,6 @@
                         "found": segment.size,
                     },
                 )
-            self.segments[segment.number] = segment
             if records:
                 self._last_batch = max(self._last_batch, records[-1].batch)
                 self._state.restore(records, segment)
--- a/packages/daemon/src/goldcrestvane_daemon/ledger/process.py
+++ b/packages/daemon/src/goldcrestvane_daemon/ledger/process.py
@@ -1,7 +1,9 @@
 """Process of the ledger role, which runs a member or a standby for one."""
 
+import errno
 import socket
-from typing import final
+from pathlib import Path
+from typing import NamedTuple, final
 
 import trio
 
@@ -21,8 +23,23 @@
 from goldcrestvane_daemon.metrics_server import serve_metrics
 from goldcrestvane_daemon.platform.machine import MachineSettings
 from goldcrestvane_daemon.platform.store import StoreClient
+from goldcrestvane_daemon.settings import InvalidSettings
 from goldcrestvane_daemon.shutdown_signals import handle_signals
 
+DISK_RETRY_SECONDS = 1.0
+
+UNUSABLE_FOLDER_ERRORS = frozenset(
+    (
+        errno.EACCES,
+        errno.EEXIST,
+        errno.EISDIR,
+        errno.ENOTDIR,
+        errno.EPERM,
+        errno.EROFS,
+    )
+)
+"""Errors that do not pass by themselves. Those of full, slow or failing disks may."""
+
 logger = get_logger("ledger")
 
 
@@ -46,15 +63,20 @@
         """Runs until SIGTERM."""
         settings = self._settings
         if settings.data_folder is None or self._listener is None:
-            raise ValueError(
+            raise InvalidSettings(
                 "The ledger needs a disk; run it on a machine with a data directory."
             )
+        shutdown = trio.Event()
+        # The process is not yet in a nursery while it waits for its disk.
+        trio.lowlevel.spawn_system_task(handle_signals, shutdown)
         limits = StorageLimits.build(
             memory_mb=settings.memory_mb, disk_mb=settings.disk_mb
         )
-        state = LedgerState(limits)
-        log = EntryLog(settings.data_folder, state)
-        record_count = await log.open()
+        opened = await open_log(settings.data_folder, limits, shutdown)
+        if opened is None:
+            logger.info("stopped before the disk worked")
+            return
+        log, state, record_count = opened
         service = LedgerService(settings.instance, log, state)
         view = log.read_view()
         if view is not None:
@@ -111,9 +133,52 @@
             nursery.start_soon(
                 trio.serve_listeners, serve, [trio.SocketListener(wrapped)]
             )
-            shutdown = trio.Event()
-            nursery.start_soon(handle_signals, shutdown)
             await shutdown.wait()
             nursery.cancel_scope.cancel()
         log.close()
         logger.info("stopped")
+
+
+class OpenedLog(NamedTuple):
+    """The log of a member that has read its disk.
+
+    Attributes:
+        log: The log.
+        state: State that was restored from it.
+        record_count: Number of restored records.
+    """
+
+    log: EntryLog
+    state: LedgerState
+    record_count: int
+
+
+async def open_log(
+    folder: Path, limits: StorageLimits, shutdown: trio.Event
+) -> OpenedLog | None:
+    """Returns the log in a folder once the disk works, or None after a shutdown.
+
+    Raises:
+        InvalidSettings: The folder cannot be used until an operator changes it.
+    """
+    reported = ""
+    while not shutdown.is_set():
+        state = LedgerState(limits)
+        log = EntryLog(folder, state)
+        try:
+            return OpenedLog(log, state, await log.open())
+        except OSError as error:
+            log.close()
+            if error.errno in UNUSABLE_FOLDER_ERRORS:
+                raise InvalidSettings(
+                    f"data_directory: got {str(folder)!r}: {error}; give the process a "
+                    "folder that it may write."
+                ) from error
+            if str(error) != reported:
+                logger.error(
+                    "the disk does not work; trying again", extra={"reason": str(error)}
+                )
+            reported = str(error)
+        with trio.move_on_after(DISK_RETRY_SECONDS):
+            await shutdown.wait()
+    return None
