--- a/packages/daemon/tests/test_bootstrap.py
+++ b/packages/daemon/tests/test_bootstrap.py
@@ -47,10 +47,10 @@
         self.addCleanup(listener.close)
         self.assertTrue(listening.has_pending_connection(listener))
 
-    def test_address_that_is_malformed_or_in_use_is_a_clear_error(self):
+    def test_address_that_stays_unusable_is_a_clear_error(self):
         with socket.create_server(("127.0.0.1", 0)) as server:
             used = f"127.0.0.1:{server.getsockname()[1]}"
-            for address in ("nowhere", used):
+            for address in ("nowhere", "192.0.2.1:80", used):
                 with (
                     self.subTest(address),
                     mock.patch("sys.stderr") as stderr,
