--- a/packages/daemon/src/goldcrestvane_daemon/listening.py
+++ b/packages/daemon/src/goldcrestvane_daemon/listening.py
@@ -52,10 +52,14 @@
 def _listen(address: str) -> socket.socket:
     """Listens on an address once no other process uses it."""
     host, _, port = address.rpartition(":")
+    host = host.strip("[]")
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
     retries = StartRetries(address)
     while True:
         try:
-            return socket.create_server((host, int(port)), backlog=LISTEN_BACKLOG)
+            return socket.create_server(
+                (host, int(port)), family=family, backlog=LISTEN_BACKLOG
+            )
         except OSError as error:
             if error.errno != errno.EADDRINUSE:
                 raise
--- a/packages/daemon/src/goldcrestvane_daemon/start_retries.py
+++ b/packages/daemon/src/goldcrestvane_daemon/start_retries.py
@@ -26,7 +26,7 @@
         self._reported = ""
 
     def wait_after(self, error: Exception) -> None:
-        """Waits for the next try, and prints the error unless it is the last one again.
+        """Waits for the next try, and prints the error unless it was printed last.
 
         Raises:
             Exception: The error, if `MAX_WAIT_SECONDS` have passed since the first try.
--- a/packages/daemon/tests/test_main.py
+++ b/packages/daemon/tests/test_main.py
@@ -34,6 +34,13 @@
             found = PLATFORM_ROLES[role].get_address(settings)
             self.assertEqual(found, address)
 
+    def test_address_of_ipv6_is_listened_on(self):
+        with mock.patch.object(socket, "create_server") as create_server:
+            open_listener("[::1]:80")
+        create_server.assert_called_once_with(
+            ("::1", 80), family=socket.AF_INET6, backlog=mock.ANY
+        )
+
     def test_connection_made_before_the_process_serves_waits_in_the_backlog(self):
         listener = open_listener("127.0.0.1:0")
         self.addCleanup(listener.close)
