--- a/packages/daemon/src/goldcrestvane_daemon/metrics_server.py
+++ b/packages/daemon/src/goldcrestvane_daemon/metrics_server.py
@@ -4,6 +4,7 @@
 import trio
 from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
 
+from goldcrestvane_common.logs import get_logger
 from goldcrestvane_daemon.http1 import (
     ConnectionLost,
     ProtocolViolation,
@@ -16,21 +17,44 @@
 
 MAX_HEAD_BYTES = 8192
 REQUEST_TIMEOUT_SECONDS = 5.0
+LISTEN_RETRY_SECONDS = 1.0
+
+logger = get_logger("metrics")
 
 
 async def serve_metrics(host: str) -> None:
     """Responds to every request with all metrics as text, until cancelled.
 
-    While the port is in use, the process serves its calls without metrics.
+    Metrics are no reason to end a process that serves calls, so an address that cannot
+    be used is tried again until it can.
     """
-    await run_supervised(Task.METRICS_SERVER, _listen, host)
+    await run_supervised(Task.METRICS_SERVER, _serve, host)
 
 
-async def _listen(host: str) -> None:
-    listeners = await trio.open_tcp_listeners(METRICS_PORT, host=host)
+async def _serve(host: str) -> None:
+    listeners = await _open_listeners(host)
     await trio.serve_listeners(serve_connection, listeners)
 
 
+async def _open_listeners(host: str) -> list[trio.SocketListener]:
+    address = {"address": f"{host}:{METRICS_PORT}"}
+    is_reported = False
+    while True:
+        try:
+            listeners = await trio.open_tcp_listeners(METRICS_PORT, host=host)
+        except OSError as error:
+            if not is_reported:
+                logger.warning(
+                    "the address cannot be used; trying again",
+                    extra={**address, "reason": str(error)},
+                )
+            is_reported = True
+            await trio.sleep(LISTEN_RETRY_SECONDS)
+        else:
+            logger.info("serves metrics", extra=address)
+            return listeners
+
+
 async def serve_connection(stream: trio.SocketStream) -> None:
     """Responds to one request with all metrics."""
     await run_supervised(Task.METRICS_CONNECTION, _respond, stream)
