--- a/bench/soak/machines.py
+++ b/bench/soak/machines.py
@@ -198,7 +198,7 @@
             loses_disk: Whether its folder is emptied.
         """
         is_only_order = not self.stopping
-        with self._record("kill"):
+        with self._record("lost disk" if loses_disk else "kill"):
             process = self._get_process()
             process.send(signal.SIGKILL)
             await process.wait()
