--- a/packages/daemon/src/goldcrestvane_daemon/ledger/frames.py
+++ b/packages/daemon/src/goldcrestvane_daemon/ledger/frames.py
@@ -104,6 +104,13 @@
     return LENGTH.pack(len(body)) + body
 
 
+def _split_address(address: str) -> tuple[str, int]:
+    """Returns the host and the port of an address; raises ValueError if it is none."""
+    host, _, port = address.rpartition(":")
+    host.encode("idna")
+    return host, int(port)
+
+
 @final
 class PeerConnection:
     """A connection to one peer, which `run` re-establishes after each failure."""
@@ -124,14 +131,25 @@
         return self._stream is not None
 
     async def run(self) -> None:
-        """Connects, and reconnects after each failure, until cancelled."""
-        await run_supervised(Task.PEER, self._run)
+        """Connects, and reconnects after each failure, until cancelled.
+
+        Returns if the address of the peer cannot be read.
+        """
+        try:
+            host, port = _split_address(self.address)
+        except ValueError as error:
+            logger.warning(
+                "cannot connect to a peer: its address cannot be read",
+                extra={"peer": self.address, "reason": str(error)},
+            )
+            return
+        await run_supervised(Task.PEER, self._run, host, port)
 
-    async def _run(self) -> None:
+    async def _run(self, host: str, port: int) -> None:
         backoff = MIN_BACKOFF_SECONDS
         while True:
             try:
-                await self._run_connection()
+                await self._run_connection(host, port)
                 backoff = MIN_BACKOFF_SECONDS
             except (
                 OSError,
@@ -142,10 +160,9 @@
                 backoff = min(2 * backoff, MAX_BACKOFF_SECONDS)
             await trio.sleep(backoff)
 
-    async def _run_connection(self) -> None:
-        host, _, port = self.address.rpartition(":")
+    async def _run_connection(self, host: str, port: int) -> None:
         with trio.fail_after(CONNECT_TIMEOUT_SECONDS):
-            stream = await trio.open_tcp_stream(host, int(port))
+            stream = await trio.open_tcp_stream(host, port)
         logger.info("connected to a peer", extra={"peer": self.address})
         try:
             enable_keepalive(stream)
