Test that a leaving owner keeps no shard that it is offered

What callers see: their calls wait until probes of a stopped owner fail. Two sidecars stop together; one hands a shard over to the other, which has handed over its own already, and which stops with it. The test of a starting owner is moved into the same class; its checks are unchanged.

--- a/packages/daemon/tests/owner/test_manager.py
+++ b/packages/daemon/tests/owner/test_manager.py
@@ -9,6 +9,7 @@
 from goldcrestvane_common.messages import (
     AdoptRequest,
     Instance,
+    InstanceState,
     Role,
     ShardMap,
     ShardOwner,
@@ -18,6 +19,7 @@
 from goldcrestvane_common.transport import ClientResponse, ExchangeBroken
 from goldcrestvane_daemon.owner.manager import ShardManager
 from goldcrestvane_daemon.owner.ranking import rank_owners
+from goldcrestvane_daemon.owner.recovery import CallRecovery
 from owner.fakes import FakeObjects
 
 SHARDS = 64
@@ -184,29 +186,65 @@
         )
 
 
-class StartTests(unittest.TestCase):
+class StartAndStopTests(unittest.TestCase):
+    def build_manager(self, *, state=InstanceState.LIVE):
+        self.objects = FakeObjects()
+        self.transport = FakeTransport(set())
+        peer = build_instance("peer")
+        local_instance = msgspec.structs.replace(build_instance("own"), state=state)
+        return ShardManager(
+            objects=self.objects,
+            transport=self.transport,
+            membership=FakeMembership(local_instance, [peer]),
+            recovery=CallRecovery(connector=None, directory=None),
+            get_map=lambda: ShardMap([]),
+            shard_count=1,
+            rng=random.Random(0),
+        )
+
+    async def assert_refuses(self, manager):
+        body = msgspec.json.encode(AdoptRequest(0))
+        with self.assertRaises(Unavailable):
+            await manager._serve_adopt(
+                Request(method="POST", path=ADOPT_PATH, body=body)
+            )
+        self.assertEqual(self.objects.writes, 0)
+
     def test_starting_owner_refuses_a_shard_before_it_fences_its_owner(self):
         """Guards against journals that are taken over by an owner that then fails."""
-        local_instance = build_instance("own")
-        objects = FakeObjects()
 
         async def main():
-            manager = ShardManager(
-                objects=objects,
-                transport=FakeTransport(set()),
-                membership=FakeMembership(local_instance, [local_instance]),
-                recovery=None,
-                get_map=lambda: ShardMap([]),
-                shard_count=1,
-                rng=random.Random(0),
-            )
-            body = msgspec.json.encode(AdoptRequest(0))
-            request = Request(method="POST", path=ADOPT_PATH, body=body)
-            with self.assertRaises(Unavailable):
-                await manager._serve_adopt(request)
+            await self.assert_refuses(self.build_manager())
 
         trio.run(main)
-        self.assertEqual(objects.writes, 0)
+
+    def test_leaving_owner_refuses_a_shard(self):
+        """Guards against shards that a planned stop leaves without an owner."""
+
+        async def main():
+            manager = self.build_manager(state=InstanceState.LEAVING)
+            async with trio.open_nursery() as nursery:
+                manager._nursery = nursery
+                nursery.start_soon(manager._fence_sender.run)
+                try:
+                    await self.assert_refuses(manager)
+                finally:
+                    nursery.cancel_scope.cancel()
+
+        trio.run(main)
+
+    def test_leaving_owner_hands_over_a_shard_that_it_was_taking_over(self):
+        async def main():
+            manager = self.build_manager(state=InstanceState.LEAVING)
+            manager._taking_over.add(0)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(manager.hand_over_all)
+                await trio.testing.wait_all_tasks_blocked()
+                manager.owned[0] = FakeShard()
+                manager._taking_over.clear()
+
+        trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0.1))
+        self.assertEqual(self.transport.adopt_requests, ["peer:1"])
 
 
 if __name__ == "__main__":
