Let a leaving owner refuse shards and hand over those it was still taking over

A leaving sidecar accepted shards of another one that stopped at the same time and did not know yet that it left. It had handed over its own shards once, so these stayed and ended with it. It now refuses shards, and offers those whose takeover was under way once it has ended; each shard is offered once, as before.

--- a/packages/daemon/src/goldcrestvane_daemon/owner/manager.py
+++ b/packages/daemon/src/goldcrestvane_daemon/owner/manager.py
@@ -19,6 +19,7 @@
     Accepted,
     AdoptRequest,
     Instance,
+    InstanceState,
     Role,
     ShardMap,
     ShardOwner,
@@ -320,6 +321,12 @@
                 "another sidecar.",
                 retry_after=STARTUP_DELAY_SECONDS,
             )
+        if self._local_instance.state is not InstanceState.LIVE:
+            raise Unavailable(
+                f"This sidecar is leaving and does not take over shard {shard}. Ask "
+                "another sidecar.",
+                retry_after=1.0,
+            )
         if shard not in self.owned and shard not in self._taking_over:
             self._taking_over.add(shard)
             await self._take_over(shard)
@@ -331,11 +338,20 @@
         return JsonResponse(value=Accepted())
 
     async def hand_over_all(self) -> None:
-        """Hands over every shard to another sidecar before this one shuts down."""
-        live = self._membership.list_live(Role.SIDECAR)
-        async with trio.open_nursery() as nursery:
-            for shard in list(self.owned):
-                nursery.start_soon(self._hand_over, shard, rank_owners(shard, live))
+        """Hands over every shard to another sidecar before this one shuts down.
+
+        Shards whose takeover is under way follow when it has ended.
+        """
+        offered: set[ShardId] = set()
+        while self._taking_over or not offered.issuperset(self.owned):
+            pending = self.owned.keys() - offered
+            offered |= pending
+            live = self._membership.list_live(Role.SIDECAR)
+            async with trio.open_nursery() as nursery:
+                for shard in pending:
+                    nursery.start_soon(self._hand_over, shard, rank_owners(shard, live))
+            if self._taking_over:
+                await trio.sleep(MIN_RECONCILE_INTERVAL_SECONDS)
 
     async def _hand_over(self, shard: ShardId, successors: list[Instance]) -> None:
         owned = self.owned.get(shard)
