--- a/deploy/build.py
+++ b/deploy/build.py
@@ -35,7 +35,8 @@
 import sys
 
 _target = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
-sys.path[:0] = [os.path.join(_target, name) for name in {folders!r}]
+_others = [path for path in sys.path if os.path.abspath(path) != _target]
+sys.path[:] = [os.path.join(_target, name) for name in {folders!r}] + _others
 __path__ = [os.path.join(_target, {folders[0]!r}, "goldcrestvane_daemon")]
 '''
 
