Test that a deeply nested entry hides no other entry (fails)

One entry of another writer makes the whole list of its kind unreadable: msgspec raises RecursionError while it skips the raw specification, and the store client takes the answer for none. All frontends then stop seeing changes of targets, and a starting one sees none at all. PROTOCOL.md: such an entry names no replica; the others hold.

Evidence: trio.TooSlowError after 20 s.

--- a/packages/daemon/tests/frontend/test_foreign_entries.py
+++ b/packages/daemon/tests/frontend/test_foreign_entries.py
@@ -1,9 +1,15 @@
 import unittest
 
+import msgspec
+import trio
+
 from frontend.frontend_case import FrontendCase
 from frontend.support import build_response
 from goldcrestvane_daemon.platform.store import ObjectKind
 
+SYNC_SECONDS = 20
+"""Time after which an entry counts as never read."""
+
 ENTRY = {
     "service": "s1",
     "address": "127.0.0.1:80",
@@ -32,6 +38,15 @@
 
         self.run_frontend(script, [[build_response(b"ok")]])
 
+    def test_entry_that_is_nested_too_deeply_hides_no_other_entry(self):
+        async def script(frontend):
+            deep = msgspec.Raw(b"[" * 5000 + b"]" * 5000)
+            frontend.platform.put("servers", "x-0", deep)
+            with trio.fail_after(SYNC_SECONDS):
+                await frontend.wait_synced(ObjectKind.TARGETS)
+
+        self.run_frontend(script)
+
 
 if __name__ == "__main__":
     unittest.main()
