Test that an answer that is nested too deeply is unreadable (fails)

In the own form, one such instance list or load of an engine ends the process: ClientResponse.decode raises RecursionError, which Membership._poll_list and EngineClient.poll_load do not expect, and their tasks share the nursery of the process.

Evidence: RecursionError: maximum recursion depth exceeded while deserializing.

--- a/packages/common/tests/test_transport.py
+++ b/packages/common/tests/test_transport.py
@@ -7,9 +7,15 @@
 import trio
 
 from goldcrestvane_common import transport as transport_module
+from goldcrestvane_common.messages import InstanceList
 from goldcrestvane_common.routing import JsonResponse, Router
 from goldcrestvane_common.server import Application, serve_http
-from goldcrestvane_common.transport import ConnectFailed, ExchangeBroken, Transport
+from goldcrestvane_common.transport import (
+    ClientResponse,
+    ConnectFailed,
+    ExchangeBroken,
+    Transport,
+)
 
 
 async def respond(request):
@@ -25,6 +31,16 @@
                 await stream.send_all(b"10000\r\n" + b"x" * 65_536 + b"\r\n")
 
 
+class ResponseTests(unittest.TestCase):
+    def test_answer_that_is_nested_too_deeply_is_unreadable(self):
+        """Guards against an instance list, or a load, that ends a process."""
+        deep = b"[" * 5000 + b"]" * 5000
+        body = b'{"instances":[],"more":%b}' % deep
+        response = ClientResponse(status=200, headers={}, body=body)
+        with self.assertRaises(ExchangeBroken):
+            response.decode(InstanceList)
+
+
 class TransportTests(unittest.TestCase):
     def test_connections_have_keep_alive_so_that_a_dead_one_does_not_hold_a_watch(self):
         async def main():
