Test that readiness does not flap while a task keeps failing (fails)

has_failing_task forgets a failure after STABLE_SECONDS. A task that runs for 5 to 10 s before it fails, plus the back-off of 5 s, fails less often than that, so the process enters and leaves the rotation of the balancer.

Evidence: AssertionError: False is not true.

--- a/packages/daemon/tests/test_tasks.py
+++ b/packages/daemon/tests/test_tasks.py
@@ -106,6 +106,23 @@
 
         self.run_script(script, FailurePolicy.RESTART)
 
+    def test_process_stays_unready_while_a_task_fails_some_seconds_after_restarts(self):
+        async def fail_late():
+            await trio.sleep(0.7 * STABLE_SECONDS)
+            raise RuntimeError("again")
+
+        async def script():
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(run_supervised, TASK, fail_late)
+                while not has_failing_task():
+                    await trio.sleep(1)
+                for _ in range(30):
+                    await trio.sleep(1)
+                    self.assertTrue(has_failing_task())
+                nursery.cancel_scope.cancel()
+
+        self.run_script(script, FailurePolicy.RESTART)
+
 
 if __name__ == "__main__":
     unittest.main()
