Test that a client's position is no failure of the targets (fails)

A client that sends a Last-Event-Id above all ids of its stream makes each target that answers with lower ids count as failed, several times per call. Before the first event of the call is forwarded, the disagreement does not show that the target is at fault.

Evidence: AssertionError: Expected 'record_failure' to not have been called. Called 4 times.

--- a/packages/daemon/tests/frontend/test_event_order.py
+++ b/packages/daemon/tests/frontend/test_event_order.py
@@ -1,8 +1,10 @@
 import unittest
+from unittest import mock
 
 from frontend.frontend_case import FrontendCase, build_events, build_stream
 from frontend.support import ScriptedTarget, SharedScript
 from goldcrestvane_daemon.frontend.stream_origins import MAX_STREAM_SECONDS
+from goldcrestvane_daemon.placement.health import HealthTracker
 
 UNNUMBERED = b"data: d\n\n"
 
@@ -48,6 +50,18 @@
 
         self.run_streams(script, [b"".join(build_stream([2, 3]))], build_stream([3, 4]))
 
+    def test_position_that_a_client_makes_up_is_no_failure_of_the_targets(self):
+        """Guards against a client that ejects all targets of a service."""
+
+        async def script(frontend):
+            frontend.table_seconds += MAX_STREAM_SECONDS
+            with mock.patch.object(HealthTracker, "record_failure") as record:
+                response = await frontend.send("/resume/x", Last_Event_Id=1000)
+            self.assertNotEqual(response.status, 200)
+            record.assert_not_called()
+
+        self.run_streams(script, *[[b"".join(build_stream([1, 2]))]] * 9)
+
     def test_event_zero_is_not_sent_again_after_a_resumption(self):
         async def script(frontend):
             response = await frontend.send_turn("/resume/x")
