--- a/packages/daemon/tests/frontend/test_injected_errors.py
+++ b/packages/daemon/tests/frontend/test_injected_errors.py
@@ -4,10 +4,12 @@
 import unittest
 from unittest import mock
 
+import msgspec
 import trio
 
 from frontend.frontend_case import EVENT, FrontendCase, build_stream
 from frontend.support import build_response
+from goldcrestvane_common.ids import Version
 from goldcrestvane_daemon.frontend.copy_checker import CopyChecker
 from goldcrestvane_daemon.frontend.copy_confirmer import CopyConfirmer
 from goldcrestvane_daemon.frontend.copy_watcher import CopyWatcher
@@ -16,7 +18,8 @@
 from goldcrestvane_daemon.frontend.turn_recorder import TurnRecorder
 from goldcrestvane_daemon.frontend.upstream import TargetConnectionPool
 from goldcrestvane_daemon.ledger.messages import AcquirePermit, RateLimit
-from goldcrestvane_daemon.platform.store import ObjectKind
+from goldcrestvane_daemon.platform.store import ObjectKind, StoreChanges, StoreObject
+from goldcrestvane_daemon.tasks import Task, run_supervised
 
 LOOPS = (
     (CopyWatcher, "_follow_kind"),
@@ -26,6 +29,14 @@
 )
 """Functions of the tasks that keep the copies of the store's objects current."""
 
+ENTRY = {
+    "service": "s1",
+    "address": "127.0.0.1:80",
+    "zone": "d1",
+    "slots": 4,
+    "state": "ready",
+}
+
 
 class FailingOnce:
     """Patches a method so that its first call raises."""
@@ -73,6 +84,24 @@
                 script, [[build_response(b"ok")]], revocation_seconds=60.0
             )
 
+    def test_change_that_could_not_be_applied_is_applied_when_it_comes_again(self):
+        """Guards against a copy that counts as current but lacks a change."""
+
+        async def script(frontend):
+            cache, revision = frontend.object_cache, Version(1_000_000)
+            change = StoreObject("x-1", revision, msgspec.json.encode(ENTRY))
+            changes = StoreChanges([change], revision)
+
+            async def check():
+                cache.apply_check(ObjectKind.TARGETS, changes, sent_at=1.0)
+
+            with FailingOnce(ObjectCache, "_apply_target"):
+                self.assertFalse(await run_supervised(Task.CONFIRMATION_REQUEST, check))
+            cache.apply_watch(ObjectKind.TARGETS, changes, sent_at=1.0)
+            self.assertIsNotNone(cache._targets.get("x-1"))
+
+        self.run_frontend(script, [])
+
     def test_error_at_the_end_of_a_turn_ends_no_other_call(self):
         async def script(frontend):
             with FailingOnce(TurnRecorder, "settle") as settle:
