Count the grace of a frontend from its start if it is told to stop while it starts

What callers saw: calls cut off by SIGKILL at frontends that were told to stop during their start.

Cause: a signal that is held back during the start is handled at its end, and the grace period began only then, though the platform counts it from the signal.

Change: if a signal to stop is pending at the end of the start, the time of the whole start is deducted from the grace period; the time of the signal itself is not known.

Evidence: the new test of test_graceful_shutdown fails without the deduction.

--- a/packages/daemon/src/goldcrestvane_daemon/frontend/graceful_shutdown.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/graceful_shutdown.py
@@ -39,6 +39,14 @@
         self.requested = trio.Event()
         self.closing = trio.Event()
 
+    def deduct_held(self, seconds: float) -> None:
+        """Shortens the grace period, which begins when a signal is sent.
+
+        Args:
+            seconds: Time for which a signal may have been held back during the start.
+        """
+        self._grace_seconds -= seconds
+
     async def wait(self, count_in_flight: Callable[[], int]) -> None:
         """Waits for a request to stop, and then for the running calls to end.
 
@@ -47,7 +55,8 @@
         await self.requested.wait()
         logger.info("finishing the running calls", extra={"running": count_in_flight()})
         end = trio.current_time() + self._grace_seconds - KILL_MARGIN_SECONDS
-        await trio.sleep(BALANCER_REMOVAL_SECONDS)
+        with trio.move_on_at(end):
+            await trio.sleep(BALANCER_REMOVAL_SECONDS)
         self.closing.set()
         idle_polls = 0
         while idle_polls < MIN_IDLE_POLLS and trio.current_time() < end:
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/process.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/process.py
@@ -45,6 +45,7 @@
 from goldcrestvane_daemon.platform.store import StoreClient
 from goldcrestvane_daemon.settings import InvalidSettings
 from goldcrestvane_daemon.shutdown_signals import handle_signals
+from goldcrestvane_daemon.startup_signals import is_shutdown_pending
 from goldcrestvane_daemon.targets import Target, TargetTable
 from goldcrestvane_daemon.tasks import Task, has_failing_task, run_supervised
 
@@ -177,6 +178,8 @@
                     "start_ms": measure_start(),
                 },
             )
+            if is_shutdown_pending():
+                shutdown.deduct_held(measure_start() / 1000)
             nursery.start_soon(handle_signals, shutdown.requested)
             client_listener = self._listener
             await shutdown.wait(
--- a/packages/daemon/src/goldcrestvane_daemon/startup_signals.py
+++ b/packages/daemon/src/goldcrestvane_daemon/startup_signals.py
@@ -6,7 +6,8 @@
 
 import signal
 
-HANDLED_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+SHUTDOWN_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+HANDLED_SIGNALS = (*SHUTDOWN_SIGNALS, signal.SIGHUP)
 
 
 def hold_signals() -> None:
@@ -17,3 +18,8 @@
 def release_signals() -> None:
     """Delivers the signals that are pending, and all later ones."""
     signal.pthread_sigmask(signal.SIG_UNBLOCK, HANDLED_SIGNALS)
+
+
+def is_shutdown_pending() -> bool:
+    """Returns whether a signal to stop is held back."""
+    return not signal.sigpending().isdisjoint(SHUTDOWN_SIGNALS)
--- a/packages/daemon/tests/frontend/test_graceful_shutdown.py
+++ b/packages/daemon/tests/frontend/test_graceful_shutdown.py
@@ -77,12 +77,13 @@
 
 
 class WaitTests(unittest.TestCase):
-    def run_wait(self, counts):
+    def run_wait(self, counts, held_seconds=0.0):
         """Returns the counts of requests that are left when the process stops."""
         counts = list(counts)
 
         async def main():
             shutdown = GracefulShutdown(8.0)
+            shutdown.deduct_held(held_seconds)
             shutdown.requested.set()
             await shutdown.wait(lambda: counts.pop(0) if counts else 0)
 
@@ -96,6 +97,13 @@
     def test_process_stops_before_it_is_killed(self):
         self.assertGreater(len(self.run_wait([1] * 1000)), 500)
 
+    def test_process_that_was_stopped_during_its_start_stops_before_it_is_killed(self):
+        """Guards against a grace period that begins only when the start has ended."""
+        left = [len(self.run_wait([1] * 1000, seconds)) for seconds in (0.0, 3.0, 9.0)]
+        polls_per_second = 20
+        self.assertEqual(left[1] - left[0], 3 * polls_per_second)
+        self.assertGreater(left[2], left[1])
+
     def test_connection_in_the_backlog_is_pending(self):
         with open_listener(f"{HOST}:0") as listener:
             self.assertFalse(has_pending_connection(listener))
