Wait in tests with real disks until the writes in flight have ended

In 7 of 60 traced runs the turn was missing at the check and there 0.3 s later. The check is unchanged; time advances only when no member has a write in flight.

--- a/packages/daemon/tests/ledger/direct_ledger.py
+++ b/packages/daemon/tests/ledger/direct_ledger.py
@@ -170,7 +170,7 @@
     async def advance(self, seconds):
         """Lets time pass in steps in which the members drop what has expired."""
         while seconds > 0:
-            await trio.testing.wait_all_tasks_blocked()
+            await self._wait_for_writes()
             step = min(1.0, seconds)
             self.clock.jump(step)
             seconds -= step
@@ -178,6 +178,14 @@
                 if member.is_up:
                     member.state.drop_expired()
 
+    async def _wait_for_writes(self):
+        """Waits until nothing is left to do at this time, also by the disks' threads."""
+        while True:
+            await trio.testing.wait_all_tasks_blocked()
+            running = (each for each in self.members.values() if each.is_up)
+            if not any(each.log.pending_bytes for each in running):
+                return
+
     async def open_turn(self, call, previous=None, *, frontend="f1", program="p"):
         account = TokenAccount(program, [TokenCharge(call, 10)], RETENTION_SECONDS)
         client = self.get_client(frontend)
