--- a/packages/daemon/tests/ledger/test_log.py
+++ b/packages/daemon/tests/ledger/test_log.py
@@ -1,9 +1,17 @@
+import math
 import unittest
 
 import trio
 
 from goldcrestvane_daemon.ledger.limits import StorageLimits
 from goldcrestvane_daemon.ledger.log import DiskFailed, StorageFull
+from goldcrestvane_daemon.ledger.records import (
+    RenewalMeta,
+    TurnMeta,
+    build_turn_meta,
+    encode_record,
+    encode_turn,
+)
 from goldcrestvane_daemon.ledger.turn_reader import TurnUnreadable
 from ledger.faulty_disk import FaultyDisk
 from ledger.storage_case import StorageCase, build_charge, build_turn
@@ -49,6 +57,21 @@
         self.write(build_charge("p", "c1"), build_turn("t2", "t1"))
         self.assertEqual(self.read("t2"), ([["t2", "t1"]], {"c1"}))
 
+    def test_record_that_cannot_be_merged_ends_no_start_and_hides_no_other(self):
+        """Guards against a member that never starts again."""
+        self.write(build_charge("p", "c1"), build_turn("t1"))
+        segment = self.find_largest_segment()
+        last = build_turn("t3", "t1").turn
+        records = [
+            (TurnMeta("t2", None, math.inf, math.inf), b""),
+            (TurnMeta("t2", None, 60.0, math.nan), b""),
+            (RenewalMeta({"t1": math.inf}), b""),
+            (build_turn_meta(last, 70.0), encode_turn(last)),
+        ]
+        added = [encode_record(*each, segment=1, batch=9) for each in records]
+        segment.write_bytes(segment.read_bytes() + b"".join(added))
+        self.assertEqual(self.read("t2", "t3"), ([[], ["t3", "t1"]], {"c1"}))
+
     def test_disk_id_persists_until_the_disk_is_wiped(self):
         first = self.write(build_turn("t1"))
         self.assertEqual(first, self.write())
