Skip a record that cannot be merged at the start of a member

What callers saw: nothing yet. A record whose retention or expiry is infinite or no number ended its member at each start; one that could not be decoded hid all records behind it in its segment.

Cause: the types of the descriptions admitted such numbers, and a description that could not be decoded was taken for the end of the segment, although its checksum matched.

Change: the descriptions admit only finite times. A scan skips a record that matches its checksum but cannot be decoded, logs it, and goes on behind it.

Measured: ledger.test_log failed before (OverflowError: cannot convert float infinity to integer) and passes, with ledger.test_records.

--- a/packages/daemon/src/goldcrestvane_daemon/ledger/records.py
+++ b/packages/daemon/src/goldcrestvane_daemon/ledger/records.py
@@ -17,12 +17,14 @@
 import os
 import struct
 from collections.abc import Iterator
+from typing import Annotated
 
 import msgspec
 import xxhash
 
 from goldcrestvane_common.ids import CallId
-from goldcrestvane_daemon.ledger.messages import TokenAccount, Turn
+from goldcrestvane_common.logs import get_logger
+from goldcrestvane_daemon.ledger.messages import Retention, TokenAccount, Turn
 
 HEADER = struct.Struct(">QIIQQ")
 """Checksum of the rest of the header and of the description; sizes of the description
@@ -33,6 +35,11 @@
 WINDOW_BYTES = 4096
 """Size of the reads of a scan. Larger windows would read the bodies, too."""
 
+LogTime = Annotated[float, msgspec.Meta(ge=-1e13, le=1e13)]
+"""Time of the log. A record with another value cannot be merged."""
+
+logger = get_logger("log")
+
 
 class TurnMeta(msgspec.Struct, frozen=True, array_like=True, tag="t"):
     """Describes the record of a turn.
@@ -46,8 +53,8 @@
 
     call: CallId
     previous: CallId | None
-    retention_seconds: float
-    until: float
+    retention_seconds: Retention
+    until: LogTime
 
 
 def build_turn_meta(turn: Turn, until: float) -> TurnMeta:
@@ -64,7 +71,7 @@
     """
 
     account: TokenAccount
-    until: float
+    until: LogTime
 
 
 class RenewalMeta(msgspec.Struct, frozen=True, array_like=True, tag="r"):
@@ -74,7 +81,7 @@
         expiries: Times of the log at which the turns expire, by their ids.
     """
 
-    expiries: dict[CallId, float]
+    expiries: dict[CallId, LogTime]
 
 
 Meta = TurnMeta | AccountMeta | RenewalMeta
@@ -169,7 +176,10 @@
 
 
 def _scan_headers(descriptor: int, segment: int) -> Iterator[FoundRecord]:
-    """Yields records until the first whose header or description does not match."""
+    """Yields records until the first whose header or description does not match.
+
+    A record that matches but cannot be merged is skipped, so that it hides no later one.
+    """
     file_size = os.fstat(descriptor).st_size
     seed = _get_seed(segment)
     window, window_start = b"", 0
@@ -197,8 +207,12 @@
             return
         try:
             meta = _decode_meta(window[start + HEADER.size : end])
-        except msgspec.DecodeError:
-            return
-        yield FoundRecord(meta, position, length, batch)
+        except msgspec.DecodeError as error:
+            logger.warning(
+                "skipped a record that cannot be merged",
+                extra={"segment": segment, "offset": position, "reason": str(error)},
+            )
+        else:
+            yield FoundRecord(meta, position, length, batch)
         batch_before = batch
         position += length
