Answer a request that is not valid, and keep its connection

A request with one invalid field, such as a retention that is no time, closed its connection, and with it all other requests that its sender had in flight there.

Cause: a request of the wrong type and a frame that is no MessagePack were handled alike.

Change: a request whose id can be read is answered with the failure that a failed handler is answered with. Frames that cannot be read at all still close the connection.

--- a/packages/daemon/src/goldcrestvane_daemon/ledger/frames.py
+++ b/packages/daemon/src/goldcrestvane_daemon/ledger/frames.py
@@ -45,6 +45,8 @@
 
 logger = get_logger("peers")
 
+_decode_envelope = msgspec.msgpack.Decoder(tuple[int, msgspec.Raw]).decode
+
 
 class PeerUnreachable(Exception):
     """The peer did not respond; it may still have processed the request."""
@@ -289,7 +291,8 @@
         request_type: Type of the requests.
         handle: Returns the response to a request.
         unsent: Bound on the responses of all connections together, if any.
-        failure: Response to a request whose handler failed; None sends none.
+        failure: Response to a request whose handler failed, or that has a field which is
+            not valid; None sends none, and closes the connection in the second case.
     """
     server = _FrameServer(stream, handle, unsent, failure)
     try:
@@ -324,7 +327,11 @@
             async with trio.open_nursery() as nursery:
                 reader = FrameReader(self._stream)
                 while (frame := await reader.read()) is not None:
-                    request_id, request = decoder.decode(frame)
+                    try:
+                        request_id, request = decoder.decode(frame)
+                    except msgspec.ValidationError as error:
+                        await self._refuse(frame, error)
+                        continue
                     await self._slots.acquire()
                     nursery.start_soon(self._serve_request, request_id, request)
                 nursery.cancel_scope.cancel()
@@ -336,6 +343,18 @@
                 extra={"reason": str(group.exceptions[0])},
             )
 
+    async def _refuse(self, frame: bytes, error: msgspec.ValidationError) -> None:
+        """Answers a request that is not valid, so that the others of its peer go on.
+
+        Raises:
+            msgspec.ValidationError: The request cannot be answered.
+        """
+        if self._failure is None:
+            raise error
+        request_id, _ = _decode_envelope(frame)
+        logger.warning("refused a request of a peer", extra={"reason": str(error)})
+        await self._send(request_id, encode_frame(request_id, self._failure))
+
     async def _serve_request(self, request_id: int, request: Any) -> None:
         response: Any = None
 
