Count a task as failing until its restart has lasted

What callers saw: a process that was ready for 1 to 2 s out of 12 although a task of it failed 7 s after each restart, so that it took clients that it could not serve well.

Cause: a failure counted for 10 s from its own time, but a task counts as sound 10 s after its restart, which comes up to 5 s after the failure.

Change: a task is failing until 10 s after its restart.

Measured: test_tasks failed before (the process was ready between two failures) and passes (7 tests).

--- a/packages/daemon/src/goldcrestvane_daemon/tasks.py
+++ b/packages/daemon/src/goldcrestvane_daemon/tasks.py
@@ -111,10 +111,15 @@
 
 @final
 class _Failures:
-    """Failures of the tasks of one process."""
+    """Failures of the tasks of one process.
+
+    Attributes:
+        failing_until: Time at which each task that failed again counts as sound, unless it
+            fails before.
+    """
 
     def __init__(self) -> None:
-        self.failed_at: dict[object, float] = {}
+        self.failing_until: dict[object, float] = {}
         self._logged_at: dict[tuple[Task, str], float] = {}
 
     def record(self, task: Task, group: BaseExceptionGroup) -> None:
@@ -155,8 +160,8 @@
 
 def has_failing_task() -> bool:
     """Returns whether a task that calls depend on fails again after each restart."""
-    since = trio.current_time() - STABLE_SECONDS
-    return any(at > since for at in _get_failures().failed_at.values())
+    now = trio.current_time()
+    return any(until > now for until in _get_failures().failing_until.values())
 
 
 async def run_supervised(
@@ -192,12 +197,13 @@
             if trio.current_time() - started >= STABLE_SECONDS:
                 restarts = 0
             restarts += 1
-            if restarts >= FAILING_RESTARTS and task not in OPTIONAL_TASKS:
-                failures.failed_at[identity] = trio.current_time()
             backoff = min(MAX_BACKOFF_SECONDS, MIN_BACKOFF_SECONDS * 2**restarts)
+            if restarts >= FAILING_RESTARTS and task not in OPTIONAL_TASKS:
+                restarts_at = trio.current_time() + backoff
+                failures.failing_until[identity] = restarts_at + STABLE_SECONDS
             await trio.sleep(backoff)
     finally:
-        failures.failed_at.pop(identity, None)
+        failures.failing_until.pop(identity, None)
 
 
 async def _try_run(
