Take back the position of a copy whose objects could not be put in force

What callers saw: nothing that was shown. After an unexpected error in one object, its target stayed unknown, as did the objects behind it in the same answer.

Cause: a copy takes over the revision and the time of an answer before its objects are put in force, so that the objects never come again after an error.

Change: an object that fails keeps no other from being put in force. The copy then forgets those that failed and goes back to its position, so that the next answer has them again.

--- a/packages/daemon/src/goldcrestvane_daemon/frontend/object_cache.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/object_cache.py
@@ -269,8 +269,9 @@
     ) -> None:
         """Merges the changes since a revision that the copy had."""
         snapshot = self._snapshots[kind]
-        for item in snapshot.update(changes, confirmed_at=delivery.confirmed_at):
-            self._apply(kind, item, delivery)
+        before = snapshot.position
+        updated = snapshot.update(changes, confirmed_at=delivery.confirmed_at)
+        self._apply_all(kind, updated, delivery, before)
         self._update_synced()
 
     def _replace(
@@ -278,14 +279,37 @@
     ) -> None:
         """Replaces the copy by a list of all objects, unless the list is older."""
         snapshot = self._snapshots[kind]
+        before = snapshot.position
         if not snapshot.replace(changes, confirmed_at=delivery.confirmed_at):
             return
         if kind is ObjectKind.TARGETS:
             self._mark_missing(changes, delivery.removal_at)
-        for item in changes.objects:
-            self._apply(kind, item, delivery)
+        self._apply_all(kind, changes.objects, delivery, before)
         self._update_synced()
 
+    def _apply_all(
+        self,
+        kind: ObjectKind,
+        items: list[StoreObject],
+        delivery: Delivery,
+        before: tuple[Version, float],
+    ) -> None:
+        """Puts objects in force; those that fail do not keep the others from it.
+
+        Raises:
+            ExceptionGroup: Some failed. The copy is back at its position before them.
+        """
+        failed, errors = [], []
+        for item in items:
+            try:
+                self._apply(kind, item, delivery)
+            except Exception as error:
+                failed.append(item)
+                errors.append(error)
+        if errors:
+            self._snapshots[kind].take_back(failed, before)
+            raise ExceptionGroup("objects could not be put in force", errors)
+
     def _update_synced(self) -> None:
         if self.routes is not None and self._snapshots[ObjectKind.TARGETS].revision:
             self.synced.set()
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/snapshot.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/snapshot.py
@@ -79,6 +79,25 @@
         self.confirm(changes.revision, confirmed_at)
         return updated
 
+    @property
+    def position(self) -> tuple[Version, float]:
+        """Revision of the copy and the time at which it was complete."""
+        return self.revision, self.confirmed_at
+
+    def take_back(
+        self, items: list[StoreObject], position: tuple[Version, float]
+    ) -> None:
+        """Forgets objects that could not be put in force, so that they come again.
+
+        Args:
+            items: The objects.
+            position: Position of the copy before it had them.
+        """
+        for item in items:
+            self.objects.pop(item.name, None)
+        self._digest = None
+        self.revision, self.confirmed_at = position
+
     def _is_new(self, item: StoreObject) -> bool:
         known = self.objects.get(item.name)
         return item.deleted or known is None or known.version < item.version
