--- a/packages/daemon/tests/test_start_conditions.py
+++ b/packages/daemon/tests/test_start_conditions.py
@@ -1,4 +1,5 @@
 import contextlib
+import signal
 import socket
 import unittest
 
@@ -49,6 +50,23 @@
             process.kill()
             process.wait()
 
+    def test_signal_to_stop_ends_the_wait_for_an_address_or_the_settings(self):
+        """Guards against a process that outlives SIGTERM by the time of its waits."""
+        for number in (signal.SIGTERM, signal.SIGINT):
+            for role, name in (("frontend", "clients"), ("entry", "clients")):
+                with self.use_address(self.ports[name]):
+                    self.stop_waiting(role, "Address already in use", number)
+            self.settings_path.unlink()
+            self.stop_waiting("ledger", "cannot be read", number)
+            self.write_settings()
+
+    def stop_waiting(self, role, reason, number):
+        process = self.start(role)
+        self.wait_for_line(process, reason)
+        process.send_signal(number)
+        self.wait_for_line(process, f"stopped by {number.name}")
+        self.assertEqual(process.wait(), 0)
+
     def test_settings_file_that_is_missing_or_half_written_is_waited_for(self):
         self.settings_path.unlink()
         process = self.start("ledger")
