End the waits of a start at SIGTERM or SIGINT

What callers saw: a process that waited for an address or for its settings outlived SIGTERM by up to 15 s, in both forms.

Cause: a start holds the signals back, and its waits did not look for them.

Change: the waits end at once at one of these signals, with exit code 0 as after any stop.

--- a/packages/daemon/src/goldcrestvane_daemon/shutdown_signals.py
+++ b/packages/daemon/src/goldcrestvane_daemon/shutdown_signals.py
@@ -7,9 +7,11 @@
 import trio
 
 from goldcrestvane_common.logs import get_logger
-from goldcrestvane_daemon.startup_signals import HANDLED_SIGNALS, release_signals
-
-SHUTDOWN_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+from goldcrestvane_daemon.startup_signals import (
+    HANDLED_SIGNALS,
+    SHUTDOWN_SIGNALS,
+    release_signals,
+)
 
 logger = get_logger("stop")
 
--- a/packages/daemon/src/goldcrestvane_daemon/start_retries.py
+++ b/packages/daemon/src/goldcrestvane_daemon/start_retries.py
@@ -1,9 +1,11 @@
 """Waits of a start for conditions that may pass by themselves."""
 
-import select
+import signal
 import sys
 import time
 
+from goldcrestvane_daemon.startup_signals import SHUTDOWN_SIGNALS
+
 MAX_WAIT_SECONDS = 15.0
 """Time after which the process ends, since an operator has to act."""
 
@@ -28,7 +30,10 @@
     def wait_after(self, error: Exception) -> None:
         """Waits for the next try, and prints the error unless it was printed last.
 
+        SIGTERM or SIGINT, which a start holds back, ends the process instead.
+
         Raises:
+            SystemExit: The process was told to stop.
             Exception: The error, if `MAX_WAIT_SECONDS` have passed since the first try.
         """
         if time.monotonic() > self._end:
@@ -41,5 +46,13 @@
                 file=sys.stderr,
                 flush=True,
             )
-        select.poll().poll(self._interval * 1000)
+        stop = signal.sigtimedwait(SHUTDOWN_SIGNALS, self._interval)
+        if stop is not None:
+            name = signal.Signals(stop.si_signo).name
+            print(
+                f"goldcrestvaned: stopped by {name} before the start was complete",
+                file=sys.stderr,
+                flush=True,
+            )
+            sys.exit(0)
         self._interval = min(2 * self._interval, MAX_INTERVAL_SECONDS)
--- a/packages/daemon/src/goldcrestvane_daemon/startup_signals.py
+++ b/packages/daemon/src/goldcrestvane_daemon/startup_signals.py
@@ -6,7 +6,8 @@
 
 import signal
 
-HANDLED_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+SHUTDOWN_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+HANDLED_SIGNALS = (*SHUTDOWN_SIGNALS, signal.SIGHUP)
 
 
 def hold_signals() -> None:
