Read the other objects of the store beside one that is nested too deeply

What callers saw: one object of another writer that was nested 5000 deep made every list and watch of its kind unreadable, so that no change of any target was seen. Cause: the decoder ends with RecursionError also for a raw value, and the whole answer counted as malformed.

--- a/packages/daemon/src/goldcrestvane_daemon/platform/store.py
+++ b/packages/daemon/src/goldcrestvane_daemon/platform/store.py
@@ -19,6 +19,7 @@
     ExchangeBroken,
     Transport,
 )
+from goldcrestvane_daemon.platform.deep_values import drop_deep_values
 
 CALL_TIMEOUT_SECONDS = 2.0
 """A healthy store responds within milliseconds."""
@@ -261,7 +262,12 @@
 
 def _decode(response: ClientResponse, body_type: type[Any]) -> Any:
     try:
-        return msgspec.json.decode(response.body, type=body_type)
+        try:
+            return msgspec.json.decode(response.body, type=body_type)
+        except RecursionError:
+            # One object of another writer must not hide the others.
+            body = drop_deep_values(response.body)
+            return msgspec.json.decode(body, type=body_type)
     except (msgspec.DecodeError, RecursionError) as error:
         raise ObjectStoreUnavailable(
             f"The object store's response is malformed: {error}."
