Report an answer that is nested too deeply as a broken exchange

What callers saw: one odd answer of an instance list or an engine's load could end an entry process or a sidecar. Cause: ClientResponse.decode translated only DecodeError; nesting raises RecursionError. Change: it translates RecursionError and UnicodeDecodeError too, as the other decoders do. Measured: test_answer_that_is_nested_too_deeply_is_unreadable failed before (RecursionError, as listed) and passes now; packages/common/tests: 97 passed, 0 failed.

--- a/packages/common/src/goldcrestvane_common/transport.py
+++ b/packages/common/src/goldcrestvane_common/transport.py
@@ -59,7 +59,7 @@
             if self.status >= 400:
                 raise decode_error(self.body)
             return msgspec.json.decode(self.body, type=body_type)
-        except msgspec.DecodeError as error:
+        except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
             raise ExchangeBroken(
                 f"Got status {self.status} with an unreadable body: {error}."
             ) from error
