Probe a target that broke a stream off, and blame none for a client's position

What callers saw: (1) a stream could go on at a target that had died in the middle of another one and was back with other software, since only a failure before the response was probed. (2) A Last-Event-Id above all ids of a stream made each target that sends lower ids count as failed; three such calls ejected two of three targets (review, trial).

Cause: (1) a connection that ends within a response is a sign of an end as well; (2) the order is compared with a position that no target has confirmed.

Change: (1) a target whose connection ends within a response is probed; a refused probe marks its end, and only a failure before the response counts as a crash by the request. (2) What does not follow the event that the client states says nothing of the target's health; the call still goes to another one.

Two matters in one commit, since both change what a failed attempt means.

--- a/packages/daemon/src/goldcrestvane_daemon/frontend/attempts.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/attempts.py
@@ -157,7 +157,7 @@
                 call.departed_targets.add(target.instance)
             return AttemptResult.NOT_RUN
         except TargetFailed as error:
-            if error.left_unread:
+            if error.is_blameless:
                 self._health.record_cancellation(
                     target.instance, now=trio.current_time()
                 )
@@ -165,7 +165,11 @@
             self._record_failure(call, target, error, unreachable=False)
             if error.before_response:
                 self._nursery.start_soon(
-                    run_supervised, Task.DEATH_REPORT, self._detect_death, call, target
+                    run_supervised, Task.DEATH_REPORT, self._detect_crash, call, target
+                )
+            elif error.connection_lost:
+                self._nursery.start_soon(
+                    run_supervised, Task.DEATH_REPORT, self._detect_end, target
                 )
             return AttemptResult.LOST
         except StreamStalled as error:
@@ -376,13 +380,9 @@
         await connection.end_response()
         return event_seconds
 
-    async def _detect_death(self, call: CallContext, target: Target) -> None:
+    async def _detect_crash(self, call: CallContext, target: Target) -> None:
         """Checks whether a failed target has died, and reports its death to peers."""
-        try:
-            stream = await self._connections.connect(target)
-        except ConnectFailed as error:
-            if error.refused:
-                self._record_end(target)
+        if await self._detect_end(target):
             head = call.head
             fingerprint = build_fingerprint(head.method, head.path, call.client_body)
             deaths = [target.instance]
@@ -396,8 +396,17 @@
                     "fingerprint": fingerprint,
                 },
             )
-        else:
-            await trio.aclose_forcefully(stream)
+
+    async def _detect_end(self, target: Target) -> bool:
+        """Returns whether a failed target accepts no connection; records its end if so."""
+        try:
+            stream = await self._connections.connect(target)
+        except ConnectFailed as error:
+            if error.refused:
+                self._record_end(target)
+            return True
+        await trio.aclose_forcefully(stream)
+        return False
 
 
 def _is_stream(call: CallContext, head: ResponseHead) -> bool:
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/event_reader.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/event_reader.py
@@ -143,7 +143,8 @@
                 continue
             DISORDERED_EVENTS.inc()
             self._failure = TargetFailed(
-                f"Got event {event.number} after event {last}, expected a greater id."
+                f"Got event {event.number} after event {last}, expected a greater id.",
+                after_stated_event=self._sequence.is_stated,
             )
             if index == 0:
                 raise self._failure
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/event_sequence.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/event_sequence.py
@@ -11,6 +11,8 @@
 
     Attributes:
         last: Id of the last event in order; None before the first one.
+        is_stated: Whether no target has sent an event yet, so that `last` is what the client
+            states.
         ends_with_id: Whether the last event has an id, so that the stream can go on after it.
         gaps: Number of events in order whose id is not the next integer.
     """
@@ -22,6 +24,7 @@
             last: Id of the last event that the client has; None if it has none.
         """
         self.last = last
+        self.is_stated = True
         self.ends_with_id = True
         self.gaps = 0
 
@@ -39,5 +42,6 @@
                 return False
             self.gaps += number > self.last + 1
         self.last = number
+        self.is_stated = False
         self.ends_with_id = True
         return True
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/upstream.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/upstream.py
@@ -66,23 +66,42 @@
     """The connection broke or the response was invalid; the call may have run.
 
     Attributes:
+        connection_lost: Whether the connection ended before the end of the response.
         before_response: Whether the connection ended before any response.
+        after_stated_event: Whether the response does not follow the event that the client
+            states to have, which may be none of the stream's.
         left_unread: Whether the response had been left unread before, so that the target
             may have been right to cut it off.
     """
 
-    def __init__(self, message: str, *, before_response: bool = False) -> None:
+    def __init__(
+        self,
+        message: str,
+        *,
+        connection_lost: bool = False,
+        before_response: bool = False,
+        after_stated_event: bool = False,
+    ) -> None:
         super().__init__(message)
+        self.connection_lost = connection_lost
         self.before_response = before_response
+        self.after_stated_event = after_stated_event
         self.left_unread = False
 
+    @property
+    def is_blameless(self) -> bool:
+        """Whether the client may have caused the failure, so that it says nothing of the target."""
+        return self.left_unread or self.after_stated_event
+
 
 @contextmanager
 def _translate_errors(*, before_response: bool = False) -> Iterator[None]:
     try:
         yield
     except ConnectionLost as error:
-        raise TargetFailed(str(error), before_response=before_response) from error
+        raise TargetFailed(
+            str(error), connection_lost=True, before_response=before_response
+        ) from error
     except ProtocolViolation as error:
         raise TargetFailed(str(error)) from error
 
