--- a/bench/soak/outages.py
+++ b/bench/soak/outages.py
@@ -116,7 +116,7 @@
         await machine.kill(down_seconds, loses_disk=True)
 
     async def _stop_with_further_signals(self) -> None:
-        """Stops a process, which gets SIGHUP and SIGTERM again meanwhile."""
+        """Stops a process and sends it SIGHUP and SIGTERM again while it stops."""
         machine = self._draw([*self._frontends, *self._members])
         if machine is not None:
             numbers = self._rng.choices((signal.SIGHUP, signal.SIGTERM), k=2)
