--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,15 +1,16 @@
-"""A frontend is killed, and clients take up its streams while two versions serve."""
+"""Twice as many programs as usual come at once, and frontends exceed their memory."""
 
 import asyncio
-import itertools
+import os
 import sys
-from dataclasses import dataclass
+from collections import Counter
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent))
 
 from harness_2.deployment import (  # noqa: E402
+    RESTART_SECONDS,
     CaseUnusable,
     Deployment,
     Machine,
@@ -17,171 +18,173 @@
     build_route,
     run_case,
 )
-from harness_2.http import Answer, send_request  # noqa: E402
+from harness_2.http import Request  # noqa: E402
 from harness_2.replicas import Replica  # noqa: E402
-
-VERSIONS = ("v1", "v1", "v2", "v2")
-STREAMS = 20
-EVENTS = 12
-EVENT_SECONDS = 0.2
-EVENTS_BEFORE_KILL = 4
-NEW_STREAMS = 20
-MIN_TAKEN_UP = 12
+from harness_2.turns import is_served, send_turn  # noqa: E402
+
+PROGRAMS = 60
+CHAIN_TURNS = 11
+INPUT_BYTES = 200_000
+BUILDERS = 8
+USUAL = 30
+BURSTS = 3
+BURST_PAUSE_SECONDS = 6.0
+TRIES = 3
+ENDS = 3
+MACHINES = 2
 CLIENT_SECONDS = 6.0
-TAKE_UP_TRIES = 2
+LONG = b"long "
+POLL_SECONDS = 0.01
+PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
+
 
-numbers = itertools.count()
+def measure_memory(machine: Machine) -> int:
+    """Returns the resident memory of a machine's process; 0 if it has ended."""
+    assert machine.process is not None
+    try:
+        statm = Path(f"/proc/{machine.process.pid}/statm").read_text()
+    except OSError:
+        return 0
+    return int(statm.split()[1]) * PAGE_BYTES if statm.split() else 0
 
 
-@dataclass
-class Stream:
-    """A client's stream.
+class Platform:
+    """Kills processes that use more than their memory, and starts them again.
 
     Attributes:
-        number: Its number.
-        call: Attempt that brought its first event.
-        events: Ids of the events that the client has.
-        complete: Whether the stream has ended as complete.
+        ends: Number of ends by machine.
+        peaks: Largest memory seen by machine, in bytes.
     """
 
-    number: int
-    call: str
-    events: list[int]
-    complete: bool = False
-
-
-async def send_stream(
-    deployment: Deployment,
-    frontend: Machine,
-    stream: Stream,
-    *,
-    taken_up: bool,
-    began: asyncio.Event | None = None,
-) -> Answer:
-    """Begins a stream, or takes it up after the last event that the client has."""
-    call = f"s{stream.number}-{next(numbers)}"
-    headers = {
-        "Host": "agents.example",
-        "Goldcrestvane-Request-Id": call,
-        "Goldcrestvane-Model": "m",
-        "Goldcrestvane-Token-Usage": "1460,300",
-        "Goldcrestvane-Prompt-Prefix": f"5c1e07a2:800,{stream.number:08x}:660",
-        "Goldcrestvane-Deadline-Ms": str(int(CLIENT_SECONDS * 1000)),
-    }
-    if taken_up:
-        headers["Last-Event-Id"] = str(stream.events[-1])
-        headers["Resumes"] = stream.call
-    else:
-        stream.call = call
-
-    def watch(answer: Answer) -> None:
-        if began is not None and len(answer.events) >= EVENTS_BEFORE_KILL:
-            began.set()
-
-    answer = await send_request(
-        frontend.get_address("frontend"),
-        "POST",
-        f"/chat/{stream.number}",
-        headers,
-        b"question %d" % stream.number,
-        seconds=CLIENT_SECONDS,
-        on_data=watch,
-    )
-    got = [number for number, _ in answer.events]
-    stream.events += got
-    stream.complete = answer.complete and answer.status == 200
-    deployment.record.write(
-        "client",
-        f"{call} to {frontend.name}"
-        + (
-            f" takes up {stream.call} after {headers['Last-Event-Id']}"
-            if taken_up
-            else ""
+    def __init__(self, deployment: Deployment) -> None:
+        """Creates the guard of the deployment's machines."""
+        self._deployment = deployment
+        self.ends: Counter[str] = Counter()
+        self.peaks: Counter[str] = Counter()
+
+    async def guard(self) -> None:
+        """Guards the machines until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            machines = [*self._deployment.frontends, *self._deployment.ledgers]
+            for machine in machines:
+                group.create_task(self._guard_machine(machine))
+
+    async def _guard_machine(self, machine: Machine) -> None:
+        limit = machine.memory_mb * 1024 * 1024
+        while True:
+            used = measure_memory(machine)
+            self.peaks[machine.name] = max(self.peaks[machine.name], used)
+            if used > limit:
+                self._deployment.record.write(
+                    "platform",
+                    f"{machine.name} uses {used / 2**20:.0f} MB of {machine.memory_mb}",
+                )
+                await machine.kill()
+                self.ends[machine.name] += 1
+                await asyncio.sleep(RESTART_SECONDS)
+                machine.start()
+            await asyncio.sleep(POLL_SECONDS)
+
+
+async def build_chains(deployment: Deployment) -> dict[str, str]:
+    """Returns the last turn of each program."""
+    last: dict[str, str] = {}
+    numbers = iter(range(PROGRAMS))
+
+    async def build() -> None:
+        for number in numbers:
+            program, call = f"program-{number}", None
+            for turn in range(CHAIN_TURNS):
+                frontend = deployment.frontends[(number + turn) % MACHINES]
+                body = LONG * (INPUT_BYTES // len(LONG))
+                call, answer = await send_turn(
+                    deployment, frontend, "kept", program, body, call
+                )
+                if not is_served(answer):
+                    return
+            assert call is not None
+            last[program] = call
+
+    await asyncio.gather(*(build() for _ in range(BUILDERS)))
+    return last
+
+
+async def continue_program(
+    deployment: Deployment, number: int, program: str, call: str
+) -> bool:
+    """Sends the next turn of a program, again after a failure; returns if served."""
+    for attempt in range(TRIES):
+        frontend = deployment.frontends[(number + attempt) % MACHINES]
+        _, answer = await send_turn(
+            deployment,
+            frontend,
+            "kept",
+            program,
+            b"and then",
+            call,
+            seconds=CLIENT_SECONDS,
         )
-        + f": {answer.status} events={got} complete={answer.complete}"
-        + (f" {answer.body[:200]!r}" if answer.status not in (0, 200) else ""),
-    )
-    return answer
+        if is_served(answer):
+            return True
+        await asyncio.sleep(0.3)
+    return False
 
 
 async def play(deployment: Deployment, trouble: bool) -> bool:
-    """Returns whether streams could be taken up about as well as begun."""
+    """Returns whether no two machines ended three times by their memory."""
     record = deployment.record
-    route = build_route("chat", resumable=True, timeout_ms=6000)
-    await deployment.start(build_configuration(route))
-    first, second = deployment.frontends[:2]
+    route = build_route("kept", retention_enabled=True, timeout_ms=6000)
+    await deployment.start(build_configuration(route), frontends=MACHINES)
+
+    def is_quick(request: Request) -> bool:
+        return request.body.endswith(LONG)
+
     replicas = [
         Replica(
             deployment.store,
             record,
             instance=f"i-{number}",
             service="engine",
-            zone=deployment.ledgers[number % 3].zone,
+            zone=machine.zone,
             address=(deployment.take_host(), deployment.ports["replica"]),
-            events=EVENTS,
-            event_seconds=EVENT_SECONDS,
-            version=version,
+            event_seconds=0.2,
+            is_quick=is_quick,
         )
-        for number, version in enumerate(VERSIONS)
+        for number, machine in enumerate(deployment.ledgers)
     ]
+    platform = Platform(deployment)
+    guard = asyncio.create_task(platform.guard())
     try:
         for replica in replicas:
             await replica.start()
         await asyncio.sleep(2)
-        return await play_streams(deployment, first, second, trouble)
+        last = await build_chains(deployment)
+        record.write("check", f"{len(last)} of {PROGRAMS} programs have their chains")
+        if len(last) < PROGRAMS / 2 or platform.ends:
+            raise CaseUnusable("the chains could not be built")
+        for burst in range(BURSTS):
+            served = 0
+            programs = list(enumerate(last.items()))
+            width = len(programs) if trouble else USUAL
+            for start in range(0, len(programs), width):
+                served += sum(
+                    await asyncio.gather(
+                        *(
+                            continue_program(deployment, number, *each)
+                            for number, each in programs[start : start + width]
+                        )
+                    )
+                )
+            record.write("check", f"burst {burst}: {served} of {len(last)} were served")
+            await asyncio.sleep(BURST_PAUSE_SECONDS)
     finally:
+        guard.cancel()
         for replica in replicas:
             replica.close()
-
-
-async def play_streams(
-    deployment: Deployment, first: Machine, second: Machine, trouble: bool
-) -> bool:
-    """Plays the streams; returns whether the rule held."""
-    began = [asyncio.Event() for _ in range(STREAMS)]
-    streams = [Stream(number, "", []) for number in range(STREAMS)]
-    fresh = [Stream(STREAMS + number, "", []) for number in range(NEW_STREAMS)]
-    taken_up = gone_on = 0
-
-    async def run_stream(stream: Stream, started: asyncio.Event) -> None:
-        nonlocal taken_up, gone_on
-        await send_stream(deployment, first, stream, taken_up=False, began=started)
-        if stream.complete or not stream.events:
-            return
-        taken_up += 1
-        before = len(stream.events)
-        for _ in range(TAKE_UP_TRIES):
-            answer = await send_stream(deployment, second, stream, taken_up=True)
-            if len(stream.events) > before:
-                gone_on += 1
-                return
-            # The client honours `Retry-After`.
-            await asyncio.sleep(float(answer.headers.get("retry-after", "0.1")))
-
-    async def run_fresh(stream: Stream) -> None:
-        await send_stream(deployment, second, stream, taken_up=False)
-
-    async with asyncio.TaskGroup() as group:
-        for stream, started in zip(streams, began, strict=True):
-            group.create_task(run_stream(stream, started))
-        for started in began:
-            await started.wait()
-        if trouble:
-            await first.kill()
-        for stream in fresh:
-            group.create_task(run_fresh(stream))
-            await asyncio.sleep(0.05)
-    begun = sum(bool(stream.events) for stream in fresh)
-    deployment.record.write(
-        "check",
-        f"{gone_on} of {taken_up} streams that were taken up went on; "
-        f"{begun} of {NEW_STREAMS} new streams began at the same time",
-    )
-    if not trouble:
-        return all(stream.complete for stream in streams)
-    if taken_up < MIN_TAKEN_UP:
-        raise CaseUnusable("too few streams were taken up")
-    return gone_on / taken_up >= 0.5 * begun / NEW_STREAMS
+    peaks = {name: f"{used / 2**20:.0f} MB" for name, used in platform.peaks.items()}
+    record.write("check", f"largest memory: {peaks}")
+    record.write("check", f"ends by memory: {dict(platform.ends)}")
+    return sum(count >= ENDS for count in platform.ends.values()) < MACHINES
 
 
 if __name__ == "__main__":
--- a/review/harness_2/deployment.py
+++ b/review/harness_2/deployment.py
@@ -65,6 +65,7 @@
         self.host = deployment.take_host()
         self.folder = deployment.folder / self.name
         self.folder.mkdir()
+        self.memory_mb = 150 if role == "frontend" else 180
         self._deployment = deployment
         self._is_first = True
         self.process: subprocess.Popen[bytes] | None = None
@@ -99,7 +100,7 @@
             "limits": {
                 "cpu_share": 0.817,
                 "cores": 1,
-                "memory_mb": 150 if is_frontend else 180,
+                "memory_mb": self.memory_mb,
                 "file_descriptors": 4100,
                 "link_mbps": 1000.0,
                 "disk_mb": 0 if is_frontend else 520,
--- a/review/harness_2/replicas.py
+++ b/review/harness_2/replicas.py
@@ -58,6 +58,7 @@
         down_seconds: float = 2.5,
         keeps_id: bool = False,
         version: str = "v1",
+        is_quick: Callable[[Request], bool] = lambda request: False,
     ) -> None:
         """Creates a replica that is not started yet.
 
@@ -74,11 +75,13 @@
             down_seconds: Time after a crash until it is back.
             keeps_id: Whether it has the same id in each lifetime.
             version: Version of its software.
+            is_quick: Whether it answers a request without a pause between events.
         """
         self.instance = instance
         self._first_instance = instance
         self._keeps_id = keeps_id
         self._version = version
+        self._is_quick = is_quick
         self.address = address
         self.runs: list[Run] = []
         self.crash_count = 0
@@ -157,8 +160,9 @@
         }
         lines = ["HTTP/1.1 200 OK", *(f"{k}: {v}" for k, v in headers.items())]
         writer.write("\r\n".join(lines).encode() + b"\r\n\r\n")
+        pause = 0.0 if self._is_quick(request) else self._event_seconds
         for number in range(last + 1, self._events + 1):
-            await asyncio.sleep(self._event_seconds)
+            await asyncio.sleep(pause)
             event = build_event(number)
             writer.write(b"%x\r\n%s\r\n" % (len(event), event))
             await writer.drain()
