Let a case end with 2 if its own script fails

Found: an error in a script ended it with 1, as if the rule were broken (a record that was removed during a run of review/6 with TROUBLE=0). At fault: run_case (review/harness_2/deployment.py).

--- a/review/harness_2/deployment.py
+++ b/review/harness_2/deployment.py
@@ -13,6 +13,7 @@
 import sys
 import tempfile
 import tomllib
+import traceback
 from collections.abc import Awaitable, Callable, Mapping
 from pathlib import Path
 from typing import Any
@@ -395,9 +396,12 @@
         return 0 if held else 1
 
     try:
-        code = asyncio.run(main())
+        return asyncio.run(main())
+    except Exception:
+        # An error of the case itself says nothing of the rule.
+        traceback.print_exc()
+        return 2
     finally:
         deployment.close()
         record.close()
-    print((folder / "record.txt").read_text().splitlines()[-1])
-    return code
+        print(record.last)
--- a/review/harness_2/record.py
+++ b/review/harness_2/record.py
@@ -5,12 +5,17 @@
 
 
 class Record:
-    """Writes lines with the time since the start of the run to a file."""
+    """Writes lines with the time since the start of the run to a file.
+
+    Attributes:
+        last: The last line.
+    """
 
     def __init__(self, path: Path) -> None:
         """Creates an empty record."""
         self._began = time.monotonic()
         self._file = path.open("w")
+        self.last = ""
 
     @property
     def now(self) -> float:
@@ -19,7 +24,8 @@
 
     def write(self, source: str, text: str) -> None:
         """Writes one line."""
-        self._file.write(f"{self.now:8.3f} {source}: {text}\n")
+        self.last = f"{self.now:8.3f} {source}: {text}"
+        self._file.write(self.last + "\n")
         self._file.flush()
 
     def close(self) -> None:
