Make the stand-ins of the second review sounder

Found: replicas generated more tokens than a turn's most, told open connections as their load, and took health checks for requests; a case that was stopped left its processes. At fault: review/harness_2.

--- a/review/harness_2/crashes.py
+++ b/review/harness_2/crashes.py
@@ -25,7 +25,7 @@
         "Host": "agents.example",
         "Goldcrestvane-Request-Id": call,
         "Goldcrestvane-Model": "m",
-        "Goldcrestvane-Token-Usage": "1460,80",
+        "Goldcrestvane-Token-Usage": "1460,264",
         "Goldcrestvane-Prompt-Prefix": f"5c1e07a2:800,{key}:660",
         "Goldcrestvane-Deadline-Ms": str(int(CLIENT_SECONDS * 1000)),
     }
--- a/review/harness_2/deployment.py
+++ b/review/harness_2/deployment.py
@@ -379,6 +379,9 @@
     deployment = Deployment(record)
 
     async def main() -> int:
+        task = asyncio.current_task()
+        assert task is not None
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         try:
             async with asyncio.timeout(MAX_SECONDS):
                 held = await play(deployment, trouble)
@@ -397,6 +400,9 @@
 
     try:
         return asyncio.run(main())
+    except asyncio.CancelledError:
+        record.write("case", "could not run: it was stopped")
+        return 2
     except Exception:
         # An error of the case itself says nothing of the rule.
         traceback.print_exc()
--- a/review/harness_2/replicas.py
+++ b/review/harness_2/replicas.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import json
 import time
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass
@@ -13,6 +14,7 @@
 
 HEARTBEAT_SECONDS = 1.2
 SILENT_HEARTBEATS = 3
+SLOTS = 16
 
 
 @dataclass(frozen=True)
@@ -93,6 +95,7 @@
         self._event_seconds = event_seconds
         self._crashes_on = crashes_on
         self._down_seconds = down_seconds
+        self._running = 0
         self._writers: set[asyncio.StreamWriter] = set()
         self._server: asyncio.Server | None = None
         self._beats: asyncio.Task[None] | None = None
@@ -116,7 +119,7 @@
                 "address": f"{host}:{port}",
                 "zone": self._zone,
                 "version": self._version,
-                "slots": 16,
+                "slots": SLOTS,
                 "state": "ready",
                 "cold_remaining_ms": 0,
                 "sequence": sequence,
@@ -136,11 +139,35 @@
             writer.close()
 
     async def _handle(self, request: Request, writer: asyncio.StreamWriter) -> None:
+        if request.path in ("/health", "/v1/report"):
+            self._report_state(request, writer)
+            return
         expected = request.headers.get("goldcrestvane-expected-instance")
         if expected not in (None, self.instance):
             headers = {"Goldcrestvane-Instance-Id": self.instance}
             writer.write(build_message("HTTP/1.1 421 X", headers, b""))
             return
+        self._running += 1
+        try:
+            await self._run(request, writer)
+        finally:
+            self._running -= 1
+
+    def _report_state(self, request: Request, writer: asyncio.StreamWriter) -> None:
+        headers = {
+            "Goldcrestvane-Instance-Id": self.instance,
+            "Goldcrestvane-Server-Load": self._load,
+            "Content-Type": "application/json",
+        }
+        state = {"stage": "dual", "busy": False, "queued": 0, "active": self._running}
+        body = b"" if request.path == "/health" else json.dumps(state).encode()
+        writer.write(build_message("HTTP/1.1 200 OK", headers, body))
+
+    @property
+    def _load(self) -> str:
+        return f"{self._running},0,{SLOTS}"
+
+    async def _run(self, request: Request, writer: asyncio.StreamWriter) -> None:
         run = Run(self._record.now, self.instance, request)
         self.runs.append(run)
         last = int(request.headers.get("last-event-id", "0"))
@@ -155,7 +182,7 @@
             "Content-Type": "text/event-stream",
             "Goldcrestvane-Request-Id": run.call,
             "Goldcrestvane-Response-Signature": f"s.{self.instance}",
-            "Goldcrestvane-Server-Load": f"{len(self._writers)},0,16",
+            "Goldcrestvane-Server-Load": self._load,
             "Transfer-Encoding": "chunked",
         }
         lines = ["HTTP/1.1 200 OK", *(f"{k}: {v}" for k, v in headers.items())]
--- a/review/harness_2/turns.py
+++ b/review/harness_2/turns.py
@@ -24,8 +24,8 @@
     body: bytes,
     previous: str | None = None,
     *,
-    budget: int = 4576,
-    most: int = 44,
+    budget: int = 20_000,
+    most: int = 264,
     seconds: float = CLIENT_SECONDS,
 ) -> tuple[str, Answer]:
     """Sends a turn once; returns its call id and its answer.
