--- a/packages/daemon/src/goldcrestvane_daemon/frontend/attempts.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/attempts.py
@@ -260,11 +260,12 @@
     async def _send(
         self, call: CallContext, target: Target, request: TargetRequest
     ) -> ResponseHead:
+        parts = call.body_parts
         headers = build_target_headers(
             call.headers,
             instance=target.instance,
             seconds_left=call.seconds_left,
-            body_length=len(call.body),
+            body_length=sum(map(len, parts)),
             priority=min(call.priority, MAX_PRIORITY),
             last_event=call.last_event,
             account=call.account_id,
@@ -283,7 +284,10 @@
                 "standing": call.admission_class.value,
             },
         )
-        return await request.send(head.method, head.path, headers, call.body)
+        response = await request.send(head.method, head.path, headers, parts)
+        if response.executed:
+            call.drop_chain()
+        return response
 
     def _record_rejection(
         self, call: CallContext, target: Target, head: ResponseHead
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/call_context.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/call_context.py
@@ -15,6 +15,7 @@
 from goldcrestvane_daemon.accounts.directory import ClientAccount, KeyDigest
 from goldcrestvane_daemon.frontend.admission import AdmissionClass, get_admission_class
 from goldcrestvane_daemon.frontend.affinity import Affinity, build_affinity
+from goldcrestvane_daemon.frontend.call_chain import CallChain
 from goldcrestvane_daemon.frontend.event_sequence import EventSequence
 from goldcrestvane_daemon.frontend.refusals import (
     InvalidCall,
@@ -23,7 +24,7 @@
     UnknownRoute,
 )
 from goldcrestvane_daemon.http1 import RequestHead
-from goldcrestvane_daemon.ledger.messages import Turn, build_program_key
+from goldcrestvane_daemon.ledger.messages import build_program_key
 from goldcrestvane_daemon.placement.prompt_reading import PromptRequest
 from goldcrestvane_daemon.platform.headers import CallHeaders, decode_call_headers
 from goldcrestvane_daemon.routes import CallKind, Route, RouteTable, choose_service
@@ -46,7 +47,6 @@
         account: Client account that sent the call; None if no quota applies.
         arrived: Time on trio's clock at which the call arrived.
         deadline: Time on trio's clock by which the call must be answered.
-        body: Body of the request to the target.
         tokens_per_event: Tokens that are charged for each event.
         events: Number of events that were forwarded to the client.
         sequence: Order of the events that the client has.
@@ -70,7 +70,7 @@
         copy_age: Seconds since that configuration was known to be the newest, when the
             call arrived; None without accounts.
         prompt: Prompt of the present attempt; None if the client states none.
-        chain: Stored turns that precede the call, newest first.
+        chain: Stored turns that precede the call; None before they are known.
         chain_root: First turn of the stored chain that the call continues or begins; None
             for a call that is not stored.
         chain_target: Target that ran the preceding turn, if known.
@@ -85,7 +85,6 @@
     version: Version
     arrived: float
     deadline: float
-    body: bytes
     account: ClientAccount | None = None
     tokens_per_event: int = 1
     events: int = 0
@@ -106,11 +105,22 @@
     accounts_version: Version | None = None
     copy_age: float | None = None
     prompt: PromptRequest | None = None
-    chain: list[Turn] = []
+    chain: CallChain | None = None
     chain_root: CallId | None = None
     chain_target: InstanceId | None = None
     target: InstanceId = InstanceId("")
 
+    @property
+    def body_parts(self) -> list[bytes]:
+        """Body of the request to the target: the text of the chain, then the new input."""
+        before = self.chain.list_parts() if self.chain else []
+        return [*before, self.client_body]
+
+    def drop_chain(self) -> None:
+        """Releases the memory of the chain until it is read again."""
+        if self.chain is not None:
+            self.chain.drop()
+
     @property
     def account_id(self) -> AccountId | None:
         """Name of the account that sends the call, if any."""
@@ -238,7 +248,6 @@
         version=configuration.version,
         arrived=arrived,
         deadline=arrived + seconds,
-        body=body,
         tokens_per_event=engine.tokens_per_event if engine else 1,
         admission_class=get_admission_class(
             has_started=True,
@@ -247,14 +256,3 @@
         ),
         sequence=EventSequence(headers.last_event),
     )
-
-
-def build_prompt(chain: list[Turn], new_input: bytes) -> bytes:
-    """Returns the full prompt of a turn.
-
-    Args:
-        chain: The preceding turns, newest first.
-        new_input: Input that the client sent for this turn.
-    """
-    parts = [part for turn in reversed(chain) for part in (turn.input, turn.output)]
-    return b"".join([*parts, new_input])
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/calls.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/calls.py
@@ -85,6 +85,7 @@
         account_gate: AccountGate,
         response_memory: MemoryBudget,
         nursery: trio.Nursery,
+        chain_memory: MemoryBudget | None = None,
         on_slowdown: Callable[[ServiceId], None] = lambda service: None,
         quotas: QuotaSource | None = None,
     ) -> None:
@@ -100,6 +101,8 @@
             account_gate: Checks the API keys of calls.
             response_memory: Bounds the memory of responses.
             nursery: Runs tasks that outlast a call.
+            chain_memory: Bounds the memory of stored turns that calls continue; None if it
+                has no bound.
             on_slowdown: Called with the service when one of its targets reports how long
                 work takes there.
             quotas: Members of the ledger that issue tokens of quotas, if any.
@@ -108,7 +111,7 @@
         self._quotas = QuotaClient(quotas, nursery)
         self._crash_tracker = crash_tracker
         self._targets = targets
-        self._turns = TurnRecorder(ledger)
+        self._turns = TurnRecorder(ledger, chain_memory)
         self._domain = domain
         self._nursery = nursery
         self._origins = StreamOrigins(self._turns, targets, nursery)
@@ -244,6 +247,7 @@
                 OPEN_SECONDS.observe(trio.current_time() - call.arrived)
                 await self._run_attempts(connection, call, quota, connection_headers)
             finally:
+                call.drop_chain()
                 if not call.settled:
                     # This also applies if the client disconnected or the deadline passed.
                     self._nursery.start_soon(
@@ -277,13 +281,14 @@
                 program_seconds_left=call.program_seconds_left,
                 account=account,
                 prompt=call.prompt,
+                on_wait=call.drop_chain,
             )
-            if call.seconds_left <= MIN_SECONDS_LEFT:
-                # An attempt would still run at the deadline, so that the client could
-                # not be told that the call has not run.
-                queue.release(target, account=account, prompt=call.prompt)
-                raise _build_timeout(call)
             try:
+                await self._turns.load_chain(call)
+                if call.seconds_left <= MIN_SECONDS_LEFT:
+                    # An attempt would still run at the deadline, so that the client could
+                    # not be told that the call has not run.
+                    raise _build_timeout(call)
                 # The token of the first attempt may have been used or returned since.
                 await quota.acquire()
                 self._account_gate.recheck(call)
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/chain_renewal.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/chain_renewal.py
@@ -2,8 +2,8 @@
 
 The turns of a chain lie in different groups of members, and a member lacks those that were
 written while it was down. No member can therefore extend the retention of a whole chain.
-The frontend that stores a turn has read its whole chain: it renews each preceding turn in
-the group of that turn, and writes it again where it is missing.
+The frontend that stores a turn knows its whole chain: it renews each preceding turn in the
+group of that turn, and reads and writes it again where it is missing.
 """
 
 import math
@@ -18,6 +18,7 @@
 from goldcrestvane_common.logs import get_logger
 from goldcrestvane_daemon.frontend import metrics
 from goldcrestvane_daemon.frontend.ledger_answers import is_write_vote
+from goldcrestvane_daemon.frontend.ledger_errors import LedgerUnavailable, TurnNotFound
 from goldcrestvane_daemon.ledger.frames import PeerUnreachable
 from goldcrestvane_daemon.ledger.messages import (
     Entry,
@@ -40,6 +41,7 @@
 take to end."""
 
 CallMember = Callable[[str, Any], Awaitable[Any]]
+ReadTurn = Callable[[CallId], Awaitable[Turn]]
 
 logger = get_logger("ledger")
 
@@ -61,14 +63,16 @@
             known = self._kept_until.pop(call, -math.inf)
             self._kept_until[call] = max(known, until)
 
-    def list_due(self, chain: Sequence[Turn], retention_seconds: float) -> list[Turn]:
+    def list_due(
+        self, calls: Sequence[CallId], retention_seconds: float
+    ) -> list[CallId]:
         """Returns the turns that may not be kept for a retention from now."""
         now = trio.current_time()
         self._drop_expired(now)
         return [
-            turn
-            for turn in chain
-            if self._kept_until.get(turn.call, -math.inf) < now + retention_seconds
+            call
+            for call in calls
+            if self._kept_until.get(call, -math.inf) < now + retention_seconds
         ]
 
     def _drop_expired(self, now: float) -> None:
@@ -90,31 +94,32 @@
     def __init__(
         self,
         view: View,
-        chain: Sequence[Turn],
+        calls: Sequence[CallId],
         retention_seconds: float,
         *,
         call_member: CallMember,
+        read_turn: ReadTurn,
+        rewrites: trio.CapacityLimiter,
         nursery: trio.Nursery,
     ) -> None:
         """Prepares the renewal.
 
         Args:
             view: View whose groups have the turns.
-            chain: The turns.
+            calls: Ids of the turns.
             retention_seconds: Time for which they are kept from now on at least.
             call_member: Sends a request to the member at an address, or raises
                 PeerUnreachable.
+            read_turn: Returns a turn, or raises LedgerUnavailable or TurnNotFound.
+            rewrites: Bounds the turns that are in memory to be written again.
             nursery: Runs the requests, also those that outlast `run`.
         """
         self._view = view
-        self._turns = {
-            turn.call: msgspec.structs.replace(
-                turn, retention_seconds=retention_seconds
-            )
-            for turn in chain
-        }
+        self._calls = list(calls)
         self._retention_seconds = retention_seconds
         self._call_member = call_member
+        self._read_turn = read_turn
+        self._rewrites = rewrites
         self._nursery = nursery
         self._votes: Counter[CallId] = Counter()
         self._running = 0
@@ -125,7 +130,7 @@
     def unconfirmed(self) -> list[CallId]:
         """Turns of which no write quorum has confirmed the renewal."""
         quorum = self._view.write_quorum
-        return [call for call in self._turns if self._votes[call] < quorum]
+        return [call for call in self._calls if self._votes[call] < quorum]
 
     async def run(self) -> None:
         """Sends the requests, and returns once all turns are confirmed or none can be.
@@ -133,7 +138,7 @@
         The remaining requests continue, so that every member gets them.
         """
         calls_by_member: dict[Member, list[CallId]] = {}
-        for call in self._turns:
+        for call in self._calls:
             for member in self._view.list_group(call):
                 calls_by_member.setdefault(member, []).append(call)
         self._running = len(calls_by_member)
@@ -155,14 +160,23 @@
                 self._votes.update(answer.renewed)
                 self._changed.set()
                 for call in answer.missing:
-                    await self._write_to(member, self._turns[call])
+                    async with self._rewrites:
+                        await self._write_to(member, call)
         except PeerUnreachable as error:
             logger.debug("a member does not respond", extra={"reason": str(error)})
+        except (LedgerUnavailable, TurnNotFound) as error:
+            logger.warning(
+                "a turn that a member lacks was not read",
+                extra={"member": member.instance, "reason": str(error)},
+            )
         finally:
             self._running -= 1
             self._changed.set()
 
-    async def _write_to(self, member: Member, turn: Turn) -> None:
+    async def _write_to(self, member: Member, call: CallId) -> None:
+        turn = msgspec.structs.replace(
+            await self._read_turn(call), retention_seconds=self._retention_seconds
+        )
         request = Write(get_stamp(self._view), Entry(turn=turn))
         answer = await self._call_member(member.address, request)
         self.answers.append(answer)
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/ledger_answers.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/ledger_answers.py
@@ -29,9 +29,9 @@
     accepts_turns: bool = True
 
 
-def has_turns(answer: Any) -> bool:
-    """Returns whether an answer contains the turn that was read."""
-    return isinstance(answer, TurnChain) and bool(answer.turns)
+def has_turn(answer: Any) -> bool:
+    """Returns whether a member has the turn that was asked for."""
+    return isinstance(answer, TurnChain) and bool(answer.turns or answer.chain_bytes)
 
 
 def is_write_vote(answer: Any) -> bool:
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/ledger_client.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/ledger_client.py
@@ -10,7 +10,7 @@
 
 from goldcrestvane_common.ids import CallId, ProgramId
 from goldcrestvane_common.logs import get_logger
-from goldcrestvane_daemon.frontend import metrics
+from goldcrestvane_daemon.frontend.chain_reader import ChainReader, get_chain_size
 from goldcrestvane_daemon.frontend.chain_renewal import (
     EXTRA_RETENTION_SECONDS,
     ChainRenewal,
@@ -22,11 +22,13 @@
     find_missing_turn,
     get_turn_size,
     has_room_for_turns,
-    has_turns,
+    has_turn,
     has_write_quorum,
     is_write_vote,
     merge_charges,
 )
+from goldcrestvane_daemon.frontend.ledger_errors import LedgerUnavailable, TurnNotFound
+from goldcrestvane_daemon.frontend.memory_budget import MemoryBudget, MemoryReservation
 from goldcrestvane_daemon.frontend.peers import FrontendPeers
 from goldcrestvane_daemon.ledger.frames import PeerConnection, PeerUnreachable
 from goldcrestvane_daemon.ledger.messages import (
@@ -80,6 +82,9 @@
 all members sooner."""
 
 MAX_VIEW_ATTEMPTS = 3
+MAX_REWRITTEN_TURNS = 4
+"""Number of turns that are read at a time to be written again where they are missing."""
+
 TURN_CACHE_BYTES = 8 * 1024 * 1024
 """Size of a frontend's cache of turns. Turns that are not cached are read from the
 ledger."""
@@ -87,19 +92,12 @@
 logger = get_logger("ledger")
 
 
-class LedgerUnavailable(Exception):
-    """No quorum answered. The entry may or may not have been written."""
-
-
-class TurnNotFound(Exception):
-    """A quorum of members has no such turn."""
-
-
 @final
 class LedgerClient:
     """Writes to and reads from the members that are responsible for a key.
 
     Attributes:
+        chains: Reads chains of turns.
         view: The newest known view; None before the first view arrives.
     """
 
@@ -111,7 +109,8 @@
         self._nursery = nursery
         self._peers: dict[str, PeerConnection] = {}
         self._forward_backoff_until: dict[str, float] = {}
-        self._cache = TurnCache(TURN_CACHE_BYTES)
+        self.chains = ChainReader(self._read_page, TurnCache(TURN_CACHE_BYTES))
+        self._rewrites = trio.CapacityLimiter(MAX_REWRITTEN_TURNS)
         self._renewal_times = RenewalTimes()
         self._missing_charges: dict[ProgramId, dict[CallId, TokenCharge]] = {}
         self._relayed_at: dict[str, float] = {}
@@ -172,24 +171,36 @@
         *,
         account: TokenAccount,
         previous: CallId | None,
+        memory: MemoryReservation | None = None,
     ) -> OpenedTurn:
         """Makes a turn's reservation durable and returns the ledger's state for it.
 
+        Args:
+            account: The reservation.
+            previous: Turn that the turn continues, if any.
+            memory: Memory of the chain; None if it has no bound.
+
         Raises:
             LedgerUnavailable: No quorum answered; the turn must not run.
+            MemoryFull: There is no memory for the chain; the turn must not run.
             TurnNotFound: The previous turn does not exist.
         """
-        chain = self._cache.get_chain(previous)
+        memory = memory or MemoryBudget().open()
+        chain = await self.chains.start(previous, memory)
         wanted = find_missing_turn(chain, previous)
+        size = get_chain_size(chain)
         entry = Entry(account=account)
         answers = await self._write(account.program, entry, return_chain_of=wanted)
         self._repair_account_later(account, answers)
         for written in answers:
-            self._cache.put_all(written.chain)
+            self.chains.cache.put_all(written.chain)
             if written.chain and written.chain[0].call == wanted:
                 chain += written.chain
                 wanted = find_missing_turn(chain, previous)
-        await self._complete_chain(chain, previous)
+            elif written.chain_bytes:
+                # The whole chain is reserved before any of it is read.
+                await memory.resize(size + written.chain_bytes)
+        await self.chains.complete(chain, previous, memory)
         return OpenedTurn(merge_charges(answers), chain, has_room_for_turns(answers))
 
     async def settle(
@@ -198,7 +209,7 @@
         charge: TokenCharge,
         turn: Turn | None,
         retention: float,
-        chain: Sequence[Turn] = (),
+        chain: Sequence[CallId] = (),
     ) -> None:
         """Makes the end of a turn durable.
 
@@ -207,7 +218,7 @@
             charge: Tokens that the turn has generated.
             turn: The turn, if it is stored.
             retention: Time in seconds for which the entries are kept.
-            chain: The turns that precede a stored turn. They are kept as long as it.
+            chain: Ids of the turns that precede a stored turn. They are kept as long as it.
 
         Raises:
             LedgerUnavailable: No quorum answered.
@@ -229,9 +240,9 @@
             await self._write(turn.call, Entry(turn=turn))
             await self._write(program, Entry(account=account))
         self._renewal_times.record([turn.call], retention, sent_at=sent_at)
-        self._cache.put_all([turn])
+        self.chains.cache.put_all([turn])
 
-    async def _renew_chain(self, chain: Sequence[Turn], retention: float) -> None:
+    async def _renew_chain(self, chain: Sequence[CallId], retention: float) -> None:
         """Keeps the turns of a chain for a retention from now.
 
         Raises:
@@ -250,6 +261,8 @@
                 due,
                 retention + EXTRA_RETENTION_SECONDS,
                 call_member=self.call,
+                read_turn=self.chains.read_turn,
+                rewrites=self._rewrites,
                 nursery=self._nursery,
             )
             await renewal.run()
@@ -260,8 +273,7 @@
                     f"No quorum keeps {len(renewal.unconfirmed)} of the {len(due)} "
                     "preceding turns."
                 )
-            calls = [turn.call for turn in due]
-            self._renewal_times.record(calls, retention, sent_at=sent_at)
+            self._renewal_times.record(due, retention, sent_at=sent_at)
             return
         raise LedgerUnavailable(
             f"The view changed {MAX_VIEW_ATTEMPTS} times during the renewal."
@@ -448,34 +460,28 @@
             raise PeerUnreachable(f"{address} is not a known member of the ledger.")
         return await peer.call(request, timeout=timeout)
 
-    async def _complete_chain(self, chain: list[Turn], call: CallId | None) -> None:
-        """Adds the older turns to a chain from the cache and from the ledger.
-
-        The chain may be larger than the cache.
+    async def read_chain(
+        self, call: CallId, memory: MemoryReservation, *, size: int
+    ) -> list[Turn]:
+        """Returns a turn and all turns before it, newest first.
 
         Args:
-            chain: The newest turns of the chain, newest first.
-            call: The newest turn of the whole chain.
+            call: The turn.
+            memory: Memory of the turns.
+            size: Size of the whole chain in bytes, as far as known.
 
         Raises:
             LedgerUnavailable: Too few members answered.
+            MemoryFull: There is no memory for the chain.
             TurnNotFound: A turn of the chain does not exist.
         """
-        while (wanted := find_missing_turn(chain, call)) is not None:
-            cached = self._cache.get_chain(wanted)
-            try:
-                chain += cached or await self._read_turns(wanted)
-            except TurnNotFound:
-                if chain:
-                    metrics.BROKEN_CHAINS.inc()
-                    logger.error(
-                        "a turn of a kept chain does not exist",
-                        extra={"call": call, "missing": wanted, "found": len(chain)},
-                    )
-                raise
-
-    async def _read_turns(self, call: CallId) -> list[Turn]:
-        """Reads a turn and the turns before it, as far as a member has them.
+        await memory.resize(size)
+        chain = self.chains.cache.get_chain(call)
+        await self.chains.complete(chain, call, memory)
+        return chain
+
+    async def _read_page(self, call: CallId, room: int) -> TurnChain:
+        """Returns a turn and turns before it that fit into the room, as a member has them.
 
         Raises:
             LedgerUnavailable: Too few members answered.
@@ -486,17 +492,12 @@
             if view is None:
                 raise LedgerUnavailable("No view of the ledger is known yet.")
             group = view.list_group(call)
-            request = ReadChain(get_stamp(view), call)
-            answers = await self._call_nearest(group, request)
-            if not any(map(has_turns, answers)):
-                answers = await self._call_group(
-                    group, lambda _, request=request: request, has_turns, quorum=1
-                )
-            found = [answer for answer in answers if has_turns(answer)]
+            answers = await self._read_at_nearest(
+                group, ReadChain(get_stamp(view), call, room)
+            )
+            found = [answer for answer in answers if has_turn(answer)]
             if found:
-                turns = max((a.turns for a in found), key=len)
-                self._cache.put_all(turns)
-                return turns
+                return max(found, key=lambda each: (len(each.turns), each.chain_bytes))
             if self._adopt_newest(answers):
                 continue
             voted = [a for a in answers if isinstance(a, TurnChain) and a.votes]
@@ -506,3 +507,36 @@
         raise LedgerUnavailable(
             f"The view changed {MAX_VIEW_ATTEMPTS} times during the read."
         )
+
+    async def _read_at_nearest(
+        self, group: tuple[Member, ...], request: ReadChain
+    ) -> list[Any]:
+        """Returns the turns of one member, or what all members of a group say.
+
+        The others are first asked who has the turn. If each sent the turns at once, the
+        answers would need several times the room of the reader.
+        """
+        answers = await self._call_nearest(group, request)
+        if any(map(has_turn, answers)):
+            return answers
+        probe = msgspec.structs.replace(request, room_bytes=0)
+        holders: list[Member] = []
+
+        async def ask(member: Member) -> Any:
+            answer = await self.call(member.address, probe)
+            if has_turn(answer):
+                holders.append(member)
+            return answer
+
+        calls = [functools.partial(ask, member) for member in group]
+        answers = await call_until_quorum(
+            calls, has_turn, quorum=1, nursery=self._nursery
+        )
+        if not holders:
+            return answers
+        try:
+            return [await self.call(holders[0].address, request)]
+        except PeerUnreachable as error:
+            raise LedgerUnavailable(
+                f"{holders[0].instance} did not send turn {request.call}: {error}"
+            ) from error
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/metrics.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/metrics.py
@@ -29,6 +29,14 @@
     "goldcrestvane_broken_chains",
     "Turns refused because a preceding turn of their chain does not exist",
 )
+CHAIN_BYTES = Gauge(
+    "goldcrestvane_chain_bytes",
+    "Memory reserved for chains that are read or sent, and for turns that are being stored",
+)
+REFUSED_CHAINS = Counter(
+    "goldcrestvane_refused_chains",
+    "Calls refused because there was no memory for their chain",
+)
 REWRITTEN_TURNS = Counter(
     "goldcrestvane_rewritten_turns",
     "Stored turns that were written again to a ledger member that lacked them",
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/permit_issuers.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/permit_issuers.py
@@ -5,7 +5,8 @@
 import trio
 
 from goldcrestvane_common.logs import get_logger
-from goldcrestvane_daemon.frontend.ledger_client import LedgerClient, LedgerUnavailable
+from goldcrestvane_daemon.frontend.ledger_client import LedgerClient
+from goldcrestvane_daemon.frontend.ledger_errors import LedgerUnavailable
 from goldcrestvane_daemon.ledger.frames import PeerUnreachable
 from goldcrestvane_daemon.ledger.messages import (
     AcquirePermit,
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/permits.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/permits.py
@@ -6,7 +6,7 @@
 import trio
 
 from goldcrestvane_common.logs import get_logger
-from goldcrestvane_daemon.frontend.ledger_client import LedgerUnavailable
+from goldcrestvane_daemon.frontend.ledger_errors import LedgerUnavailable
 from goldcrestvane_daemon.frontend.metrics import PERMITS
 from goldcrestvane_daemon.ledger.messages import AcquirePermit, Permit, RateLimit
 from goldcrestvane_daemon.tasks import Task, run_supervised
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/process.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/process.py
@@ -22,6 +22,7 @@
 from goldcrestvane_daemon.frontend.ledger_announcer import LedgerAnnouncer
 from goldcrestvane_daemon.frontend.ledger_client import LedgerClient
 from goldcrestvane_daemon.frontend.memory_budget import build_memory_budgets
+from goldcrestvane_daemon.frontend.metrics import CHAIN_BYTES
 from goldcrestvane_daemon.frontend.object_cache import ObjectCache
 from goldcrestvane_daemon.frontend.observation_exchange import ObservationExchange
 from goldcrestvane_daemon.frontend.peers import FrontendPeers
@@ -89,6 +90,7 @@
             frontends.connect_seeds(settings.frontend_seeds)
             ledger = LedgerClient(local_frontend, frontends, nursery)
             memory = build_memory_budgets(settings.memory_mb)
+            CHAIN_BYTES.set_function(lambda: memory.chains.used)
             key_bounds = build_key_bounds(settings.revocation_seconds)
 
             def handle_targets_changed(removed: Target | None) -> None:
@@ -126,6 +128,7 @@
                 frontends=frontends,
                 account_gate=account_gate,
                 response_memory=memory.responses,
+                chain_memory=memory.chains,
                 nursery=nursery,
                 on_slowdown=observations.record_slowdown,
                 quotas=LedgerQuotaSource(
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/queue.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/queue.py
@@ -106,6 +106,7 @@
         program_seconds_left: float = 0.0,
         account: AccountId | None = None,
         prompt: PromptRequest | None = None,
+        on_wait: Callable[[], None] = lambda: None,
     ) -> Target:
         """Waits for a target with a free slot and reserves the slot until `release`.
 
@@ -121,6 +122,7 @@
             program_seconds_left: Seconds until the deadline of the call's program.
             account: Account that sent the call, if any. Accounts share the capacity.
             prompt: Prompt of the call, if known.
+            on_wait: Called if no target is free at once.
 
         Raises:
             NoTarget: The service has no target that the call may use.
@@ -162,6 +164,8 @@
         try:
             if self._is_next(waiter):
                 self.dispatch_waiting(limit=1)
+            if waiter.target is None:
+                on_wait()
             await self._wait_for_target(waiter, program_seconds_left)
         except BaseException:
             if waiter.target is not None:
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/quota_client.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/quota_client.py
@@ -22,7 +22,8 @@
 )
 from goldcrestvane_daemon.clock import get_elapsed_time
 from goldcrestvane_daemon.frontend.call_context import CallContext
-from goldcrestvane_daemon.frontend.ledger_client import LedgerClient, LedgerUnavailable
+from goldcrestvane_daemon.frontend.ledger_client import LedgerClient
+from goldcrestvane_daemon.frontend.ledger_errors import LedgerUnavailable
 from goldcrestvane_daemon.frontend.metrics import QUOTA_CALLS, QUOTA_TOKENS
 from goldcrestvane_daemon.frontend.refusals import QuotaExceeded, QuotaUnavailable
 from goldcrestvane_daemon.ledger.frames import PeerUnreachable
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/stream_origins.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/stream_origins.py
@@ -11,7 +11,7 @@
 
 from goldcrestvane_common.logs import get_logger
 from goldcrestvane_daemon.frontend.call_context import CallContext
-from goldcrestvane_daemon.frontend.ledger_client import LedgerUnavailable
+from goldcrestvane_daemon.frontend.ledger_errors import LedgerUnavailable
 from goldcrestvane_daemon.frontend.refusals import LedgerDown, UnknownOrigin
 from goldcrestvane_daemon.frontend.turn_recorder import (
     LEDGER_RETRY_SECONDS,
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/turn_recorder.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/turn_recorder.py
@@ -7,18 +7,30 @@
 from goldcrestvane_common.ids import AccountId, CallId, StreamOrigin
 from goldcrestvane_common.logs import get_logger
 from goldcrestvane_daemon.frontend.admission import AdmissionClass, get_admission_class
-from goldcrestvane_daemon.frontend.call_context import CallContext, build_prompt
+from goldcrestvane_daemon.frontend.call_chain import CallChain
+from goldcrestvane_daemon.frontend.call_context import CallContext
 from goldcrestvane_daemon.frontend.ledger_answers import (
     OpenedTurn,
     sum_committed_tokens,
 )
-from goldcrestvane_daemon.frontend.ledger_client import (
-    LedgerClient,
-    LedgerUnavailable,
-    TurnNotFound,
+from goldcrestvane_daemon.frontend.ledger_client import LedgerClient
+from goldcrestvane_daemon.frontend.ledger_errors import LedgerUnavailable, TurnNotFound
+from goldcrestvane_daemon.frontend.memory_budget import (
+    CHAIN_WAIT_SECONDS,
+    MemoryBudget,
+    MemoryFull,
+    MemoryReservation,
+)
+from goldcrestvane_daemon.frontend.metrics import REFUSED_CHAINS
+from goldcrestvane_daemon.frontend.refusals import (
+    BudgetSpent,
+    LedgerDown,
+    Overloaded,
+    Refusal,
+    UnknownTurn,
 )
-from goldcrestvane_daemon.frontend.refusals import BudgetSpent, LedgerDown, UnknownTurn
 from goldcrestvane_daemon.ledger.messages import TokenAccount, TokenCharge, Turn
+from goldcrestvane_daemon.ledger.turn_cache import get_text_size
 
 LEDGER_RETRY_SECONDS = 0.3
 """Pause before a retry. A lost member of the ledger is usually reachable again within
@@ -44,15 +56,28 @@
 class TurnRecorder:
     """Reserves a turn's tokens before it runs and records the tokens that it used."""
 
-    def __init__(self, ledger: LedgerClient) -> None:
+    def __init__(
+        self, ledger: LedgerClient, chain_memory: MemoryBudget | None = None
+    ) -> None:
+        """Creates a recorder.
+
+        Args:
+            ledger: The ledger.
+            chain_memory: Memory for chains and for turns that are being stored; None if it
+                has no bound.
+        """
         self._ledger = ledger
+        self._chain_memory = chain_memory or MemoryBudget()
 
     async def open(self, call: CallContext) -> None:
-        """Makes the turn's reservation durable and builds its full prompt.
+        """Makes the turn's reservation durable and reads its chain.
+
+        The caller releases the chain of the call, if it has one afterwards.
 
         Raises:
             LedgerDown: No quorum recorded the reservation within the maximum wait, or
                 the ledger has no room for the turn.
+            Overloaded: There is no memory for the chain.
             UnknownTurn: The previous turn does not exist or is another account's.
             BudgetSpent: The turn exceeds the program's token budget.
         """
@@ -61,10 +86,13 @@
         assert program and headers.call and headers.token_budget is not None
         charge = _build_reservation(call)
         account = TokenAccount(program, [charge], call.route.retention_seconds)
+        memory = self._chain_memory.open()
         try:
-            opened = await self._open_with_retries(call, account)
-        except TurnNotFound as error:
-            raise UnknownTurn(str(error)) from error
+            opened = await self._open_with_retries(call, account, memory)
+        except BaseException:
+            memory.release()
+            raise
+        call.chain = CallChain(opened.chain, memory)
         _check_ownership(call, opened)
         if call.is_stored and not opened.accepts_turns:
             raise LedgerDown(
@@ -81,13 +109,11 @@
         if call.is_resumption:
             call.origin = find_resumed_origin(headers.resumes, opened.charges)
         if call.is_stored:
-            call.chain = opened.chain
-            call.body = build_prompt(opened.chain, call.client_body)
             call.chain_root = opened.chain[-1].call if opened.chain else headers.call
             call.chain_target = opened.chain[0].target if opened.chain else None
 
     async def _open_with_retries(
-        self, call: CallContext, account: TokenAccount
+        self, call: CallContext, account: TokenAccount, memory: MemoryReservation
     ) -> OpenedTurn:
         """Opens a turn, and retries for a limited time if the ledger is unavailable."""
         previous = call.headers.previous_turn if call.is_stored else None
@@ -95,7 +121,13 @@
         give_up = trio.current_time() + max_wait
         while True:
             try:
-                return await self._ledger.open_turn(account=account, previous=previous)
+                return await self._ledger.open_turn(
+                    account=account, previous=previous, memory=memory
+                )
+            except TurnNotFound as error:
+                raise UnknownTurn(str(error)) from error
+            except MemoryFull as error:
+                raise _build_memory_refusal(error) from error
             except LedgerUnavailable as error:
                 if trio.current_time() + OPEN_RETRY_SECONDS > give_up:
                     raise LedgerDown(
@@ -104,6 +136,29 @@
                     ) from error
             await trio.sleep(OPEN_RETRY_SECONDS)
 
+    async def load_chain(self, call: CallContext) -> None:
+        """Reads the chain of a call again if it was dropped.
+
+        Raises:
+            LedgerDown: The ledger does not return the chain.
+            Overloaded: There is no memory for the chain.
+        """
+        chain, previous = call.chain, call.headers.previous_turn
+        if chain is None or chain.turns is not None:
+            return
+        assert previous is not None
+        try:
+            chain.turns = await self._ledger.read_chain(
+                previous, chain.memory, size=chain.size
+            )
+        except MemoryFull as error:
+            raise _build_memory_refusal(error) from error
+        except (LedgerUnavailable, TurnNotFound) as error:
+            raise LedgerDown(
+                f"The ledger does not return the chain of the turn: {error}",
+                retry_after=LEDGER_RETRY_SECONDS,
+            ) from error
+
     async def record_origin(self, call: CallContext) -> None:
         """Makes the origin of a turn's stream durable, for other frontends.
 
@@ -147,11 +202,16 @@
             call.account_id or AccountId(""),
             call.target,
         )
+        call.output.clear()
+        size = min(get_text_size(turn), self._chain_memory.limit)
         while not call.settled:
             try:
-                await self._settle(call, turn)
+                # The messages to the members contain copies of the turn.
+                with self._chain_memory.reserve() as memory:
+                    await memory.grow(int(size))
+                    await self._settle(call, turn)
                 call.settled = True
-            except LedgerUnavailable as error:
+            except (LedgerUnavailable, MemoryFull) as error:
                 logger.warning(
                     "the end of a turn is not durable yet",
                     extra={"call": headers.call, "reason": str(error)},
@@ -169,7 +229,8 @@
             origin_changes=call.origin_changes,
         )
         retention = call.route.retention_seconds
-        await self._ledger.settle(program, charge, turn, retention, call.chain)
+        chain = call.chain.calls if call.chain else []
+        await self._ledger.settle(program, charge, turn, retention, chain)
 
 
 def _build_reservation(call: CallContext) -> TokenCharge:
@@ -183,6 +244,11 @@
     )
 
 
+def _build_memory_refusal(error: MemoryFull) -> Refusal:
+    REFUSED_CHAINS.inc()
+    return Overloaded(f"The call has not run. {error}", retry_after=CHAIN_WAIT_SECONDS)
+
+
 def _check_ownership(call: CallContext, opened: OpenedTurn) -> None:
     """Raises UnknownTurn if the call continues a turn of another account.
 
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/upstream.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/upstream.py
@@ -2,7 +2,7 @@
 
 import math
 from collections import deque
-from collections.abc import AsyncIterator, Callable, Iterator
+from collections.abc import AsyncIterator, Callable, Iterator, Sequence
 from contextlib import contextmanager
 from typing import final
 
@@ -302,20 +302,27 @@
         return self._body_sent and self._exchange.is_reusable
 
     async def send(
-        self, method: bytes, path: bytes, headers: Headers, body: bytes
+        self, method: bytes, path: bytes, headers: Headers, parts: Sequence[bytes]
     ) -> ResponseHead:
         """Sends the request and returns the head of its response.
 
+        Args:
+            method: Method.
+            path: Path.
+            headers: Headers, with the length of the body.
+            parts: Parts of the body.
+
         Raises:
             TargetFailed: The target sent no valid response to the call.
         """
         assert self._connection is not None
-        self._connection.allow_slow_reader(allowed=len(body) > LARGE_REQUEST_BYTES)
+        size = sum(map(len, parts))
+        self._connection.allow_slow_reader(allowed=size > LARGE_REQUEST_BYTES)
         self.sent = True
         failure: TargetFailed | None = None
         async with trio.open_nursery() as nursery:
             # A target may respond before it has read a long body.
-            nursery.start_soon(self._send_request, method, path, headers, body)
+            nursery.start_soon(self._send_request, method, path, headers, parts)
             try:
                 self._head = await self._read_head()
             except TargetFailed as error:
@@ -327,11 +334,11 @@
         return self._head
 
     async def _send_request(
-        self, method: bytes, path: bytes, headers: Headers, body: bytes
+        self, method: bytes, path: bytes, headers: Headers, parts: Sequence[bytes]
     ) -> None:
         assert self._exchange is not None
         try:
-            await self._exchange.send(method, path, headers, body)
+            await self._exchange.send(method, path, headers, parts)
             self._body_sent = True
         except ConnectionLost:
             # The reader gets the same error, or a response that arrived before it.
--- a/packages/daemon/src/goldcrestvane_daemon/http1.py
+++ b/packages/daemon/src/goldcrestvane_daemon/http1.py
@@ -305,20 +305,19 @@
         self.is_framed = True
 
     async def send(
-        self, method: bytes, path: bytes, headers: Headers, body: bytes
+        self, method: bytes, path: bytes, headers: Headers, parts: Sequence[bytes]
     ) -> None:
-        """Sends a whole request.
+        """Sends a whole request, whose body is given in parts.
 
         Raises:
             ConnectionLost: The connection broke; the request may have arrived.
         """
         request = h11.Request(method=method, target=path, headers=list(headers))
-        parts = [self._parser.send(request)]
-        if body:
-            parts.append(self._parser.send(h11.Data(data=body)))
-        parts.append(self._parser.send(h11.EndOfMessage()))
+        encoded = [self._parser.send(request)]
+        encoded += [self._parser.send(h11.Data(data=part)) for part in parts if part]
+        encoded.append(self._parser.send(h11.EndOfMessage()))
         try:
-            for data in _join_small_parts(parts):
+            for data in _join_small_parts(encoded):
                 await self._stream.send_all(data)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
             raise ConnectionLost("The target closed the connection.") from error
--- a/packages/daemon/src/goldcrestvane_daemon/ledger/frames.py
+++ b/packages/daemon/src/goldcrestvane_daemon/ledger/frames.py
@@ -91,7 +91,8 @@
                     raise ValueError(f"a frame of {length} bytes exceeds the limit")
                 end = LENGTH.size + length
                 if len(self._buffer) >= end:
-                    frame = bytes(self._buffer[LENGTH.size : end])
+                    with memoryview(self._buffer) as view:
+                        frame = bytes(view[LENGTH.size : end])
                     del self._buffer[:end]
                     return frame
             data = await self._stream.receive_some()
--- a/packages/daemon/src/goldcrestvane_daemon/ledger/messages.py
+++ b/packages/daemon/src/goldcrestvane_daemon/ledger/messages.py
@@ -189,10 +189,13 @@
     Attributes:
         stamp: View of the reader.
         call: The turn.
+        room_bytes: Memory that the reader has for the turns; None if it has no bound. The
+            response may have less.
     """
 
     stamp: ViewStamp
     call: CallId
+    room_bytes: int | None = None
 
 
 class PullEntries(msgspec.Struct, frozen=True, tag="pull", array_like=True):
@@ -317,14 +320,16 @@
     Attributes:
         votes: Whether the member counts towards the quorum of this write.
         account: Token account of the program, including the entry.
-        chain: Turns of the requested chain, newest first.
+        chain: Turns of the requested chain, newest first; empty if they are large.
         accepts_turns: Whether the member has room for the turns that begin now.
+        chain_bytes: Size of the requested chain as far as the member has it.
     """
 
     votes: bool
     account: TokenAccount | None = None
     chain: list[Turn] = []
     accepts_turns: bool = True
+    chain_bytes: int = 0
 
 
 class StaleView(msgspec.Struct, frozen=True, tag="stale", array_like=True):
@@ -356,11 +361,13 @@
 
     Attributes:
         votes: Whether the member counts towards the quorum of this read.
-        turns: The turns.
+        turns: The turns; empty if the first one exceeds the room of the reader.
+        chain_bytes: Size of the chain as far as the member has it, the turns included.
     """
 
     votes: bool
     turns: list[Turn]
+    chain_bytes: int = 0
 
 
 class EntryPage(msgspec.Struct, frozen=True, tag="page", array_like=True):
--- a/packages/daemon/src/goldcrestvane_daemon/ledger/service.py
+++ b/packages/daemon/src/goldcrestvane_daemon/ledger/service.py
@@ -1,6 +1,7 @@
 """Handles the requests of frontends and of other members."""
 
 import functools
+import math
 import random
 from collections.abc import Awaitable, Callable
 from functools import singledispatchmethod
@@ -48,7 +49,11 @@
 from goldcrestvane_daemon.ledger.quotas import QuotaIssuer
 from goldcrestvane_daemon.ledger.rate_limits import STANDBY_SHARE, PermitIssuer
 from goldcrestvane_daemon.ledger.state import LedgerState
-from goldcrestvane_daemon.ledger.turn_reader import TurnReader, TurnUnreadable
+from goldcrestvane_daemon.ledger.turn_reader import (
+    MAX_INLINE_CHAIN_BYTES,
+    TurnReader,
+    TurnUnreadable,
+)
 from goldcrestvane_daemon.ledger.view import PartitionId, View, get_partition
 from goldcrestvane_daemon.tasks import Task, run_supervised
 
@@ -181,11 +186,15 @@
             # A new member may have copied the entries of this one during the write.
             return StaleView(self.view)
         account = entry.account
+        chain_bytes = self._reader.measure_chain(request.return_chain_of)
+        is_small = chain_bytes <= MAX_INLINE_CHAIN_BYTES
+        wanted = request.return_chain_of if is_small else None
         return Written(
             votes=self._votes_for(request.stamp, entry.list_partitions()),
             account=self._state.get_account(account.program) if account else None,
-            chain=await self._read_chain_if_readable(request.return_chain_of),
+            chain=await self._read_chain_if_readable(wanted),
             accepts_turns=self._state.accepts_turns,
+            chain_bytes=chain_bytes,
         )
 
     @handle.register
@@ -240,10 +249,13 @@
         if self._is_stale(request.stamp):
             return StaleView(self.view)
         votes = self._votes_for(request.stamp, [get_partition(request.call)])
+        chain_bytes = self._reader.measure_chain(request.call)
+        room = math.inf if request.room_bytes is None else request.room_bytes
         try:
-            return TurnChain(votes, await self._reader.read_chain(request.call))
+            turns = await self._reader.read_chain(request.call, room=room)
         except TurnUnreadable as error:
             return Failed(str(error))
+        return TurnChain(votes, turns, chain_bytes)
 
     @handle.register
     async def _(self, request: PullEntries) -> Response:
--- a/packages/daemon/src/goldcrestvane_daemon/ledger/turn_cache.py
+++ b/packages/daemon/src/goldcrestvane_daemon/ledger/turn_cache.py
@@ -53,5 +53,10 @@
             self.size -= _get_size(turn)
 
 
+def get_text_size(turn: Turn) -> int:
+    """Returns the size of a turn's input and output in bytes."""
+    return len(turn.input) + len(turn.output)
+
+
 def _get_size(turn: Turn) -> int:
-    return len(turn.input) + len(turn.output) + TURN_OVERHEAD_BYTES
+    return get_text_size(turn) + TURN_OVERHEAD_BYTES
--- a/packages/daemon/src/goldcrestvane_daemon/ledger/turn_reader.py
+++ b/packages/daemon/src/goldcrestvane_daemon/ledger/turn_reader.py
@@ -1,5 +1,6 @@
 """Reads turns from the cache or from the disk, and pages of entries for other members."""
 
+import math
 from collections.abc import Iterable
 from typing import final
 
@@ -20,9 +21,13 @@
 """Size from which a page of copied entries ends. Larger pages would delay the writes of
 turns on the same connection."""
 
-MAX_CHAIN_BYTES = 2_000_000
+MAX_CHAIN_BYTES = 500_000
 """Size from which a response contains no further turns of a chain. The reader asks for
-the rest."""
+the rest. Each connection buffers one response."""
+
+MAX_INLINE_CHAIN_BYTES = 250_000
+"""Maximum size of a chain that comes with the response to a write. The writer reserves this
+much memory before it knows the size."""
 
 READ_THREADS = 4
 MAX_READING_BYTES = 4_000_000
@@ -60,10 +65,22 @@
         self._limiter = trio.CapacityLimiter(READ_THREADS)
         self._reading_bytes = 0
 
-    async def read_chain(self, call: CallId | None) -> list[Turn]:
+    def measure_chain(self, call: CallId | None) -> int:
+        """Returns the size in bytes of a turn and the preceding known turns."""
+        turns = self._state.turns.iterate_chain(call)
+        return sum(indexed.length for indexed in turns)
+
+    async def read_chain(
+        self, call: CallId | None, *, room: float = math.inf
+    ) -> list[Turn]:
         """Returns a turn and the preceding known turns, newest first.
 
-        The chain ends early at a turn that cannot be read, and at `MAX_CHAIN_BYTES`.
+        The chain ends early at a turn that cannot be read, at `MAX_CHAIN_BYTES`, and at a
+        turn that exceeds the room.
+
+        Args:
+            call: The turn.
+            room: Maximum size of the turns in bytes.
 
         Raises:
             TurnUnreadable: The first turn is known and cannot be read.
@@ -71,7 +88,7 @@
         wanted: list[IndexedTurn] = []
         size = 0
         for indexed in self._state.turns.iterate_chain(call):
-            if size >= MAX_CHAIN_BYTES:
+            if size >= MAX_CHAIN_BYTES or size + indexed.length > room:
                 break
             wanted.append(indexed)
             size += indexed.length
--- a/packages/daemon/tests/frontend/frontend_case.py
+++ b/packages/daemon/tests/frontend/frontend_case.py
@@ -16,6 +16,7 @@
 from goldcrestvane_daemon.accounts.authentication import build_key_bounds
 from goldcrestvane_daemon.frontend.account_gate import AccountGate
 from goldcrestvane_daemon.frontend.calls import CallService
+from goldcrestvane_daemon.frontend.chain_reader import get_chain_size
 from goldcrestvane_daemon.frontend.clients import ClientServer
 from goldcrestvane_daemon.frontend.copy_bounds import CopyBounds
 from goldcrestvane_daemon.frontend.crash_tracker import CrashTracker
@@ -81,24 +82,39 @@
         self.turns = {}
         self.available = True
         self.accepts_turns = True
+        self.chain_reads = 0
         self.permits = PermitIssuer()
 
     def adopt(self, view):
         raise AssertionError("no view is stored")
 
-    async def open_turn(self, *, account, previous):
+    async def open_turn(self, *, account, previous, memory=None):
         await trio.lowlevel.checkpoint()
         if not self.available:
             raise LedgerUnavailable("out")
+        chain = self.list_chain(previous)
+        if memory is not None:
+            await memory.resize(get_chain_size(chain))
+        program = self.charges.setdefault(account.program, {})
+        program.update({charge.call: charge for charge in account.charges})
+        return OpenedTurn(dict(program), chain, self.accepts_turns)
+
+    def list_chain(self, previous):
         chain = []
         while previous is not None:
             if previous not in self.turns:
                 raise TurnNotFound(f"Turn {previous} does not exist.")
             chain.append(self.turns[previous])
             previous = chain[-1].previous
-        program = self.charges.setdefault(account.program, {})
-        program.update({charge.call: charge for charge in account.charges})
-        return OpenedTurn(dict(program), chain, self.accepts_turns)
+        return chain
+
+    async def read_chain(self, call, memory, *, size):
+        self.chain_reads += 1
+        await trio.lowlevel.checkpoint()
+        if not self.available:
+            raise LedgerUnavailable("out")
+        await memory.resize(size)
+        return self.list_chain(call)
 
     async def acquire_permit(self, request):
         await trio.lowlevel.checkpoint()
@@ -131,7 +147,7 @@
 class Frontend:
     def __init__(self, nursery, memory=NO_LIMITS):
         self.nursery = nursery
-        self.memory = MemoryBudgets(*map(MemoryBudget, memory))
+        self.memory = MemoryBudgets(*map(MemoryBudget, memory), MemoryBudget())
         self.platform = PlatformStore()
         self.ledger = FakeLedger()
         self.shutdown = GracefulShutdown(8.0)
@@ -174,6 +190,7 @@
             frontends=frontends,
             account_gate=gate,
             response_memory=self.memory.responses,
+            chain_memory=self.memory.chains,
             nursery=self.nursery,
         )
         self.nursery.start_soon(self.object_cache.run)
--- a/packages/daemon/tests/frontend/test_chain_renewal.py
+++ b/packages/daemon/tests/frontend/test_chain_renewal.py
@@ -90,7 +90,7 @@
             await ledger.stop("b")
             with self.assertRaises(LedgerUnavailable):
                 await ledger.get_client("f1")._renew_chain(
-                    opened.chain, RETENTION_SECONDS
+                    list_calls(opened), RETENTION_SECONDS
                 )
 
         run_direct_ledger(script, THREE, tolerated_losses=1)
@@ -124,7 +124,7 @@
 
         async def script(ledger):
             client = ledger.get_client("f2")
-            client._cache = TurnCache(3000)
+            client.chains.cache = TurnCache(3000)
             calls = [f"c{number}" for number in range(12)]
             for previous, call in zip([None, *calls], calls, strict=False):
                 await ledger.run_turn(call, previous, size=800)
--- a/packages/daemon/tests/frontend/test_memory_budget.py
+++ b/packages/daemon/tests/frontend/test_memory_budget.py
@@ -63,7 +63,7 @@
 
         async def main():
             for memory_mb, waits in ((128, True), (0, False)):
-                for budget in build_memory_budgets(memory_mb):
+                for budget in build_memory_budgets(memory_mb)[:2]:
                     with budget.reserve() as first, budget.reserve() as second:
                         await first.grow(64 * KB * KB)
                         with trio.move_on_after(0) as scope:
--- a/packages/daemon/tests/frontend/test_turn_recorder.py
+++ b/packages/daemon/tests/frontend/test_turn_recorder.py
@@ -73,7 +73,7 @@
             call.route = msgspec.structs.replace(call.route, stores_turns=True)
             call.account = ClientAccount(account="shop")
             await recorder.open(call)
-            self.assertEqual(call.body, b"abin")
+            self.assertEqual(b"".join(call.body_parts), b"abin")
 
         self.run_script(script, [(b"goldcrestvane-previous-turn", b"c0")])
 
--- a/packages/daemon/tests/frontend/test_upstream.py
+++ b/packages/daemon/tests/frontend/test_upstream.py
@@ -106,7 +106,7 @@
         headers.append((b"content-length", b"%d" % len(body)))
     try:
         async with TargetRequest(pool, target, call=call) as request:
-            await request.send(b"POST", b"/a", headers, body)
+            await request.send(b"POST", b"/a", headers, [body])
             return await request.read_body()
     except TargetFailed:
         return TargetFailed
@@ -222,7 +222,7 @@
                         async with TargetRequest(
                             pool, build_target(port), call=call
                         ) as request:
-                            head = await request.send(b"POST", b"/", headers, body)
+                            head = await request.send(b"POST", b"/", headers, [body])
                             self.assertEqual(head.status, 413)
                             self.assertEqual(await request.read_body(), b"early")
                 nursery.cancel_scope.cancel()
--- a/packages/daemon/tests/ledger/direct_ledger.py
+++ b/packages/daemon/tests/ledger/direct_ledger.py
@@ -186,10 +186,12 @@
             if not any(each.log.pending_bytes for each in running):
                 return
 
-    async def open_turn(self, call, previous=None, *, frontend="f1", program="p"):
+    async def open_turn(
+        self, call, previous=None, *, frontend="f1", program="p", memory=None
+    ):
         account = TokenAccount(program, [TokenCharge(call, 10)], RETENTION_SECONDS)
         client = self.get_client(frontend)
-        return await client.open_turn(account=account, previous=previous)
+        return await client.open_turn(account=account, previous=previous, memory=memory)
 
     async def run_turn(
         self, call, previous=None, *, frontend="f1", program="p", size=0
@@ -200,8 +202,10 @@
         )
         text = b"in-" + call.encode() + bytes(size)
         turn = Turn(call, previous, text, b"out", RETENTION_SECONDS)
+        charge = TokenCharge(call, 10, True)
+        chain = [each.call for each in opened.chain]
         await self.get_client(frontend).settle(
-            program, TokenCharge(call, 10, True), turn, RETENTION_SECONDS, opened.chain
+            program, charge, turn, RETENTION_SECONDS, chain
         )
         self.answered[call] = trio.current_time()
         return opened
