--- a/packages/daemon/src/goldcrestvane_daemon/frontend/attempts.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/attempts.py
@@ -25,6 +25,7 @@
     remove_content_length,
     validate_response,
 )
+from goldcrestvane_daemon.frontend.turn_output import OutputCopies
 from goldcrestvane_daemon.frontend.turn_recorder import TurnRecorder
 from goldcrestvane_daemon.frontend.upstream import (
     ConnectFailed,
@@ -97,6 +98,7 @@
         targets: TargetTable,
         health: HealthTracker,
         turns: TurnRecorder,
+        copies: OutputCopies,
         origins: StreamOrigins,
         crash_tracker: CrashTracker,
         frontends: FrontendPeers,
@@ -109,6 +111,7 @@
         self._targets = targets
         self._health = health
         self._turns = turns
+        self._copies = copies
         self._origins = origins
         self._crash_tracker = crash_tracker
         self._frontends = frontends
@@ -356,10 +359,15 @@
         )
         events_before = call.events
         first_at = 0.0
+        if call.output.data:
+            await request.hold(len(call.output.data))
         while (events := await reader.read()) is not None:
             if call.events == events_before:
                 first_at = trio.current_time()
                 await handle_first_event()
+                if events_before == 0 and call.copies_output:
+                    assert call.headers.call is not None
+                    self._copies.start(call.headers.call, call.output)
             if not call.response_started:
                 # The response starts with the first event. If the target fails before
                 # that, the call can still be attempted at another target.
@@ -370,7 +378,7 @@
                 call.events += 1
                 if call.route.stores_turns:
                     await request.hold(len(event.data))
-                    call.output += event.data + b"\n"
+                    call.output.add(event)
             await connection.send_body(b"".join(event.raw for event in events))
         intervals = call.events - events_before - 1
         event_seconds = None
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/call_context.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/call_context.py
@@ -23,6 +23,7 @@
     NotConfigured,
     UnknownRoute,
 )
+from goldcrestvane_daemon.frontend.turn_output import TurnOutput
 from goldcrestvane_daemon.http1 import RequestHead
 from goldcrestvane_daemon.ledger.messages import build_program_key
 from goldcrestvane_daemon.placement.prompt_reading import PromptRequest
@@ -52,7 +53,7 @@
         sequence: Order of the events that the client has.
         is_framed: Whether the last response of a target had a length or chunks; None
             before the first one.
-        output: Data of the forwarded events, for a turn that is stored.
+        output: Data of the events that the client has got, for a turn that is stored.
         attempted_targets: Targets that may have run the call.
         departed_targets: Attempted targets that have died or left since.
         rejections: Number of attempts in which the target did not run the call.
@@ -62,6 +63,9 @@
         origin: Origin of the events that the client has; None before the first event.
         recorded_origin: Origin that the ledger has for the stream, or may have.
         origin_changes: Number of times that `recorded_origin` was replaced.
+        resumed_stream: Attempt that brought the first event of the stored stream that the
+            call continues; empty if it continues none.
+        takeover: Number of the call among those that continued that stream.
         account: Account that sends the call; None without accounts and for a call that
             needs no key.
         key_digest: Digest of the call's API key; None without accounts.
@@ -90,7 +94,7 @@
     events: int = 0
     sequence: EventSequence = msgspec.field(default_factory=EventSequence)
     is_framed: bool | None = None
-    output: bytearray = msgspec.field(default_factory=bytearray)
+    output: TurnOutput = msgspec.field(default_factory=TurnOutput)
     attempted_targets: list[InstanceId] = msgspec.field(default_factory=list)
     departed_targets: set[InstanceId] = msgspec.field(default_factory=set)
     rejections: int = 0
@@ -100,6 +104,8 @@
     origin: StreamOrigin | None = None
     recorded_origin: StreamOrigin | None = None
     origin_changes: int = 0
+    resumed_stream: CallId = CallId("")
+    takeover: int = 0
     account: ClientAccount | None = None
     key_digest: KeyDigest | None = None
     accounts_version: Version | None = None
@@ -172,6 +178,11 @@
         """Whether the ledger stores the stream's origin, so that it can be resumed."""
         return self.is_turn and self.route.resumable and not self.is_resumption
 
+    @property
+    def copies_output(self) -> bool:
+        """Whether another frontend may need the output to store the whole turn."""
+        return self.is_stored and self.route.resumable
+
     @property
     def program_seconds_left(self) -> float:
         """Seconds from the call's arrival to the program's deadline."""
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/calls.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/calls.py
@@ -37,6 +37,8 @@
     TimedOut,
 )
 from goldcrestvane_daemon.frontend.stream_origins import StreamOrigins
+from goldcrestvane_daemon.frontend.stream_takeover import StreamTakeover
+from goldcrestvane_daemon.frontend.turn_output import OutputCopies
 from goldcrestvane_daemon.frontend.turn_recorder import TurnRecorder
 from goldcrestvane_daemon.http1 import ConnectionLost, RequestHead, ServerConnection
 from goldcrestvane_daemon.ledger.messages import RateLimit
@@ -114,6 +116,8 @@
         self._turns = TurnRecorder(ledger, chain_memory)
         self._domain = domain
         self._nursery = nursery
+        copies = OutputCopies(ledger, nursery)
+        self._takeover = StreamTakeover(self._turns, copies)
         self._origins = StreamOrigins(self._turns, targets, nursery)
         self._health = HealthTracker(EJECTION_OPTIONS)
         self._rate_limits = TargetRateLimits(
@@ -123,6 +127,7 @@
             targets=targets,
             health=self._health,
             turns=self._turns,
+            copies=copies,
             origins=self._origins,
             crash_tracker=crash_tracker,
             frontends=frontends,
@@ -242,12 +247,14 @@
                 return
             try:
                 self._origins.plan_record(call)
-                await self._turns.open(call)
+                charges = await self._turns.open(call)
                 self._origins.set_resumed_origin(call)
+                await self._takeover.run(call, charges)
                 OPEN_SECONDS.observe(trio.current_time() - call.arrived)
                 await self._run_attempts(connection, call, quota, connection_headers)
             finally:
                 call.drop_chain()
+                call.output.close()
                 if not call.settled:
                     # This also applies if the client disconnected or the deadline passed.
                     self._nursery.start_soon(
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/ledger_client.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/ledger_client.py
@@ -233,7 +233,7 @@
         )
         sent_at = trio.current_time()
         # A single entry suffices if the same group stores the account and the turn.
-        groups = self._list_group(program), self._list_group(turn.call)
+        groups = self.list_group(program), self.list_group(turn.call)
         if {m.instance for m in groups[0]} == {m.instance for m in groups[1]}:
             await self._write(turn.call, Entry(account=account, turn=turn))
         else:
@@ -279,7 +279,8 @@
             f"The view changed {MAX_VIEW_ATTEMPTS} times during the renewal."
         )
 
-    def _list_group(self, key: str) -> tuple[Member, ...]:
+    def list_group(self, key: str) -> tuple[Member, ...]:
+        """Returns the members that are responsible for a key; none without a view."""
         return self.view.list_group(key) if self.view else ()
 
     def _repair_account_later(
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/metrics.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/metrics.py
@@ -37,6 +37,11 @@
     "goldcrestvane_refused_chains",
     "Calls refused because there was no memory for their chain",
 )
+TAKEOVERS = Counter(
+    "goldcrestvane_stored_stream_takeovers",
+    "Streams of stored turns that clients took up, by whether the output before is known",
+    ["outcome"],
+)
 REWRITTEN_TURNS = Counter(
     "goldcrestvane_rewritten_turns",
     "Stored turns that were written again to a ledger member that lacked them",
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/refusals.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/refusals.py
@@ -89,6 +89,10 @@
     """It is not known which software version began the stream to resume."""
 
 
+class UnknownOutput(Refusal):
+    """The events of a stored stream that its client has got are not known."""
+
+
 class Overloaded(Refusal):
     """The call cannot be served before its deadline."""
 
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/turn_recorder.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/turn_recorder.py
@@ -69,11 +69,14 @@
         self._ledger = ledger
         self._chain_memory = chain_memory or MemoryBudget()
 
-    async def open(self, call: CallContext) -> None:
+    async def open(self, call: CallContext) -> dict[CallId, TokenCharge]:
         """Makes the turn's reservation durable and reads its chain.
 
         The caller releases the chain of the call, if it has one afterwards.
 
+        Returns:
+            The token charges of the program.
+
         Raises:
             LedgerDown: No quorum recorded the reservation within the maximum wait, or
                 the ledger has no room for the turn.
@@ -111,6 +114,7 @@
         if call.is_stored:
             call.chain_root = opened.chain[-1].call if opened.chain else headers.call
             call.chain_target = opened.chain[0].target if opened.chain else None
+        return opened.charges
 
     async def _open_with_retries(
         self, call: CallContext, account: TokenAccount, memory: MemoryReservation
@@ -160,7 +164,9 @@
             ) from error
 
     async def record_origin(self, call: CallContext) -> None:
-        """Makes the origin of a turn's stream durable, for other frontends.
+        """Makes durable, for other frontends, how a turn's stream began.
+
+        That is the origin of the stream, or the stream that the turn continues.
 
         Raises:
             LedgerUnavailable: No quorum recorded the origin.
@@ -197,12 +203,11 @@
             headers.call,
             headers.previous_turn,
             call.client_body,
-            bytes(call.output),
+            call.output.take(),
             call.route.retention_seconds,
             call.account_id or AccountId(""),
             call.target,
         )
-        call.output.clear()
         size = min(get_text_size(turn), self._chain_memory.limit)
         while not call.settled:
             try:
@@ -227,6 +232,8 @@
             is_final=True,
             origin=call.recorded_origin or StreamOrigin(""),
             origin_changes=call.origin_changes,
+            resumes=call.resumed_stream,
+            takeover=call.takeover,
         )
         retention = call.route.retention_seconds
         chain = call.chain.calls if call.chain else []
@@ -241,6 +248,8 @@
         call.headers.output_tokens,
         origin=call.recorded_origin or StreamOrigin(""),
         origin_changes=call.origin_changes,
+        resumes=call.resumed_stream,
+        takeover=call.takeover,
     )
 
 
--- a/packages/daemon/src/goldcrestvane_daemon/ledger/limits.py
+++ b/packages/daemon/src/goldcrestvane_daemon/ledger/limits.py
@@ -20,6 +20,7 @@
 INDEX_SHARE = 0.42
 UNSENT_SHARE = 0.1
 PENDING_SHARE = 0.06
+OUTPUT_SHARE = 0.04
 """Shares of the memory besides the base. An entry that waits for the disk exists up to
 four times: as a received frame, decoded, encoded, and in its batch."""
 
@@ -68,6 +69,7 @@
             from there on.
         unsent_bytes: Size of the responses that wait for slow readers. Chains are
             refused from there on.
+        output_bytes: Memory for outputs of turns that run. The oldest yield.
         disk_bytes: Size of the segments from which turns are refused.
     """
 
@@ -75,6 +77,7 @@
     index_bytes: int
     pending_bytes: int
     unsent_bytes: int = 0
+    output_bytes: int = 0
     disk_bytes: float = math.inf
 
     @classmethod
@@ -88,6 +91,7 @@
             index_bytes=int(usable * INDEX_SHARE),
             pending_bytes=int(usable * PENDING_SHARE),
             unsent_bytes=int(usable * UNSENT_SHARE),
+            output_bytes=int(usable * OUTPUT_SHARE),
             disk_bytes=disk if disk_mb else math.inf,
         )
 
--- a/packages/daemon/src/goldcrestvane_daemon/ledger/messages.py
+++ b/packages/daemon/src/goldcrestvane_daemon/ledger/messages.py
@@ -17,6 +17,7 @@
 )
 from goldcrestvane_daemon.accounts.quota_items import QuotaGrant, QuotaItem
 from goldcrestvane_daemon.ledger.observations import TargetObservation
+from goldcrestvane_daemon.ledger.stream_outputs import Mark
 from goldcrestvane_daemon.ledger.view import PartitionId, View, get_partition
 
 ENTRY_BYTES = 100
@@ -38,6 +39,10 @@
         origin: Origin of the turn's stream; empty if unknown.
         origin_changes: Number of times that the origin was replaced, because a target
             failed before the first event.
+        resumes: Attempt that brought the first event of the stream that the turn continues;
+            empty if it continues none, or does not need to be known.
+        takeover: Number of this attempt among those that continued the stream, from 1; 0
+            until it is known.
     """
 
     call: CallId
@@ -45,6 +50,8 @@
     is_final: bool = False
     origin: StreamOrigin = StreamOrigin("")
     origin_changes: int = 0
+    resumes: CallId = CallId("")
+    takeover: int = 0
 
     def supersedes(self, known: "TokenCharge | None") -> bool:
         """Returns whether this charge replaces a known one, in any order of arrival."""
@@ -52,7 +59,8 @@
             return True
         if known.is_final or self.is_final:
             return not known.is_final
-        return self.origin_changes >= known.origin_changes
+        changes = self.origin_changes, self.takeover
+        return changes >= (known.origin_changes, known.takeover)
 
 
 class Turn(msgspec.Struct, frozen=True, array_like=True):
@@ -198,6 +206,34 @@
     room_bytes: int | None = None
 
 
+class ExtendOutput(msgspec.Struct, frozen=True, tag="extend_output", array_like=True):
+    """Adds a part to the output of a turn that runs.
+
+    Attributes:
+        call: Id of the client's attempt.
+        start: Position of the part in the output.
+        data: The part.
+        marks: Its marks.
+    """
+
+    call: CallId
+    start: int
+    data: bytes
+    marks: list[Mark]
+
+
+class ReadOutput(msgspec.Struct, frozen=True, tag="read_output", array_like=True):
+    """Reads the output of a turn that ran until the end of an event.
+
+    Attributes:
+        call: Id of the client's attempt.
+        event: Id of the event.
+    """
+
+    call: CallId
+    event: int
+
+
 class PullEntries(msgspec.Struct, frozen=True, tag="pull", array_like=True):
     """Requests the entries of partitions; the peer adopts the view first.
 
@@ -303,6 +339,8 @@
     | ForwardWrite
     | RenewTurns
     | ReadChain
+    | ExtendOutput
+    | ReadOutput
     | PullEntries
     | PushEntries
     | GetMemberState
@@ -370,6 +408,20 @@
     chain_bytes: int = 0
 
 
+class OutputExtended(
+    msgspec.Struct, frozen=True, tag="output_extended", array_like=True
+):
+    """The member has the output up to a size; a part behind it was not added."""
+
+    size: int
+
+
+class OutputFound(msgspec.Struct, frozen=True, tag="output", array_like=True):
+    """Output up to the end of the event; None if the member does not have it."""
+
+    data: bytes | None
+
+
 class EntryPage(msgspec.Struct, frozen=True, tag="page", array_like=True):
     """Entries of the first requested partitions.
 
@@ -471,6 +523,8 @@
     | TurnsRenewed
     | ForwardResult
     | TurnChain
+    | OutputExtended
+    | OutputFound
     | EntryPage
     | EntriesMerged
     | MemberState
--- a/packages/daemon/src/goldcrestvane_daemon/ledger/service.py
+++ b/packages/daemon/src/goldcrestvane_daemon/ledger/service.py
@@ -21,6 +21,7 @@
     Entry,
     EntryPage,
     ExchangeObservations,
+    ExtendOutput,
     Failed,
     ForwardResult,
     ForwardWrite,
@@ -29,10 +30,13 @@
     GetMemberState,
     MemberState,
     ObservationsShared,
+    OutputExtended,
+    OutputFound,
     Permit,
     PullEntries,
     PushEntries,
     ReadChain,
+    ReadOutput,
     RenewTurns,
     ReportLimit,
     Response,
@@ -49,6 +53,7 @@
 from goldcrestvane_daemon.ledger.quotas import QuotaIssuer
 from goldcrestvane_daemon.ledger.rate_limits import STANDBY_SHARE, PermitIssuer
 from goldcrestvane_daemon.ledger.state import LedgerState
+from goldcrestvane_daemon.ledger.stream_outputs import StreamOutputs
 from goldcrestvane_daemon.ledger.turn_reader import (
     MAX_INLINE_CHAIN_BYTES,
     TurnReader,
@@ -89,6 +94,7 @@
         self._log = log
         self._state = state
         self._reader = TurnReader(state)
+        self._outputs = StreamOutputs(state.limits.output_bytes)
         self._frontends: dict[Frontend, float] = {}
         self._permits = PermitIssuer()
         self._observations = ObservationAggregator(random.getrandbits(START_BITS))
@@ -165,6 +171,7 @@
     async def _run_expiry(self) -> None:
         while True:
             await trio.sleep(EXPIRY_INTERVAL_SECONDS)
+            self._outputs.drop_expired()
             dropped = self._state.drop_expired()
             if dropped:
                 logger.debug("dropped expired entries", extra={"count": dropped})
@@ -185,6 +192,8 @@
         if self._is_stale(request.stamp):
             # A new member may have copied the entries of this one during the write.
             return StaleView(self.view)
+        if entry.turn is not None:
+            self._outputs.drop(entry.turn.call)
         account = entry.account
         chain_bytes = self._reader.measure_chain(request.return_chain_of)
         is_small = chain_bytes <= MAX_INLINE_CHAIN_BYTES
@@ -257,6 +266,17 @@
             return Failed(str(error))
         return TurnChain(votes, turns, chain_bytes)
 
+    @handle.register
+    async def _(self, request: ExtendOutput) -> Response:
+        size = self._outputs.extend(
+            request.call, request.start, request.data, request.marks
+        )
+        return OutputExtended(size)
+
+    @handle.register
+    async def _(self, request: ReadOutput) -> Response:
+        return OutputFound(self._outputs.cut(request.call, request.event))
+
     @handle.register
     async def _(self, request: PullEntries) -> Response:
         try:
--- a/packages/daemon/tests/frontend/frontend_case.py
+++ b/packages/daemon/tests/frontend/frontend_case.py
@@ -26,7 +26,15 @@
 from goldcrestvane_daemon.frontend.memory_budget import MemoryBudget, MemoryBudgets
 from goldcrestvane_daemon.frontend.object_cache import ObjectCache
 from goldcrestvane_daemon.frontend.peers import FrontendPeers
+from goldcrestvane_daemon.ledger.frames import PeerUnreachable
+from goldcrestvane_daemon.ledger.messages import (
+    OutputExtended,
+    OutputFound,
+    ReadOutput,
+)
 from goldcrestvane_daemon.ledger.rate_limits import PermitIssuer
+from goldcrestvane_daemon.ledger.stream_outputs import StreamOutputs
+from goldcrestvane_daemon.ledger.view import Member
 from goldcrestvane_daemon.platform.store import StoreClient
 from goldcrestvane_daemon.targets import TargetTable
 from goldcrestvane_standins.platformstore import PlatformStore
@@ -64,6 +72,7 @@
         build_route("turn", "streaming", attempts=1),
         build_route("kept", "streaming", attempts=1, retention_enabled=True),
         build_route("resume", "streaming", resumable=True),
+        build_route("story", "streaming", resumable=True, retention_enabled=True),
         build_route("quick", "non_idempotent", timeout_ms=200),
     ],
     "services": [
@@ -83,6 +92,7 @@
         self.available = True
         self.accepts_turns = True
         self.chain_reads = 0
+        self.outputs = {name: StreamOutputs(10**6) for name in ("m0", "m1", "m2")}
         self.permits = PermitIssuer()
 
     def adopt(self, view):
@@ -116,6 +126,23 @@
         await memory.resize(size)
         return self.list_chain(call)
 
+    def list_group(self, key):
+        return tuple(
+            Member(instance=name, address=name, domain="d1", disk=name)
+            for name in self.outputs
+        )
+
+    async def call(self, address, request):
+        await trio.lowlevel.checkpoint()
+        if not self.available:
+            raise PeerUnreachable(f"{address} is down.")
+        outputs = self.outputs[address]
+        if isinstance(request, ReadOutput):
+            return OutputFound(outputs.cut(request.call, request.event))
+        return OutputExtended(
+            outputs.extend(request.call, request.start, request.data, request.marks)
+        )
+
     async def acquire_permit(self, request):
         await trio.lowlevel.checkpoint()
         if not self.available:
--- a/packages/daemon/tests/frontend/test_stream_versions.py
+++ b/packages/daemon/tests/frontend/test_stream_versions.py
@@ -3,15 +3,13 @@
 import trio
 
 from frontend.frontend_case import (
-    CONFIGURATION,
     HOST,
-    Frontend,
     FrontendCase,
     build_events,
     build_stream,
 )
+from frontend.stream_case import SharedFrontendsCase
 from frontend.support import ScriptedTarget, SharedScript
-from goldcrestvane_common.transport import Transport
 from goldcrestvane_daemon.frontend.ledger_client import LedgerUnavailable
 from goldcrestvane_daemon.frontend.stream_origins import MAX_STREAM_SECONDS
 from goldcrestvane_daemon.ledger.messages import TokenCharge
@@ -81,33 +79,9 @@
         self.run_frontend(script, [[*WAITING, None]], [REST])
 
 
-class ResumedStreamTests(unittest.TestCase):
+class ResumedStreamTests(SharedFrontendsCase):
     """A client takes its stream up again at another frontend."""
 
-    def run_frontends(self, script, *targets):
-        """Runs two frontends with the same store, ledger and targets."""
-
-        async def main():
-            async with Transport() as transport, trio.open_nursery() as nursery:
-                self.transport = transport
-                first = Frontend(nursery)
-                await first.start(transport, targets, CONFIGURATION)
-                second = await self.start_another(first)
-                with trio.fail_after(60):
-                    await script(first, second)
-                nursery.cancel_scope.cancel()
-
-        trio.run(main)
-
-    async def start_another(self, first):
-        """Starts another frontend, which knows the targets that are listed now."""
-        frontend = Frontend(first.nursery)
-        frontend.platform, frontend.ledger = first.platform, first.ledger
-        frontend.targets = first.targets
-        await frontend.start(self.transport, (), CONFIGURATION)
-        await frontend.wait_synced(ObjectKind.TARGETS)
-        return frontend
-
     async def list_targets(self, frontends, entries):
         for target, (version, state) in zip(frontends[0].targets, entries, strict=True):
             frontends[0].list_target(target, state=state, version=version)
--- a/packages/daemon/tests/ledger/test_odd_requests.py
+++ b/packages/daemon/tests/ledger/test_odd_requests.py
@@ -16,10 +16,12 @@
     Announce,
     Entry,
     ExchangeObservations,
+    ExtendOutput,
     ForwardWrite,
     Frontend,
     RateLimit,
     ReadChain,
+    ReadOutput,
     RenewTurns,
     ReportLimit,
     TokenAccount,
@@ -29,6 +31,7 @@
     Write,
 )
 from goldcrestvane_daemon.ledger.observations import TargetObservation
+from goldcrestvane_daemon.ledger.stream_outputs import Mark
 from ledger.support import HOST, run_ledger
 
 FUZZ = settings(derandomize=True, deadline=None, database=None, max_examples=150)
@@ -46,7 +49,9 @@
     WRITE,
     ForwardWrite(WRITE, [f"{HOST}:1"], 2),
     RenewTurns(STAMP, ["c"], 60.0),
-    ReadChain(STAMP, "c"),
+    ReadChain(STAMP, "c", 100),
+    ExtendOutput("c", 0, b"out", [Mark(1, 3)]),
+    ReadOutput("c", 1),
     Announce(Frontend(f"{HOST}:1", "d"), 1),
     AcquirePermit(LIMIT, 1.0),
     ReportLimit(LIMIT),
