--- a/packages/daemon/src/goldcrestvane_daemon/frontend/attempts.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/attempts.py
@@ -10,9 +10,9 @@
 from goldcrestvane_common.ids import ServiceId
 from goldcrestvane_common.logs import get_logger
 from goldcrestvane_daemon.clock import get_elapsed_time
-from goldcrestvane_daemon.frontend.call_context import CallContext
+from goldcrestvane_daemon.frontend.call_context import CallContext, get_fingerprint
 from goldcrestvane_daemon.frontend.call_log import build_program_fields
-from goldcrestvane_daemon.frontend.crash_tracker import CrashTracker, build_fingerprint
+from goldcrestvane_daemon.frontend.crash_tracker import CrashTracker
 from goldcrestvane_daemon.frontend.event_reader import EventReader, compute_patience
 from goldcrestvane_daemon.frontend.memory_budget import MemoryBudget
 from goldcrestvane_daemon.frontend.metrics import FIRST_EVENT_SECONDS
@@ -166,14 +166,10 @@
                 )
                 return AttemptResult.LOST
             self._record_failure(call, target, error, unreachable=False)
-            if error.before_response:
+            if error.connection_lost:
                 self._nursery.start_soon(
                     run_supervised, Task.DEATH_REPORT, self._detect_crash, call, target
                 )
-            elif error.connection_lost:
-                self._nursery.start_soon(
-                    run_supervised, Task.DEATH_REPORT, self._detect_end, target
-                )
             return AttemptResult.LOST
         except StreamStalled as error:
             # The client has left by now, so no other target continues the stream.
@@ -190,6 +186,7 @@
             raise
         if report.result is AttemptResult.ANSWERED:
             self._record_response(target, queue, report)
+            self._clear_deaths(call)
         return report.result
 
     def _record_response(
@@ -395,8 +392,7 @@
     async def _detect_crash(self, call: CallContext, target: Target) -> None:
         """Checks whether a failed target has died, and reports its death to peers."""
         if await self._detect_end(target):
-            head = call.head
-            fingerprint = build_fingerprint(head.method, head.path, call.client_body)
+            fingerprint = get_fingerprint(call)
             deaths = [target.instance]
             self._crash_tracker.record_deaths(fingerprint, deaths)
             self._frontends.report_deaths(fingerprint, deaths)
@@ -406,9 +402,30 @@
                     "call": call.headers.call,
                     "target": target.instance,
                     "fingerprint": fingerprint,
+                    "events": call.events,
+                    "deaths": self._crash_tracker.count_deaths(fingerprint),
+                    "blocked": self._crash_tracker.is_blocked(fingerprint),
                 },
             )
 
+    def _clear_deaths(self, call: CallContext) -> None:
+        """Records that a target survived a request, here and at other frontends."""
+        if self._crash_tracker.is_empty:
+            return
+        fingerprint = get_fingerprint(call)
+        cleared = self._crash_tracker.clear(fingerprint)
+        if not cleared:
+            return
+        self._frontends.report_deaths(fingerprint, [], cleared)
+        logger.info(
+            "a request is cleared of deaths of targets",
+            extra={
+                "call": call.headers.call,
+                "fingerprint": fingerprint,
+                "targets": cleared,
+            },
+        )
+
     async def _detect_end(self, target: Target) -> bool:
         """Returns whether a failed target accepts no connection; records its end if so."""
         try:
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/call_context.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/call_context.py
@@ -6,6 +6,7 @@
 from goldcrestvane_common.ids import (
     AccountId,
     CallId,
+    Fingerprint,
     InstanceId,
     ProgramId,
     ServiceId,
@@ -16,6 +17,7 @@
 from goldcrestvane_daemon.frontend.admission import AdmissionClass, get_admission_class
 from goldcrestvane_daemon.frontend.affinity import Affinity, build_affinity
 from goldcrestvane_daemon.frontend.call_chain import CallChain
+from goldcrestvane_daemon.frontend.crash_tracker import build_fingerprint
 from goldcrestvane_daemon.frontend.event_sequence import EventSequence
 from goldcrestvane_daemon.frontend.refusals import (
     InvalidCall,
@@ -79,6 +81,7 @@
             for a call that is not stored.
         chain_target: Target that ran the preceding turn, if known.
         target: Target of the present attempt; empty before the first one.
+        fingerprint: Identifies repetitions of the request; empty until it is needed.
     """
 
     head: RequestHead
@@ -115,6 +118,7 @@
     chain_root: CallId | None = None
     chain_target: InstanceId | None = None
     target: InstanceId = InstanceId("")
+    fingerprint: Fingerprint = Fingerprint("")
 
     @property
     def body_parts(self) -> list[bytes]:
@@ -267,3 +271,11 @@
         ),
         sequence=EventSequence(headers.last_event),
     )
+
+
+def get_fingerprint(call: CallContext) -> Fingerprint:
+    """Returns a hash that identifies repetitions of a call's request."""
+    if not call.fingerprint:
+        head = call.head
+        call.fingerprint = build_fingerprint(head.method, head.path, call.client_body)
+    return call.fingerprint
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/calls.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/calls.py
@@ -13,9 +13,13 @@
     AttemptResult,
     AttemptRunner,
 )
-from goldcrestvane_daemon.frontend.call_context import CallContext, build_call_context
+from goldcrestvane_daemon.frontend.call_context import (
+    CallContext,
+    build_call_context,
+    get_fingerprint,
+)
 from goldcrestvane_daemon.frontend.call_log import log_end, log_refusal
-from goldcrestvane_daemon.frontend.crash_tracker import CrashTracker, build_fingerprint
+from goldcrestvane_daemon.frontend.crash_tracker import CrashTracker
 from goldcrestvane_daemon.frontend.ledger_client import LedgerClient
 from goldcrestvane_daemon.frontend.memory_budget import MemoryBudget
 from goldcrestvane_daemon.frontend.metrics import ATTEMPTS, OPEN_SECONDS, RUNNING
@@ -225,9 +229,7 @@
         """Raises CrashedTargets if too many targets died while they ran the request."""
         if self._crash_tracker.is_empty:
             return
-        head = call.head
-        fingerprint = build_fingerprint(head.method, head.path, call.client_body)
-        if self._crash_tracker.is_blocked(fingerprint):
+        if self._crash_tracker.is_blocked(get_fingerprint(call)):
             raise CrashedTargets(
                 "Targets died each time they ran this request; do not send it again."
             )
@@ -299,6 +301,8 @@
                 # The token of the first attempt may have been used or returned since.
                 await quota.acquire()
                 self._account_gate.recheck(call)
+                # Targets may have died with the request while this call waited.
+                self._check_crash_history(call)
             except BaseException:
                 queue.release(target, account=account, prompt=call.prompt)
                 raise
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/event_reader.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/event_reader.py
@@ -123,10 +123,14 @@
                 self._has_read = True
                 return self._take_in_order(events)
         if self._splitter.remainder:
-            raise TargetFailed("The stream ended in the middle of an event.")
+            raise TargetFailed(
+                "The stream ended in the middle of an event.",
+                connection_lost=not self._request.is_framed,
+            )
         if not self._has_read and not self._request.is_framed:
             raise TargetFailed(
-                "The stream ended with its connection, without an event."
+                "The stream ended with its connection, without an event.",
+                connection_lost=True,
             )
         return None
 
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/peer_messages.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/peer_messages.py
@@ -32,10 +32,18 @@
 
 
 class ReportDeaths(msgspec.Struct, frozen=True, tag="deaths", array_like=True):
-    """Reports targets that died while they ran a request."""
+    """Reports targets that died while they ran a request.
+
+    Attributes:
+        fingerprint: Identifies the request.
+        targets: The targets.
+        cleared: Targets that the request did not crash, since another target has answered
+            it whole.
+    """
 
     fingerprint: Fingerprint
     targets: list[str]
+    cleared: list[str] = []
 
 
 class FetchDeaths(msgspec.Struct, frozen=True, tag="known_deaths", array_like=True):
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/peers.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/peers.py
@@ -145,11 +145,11 @@
                 await trio.sleep(RECONNECT_CHECK_SECONDS)
 
     def _record_deaths(self, deaths: TrackedDeaths) -> None:
-        """Records deaths that a peer knows, and forwards those that are new."""
+        """Records deaths that a peer knows, and forwards what is new."""
         if self._crash_tracker.record_deaths(
-            deaths.fingerprint, deaths.targets, deaths.seconds_left
+            deaths.fingerprint, deaths.targets, deaths.seconds_left, deaths.cleared
         ):
-            self.report_deaths(deaths.fingerprint, deaths.targets)
+            self.report_deaths(deaths.fingerprint, deaths.targets, deaths.cleared)
 
     def list_addresses(self) -> list[str]:
         """Returns the addresses of the frontends that this one connects to."""
@@ -199,10 +199,21 @@
             logger.info("a frontend does not answer", extra={"reason": str(error)})
         return answer if isinstance(answer, ObjectsCopy) else None
 
-    def report_deaths(self, fingerprint: Fingerprint, targets: list[str]) -> None:
-        """Reports targets that died with a request to the connected frontends."""
+    def report_deaths(
+        self,
+        fingerprint: Fingerprint,
+        targets: Sequence[str],
+        cleared: Sequence[str] = (),
+    ) -> None:
+        """Reports targets that died with a request to the connected frontends.
+
+        Args:
+            fingerprint: Identifies the request.
+            targets: The targets.
+            cleared: Targets that the request did not crash.
+        """
+        report = ReportDeaths(fingerprint, list(targets), list(cleared))
         for peer in self._list_connected():
-            report = ReportDeaths(fingerprint, targets)
             self._nursery.start_soon(
                 run_supervised, Task.DEATH_REPORT, self._send_report, peer, report
             )
@@ -247,7 +258,9 @@
     @handle.register
     async def _(self, request: ReportDeaths) -> FrontendResponse:
         # Each frontend forwards a new report once, so that it reaches all of them.
-        self._record_deaths(TrackedDeaths(request.fingerprint, request.targets))
+        self._record_deaths(
+            TrackedDeaths(request.fingerprint, request.targets, cleared=request.cleared)
+        )
         return ReportAccepted()
 
     @handle.register
--- a/packages/daemon/tests/frontend/test_peers.py
+++ b/packages/daemon/tests/frontend/test_peers.py
@@ -161,6 +161,27 @@
 
         trio.run(main)
 
+    def test_cleared_request_is_cleared_at_other_frontends(self):
+        """Guards against a sound request that is refused where it was not answered."""
+
+        async def main():
+            first, second = CrashTracker(), CrashTracker()
+            second.record_deaths("f", ["t1", "t2"])
+            first.record_deaths("f", ["t1", "t2", "t3"])
+            first.clear("f")
+            first.record_deaths("f", ["t4"])
+            first.record_deaths("last", ["t5", "t6", "t7"])
+            async with trio.open_nursery() as nursery:
+                address = await self.start(nursery, first)
+                await self.start(nursery, second, [address])
+                await self.wait_blocked(second, "last")
+                with trio.fail_after(10):
+                    while second.count_deaths("f") != 1:
+                        await trio.sleep(0.01)
+                nursery.cancel_scope.cancel()
+
+        trio.run(main)
+
     def test_expired_deaths_are_not_told(self):
         async def main():
             tracker = CrashTracker()
