Count each start of a target that dies under the same id

Cause: deaths were counted by the ids of the targets, so two targets could count for two at most. An id names a machine's place, not the start of the process that died.

Change: a death is named by id and start. Without a stated start the id counts, as before.

Evidence: the new test hangs until its timeout with ids in place of starts.

--- a/packages/daemon/src/goldcrestvane_daemon/frontend/attempts.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/attempts.py
@@ -393,7 +393,8 @@
         """Checks whether a failed target has died, and reports its death to peers."""
         if await self._detect_end(target):
             fingerprint = get_fingerprint(call)
-            deaths = [target.instance]
+            # A target that starts again under its id may die again.
+            deaths = [target.lifetime]
             self._crash_tracker.record_deaths(fingerprint, deaths)
             self._frontends.report_deaths(fingerprint, deaths)
             logger.warning(
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/crash_tracker.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/crash_tracker.py
@@ -45,7 +45,7 @@
 
     Attributes:
         fingerprint: Identifies the request.
-        targets: The targets.
+        targets: Names of the starts of the targets.
         seconds_left: Time for which the request is still tracked.
         cleared: Those of the targets, or others, that the request did not crash.
     """
--- a/packages/daemon/src/goldcrestvane_daemon/targets.py
+++ b/packages/daemon/src/goldcrestvane_daemon/targets.py
@@ -61,6 +61,11 @@
         """Identifies this start at this address."""
         return (self.instance, self.host, self.port, self.born_ms)
 
+    @property
+    def lifetime(self) -> str:
+        """Name of this start, which all processes use; the id if the start is unknown."""
+        return f"{self.instance}@{self.born_ms}" if self.born_ms else self.instance
+
     @property
     def origin(self) -> StreamOrigin:
         """Identifies the targets that can continue each other's streams."""
--- a/packages/daemon/tests/frontend/test_crash_tracker.py
+++ b/packages/daemon/tests/frontend/test_crash_tracker.py
@@ -41,15 +41,16 @@
 
     FINGERPRINT = build_fingerprint(b"POST", b"/turn/x", b"in")
 
-    async def run_target(self, frontend, pieces, *paths):
+    async def run_target(self, frontend, pieces, *paths, port=0, **entry):
         """Lists a target that gets a call for each path, and dies when all have begun."""
         listener = trio.socket.socket()
-        await listener.bind((HOST, 0))
+        listener.setsockopt(trio.socket.SOL_SOCKET, trio.socket.SO_REUSEADDR, 1)
+        await listener.bind((HOST, port))
         listener.listen(8)
         target = ScriptedTarget([list(pieces) for _ in paths])
         target.port = listener.getsockname()[1]
         async with trio.open_nursery() as nursery:
-            frontend.list_target(target)
+            frontend.list_target(target, **entry)
             await frontend.wait_synced(ObjectKind.TARGETS)
             for path in paths:
                 nursery.start_soon(frontend.send, path)
@@ -61,6 +62,7 @@
             target.resume.set()
         frontend.platform.delete("servers", f"i-{target.port}")
         await frontend.wait_synced(ObjectKind.TARGETS)
+        return target.port
 
     async def wait_deaths(self, frontend, count, path=b"/turn/x"):
         tracker = frontend.crash_tracker
@@ -90,6 +92,21 @@
     def test_request_that_crashes_targets_inside_an_event_is_refused(self):
         self.check_blocked_after([UNFRAMED, ScriptedTarget.WAIT, None])
 
+    def test_target_that_starts_again_under_its_id_counts_each_time(self):
+        """Guards against a request that crashes the same few targets without end."""
+
+        async def script(frontend):
+            port = 0
+            for number in range(MAX_DEATHS):
+                pieces = [*BEGUN, ScriptedTarget.RESET]
+                port = await self.run_target(
+                    frontend, pieces, "/turn/x", port=port, born=number + 1
+                )
+                await self.wait_deaths(frontend, number + 1)
+            self.assertTrue(frontend.crash_tracker.is_blocked(self.FINGERPRINT))
+
+        self.run_frontend(script)
+
     def test_sound_streams_beside_it_are_not_refused(self):
         """Guards against streams that are refused since they broke off with another one."""
 
