--- a/packages/common/src/goldcrestvane_common/transport.py
+++ b/packages/common/src/goldcrestvane_common/transport.py
@@ -10,6 +10,7 @@
 
 from goldcrestvane_common.errors import decode_error
 from goldcrestvane_common.keepalive import KEEPALIVE_OPTIONS
+from goldcrestvane_common.resets import ResetAwareBackend
 
 CONNECT_TIMEOUT_SECONDS = 1.0
 MAX_CONNECTIONS_PER_PEER = 512
@@ -167,6 +168,7 @@
                 keepalive_expiry=KEEP_ALIVE_EXPIRY_SECONDS,
                 # A watch that waits on a dead connection fails.
                 socket_options=KEEPALIVE_OPTIONS,
+                network_backend=ResetAwareBackend(),
             )
             self._pools[peer] = pool
         return pool
@@ -195,9 +197,9 @@
             timeout: Seconds without progress after which the exchange fails; None
                 waits indefinitely.
             allow_unframed: Whether the body may have neither a length nor chunks and end
-                with its connection (RFC 9112, section 6.3). If the peer dies, the
-                connection may end in the same way, so the caller must find out from the
-                body whether it is whole.
+                with its connection (RFC 9112, section 6.3). A reset fails the exchange.
+                If the peer dies, the connection may end as after the whole body, so the
+                caller must find out from the body whether it is whole.
 
         Raises:
             ConnectFailed: Nothing was sent.
--- a/packages/daemon/src/goldcrestvane_daemon/http1.py
+++ b/packages/daemon/src/goldcrestvane_daemon/http1.py
@@ -13,6 +13,8 @@
 import msgspec
 import trio
 
+from goldcrestvane_common.resets import is_reset
+
 Headers = Sequence[tuple[bytes, bytes]]
 
 READ_BYTES = 65_536
@@ -301,6 +303,7 @@
             h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES + READ_BYTES
         )
         self._eof_received = False
+        self._was_reset = False
         self._leftover = leftover
         self.is_framed = True
 
@@ -320,6 +323,7 @@
             for data in _join_small_parts(encoded):
                 await self._stream.send_all(data)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
+            self._was_reset = is_reset(error)
             raise ConnectionLost("The target closed the connection.") from error
 
     async def read_head(self) -> h11.Response:
@@ -374,6 +378,7 @@
         if self._parser.their_state is not h11.DONE:
             raise ConnectionLost("Got only the response to another request.")
         following = ClientExchange(self._stream, bytes(self._parser.trailing_data[0]))
+        following._was_reset = self._was_reset
         following._mark_request_sent()
         return following
 
@@ -410,5 +415,7 @@
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
             # A body without a length ends with a close, never with a reset.
             raise ConnectionLost("The target reset the connection.") from error
+        if not data and self._was_reset:
+            raise ConnectionLost("The target reset the connection during the request.")
         self._eof_received = self._eof_received or not data
         return bytes(data)
--- a/packages/daemon/tests/frontend/support.py
+++ b/packages/daemon/tests/frontend/support.py
@@ -87,7 +87,7 @@
                     await stream.aclose()
                     return
                 if piece is self.RESET:
-                    _reset(stream)
+                    reset(stream)
                     return
                 if piece is self.WAIT:
                     await self._wait(stream)
@@ -116,6 +116,6 @@
     return len(body) >= (int(length.group(1)) if length else 0)
 
 
-def _reset(stream):
+def reset(stream):
     stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
     stream.socket.close()
