Test what callers of the own form get of an answer with the status 000

The users saw on another system that it came as an answer. Here it ended as a broken exchange in both forms; what the caller gets then had not been looked at.

Found: an answer of a tool counts as lost, unknown if the call must not be repeated and incomplete otherwise; a model call ends as incomplete.

--- a/packages/daemon/tests/target/test_unframed_responses.py
+++ b/packages/daemon/tests/target/test_unframed_responses.py
@@ -26,8 +26,9 @@
 class ClosingTarget:
     """Answers each request with the next body and ends the connection after it."""
 
-    def __init__(self, bodies):
+    def __init__(self, bodies, head=HEAD):
         self.bodies = list(bodies)
+        self.head = head
         self.requests = []
 
     async def serve(self, stream):
@@ -40,11 +41,13 @@
                     request += await stream.receive_some()
                 self.requests.append(request.partition(b" HTTP")[0])
                 if self.bodies:
-                    await stream.send_all(HEAD + self.bodies.pop(0))
+                    await stream.send_all(self.head + self.bodies.pop(0))
 
 
-class UnframedResponseTests(unittest.TestCase):
-    """Bodies with neither a length nor chunks, which end with their connection."""
+class ClosingTargetCase(unittest.TestCase):
+    """Runs calls at a closing target."""
+
+    head = HEAD
 
     def run_call(self, client_type, bodies, request):
         """Returns the execution, or the error with which the call ended."""
@@ -64,7 +67,7 @@
                     nursery.cancel_scope.cancel()
                 return execution
 
-        self.target = ClosingTarget(bodies)
+        self.target = ClosingTarget(bodies, self.head)
         return trio.run(main)
 
     def run_tool(self, body, *, idempotent=False):
@@ -79,6 +82,10 @@
             EngineClient, bodies, build_request(ServiceKind.MODEL, model=model)
         )
 
+
+class UnframedResponseTests(ClosingTargetCase):
+    """Bodies with neither a length nor chunks, which end with their connection."""
+
     def test_response_of_a_tool_is_whole(self):
         """Guards against calls that ran and end with an unknown outcome."""
         for body in (b'{"a": 1}', b"[1]", b'"x"', b"true", b"null"):
@@ -118,5 +125,19 @@
         self.assertIsInstance(error, AnswerIncomplete | TargetDied)
 
 
+class OddStatusTests(ClosingTargetCase):
+    """A target in need sends an answer with the status 000."""
+
+    head = b"HTTP/1.1 000 Odd\r\n\r\n"
+
+    def test_answer_of_a_tool_is_lost(self):
+        self.assertIsInstance(self.run_tool(b"{}"), OutcomeUnknown)
+        self.assertIsInstance(self.run_tool(b"{}", idempotent=True), AnswerIncomplete)
+
+    def test_answer_of_an_engine_is_incomplete(self):
+        error = self.run_engine(*[FIRST + END] * 9)
+        self.assertIsInstance(error, AnswerIncomplete | TargetDied)
+
+
 if __name__ == "__main__":
     unittest.main()
