Keep what chains and crash counts hold small under load

- A call that waits through an outage of the ledger held the memory for its chain, so that others were refused for memory which would have waited.
It is released between tries.
The new test holds 100 bytes in place of 0 without this.
- A chain that is read a second time was asked for with the room of its text; records are some hundred bytes larger each, so the last page came one round trip later.
- A request that many callers send, such as one without a body, remembered each target that ever died with it.
It forgets all but the last 32 of those of which it was cleared; the new test would find 640.
- 128 KB in place of 250 KB are reserved before the size of a chain is known, so that twice as many turns can be opened at once.

--- a/packages/daemon/src/goldcrestvane_daemon/frontend/call_chain.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/call_chain.py
@@ -8,6 +8,9 @@
 from goldcrestvane_daemon.ledger.messages import Turn
 from goldcrestvane_daemon.ledger.turn_cache import get_text_size
 
+RECORD_OVERHEAD_BYTES = 600
+"""Size of a turn's record beside its input and output: a header and the ids, twice."""
+
 
 @final
 class CallChain:
@@ -18,7 +21,8 @@
 
     Attributes:
         calls: Ids of the turns, newest first.
-        size: Size of their inputs and outputs in bytes.
+        size: Size of their records in bytes at most, by which members measure what they
+            send.
         memory: Memory of the turns.
         turns: The turns, newest first; None if there are some and they are not in memory.
     """
@@ -31,7 +35,7 @@
             memory: Memory that was reserved for them.
         """
         self.calls: list[CallId] = [turn.call for turn in turns]
-        self.size = sum(map(get_text_size, turns))
+        self.size = sum(get_text_size(turn) + RECORD_OVERHEAD_BYTES for turn in turns)
         self.memory = memory
         self.turns: Sequence[Turn] | None = turns
 
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/crash_tracker.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/crash_tracker.py
@@ -9,7 +9,7 @@
 - A request that was present at more deaths explains those that it shares with others.
 """
 
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 from itertools import islice
 from typing import final
 
@@ -29,6 +29,10 @@
 RETENTION_SECONDS = 600.0
 """Time for which a request is tracked after the last death."""
 
+MAX_CLEARED_DEATHS = 32
+"""Maximum number of cleared deaths that are remembered of one request, so that it stays small
+if many callers send it."""
+
 MAX_TRACKED_REQUESTS = 10_000
 """Maximum number of tracked requests; they take about 1 MB."""
 
@@ -60,11 +64,12 @@
 class TrackedRequest:
     """What is known of one request.
 
-    Reports may arrive in any order and more than once, so both sets only grow.
+    Reports may arrive in any order and more than once, so what is cleared stays known for
+    some time.
 
     Attributes:
         targets: Targets that died while they ran the request.
-        cleared: Targets that the request did not crash.
+        cleared: Targets that the request did not crash, in the order of clearing.
         expires_at: Time on trio's clock until which it is tracked.
     """
 
@@ -72,15 +77,24 @@
 
     def __init__(self) -> None:
         self.targets: set[str] = set()
-        self.cleared: set[str] = set()
+        self.cleared: dict[str, None] = {}
         self.expires_at = 0.0
 
+    def clear(self, targets: Iterable[str]) -> list[str]:
+        """Clears the request of deaths; returns those that are no longer remembered."""
+        self.cleared.update(dict.fromkeys(targets))
+        forgotten = list(self.cleared)[:-MAX_CLEARED_DEATHS]
+        for target in forgotten:
+            del self.cleared[target]
+            self.targets.discard(target)
+        return forgotten
+
     @property
     def deaths(self) -> set[str]:
         """Deaths that count; none after the request has expired."""
         if trio.current_time() >= self.expires_at:
             return set()
-        return self.targets - self.cleared
+        return self.targets - self.cleared.keys()
 
 
 @final
@@ -109,15 +123,16 @@
         self._drop_expired()
         request = self._requests.pop(fingerprint, None) or TrackedRequest()
         is_new = not (
-            request.targets.issuperset(targets) and request.cleared.issuperset(cleared)
+            request.targets.issuperset(targets)
+            and request.cleared.keys() >= set(cleared)
         )
         request.targets.update(targets)
-        request.cleared.update(cleared)
         expires_at = trio.current_time() + seconds_left
         request.expires_at = max(request.expires_at, expires_at)
         self._requests[fingerprint] = request
         for target in targets:
             self._present.setdefault(target, set()).add(fingerprint)
+        self._forget(fingerprint, request.clear(cleared))
         while len(self._requests) > MAX_TRACKED_REQUESTS:
             self._drop_oldest()
         return is_new
@@ -130,10 +145,11 @@
             of it: a single death blocks nothing.
         """
         request = self._requests.get(fingerprint)
-        if request is None or request.cleared.issuperset(request.targets):
+        if request is None or request.cleared.keys() >= request.targets:
             return []
-        request.cleared |= request.targets
-        return sorted(request.cleared) if len(request.targets) > 1 else []
+        is_known_elsewhere = len(request.targets) > 1
+        self._forget(fingerprint, request.clear(sorted(request.targets)))
+        return list(request.cleared) if is_known_elsewhere else []
 
     def count_deaths(self, fingerprint: Fingerprint) -> int:
         """Returns the number of deaths that count for a request."""
@@ -177,7 +193,7 @@
                 fingerprint,
                 sorted(request.targets),
                 request.expires_at - now,
-                sorted(request.cleared),
+                list(request.cleared),
             )
             for fingerprint, request in reversed(self._requests.items())
             if request.expires_at > now
@@ -204,8 +220,14 @@
 
     def _drop_oldest(self) -> None:
         fingerprint = next(iter(self._requests))
-        for target in self._requests.pop(fingerprint).targets:
-            present = self._present[target]
+        self._forget(fingerprint, self._requests.pop(fingerprint).targets)
+
+    def _forget(self, fingerprint: Fingerprint, targets: Iterable[str]) -> None:
+        """Records that a request is no longer known to have been at deaths."""
+        for target in targets:
+            present = self._present.get(target)
+            if present is None:
+                continue
             present.discard(fingerprint)
             if not present:
                 del self._present[target]
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/turn_recorder.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/turn_recorder.py
@@ -138,6 +138,8 @@
                         f"The ledger cannot record the turn: {error}",
                         retry_after=LEDGER_RETRY_SECONDS,
                     ) from error
+            # Calls that wait for the ledger leave the memory to others.
+            memory.release()
             await trio.sleep(OPEN_RETRY_SECONDS)
 
     async def load_chain(self, call: CallContext) -> None:
--- a/packages/daemon/src/goldcrestvane_daemon/ledger/turn_reader.py
+++ b/packages/daemon/src/goldcrestvane_daemon/ledger/turn_reader.py
@@ -25,9 +25,9 @@
 """Size from which a response contains no further turns of a chain. The reader asks for
 the rest. Each connection buffers one response."""
 
-MAX_INLINE_CHAIN_BYTES = 250_000
-"""Maximum size of a chain that comes with the response to a write. The writer reserves this
-much memory before it knows the size."""
+MAX_INLINE_CHAIN_BYTES = 128_000
+"""Maximum size of a chain that comes with the response to a write: ten turns of a few KB and
+a first one of 17 KB are half of it. The writer reserves it before it knows the size."""
 
 READ_THREADS = 4
 MAX_READING_BYTES = 4_000_000
--- a/packages/daemon/tests/frontend/test_crash_tracker.py
+++ b/packages/daemon/tests/frontend/test_crash_tracker.py
@@ -6,6 +6,7 @@
 from frontend.frontend_case import HOST, FrontendCase, build_events, build_stream
 from frontend.support import ScriptedTarget, build_response
 from goldcrestvane_daemon.frontend.crash_tracker import (
+    MAX_CLEARED_DEATHS,
     MAX_DEATHS,
     MAX_SHARED_DEATHS,
     RETENTION_SECONDS,
@@ -218,6 +219,21 @@
 
         self.run_tracker(script)
 
+    def test_request_of_many_callers_stays_small(self):
+        """Guards against a request without a body that is at each death of any target."""
+
+        def script(tracker):
+            for number in range(10 * MAX_CLEARED_DEATHS):
+                self.record(tracker, (f"t{number}", "s"), (f"u{number}", "s"))
+                tracker.clear("s")
+            (told,) = tracker.list_recent(9)
+            self.assertLessEqual(len(told.targets), MAX_CLEARED_DEATHS)
+            self.assertLessEqual(len(told.cleared), MAX_CLEARED_DEATHS)
+            self.assertLessEqual(len(tracker._present), MAX_CLEARED_DEATHS)
+            self.assertEqual(tracker.count_deaths("s"), 0)
+
+        self.run_tracker(script)
+
     def test_requests_with_most_deaths_are_told_first(self):
         def script(tracker):
             self.record(tracker, ("t1", "xa"), ("t2", "xb"), ("t3", "c"))
--- a/packages/daemon/tests/frontend/test_turn_recorder.py
+++ b/packages/daemon/tests/frontend/test_turn_recorder.py
@@ -9,6 +9,8 @@
 from goldcrestvane_daemon.frontend.admission import AdmissionClass
 from goldcrestvane_daemon.frontend.call_context import build_call_context
 from goldcrestvane_daemon.frontend.ledger_answers import has_room_for_turns
+from goldcrestvane_daemon.frontend.ledger_errors import LedgerUnavailable
+from goldcrestvane_daemon.frontend.memory_budget import MemoryBudget
 from goldcrestvane_daemon.frontend.refusals import LedgerDown
 from goldcrestvane_daemon.frontend.turn_recorder import TurnRecorder
 from goldcrestvane_daemon.http1 import RequestHead
@@ -52,6 +54,31 @@
 
         self.run_script(script)
 
+    def test_turn_that_waits_for_the_ledger_holds_no_memory_for_its_chain(self):
+        """Guards against calls that are refused for memory while members restart."""
+
+        async def script(ledger, recorder, call):
+            recorder._chain_memory = budget = MemoryBudget(100, max_wait_seconds=0.5)
+
+            async def reserve(*, account, previous, memory):
+                await memory.resize(100)
+                await trio.sleep(0.05)
+                raise LedgerUnavailable("out")
+
+            ledger.open_turn = reserve
+            async with trio.open_nursery() as nursery:
+
+                async def open_call():
+                    with self.assertRaises(LedgerDown):
+                        await recorder.open(call)
+
+                nursery.start_soon(open_call)
+                await trio.sleep(0.1)
+                self.assertEqual(budget.used, 0)
+            self.assertEqual(budget.used, 0)
+
+        self.run_script(script)
+
     def test_turn_is_refused_before_it_waits_more_than_its_share_of_time(self):
         async def script(ledger, recorder, call):
             ledger.available = False
