Refuse no team for good before a complete copy of the settings (own form)

Cause: an entry serves callers before it has read the settings, and took a team that it had not read for one that is not declared. The owner's sidecar did the same. What a process does not know yet is no final answer.

Change: until the first complete copy the feed says so, and the call gets 503 as not run, with a time to come back, in entries and sidecars.

Evidence: the new test of the feed fails before, as the team is None.

--- a/packages/common/src/goldcrestvane_common/feed.py
+++ b/packages/common/src/goldcrestvane_common/feed.py
@@ -13,7 +13,7 @@
 
 from goldcrestvane_common.control_exchange import ControlRoutes, pull_control
 from goldcrestvane_common.control_replica import CONTROL_PREFIX, ControlReplica
-from goldcrestvane_common.errors import ServiceError
+from goldcrestvane_common.errors import ServiceError, Unavailable
 from goldcrestvane_common.ids import InstanceId, TeamId, Version, hash_text
 from goldcrestvane_common.logs import get_logger
 from goldcrestvane_common.objects import (
@@ -39,6 +39,8 @@
 PULL_PEERS_WHEN_SILENT = 1
 PULL_PEERS_WHEN_FAILING = 2
 PEER_PULL_TIMEOUT_SECONDS = 5.0
+NOT_READY_RETRY_SECONDS = 0.5
+"""Time after which to try again before the first complete copy."""
 
 logger = get_logger("control")
 
@@ -123,9 +125,21 @@
         return sorted(found, key=lambda stored: stored.key)
 
     def get_team(self, team: TeamId) -> TeamSettings | None:
-        """Returns the settings in force, or None for an unknown or removed team."""
+        """Returns the settings in force, or None for an unknown or removed team.
+
+        Raises:
+            Unavailable: The team may be declared: no complete copy was received yet.
+        """
         entry = self._teams.get(team)
-        return None if entry is None else entry.settings
+        if entry is not None:
+            return entry.settings
+        if not self.ready.is_set():
+            raise Unavailable(
+                f"This process does not know yet whether team {team} is declared. "
+                "Send the request again.",
+                retry_after=NOT_READY_RETRY_SECONDS,
+            )
+        return None
 
     def get_team_version(self, team: TeamId) -> Version:
         """Returns the version of the settings in force; 0 for an unknown team."""
--- a/packages/common/tests/test_feed.py
+++ b/packages/common/tests/test_feed.py
@@ -7,6 +7,7 @@
 from fakes import FakeNetwork, FakeObjects
 
 from goldcrestvane_common.control_exchange import push_control
+from goldcrestvane_common.errors import Outcome, Unavailable
 from goldcrestvane_common.feed import (
     MAX_BACKOFF_SECONDS,
     MIN_BACKOFF_SECONDS,
@@ -79,6 +80,25 @@
 
         self.run_on_mock_clock(main)
 
+    def test_team_is_unknown_only_after_a_complete_copy(self):
+        """Guards against a final refusal of a team that a new process has not read yet."""
+
+        async def main():
+            self.objects.put(KEY, build_document(0.1))
+            async with trio.open_nursery() as nursery:
+                feed = self.start_feed(nursery, "a", self.objects)
+                for team in ("alpha", "nobody"):
+                    with self.assertRaises(Unavailable) as raised:
+                        feed.get_team(team)
+                    self.assertIs(raised.exception.call_outcome, Outcome.NOT_RUN)
+                    self.assertGreater(raised.exception.retry_after, 0)
+                await feed.ready.wait()
+                self.assertIsNotNone(feed.get_team("alpha"))
+                self.assertIsNone(feed.get_team("nobody"))
+                nursery.cancel_scope.cancel()
+
+        self.run_on_mock_clock(main)
+
     def test_stale_server_reverts_nothing_and_is_watched_again(self):
         async def main():
             self.objects.put(KEY, build_document(0.1), version=8)
--- a/packages/daemon/src/goldcrestvane_daemon/entry/_directories.py
+++ b/packages/daemon/src/goldcrestvane_daemon/entry/_directories.py
@@ -13,7 +13,11 @@
     """The teams' current settings."""
 
     def get_team(self, team: TeamId) -> TeamSettings | None:
-        """Returns a team's settings, or None for an unknown team."""
+        """Returns a team's settings, or None for an unknown team.
+
+        Raises:
+            Unavailable: It is not known yet whether the team is declared.
+        """
         ...
 
 
--- a/packages/daemon/src/goldcrestvane_daemon/entry/_headers.py
+++ b/packages/daemon/src/goldcrestvane_daemon/entry/_headers.py
@@ -70,6 +70,7 @@
         InvalidRequest: The team's header is missing or malformed.
         NotFound: The team is not declared.
         Unauthorized: The token is missing or wrong.
+        Unavailable: It is not known yet whether the team is declared.
     """
     team = parse_team(require_header(request, TEAM_HEADER), field=TEAM_HEADER)
     settings = teams.get_team(team)
--- a/packages/daemon/tests/entry/support.py
+++ b/packages/daemon/tests/entry/support.py
@@ -250,13 +250,15 @@
 
 
 @asynccontextmanager
-async def serve_entry(owners, *, limits=QUICK, is_ready=lambda: True, trace=None):
+async def serve_entry(
+    owners, *, limits=QUICK, is_ready=lambda: True, trace=None, teams=None
+):
     metrics = RequestMetrics()
     router = Router()
     async with Transport() as upstream, Transport() as caller:
         service = EntryService(
             transport=upstream,
-            teams=FakeTeams(),
+            teams=teams or FakeTeams(),
             owners=owners,
             metrics=metrics,
             limits=limits,
