Let a failed write say what each member did, and free a test from the disk's speed

The words did not tell why.

Ruled out by the words: the other members got none of the odd requests, and all three failed, so no odd request ended a member.

Change: the error counts the members that did not answer in time, those without a vote, and quotes refusals. The test asks, as before, that the members take a write after the odd requests; it waits 60 s for the disk in place of 0.5 s, which was a bound by the clock.

--- a/packages/daemon/src/goldcrestvane_daemon/frontend/ledger_answers.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/ledger_answers.py
@@ -7,6 +7,7 @@
 from goldcrestvane_common.ids import CallId
 from goldcrestvane_daemon.ledger.messages import (
     Entry,
+    Failed,
     TokenCharge,
     Turn,
     TurnChain,
@@ -44,6 +45,24 @@
     return sum(map(is_write_vote, answers)) >= view.write_quorum
 
 
+def describe_write(answers: list[Any], members: int) -> str:
+    """Returns why a write is not durable, for an error.
+
+    Args:
+        answers: Answers until the quorum was out of reach.
+        members: Number of members that were asked.
+    """
+    votes = sum(map(is_write_vote, answers))
+    text = f"{votes} of {members} members wrote the entry"
+    reasons = [f"{each.reason}" for each in answers if isinstance(each, Failed)]
+    without_vote = sum(1 for each in answers if isinstance(each, Written)) - votes
+    if members > len(answers):
+        reasons.append(f"{members - len(answers)} did not answer in time")
+    if without_vote:
+        reasons.append(f"{without_vote} wrote it without a vote")
+    return f"{text} ({'; '.join(reasons)})" if reasons else text
+
+
 def merge_charges(answers: list[Written]) -> dict[CallId, TokenCharge]:
     """Returns the charges that any of the answers contains, the newest of each call."""
     charges: dict[CallId, TokenCharge] = {}
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/ledger_client.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/ledger_client.py
@@ -18,6 +18,7 @@
 )
 from goldcrestvane_daemon.frontend.ledger_answers import (
     OpenedTurn,
+    describe_write,
     find_missing_charges,
     find_missing_turn,
     get_turn_size,
@@ -352,8 +353,7 @@
             if has_write_quorum(answers, view):
                 return [a for a in answers if isinstance(a, Written)]
             raise LedgerUnavailable(
-                f"{sum(map(is_write_vote, answers))} of {len(group)} members wrote the entry; "
-                f"the quorum is {view.write_quorum}."
+                f"{describe_write(answers, len(group))}; the quorum is {view.write_quorum}."
             )
         raise LedgerUnavailable(
             f"The view changed {MAX_VIEW_ATTEMPTS} times during the write."
--- a/packages/daemon/tests/ledger/test_odd_requests.py
+++ b/packages/daemon/tests/ledger/test_odd_requests.py
@@ -1,7 +1,9 @@
 """Requests with odd values on the port of a member, beside a turn that is recorded."""
 
+import functools
 import math
 import unittest
+from unittest import mock
 
 import msgspec
 import trio
@@ -112,7 +114,10 @@
                         await stream.send_all(frame)
                         with trio.move_on_after(0.02):
                             await stream.receive_some()
-                await ledger.open_turn("p1", "c1", 10)
+                # The members answer; how fast the disk is does not matter here.
+                call = functools.partial(ledger.client.call, timeout=60.0)
+                with mock.patch.object(ledger.client, "call", call):
+                    await ledger.open_turn("p1", "c1", 10)
 
         run_ledger(script)
 
