--- a/packages/daemon/src/goldcrestvane_daemon/ledger/log_items.py
+++ b/packages/daemon/src/goldcrestvane_daemon/ledger/log_items.py
@@ -57,7 +57,7 @@
     def describe(self, state: LedgerState) -> TurnMeta:
         """Returns the description of the record."""
         until = state.compute_expiry(self._turn.retention_seconds)
-        self._meta = build_turn_meta(self._turn, until)
+        self._meta = build_turn_meta(self._turn, until, written_at=state.now)
         return self._meta
 
     def merge(
@@ -84,7 +84,7 @@
     def describe(self, state: LedgerState) -> TurnMeta:
         """Returns the description of the record, with the current expiry."""
         self._until = self._indexed.until
-        return build_turn_meta(self._turn, self._until)
+        return build_turn_meta(self._turn, self._until, written_at=state.now)
 
     def merge(
         self, state: LedgerState, segment: Segment, offset: int, length: int
@@ -113,7 +113,7 @@
     def describe(self, state: LedgerState) -> AccountMeta:
         """Returns the description of the record."""
         until = state.compute_expiry(self._account.retention_seconds)
-        self._meta = AccountMeta(self._account, until)
+        self._meta = AccountMeta(self._account, until, state.now)
         return self._meta
 
     def merge(
@@ -136,7 +136,7 @@
 
     def describe(self, state: LedgerState) -> AccountMeta:
         """Returns the description of the record, with all charges known by then."""
-        return AccountMeta(self._account.build(), self._account.until)
+        return AccountMeta(self._account.build(), self._account.until, state.now)
 
     def merge(
         self, state: LedgerState, segment: Segment, offset: int, length: int
@@ -160,7 +160,7 @@
     def describe(self, state: LedgerState) -> RenewalMeta:
         """Returns the description of the record."""
         until = state.compute_expiry(self._retention_seconds)
-        self._meta = RenewalMeta(dict.fromkeys(self._calls, until))
+        self._meta = RenewalMeta(dict.fromkeys(self._calls, until), state.now)
         return self._meta
 
     def merge(
@@ -185,7 +185,7 @@
         """Returns the description of the record, with the current expiry of each turn."""
         turns = [state.turns.get(call) for call in self._calls]
         expiries = {turn.call: turn.until for turn in turns if turn is not None}
-        self._meta = RenewalMeta(expiries)
+        self._meta = RenewalMeta(expiries, state.now)
         return self._meta
 
     def merge(
--- a/packages/daemon/src/goldcrestvane_daemon/ledger/records.py
+++ b/packages/daemon/src/goldcrestvane_daemon/ledger/records.py
@@ -48,18 +48,23 @@
         call: Id of the turn.
         previous: Preceding turn, if any.
         retention_seconds: Time for which the turn is kept after its last use.
-        until: Time of the log at which the turn expires.
+        until: Time of the log at which the turn expires. A later turn of its chain may have
+            moved it beyond the retention.
+        written_at: Time of the log of the record; None in records of earlier versions.
     """
 
     call: CallId
     previous: CallId | None
     retention_seconds: Retention
     until: LogTime
+    written_at: LogTime | None = None
 
 
-def build_turn_meta(turn: Turn, until: float) -> TurnMeta:
+def build_turn_meta(
+    turn: Turn, until: float, *, written_at: float | None = None
+) -> TurnMeta:
     """Returns the description of a turn that expires at a time of the log."""
-    return TurnMeta(turn.call, turn.previous, turn.retention_seconds, until)
+    return TurnMeta(turn.call, turn.previous, turn.retention_seconds, until, written_at)
 
 
 class AccountMeta(msgspec.Struct, frozen=True, array_like=True, tag="a"):
@@ -68,10 +73,12 @@
     Attributes:
         account: The charges.
         until: Time of the log at which the account expires.
+        written_at: Time of the log of the record; None in records of earlier versions.
     """
 
     account: TokenAccount
     until: LogTime
+    written_at: LogTime | None = None
 
 
 class RenewalMeta(msgspec.Struct, frozen=True, array_like=True, tag="r"):
@@ -79,9 +86,11 @@
 
     Attributes:
         expiries: Times of the log at which the turns expire, by their ids.
+        written_at: Time of the log of the record; None in records of earlier versions.
     """
 
     expiries: dict[CallId, LogTime]
+    written_at: LogTime | None = None
 
 
 Meta = TurnMeta | AccountMeta | RenewalMeta
--- a/packages/daemon/src/goldcrestvane_daemon/ledger/state.py
+++ b/packages/daemon/src/goldcrestvane_daemon/ledger/state.py
@@ -5,6 +5,7 @@
 running. They continue after a restart, and steps of the wall clock do not affect them.
 """
 
+import math
 from collections.abc import Iterator
 from typing import final
 
@@ -17,6 +18,7 @@
 from goldcrestvane_daemon.ledger.records import (
     AccountMeta,
     FoundRecord,
+    Meta,
     RenewalMeta,
     TurnMeta,
     build_turn_meta,
@@ -166,16 +168,13 @@
         renewals = []
         for record in records:
             meta = record.meta
+            newest = max(newest, _get_write_time(meta))
             if isinstance(meta, RenewalMeta):
                 renewals.append(meta)
-                continue
-            if isinstance(meta, TurnMeta):
+            elif isinstance(meta, TurnMeta):
                 self.merge_turn(meta, segment, record.offset, record.length)
-                retention = meta.retention_seconds
             else:
                 self.merge_account(meta, segment)
-                retention = meta.account.retention_seconds
-            newest = max(newest, meta.until - retention - EXPIRY_MARGIN_SECONDS)
         # A batch may hold a renewal before the rewritten record of its turn.
         for renewal in renewals:
             self.merge_renewal(renewal, segment)
@@ -213,3 +212,18 @@
         self._calls[get_partition(call)].discard(call)
         self.damaged.discard(call)
         self.cache.discard(call)
+
+
+def _get_write_time(meta: Meta) -> float:
+    """Returns the time of the log at which a record was written, or an earlier one.
+
+    Records of earlier versions state no time. It follows from the expiry only if the turn
+    was not kept for longer than its retention, which no record of them tells.
+    """
+    if meta.written_at is not None:
+        return meta.written_at
+    if isinstance(meta, RenewalMeta):
+        return -math.inf
+    is_turn = isinstance(meta, TurnMeta)
+    retention = meta.retention_seconds if is_turn else meta.account.retention_seconds
+    return meta.until - retention - EXPIRY_MARGIN_SECONDS
--- a/packages/daemon/tests/ledger/test_compaction.py
+++ b/packages/daemon/tests/ledger/test_compaction.py
@@ -102,6 +102,36 @@
         account = storage.state.get_account("p")
         self.assertEqual({charge.call for charge in account.charges}, CHARGES)
 
+    def test_rewritten_turn_of_a_longer_chain_does_not_move_the_clock(self):
+        """Guards against a restart that drops kept turns after mixed retentions.
+
+        A turn that is kept for a minute is continued by one that is kept for ten. See
+        review/7.
+        """
+
+        async def write(storage):
+            await storage.append(build_turn("short"))
+            for number in range(12):
+                await storage.append(build_turn(f"old{number}"))
+            await storage.append(build_turn("long", "short", retention=600.0))
+            storage.clock.jump(80)
+            storage.state.drop_expired()
+            await storage.append(build_turn("kept"), build_charge("p", "c"))
+            before = storage.state.turns.get("short").segment.number
+            await storage.compactor.free_space()
+            self.assertGreater(storage.state.turns.get("short").segment.number, before)
+            return storage.state.now
+
+        async def read(storage):
+            self.assertEqual(await storage.read_chain("kept"), ["kept"])
+            self.assertEqual(await storage.read_chain("long"), ["long", "short"])
+            self.assertIsNotNone(storage.state.get_account("p"))
+            return storage.state.now
+
+        self.assertAlmostEqual(
+            self.run_storage(write), self.run_storage(read), delta=1.0
+        )
+
     def test_space_is_reused_and_what_is_needed_stays(self):
         async def script(storage):
             await write_old_and_new(storage)
