Copy a turn with the time for which its chain still keeps it

A member that copies a turn from another one kept it for the turn's own retention from then on, also where a later turn keeps the chain for longer: after the replacement of two of three disks such a chain would have had a gap.

Change: a page states the time that is left, if it is longer.

Evidence: the new test fails before, 60 s in place of 500 s.

--- a/packages/daemon/src/goldcrestvane_daemon/ledger/state.py
+++ b/packages/daemon/src/goldcrestvane_daemon/ledger/state.py
@@ -9,11 +9,12 @@
 from collections.abc import Iterator
 from typing import final
 
+import msgspec
 import trio
 
 from goldcrestvane_common.ids import CallId, ProgramId
 from goldcrestvane_daemon.ledger.limits import DEFAULT_LIMITS, StorageLimits
-from goldcrestvane_daemon.ledger.messages import Entry, TokenAccount
+from goldcrestvane_daemon.ledger.messages import Entry, TokenAccount, Turn
 from goldcrestvane_daemon.ledger.metrics import CHAIN_GAPS
 from goldcrestvane_daemon.ledger.records import (
     AccountMeta,
@@ -102,6 +103,16 @@
         """Returns the time of the log until which an entry used now is kept."""
         return self.now + retention_seconds + EXPIRY_MARGIN_SECONDS
 
+    def extend_retention(self, turn: Turn, indexed: IndexedTurn) -> Turn:
+        """Returns a turn with the retention that keeps it elsewhere as long as here.
+
+        A later turn of its chain may keep it for longer than its own retention.
+        """
+        seconds_left = indexed.until - self.now - EXPIRY_MARGIN_SECONDS
+        if seconds_left <= turn.retention_seconds:
+            return turn
+        return msgspec.structs.replace(turn, retention_seconds=seconds_left)
+
     def apply(self, entry: Entry) -> None:
         """Merges an entry that is not on the disk; its turn lasts while it is cached."""
         if entry.account is not None:
--- a/packages/daemon/src/goldcrestvane_daemon/ledger/turn_reader.py
+++ b/packages/daemon/src/goldcrestvane_daemon/ledger/turn_reader.py
@@ -204,7 +204,11 @@
                 page.resume_after = None
             resume_after = None
         found = await self.read_indexed(turns)
-        page.entries += [Entry(turn=turn) for turn in found if turn is not None]
+        page.entries += [
+            Entry(turn=self._state.extend_retention(turn, indexed))
+            for turn, indexed in zip(found, turns, strict=True)
+            if turn is not None
+        ]
         return page
 
 
--- a/packages/daemon/tests/ledger/test_turn_reader.py
+++ b/packages/daemon/tests/ledger/test_turn_reader.py
@@ -47,6 +47,22 @@
 
         self.run_storage(script, segment_bytes=10**6)
 
+    def test_copied_turn_is_kept_as_long_as_its_chain(self):
+        """Guards against a chain that a new member keeps for a part of its retention."""
+
+        async def script(storage):
+            await storage.append(build_turn("short"))
+            await storage.append(build_turn("long", "short", retention=600.0))
+            storage.clock.jump(100)
+            page = await storage.reader.read_page(ALL_PARTITIONS)
+            kept = {
+                each.turn.call: each.turn.retention_seconds for each in page.entries
+            }
+            self.assertEqual(kept["long"], 600.0)
+            self.assertAlmostEqual(kept["short"], 500.0, delta=1.0)
+
+        self.run_storage(script)
+
     def test_long_chain_is_returned_in_parts(self):
         """Guards against a response as large as a chain of a thousand turns."""
 
