Refuse the address of a target that cannot be a host name

Cause: the address was checked for a port only.

Change: a name that cannot be encoded makes the entry invalid, and the log line of an invalid entry quotes it.

Evidence: the new test fails before, since such entries are targets.

--- a/packages/daemon/src/goldcrestvane_daemon/frontend/object_cache.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/object_cache.py
@@ -39,6 +39,9 @@
 VIEW_CHECK_SECONDS = 2.0
 """Interval at which a frontend that cannot reach the ledger reads the view again."""
 
+MAX_LOGGED_BYTES = 200
+"""Part of an invalid entry that is logged."""
+
 WATCHED_KINDS = (ObjectKind.CONFIGURATION, ObjectKind.TARGETS, ObjectKind.LEDGER)
 
 logger = get_logger("directory")
@@ -342,7 +345,8 @@
         target = decode_target(item.name, item.value)
         if target is None:
             logger.warning(
-                "ignored an invalid target entry", extra={"target": instance}
+                "ignored an invalid target entry",
+                extra={"target": instance, "entry": str(item.value[:MAX_LOGGED_BYTES])},
             )
             self._remove(instance, "unreadable")
             return
--- a/packages/daemon/src/goldcrestvane_daemon/platform/object_decoding.py
+++ b/packages/daemon/src/goldcrestvane_daemon/platform/object_decoding.py
@@ -200,6 +200,8 @@
         state = TargetState(raw.state)
         host, _, port_text = raw.address.rpartition(":")
         port = int(port_text) if _PORT.fullmatch(port_text) else 0
+        # Raises UnicodeError for empty and over-long labels, as connecting would.
+        host.encode("idna")
     except (msgspec.DecodeError, ValueError, RecursionError):
         return None
     if not host or not 0 < port <= MAX_PORT or not 1 <= raw.slots <= MAX_SLOTS:
--- a/packages/daemon/tests/frontend/test_foreign_entries.py
+++ b/packages/daemon/tests/frontend/test_foreign_entries.py
@@ -38,6 +38,20 @@
 
         self.run_frontend(script, [[build_response(b"ok")]])
 
+    def test_address_that_cannot_be_a_host_name_is_no_target(self):
+        """Guards against connections of clients that are closed without an answer."""
+
+        async def script(frontend):
+            with self.assertLogs("goldcrestvane.directory", "WARNING") as logs:
+                for number, host in enumerate(("10.0..9", "." * 4, "a" * 64 + ".b")):
+                    entry = {**ENTRY, "address": f"{host}:8080"}
+                    frontend.platform.put("servers", f"x-{number}", entry)
+                await frontend.wait_synced(ObjectKind.TARGETS)
+            self.assertIn("10.0..9:8080", logs.records[0].entry)
+            self.assertEqual((await frontend.send("/once/x")).status, 503)
+
+        self.run_frontend(script)
+
     def test_entry_that_is_nested_too_deeply_hides_no_other_entry(self):
         async def script(frontend):
             deep = msgspec.Raw(b"[" * 5000 + b"]" * 5000)
