Split streams of events whose lines end with CRLF

Change: an event ends with an empty line of either kind; the bytes are forwarded unchanged, and the data that is stored has no carriage returns of line ends.

Evidence: the new test, at each cut and byte by byte, fails before.

--- a/packages/daemon/src/goldcrestvane_daemon/frontend/events.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/events.py
@@ -1,11 +1,15 @@
 """Parser for streams of server-sent events."""
 
+import re
 from typing import final
 
 import msgspec
 
 MAX_EVENT_BYTES = 1024 * 1024
-EVENT_END = b"\n\n"
+EVENT_END = re.compile(rb"\n\r?\n")
+MAX_END_BYTES = 3
+"""An empty line, behind a line that ends with a line feed; lines may end with CRLF."""
+
 DATA_FIELD = b"data:"
 ID_FIELD = b"id:"
 
@@ -52,9 +56,9 @@
         """
         self._buffer += data
         events = []
-        while (end := self._buffer.find(EVENT_END, self._searched)) >= 0:
-            raw = bytes(self._buffer[: end + len(EVENT_END)])
-            del self._buffer[: len(raw)]
+        while (end := self._find_end()) is not None:
+            raw = bytes(self._buffer[:end])
+            del self._buffer[:end]
             self._searched = 0
             events.append(parse_event(raw))
         if len(self._buffer) > MAX_EVENT_BYTES:
@@ -62,16 +66,21 @@
                 f"Got {len(self._buffer)} bytes of an event without its end, "
                 f"expected at most {MAX_EVENT_BYTES}."
             )
-        # The end may begin with the last byte of the buffer.
-        self._searched = max(0, len(self._buffer) - len(EVENT_END) + 1)
+        # The end may begin with the last bytes of the buffer.
+        self._searched = max(0, len(self._buffer) - MAX_END_BYTES + 1)
         return events
 
+    def _find_end(self) -> int | None:
+        """Returns the position behind the first event; None if it is incomplete."""
+        match = EVENT_END.search(self._buffer, self._searched)
+        return match.end() if match else None
+
 
 def parse_event(raw: bytes) -> StreamEvent:
     """Parses the bytes of one event."""
     number = None
     data = []
-    for line in raw.split(b"\n"):
+    for line in raw.replace(b"\r\n", b"\n").split(b"\n"):
         if line.startswith(DATA_FIELD):
             data.append(line[len(DATA_FIELD) :].removeprefix(b" "))
         elif line.startswith(ID_FIELD):
--- a/packages/daemon/tests/frontend/test_events.py
+++ b/packages/daemon/tests/frontend/test_events.py
@@ -10,14 +10,28 @@
 
 
 class EventSplitterTests(unittest.TestCase):
+    def check_split(self, stream):
+        for cut in range(len(stream)):
+            for width in (1, len(stream)):
+                splitter = EventSplitter()
+                events = splitter.feed(stream[:cut])
+                for start in range(cut, len(stream), width):
+                    events += splitter.feed(stream[start : start + width])
+                self.assertEqual([event.number for event in events], [1, 2])
+                self.assertEqual([event.data for event in events], [b"a", b"b"])
+                self.assertEqual(b"".join(event.raw for event in events), stream)
+                self.assertEqual(splitter.remainder, b"")
+
     def test_events_do_not_depend_on_how_the_stream_is_split(self):
-        for cut in range(len(STREAM)):
-            splitter = EventSplitter()
-            events = splitter.feed(STREAM[:cut]) + splitter.feed(STREAM[cut:])
-            self.assertEqual([event.number for event in events], [1, 2])
-            self.assertEqual([event.data for event in events], [b"a", b"b"])
-            self.assertEqual(b"".join(event.raw for event in events), STREAM)
-            self.assertEqual(splitter.remainder, b"")
+        self.check_split(STREAM)
+
+    def test_lines_may_end_with_a_carriage_return_and_a_line_feed(self):
+        """Guards against streams that are never split into events."""
+        self.check_split(STREAM.replace(b"\n", b"\r\n"))
+
+    def test_carriage_return_in_the_data_ends_no_line(self):
+        (event,) = EventSplitter().feed(b"data: a\rb\n\n")
+        self.assertEqual(event.data, b"a\rb")
 
     def test_incomplete_event_is_buffered(self):
         splitter = EventSplitter()
