Go on with a stream whose rest is answered with an error

Change: such an answer is a failed attempt. The stream goes on at a further attempt, if the route has one left, and is broken off otherwise.

Evidence: both new tests fail before, with LocalProtocolError in the log.

--- a/packages/daemon/src/goldcrestvane_daemon/frontend/attempts.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/attempts.py
@@ -237,6 +237,10 @@
             validate_response(head)
             if head.status >= 500 and _may_retry(call):
                 raise TargetFailed(f"Got status {head.status}.")
+            if body is not None and call.response_started:
+                raise TargetFailed(
+                    f"Got status {head.status} for the rest of a stream."
+                )
             event_seconds = None
             headers = remove_content_length(head.forwarded) + connection_headers
             if body is None:
--- a/packages/daemon/tests/frontend/test_broken_off_streams.py
+++ b/packages/daemon/tests/frontend/test_broken_off_streams.py
@@ -3,7 +3,7 @@
 import trio
 
 from frontend.frontend_case import HOST, FrontendCase, build_events, build_stream
-from frontend.support import ScriptedTarget
+from frontend.support import ScriptedTarget, SharedScript, build_response
 from goldcrestvane_daemon.platform.store import ObjectKind
 
 BEGUN = [*build_stream([1, 2], end=False)[:-1], None]
@@ -17,6 +17,33 @@
     return trio.SocketListener(listener)
 
 
+class RefusedRestTests(FrontendCase):
+    """A target answers the rest of a stream with an error."""
+
+    ERROR = build_response(b"error", status="500 Internal Server Error")
+
+    def check_response(self, answers, *, numbers, whole):
+        async def script(frontend):
+            # A second head inside a response is an unexpected error.
+            with self.assertNoLogs("goldcrestvane.task"):
+                response = await frontend.send_turn("/resume/x")
+            self.assertEqual(response.status, 200)
+            self.assertEqual(response.body, build_events(numbers))
+            self.assertEqual(response.whole, whole)
+            self.assertEqual(len(frontend.requests), len(answers))
+
+        script_of_both = SharedScript(answers)
+        self.run_frontend(script, script_of_both, script_of_both)
+
+    def test_stream_goes_on_at_another_attempt(self):
+        answers = [BEGUN, [self.ERROR], build_stream([3, 4])]
+        self.check_response(answers, numbers=[1, 2, 3, 4], whole=True)
+
+    def test_stream_is_broken_off_after_the_last_attempt(self):
+        answers = [BEGUN, *[[self.ERROR]] * 3]
+        self.check_response(answers, numbers=[1, 2], whole=False)
+
+
 class BrokenOffStreamTests(FrontendCase):
     """A target dies in the middle of a stream and starts again under its id."""
 
