Log responses of peers that come late, and the way of requests for tokens

The logs could not tell a member that is silent from one whose tokens come after the 0.2 s for which a frontend waits, nor whether the request went through another frontend.

A response to a request whose sender no longer waits is now logged and counted; the line on a member without tokens has the time since it was asked and whether the request was relayed. Nothing is decided differently.

Test: LateResponseTests fails before, since nothing is logged.

--- a/packages/daemon/src/goldcrestvane_daemon/frontend/metrics.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/metrics.py
@@ -92,6 +92,11 @@
     "Tokens of accounts' quotas that this frontend was granted or has used",
     ["event"],
 )
+RELAY_SECONDS = Histogram(
+    "goldcrestvane_relay_seconds",
+    "Time until another frontend answered a request to relay to a ledger member",
+    buckets=SECONDS_BUCKETS,
+)
 RUNNING = Gauge("goldcrestvane_calls_running", "Calls under way")
 CONNECTIONS = Gauge("goldcrestvane_client_connections", "Open connections of clients")
 COPY_AGE_SECONDS = Gauge(
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/peers.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/peers.py
@@ -14,6 +14,7 @@
 from goldcrestvane_common.ids import DomainId, Fingerprint, Version, hash_text
 from goldcrestvane_common.logs import get_logger
 from goldcrestvane_daemon.frontend.crash_tracker import CrashTracker, TrackedDeaths
+from goldcrestvane_daemon.frontend.metrics import RELAY_SECONDS
 from goldcrestvane_daemon.frontend.peer_messages import (
     FetchDeaths,
     FetchObjects,
@@ -166,7 +167,9 @@
         """
         message = Relay(address, request, timeout)
         for peer in self._list_connected():
+            started = trio.current_time()
             answer = await peer.call(message, timeout=timeout + RELAY_MARGIN_SECONDS)
+            RELAY_SECONDS.observe(trio.current_time() - started)
             if isinstance(answer, Relayed) and answer.response is not None:
                 return answer.response
         raise PeerUnreachable(f"No frontend reaches {address} either.")
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/quota_client.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/quota_client.py
@@ -62,6 +62,9 @@
     async def ask(self, member: str, request: AcquireQuota) -> QuotaGrants:
         """Asks a member for tokens; raises LedgerUnavailable."""
 
+    def is_connected(self, member: str) -> bool:
+        """Returns whether this frontend reaches a member without another one."""
+
 
 @final
 class LedgerQuotaSource:
@@ -106,6 +109,10 @@
         spread = hash_text(f"{self._address} {account} {member.address}")
         return member.domain != self._domain, spread
 
+    def is_connected(self, member: str) -> bool:
+        """Returns whether this frontend reaches a member without another one."""
+        return self._ledger.is_connected(member)
+
     async def ask(self, member: str, request: AcquireQuota) -> QuotaGrants:
         """Asks a member for tokens.
 
@@ -245,6 +252,7 @@
         """Sends one request to a member, and what has arisen since after it."""
         asked_at = get_elapsed_time()
         assert self._source is not None
+        is_relayed = not self._source.is_connected(member)
         try:
             grants = await self._source.ask(member, AcquireQuota(items))
             QUOTA_TOKENS.labels("granted").inc(
@@ -260,7 +268,12 @@
         except LedgerUnavailable as error:
             logger.info(
                 "a member issues no tokens",
-                extra={"member": member, "reason": str(error)},
+                extra={
+                    "member": member,
+                    "reason": str(error),
+                    "relayed": is_relayed,
+                    "ms": round((get_elapsed_time() - asked_at) * 1000, 1),
+                },
             )
             self._tokens.fail(member, items, get_elapsed_time())
         self._ask_members(
--- a/packages/daemon/src/goldcrestvane_daemon/ledger/frames.py
+++ b/packages/daemon/src/goldcrestvane_daemon/ledger/frames.py
@@ -13,6 +13,7 @@
 
 import msgspec
 import trio
+from prometheus_client import Counter
 
 from goldcrestvane_common.keepalive import KEEPALIVE_OPTIONS
 from goldcrestvane_common.logs import get_logger
@@ -32,6 +33,9 @@
 SEND_TIMEOUT_SECONDS = 5.0
 """Timeout of sending one frame, after which its connection is closed."""
 
+MAX_ABANDONED_REQUESTS = 256
+"""Maximum number of requests without a response that are remembered per connection."""
+
 MAX_REQUESTS_PER_CONNECTION = 1024
 """Limit on the requests of one peer that are handled concurrently, or whose responses it
 has not read."""
@@ -43,6 +47,11 @@
 UNREADABLE_ERRORS = (ValueError, msgspec.DecodeError, RecursionError)
 """Errors of frames that cannot be decoded. Deep nesting exceeds the decoder's stack."""
 
+LATE_RESPONSES = Counter(
+    "goldcrestvane_late_peer_responses",
+    "Responses of other processes to requests whose senders no longer wait",
+)
+
 logger = get_logger("peers")
 
 _decode_envelope = msgspec.msgpack.Decoder(tuple[int, msgspec.Raw]).decode
@@ -123,6 +132,7 @@
         self._decoder = msgspec.msgpack.Decoder(tuple[int, response_type])
         self._request_ids = itertools.count()
         self._pending: dict[int, _Pending] = {}
+        self._abandoned: dict[int, float] = {}
         self._stream: trio.SocketStream | None = None
         self._write_lock = trio.Lock()
         self._last_received_at = 0.0
@@ -178,6 +188,8 @@
                 pending = self._pending.get(request_id)
                 if pending is not None:
                     pending.resolve(response)
+                else:
+                    self._record_late_response(request_id, response)
         except UNREADABLE_ERRORS as error:
             logger.warning(
                 "a peer sent an unreadable frame; reconnecting",
@@ -186,6 +198,7 @@
         finally:
             self._stream = None
             self.connected = trio.Event()
+            self._abandoned.clear()
             for pending in self._pending.values():
                 pending.resolve(None)
             await trio.aclose_forcefully(stream)
@@ -214,6 +227,8 @@
             raise PeerUnreachable(f"{self.address} closed the connection.") from error
         finally:
             del self._pending[request_id]
+            if not pending.done.is_set() and self._stream is stream:
+                self._abandon(request_id, started)
         if pending.response is None:
             if self._last_received_at < started and self._stream is stream:
                 # Closes an unresponsive connection before keep-alive detects it.
@@ -222,6 +237,26 @@
             raise PeerUnreachable(f"{self.address} did not answer within {timeout} s.")
         return pending.response
 
+    def _abandon(self, request_id: int, started: float) -> None:
+        """Remembers a request whose response nobody waits for any more."""
+        if len(self._abandoned) >= MAX_ABANDONED_REQUESTS:
+            del self._abandoned[next(iter(self._abandoned))]
+        self._abandoned[request_id] = started
+
+    def _record_late_response(self, request_id: int, response: Any) -> None:
+        started = self._abandoned.pop(request_id, None)
+        if started is None:
+            return
+        LATE_RESPONSES.inc()
+        logger.info(
+            "a response of a peer came late",
+            extra={
+                "peer": self.address,
+                "response": type(response).__name__,
+                "ms": round((trio.current_time() - started) * 1000, 1),
+            },
+        )
+
     async def _send(self, stream: trio.SocketStream, frame: bytes) -> None:
         async with self._write_lock:
             deadline = trio.current_time() + SEND_TIMEOUT_SECONDS
--- a/packages/daemon/tests/frontend/test_quota_client.py
+++ b/packages/daemon/tests/frontend/test_quota_client.py
@@ -38,6 +38,9 @@
     def list_members(self, account):
         return ("m",)
 
+    def is_connected(self, member):
+        return True
+
     async def ask(self, member, request):
         await trio.sleep(0.001)
         if self.error is not None:
--- a/packages/daemon/tests/ledger/test_frames.py
+++ b/packages/daemon/tests/ledger/test_frames.py
@@ -76,6 +76,40 @@
         trio.run(main)
 
 
+class LateResponseTests(unittest.TestCase):
+    def test_response_that_comes_after_its_timeout_is_logged(self):
+        """Guards against slow peers that cannot be told from silent ones."""
+
+        async def handle(_):
+            await trio.sleep(2 * SHORT_SECONDS)
+            return Failed("late")
+
+        async def main():
+            async with trio.open_nursery() as nursery:
+                listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+                port = listeners[0].socket.getsockname()[1]
+
+                async def serve(stream):
+                    await serve_frames(stream, Request, handle)
+
+                nursery.start_soon(trio.serve_listeners, serve, listeners)
+                peer = PeerConnection(f"127.0.0.1:{port}", Response)
+                nursery.start_soon(peer.run)
+                with trio.fail_after(TIMEOUT_SECONDS):
+                    await peer.connected.wait()
+                    with self.assertLogs("goldcrestvane.peers", "INFO") as logs:
+                        with trio.move_on_after(SHORT_SECONDS):
+                            await peer.call(GetMemberState(), timeout=TIMEOUT_SECONDS)
+                        await peer.call(GetMemberState(), timeout=TIMEOUT_SECONDS)
+                nursery.cancel_scope.cancel()
+            (record,) = logs.records
+            self.assertIn("came late", record.getMessage())
+            self.assertEqual(record.response, "Failed")
+            self.assertGreaterEqual(record.ms, SHORT_SECONDS * 1000)
+
+        trio.run(main)
+
+
 class UnreadStream:
     """A connection whose peer sends requests and takes no bytes."""
 
