--- a/packages/daemon/tests/frontend/test_quota_client.py
+++ b/packages/daemon/tests/frontend/test_quota_client.py
@@ -1,8 +1,10 @@
 """Runs calls of accounts with quotas through a frontend, against a fake member."""
 
+import unittest
 from unittest import mock
 
 import trio
+import trio.testing
 
 from frontend.frontend_case import FrontendCase, build_stream
 from frontend.support import ScriptedTarget, build_response
@@ -11,6 +13,8 @@
 from goldcrestvane_daemon.frontend import calls as calls_module
 from goldcrestvane_daemon.frontend import quota_client
 from goldcrestvane_daemon.frontend.ledger_client import LedgerUnavailable
+from goldcrestvane_daemon.frontend.refusals import QuotaUnavailable
+from goldcrestvane_daemon.ledger.frames import PeerUnreachable
 from goldcrestvane_daemon.ledger.messages import QuotaGrants
 from goldcrestvane_daemon.platform.store import ObjectKind
 
@@ -211,3 +215,104 @@
             self.assertEqual((await frontend.send("/once/x")).status, 200)
 
         self.run_account(script, [OK], account=ClientAccount(account="depot"))
+
+
+class SlowLedger:
+    """Three members that issue a quota; each response takes the next listed time.
+
+    Attributes:
+        delays: Seconds until the next responses; None for one that never comes. Then
+            responses are immediate.
+    """
+
+    view = mock.Mock(
+        list_quota_issuers=lambda account, issuers: [
+            mock.Mock(address=name) for name in ("a", "b", "c")
+        ]
+    )
+
+    def __init__(self, *delays):
+        self.delays = list(delays)
+        self.buckets = {
+            name: QuotaBuckets(QuotaTolerance(), 1) for name in ("a", "b", "c")
+        }
+
+    def is_connected(self, address):
+        return True
+
+    async def call(self, address, request, timeout=60.0):
+        delay = self.delays.pop(0) if self.delays else 0.0
+        if delay is None or delay > timeout:
+            await trio.sleep(timeout)
+            raise PeerUnreachable(f"{address} did not answer within {timeout} s.")
+        await trio.sleep(delay)
+        now = trio.current_time()
+        return QuotaGrants(
+            [
+                self.buckets[address].handle(
+                    item, members=3, began=float("-inf"), now=now
+                )
+                for item in request.items
+            ]
+        )
+
+
+class LateTokensTests(unittest.TestCase):
+    """Members whose responses take longer than usual, on a simulated clock."""
+
+    ACCOUNT = ClientAccount(account="shop", quota=Quota(rate=100.0, burst=100.0))
+
+    def run_script(self, script, *delays):
+        async def main():
+            async with trio.open_nursery() as nursery:
+                source = quota_client.LedgerQuotaSource(
+                    SlowLedger(*delays), address="f", domain="d", issuers=3
+                )
+                client = quota_client.QuotaClient(source, nursery)
+
+                async def acquire(seconds_left=3.0):
+                    call = mock.Mock(
+                        deadline=trio.current_time() + seconds_left, version=1
+                    )
+                    return await client.acquire(call, self.ACCOUNT, self.ACCOUNT.quota)
+
+                with mock.patch.object(
+                    quota_client, "get_elapsed_time", trio.current_time
+                ):
+                    await script(acquire)
+                nursery.cancel_scope.cancel()
+
+        trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+    def test_tokens_that_come_late_are_used(self):
+        """Guards against refusals while all members issue, after a lost packet each."""
+
+        async def script(acquire):
+            token = await acquire()
+            self.assertTrue(token.is_valid(trio.current_time()))
+            self.assertLess(trio.current_time(), 0.6)
+
+        self.run_script(script, 0.45, 0.45, 0.45)
+
+    def test_member_is_asked_again_after_a_late_response(self):
+        """Guards against seconds of refusals that a few late responses cause."""
+
+        async def script(acquire):
+            await acquire()
+            await trio.sleep(0.3)
+            started = trio.current_time()
+            for _ in range(30):
+                await acquire(seconds_left=1.2)
+            self.assertLess(trio.current_time() - started, 0.1)
+
+        self.run_script(script, 0.25, 0.25, 0.25)
+
+    def test_call_does_not_wait_for_silent_members_beyond_its_share(self):
+        """Guards against calls that are held until their deadline."""
+
+        async def script(acquire):
+            with self.assertRaises(QuotaUnavailable):
+                await acquire(seconds_left=2.0)
+            self.assertLessEqual(trio.current_time(), 0.3 * 2.0 + 1e-6)
+
+        self.run_script(script, *[None] * 20)
