Choose the frontend that relays to the ledger by its recent response times

A relay that closed its connection ended the request although others were connected.

Cause: a fixed choice without regard to load, and no second choice. A request now goes to the connected frontend with the lowest expected wait (peak EWMA of its response times, times its unanswered requests), and to the next one if that one cannot relay, within the time of the request.

--- a/packages/daemon/src/goldcrestvane_daemon/frontend/peers.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/peers.py
@@ -27,6 +27,7 @@
     ReportAccepted,
     ReportDeaths,
 )
+from goldcrestvane_daemon.frontend.relay_selection import RelaySelection
 from goldcrestvane_daemon.ledger.frames import (
     PeerConnection,
     PeerUnreachable,
@@ -70,6 +71,7 @@
         self._peers: dict[str, tuple[PeerConnection, trio.CancelScope]] = {}
         self._call_member: CallMember | None = None
         self._get_copy: GetCopy | None = None
+        self._relays = RelaySelection()
         self._asked_count = 0
 
     def set_handlers(self, call_member: CallMember, get_copy: GetCopy) -> None:
@@ -106,6 +108,7 @@
         for address in set(self._peers) - wanted:
             _, scope = self._peers.pop(address)
             scope.cancel()
+            self._relays.forget(address)
         for address in wanted - set(self._peers):
             peer = PeerConnection(address, FrontendResponse)
             scope = trio.CancelScope()
@@ -163,17 +166,48 @@
         """Sends a request to a member of the ledger through another frontend.
 
         Raises:
-            PeerUnreachable: No frontend relayed a response.
+            PeerUnreachable: No frontend relayed a response in time.
         """
-        message = Relay(address, request, timeout)
-        for peer in self._list_connected():
-            started = trio.current_time()
-            answer = await peer.call(message, timeout=timeout + RELAY_MARGIN_SECONDS)
-            RELAY_SECONDS.observe(trio.current_time() - started)
+        give_up = trio.current_time() + timeout
+        connected = {peer.address: peer for peer in self._list_connected()}
+        ranked = self._relays.rank(connected, address, trio.current_time())
+        for relay in ranked:
+            seconds_left = give_up - trio.current_time()
+            if seconds_left <= 0:
+                break
+            answer = await self._relay_through(
+                connected[relay], Relay(address, request, seconds_left)
+            )
             if isinstance(answer, Relayed) and answer.response is not None:
                 return answer.response
         raise PeerUnreachable(f"No frontend reaches {address} either.")
 
+    async def _relay_through(self, peer: PeerConnection, message: Relay) -> Any:
+        """Returns the response of one relay; None if there is none."""
+        started = trio.current_time()
+        answer = None
+        failed = False
+        self._relays.start(peer.address)
+        try:
+            answer = await peer.call(
+                message, timeout=message.timeout_seconds + RELAY_MARGIN_SECONDS
+            )
+            failed = answer == Relayed(None)
+        except PeerUnreachable as error:
+            failed = True
+            logger.info("a frontend does not relay", extra={"reason": str(error)})
+        finally:
+            now = trio.current_time()
+            RELAY_SECONDS.observe(now - started)
+            self._relays.end(
+                peer.address,
+                message.address,
+                seconds=now - started,
+                failed=failed,
+                now=now,
+            )
+        return answer
+
     async def fetch_copy(
         self, kind: ObjectKind, since: Version, digest: str
     ) -> ObjectsCopy | None:
