Send small entries once, too, from a frontend that reaches no member

Cause: only entries of 1 KB and more were forwarded by a member; the number of messages through a relay was not considered. A frontend that reaches no member of a group now sends each entry to one member, which forwards it.

--- a/packages/daemon/src/goldcrestvane_daemon/frontend/ledger_client.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/ledger_client.py
@@ -340,8 +340,13 @@
                 return Write(get_stamp(view), entry, wanted)
 
             answers: list[Any] = []
-            if get_turn_size(entry) >= MIN_FORWARDED_BYTES:
-                answers = await self._write_forwarded(view, group, entry)
+            is_cut_off = not any(self.is_connected(each.address) for each in group)
+            if is_cut_off or get_turn_size(entry) >= MIN_FORWARDED_BYTES:
+                # A relay passes on one request instead of one for each member.
+                timeout = (
+                    REQUEST_TIMEOUT_SECONDS if is_cut_off else FORWARD_TIMEOUT_SECONDS
+                )
+                answers = await self._write_forwarded(view, group, entry, timeout)
             stale = any(isinstance(answer, StaleView) for answer in answers)
             if not stale and not has_write_quorum(answers, view):
                 # All members are asked again, so that no member counts twice.
@@ -366,7 +371,7 @@
             self.adopt(max(newer, key=lambda each: each.epoch))
         return bool(newer)
 
-    def _choose_nearest(self, group: tuple[Member, ...]) -> Member:
+    def _choose_nearest(self, group: Sequence[Member]) -> Member:
         def rank(member: Member) -> tuple[bool, bool]:
             peer = self._peers.get(member.address)
             return (
@@ -394,7 +399,7 @@
         )
 
     async def _write_forwarded(
-        self, view: View, group: tuple[Member, ...], entry: Entry
+        self, view: View, group: tuple[Member, ...], entry: Entry, timeout: float
     ) -> list[Any]:
         """Writes an entry through the nearest member, which forwards it to the others.
 
@@ -405,14 +410,19 @@
             The members' answers. Empty if the nearest member fails; the caller then
             writes the entry directly.
         """
-        nearest = self._choose_nearest(group)
         now = trio.current_time()
-        if self._forward_backoff_until.get(nearest.address, 0.0) > now:
+        sound = [
+            each
+            for each in group
+            if self._forward_backoff_until.get(each.address, 0.0) <= now
+        ]
+        if not sound:
             return []
+        nearest = self._choose_nearest(sound)
         others = [each.address for each in group if each is not nearest]
         request = ForwardWrite(Write(get_stamp(view), entry), others, view.write_quorum)
         try:
-            answer = await self.call(nearest.address, request, FORWARD_TIMEOUT_SECONDS)
+            answer = await self.call(nearest.address, request, timeout)
         except PeerUnreachable as error:
             answer = Failed(str(error))
         if isinstance(answer, ForwardResult):
--- a/packages/daemon/tests/ledger/test_forwarding.py
+++ b/packages/daemon/tests/ledger/test_forwarding.py
@@ -74,21 +74,60 @@
 
         run_ledger(script)
 
+    def build_cut_off_client(self, ledger):
+        """Returns a client without connections, and the list of its relayed requests."""
+        cut_off = ledger.build_client()
+        cut_off.view = ledger.client.view
+        cut_off._peers = {
+            member.address: mock.Mock(is_connected=False)
+            for member in cut_off.view.slots
+        }
+        relayed = []
+
+        async def relay(address, request, timeout):
+            relayed.append(request)
+            return await ledger.client.call_member(address, request, timeout)
+
+        cut_off._frontends.relay = relay
+        return cut_off, relayed
+
+    def test_frontend_without_connections_sends_a_charge_once_through_a_relay(self):
+        """Guards against relays that are overloaded by five requests for each write."""
+
+        async def script(ledger):
+            cut_off, relayed = self.build_cut_off_client(ledger)
+            charge = TokenCharge("t1", 10, True)
+            for _ in range(100):
+                relayed.clear()
+                await cut_off.settle("p", charge, None, 60.0)
+                if len(relayed) == 1:
+                    break
+                # Members connect to each other only after they start to vote.
+                await trio.sleep(0.05)
+            self.assertEqual([type(each) for each in relayed], [ForwardWrite])
+
+        run_ledger(script)
+
+    def test_write_goes_through_another_member_while_one_fails_to_forward(self):
+        """Guards against a lost member that costs each relayed write its timeout."""
+
+        async def script(ledger):
+            cut_off, relayed = self.build_cut_off_client(ledger)
+            nearest = cut_off._choose_nearest(cut_off.view.list_group("p"))
+            ledger.members[nearest.instance].service.enable_forwarding(
+                hang, ledger.nursery
+            )
+            await cut_off.settle("p", TokenCharge("t1", 10, True), None, 60.0)
+            self.assertGreater(len(relayed), 1)
+            relayed.clear()
+            await cut_off.settle("p", TokenCharge("t2", 10, True), None, 60.0)
+            self.assertIsInstance(relayed[0], ForwardWrite)
+
+        run_ledger(script)
+
     def test_frontend_without_connections_sends_a_turn_once_through_a_relay(self):
         async def script(ledger):
-            cut_off = ledger.build_client()
-            cut_off.view = ledger.client.view
-            cut_off._peers = {
-                member.address: mock.Mock(is_connected=False)
-                for member in cut_off.view.slots
-            }
-            relayed = []
-
-            async def relay(address, request, timeout):
-                relayed.append(request)
-                return await ledger.client.call_member(address, request, timeout)
-
-            cut_off._frontends.relay = relay
+            cut_off, relayed = self.build_cut_off_client(ledger)
             turn = Turn("t1", None, self.big, b"out\n", 60.0)
             charge = TokenCharge("t1", 10, True)
             await cut_off.settle("p", charge, turn, 60.0)
