Keep connections to frontends while members name changing parts of them

Cause: a member names the 16 frontends that announced themselves last, and a frontend connected to the best four of each response. With 22 frontends every response is another selection, so connections were replaced all the time, and with a connection all requests ended that were relayed over it. Class: a changing sample taken for the whole membership.

A frontend now chooses among all that members have named within 8 s, and a connection that is replaced stays open for the responses that it awaits.

Two tests of test_peers fail before: the peers change with each sample, and a relayed request ends with its connection.

--- a/packages/daemon/src/goldcrestvane_daemon/frontend/peers.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/peers.py
@@ -46,6 +46,13 @@
 
 RELAY_MARGIN_SECONDS = 0.2
 
+KNOWN_SECONDS = 8.0
+"""Time for which a frontend counts as running after a member has named it. Each response of
+a member names only some of them."""
+
+DRAIN_SECONDS = 1.5
+"""Time for which a replaced connection stays open for the responses that it awaits."""
+
 MAX_FETCHED_DEATHS = 1000
 """Maximum number of requests in a response about deaths, which has about 100 KB then."""
 
@@ -72,6 +79,7 @@
         self._call_member: CallMember | None = None
         self._get_copy: GetCopy | None = None
         self._relays = RelaySelection()
+        self._named_at: dict[Frontend, float] = {}
         self._asked_count = 0
 
     def set_handlers(self, call_member: CallMember, get_copy: GetCopy) -> None:
@@ -89,11 +97,26 @@
 
         `update_frontends` replaces them once the ledger has announced others.
         """
-        seeds = [Frontend(address, DomainId("")) for address in addresses]
-        self.update_frontends(seeds, "")
+        self._connect([Frontend(each, DomainId("")) for each in addresses], "")
 
     def update_frontends(self, frontends: list[Frontend], domain: str) -> None:
-        """Connects to up to `MAX_PEERS` frontends, those of other domains first."""
+        """Connects to up to `MAX_PEERS` frontends, those of other domains first.
+
+        Args:
+            frontends: Frontends that a member of the ledger has named. Those that were
+                named before count as well for some time.
+            domain: Failure domain of this frontend.
+        """
+        now = trio.current_time()
+        self._named_at.update(dict.fromkeys(frontends, now))
+        self._named_at = {
+            frontend: at
+            for frontend, at in self._named_at.items()
+            if at > now - KNOWN_SECONDS
+        }
+        self._connect(list(self._named_at), domain)
+
+    def _connect(self, frontends: list[Frontend], domain: str) -> None:
         others = [each for each in frontends if each.address != self._local_address]
         if not others:
             return
@@ -107,14 +130,19 @@
         wanted = {each.address for each in others[:MAX_PEERS]}
         for address in set(self._peers) - wanted:
             _, scope = self._peers.pop(address)
-            scope.cancel()
             self._relays.forget(address)
+            self._nursery.start_soon(self._drain, scope)
         for address in wanted - set(self._peers):
             peer = PeerConnection(address, FrontendResponse)
             scope = trio.CancelScope()
             self._peers[address] = (peer, scope)
             self._nursery.start_soon(self._run_peer, peer, scope)
 
+    async def _drain(self, scope: trio.CancelScope) -> None:
+        """Closes a connection that gets no new requests, once it awaits no response."""
+        await trio.sleep(DRAIN_SECONDS)
+        scope.cancel()
+
     async def _run_peer(self, peer: PeerConnection, scope: trio.CancelScope) -> None:
         with scope:
             async with trio.open_nursery() as nursery:
--- a/packages/daemon/tests/frontend/test_peers.py
+++ b/packages/daemon/tests/frontend/test_peers.py
@@ -6,6 +6,7 @@
 import trio
 import trio.testing
 
+from goldcrestvane_daemon.frontend import peers as peers_module
 from goldcrestvane_daemon.frontend.copy_bounds import CopyBounds
 from goldcrestvane_daemon.frontend.crash_tracker import CrashTracker
 from goldcrestvane_daemon.frontend.object_cache import ObjectCache
@@ -16,7 +17,7 @@
 )
 from goldcrestvane_daemon.frontend.peers import MAX_PEERS, FrontendPeers
 from goldcrestvane_daemon.ledger.frames import PeerConnection
-from goldcrestvane_daemon.ledger.messages import Frontend
+from goldcrestvane_daemon.ledger.messages import Failed, Frontend, GetMemberState
 from goldcrestvane_daemon.platform.store import ObjectKind
 
 DOMAINS = ("d0", "d1", "d2")
@@ -54,6 +55,75 @@
         self.assertGreaterEqual(len(counts), 15)
         self.assertLessEqual(max(counts.values()), 3 * MAX_PEERS)
 
+    def test_peers_stay_while_members_name_changing_parts_of_the_frontends(self):
+        """Guards against relayed requests that end with their connections."""
+        frontends = [
+            Frontend(f"127.0.0.1:{9000 + n}", DOMAINS[n % 3]) for n in range(22)
+        ]
+
+        async def main():
+            rng = random.Random(1)
+            async with trio.open_nursery() as nursery:
+                peers = FrontendPeers("local", CrashTracker(), nursery)
+                for _ in range(12):
+                    peers.update_frontends(rng.sample(frontends, 16), DOMAINS[0])
+                    await trio.sleep(0.5)
+                chosen = set(peers.list_addresses())
+                for _ in range(60):
+                    peers.update_frontends(rng.sample(frontends, 16), DOMAINS[0])
+                    await trio.sleep(0.5)
+                    self.assertEqual(set(peers.list_addresses()), chosen)
+                nursery.cancel_scope.cancel()
+
+        with mock.patch(
+            "trio.open_tcp_stream", mock.AsyncMock(side_effect=OSError("none"))
+        ):
+            trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+    def test_replaced_connection_still_brings_the_responses_that_it_awaits(self):
+        """Guards against relayed requests that end with their connections."""
+
+        async def main():
+            async with trio.open_nursery() as nursery:
+                listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+                address = f"127.0.0.1:{listeners[0].socket.getsockname()[1]}"
+                relay = FrontendPeers(address, CrashTracker(), nursery)
+                arrived, released = trio.Event(), trio.Event()
+
+                async def call_member(*_):
+                    arrived.set()
+                    await released.wait()
+                    return Failed("answered")
+
+                relay.set_handlers(call_member, mock.Mock())
+                nursery.start_soon(trio.serve_listeners, relay.serve, listeners)
+                peers = FrontendPeers("local", CrashTracker(), nursery)
+                peers.update_frontends([Frontend(address, "d1")], "d0")
+                answers = []
+
+                async def ask():
+                    answers.append(await peers.relay("m", GetMemberState(), 60.0))
+
+                with trio.fail_after(60):
+                    while not peers._list_connected():
+                        await trio.sleep(0.01)
+                    async with trio.open_nursery() as asking:
+                        asking.start_soon(ask)
+                        await arrived.wait()
+                        others = [
+                            Frontend(f"127.0.0.1:{n + 1}", "d1")
+                            for n in range(MAX_PEERS)
+                        ]
+                        with mock.patch.object(peers_module, "KNOWN_SECONDS", 0.0):
+                            peers.update_frontends(others, "d0")
+                        peers.update_frontends(others, "d0")
+                        self.assertNotIn(address, peers.list_addresses())
+                        released.set()
+                self.assertEqual(answers, [Failed("answered")])
+                nursery.cancel_scope.cancel()
+
+        trio.run(main)
+
     def test_copy_is_asked_of_one_frontend_after_the_other(self):
         """Guards against checks that cost each frontend a message to all others."""
 
