Forward small entries of all frontends through one member

Cause: each write of a turn went to all five members of a group. In a profile of such a frontend (trial, 9 s of the burst, 1.8 s of its time) about half of 8,685 sends were requests to members, and the time was spread over the event loop's cost for each message. Ruled out: the queue with its choice of targets (0.08 s) and the log (0.06 s).

Every entry now goes to one member, which forwards it, as large ones did before; the total of messages stays, but members have 1.3 cores. Only the first entry of a turn that continues a stored chain is still sent to all, since the chain comes with an answer. An entry goes to all members once the response is overdue.

--- a/packages/daemon/src/goldcrestvane_daemon/accounts/quota_tokens.py
+++ b/packages/daemon/src/goldcrestvane_daemon/accounts/quota_tokens.py
@@ -24,6 +24,7 @@
     QuotaItem,
     QuotaLimit,
 )
+from goldcrestvane_daemon.response_times import ResponseTimeout
 
 SENT_SECONDS = 0.1
 """Time after which an attempt that was sent counts as run. Targets reject calls faster; a
@@ -34,8 +35,9 @@
 takes another token when it is sent, so that calls in queues do not use up the credit."""
 
 LATE_SECONDS = 0.15
-"""Time after which the calls that wait for a member's response also ask another member.
-A packet that is lost once is sent again after 0.2 s."""
+MAX_LATE_SECONDS = 0.5
+"""Minimum and maximum time after which the calls that wait for a member's response also ask
+another member. A packet that is lost once is sent again after 0.2 s."""
 
 UNRESPONSIVE_SECONDS = 1.0
 """Time for which a member that could not be reached is not asked."""
@@ -69,6 +71,9 @@
     def __init__(self) -> None:
         self._accounts: dict[AccountId, AccountTokens] = {}
         self._members: dict[str, _Member] = {}
+        self._late_after = ResponseTimeout(
+            minimum=LATE_SECONDS, maximum=MAX_LATE_SECONDS
+        )
 
     @property
     def is_empty(self) -> bool:
@@ -192,6 +197,7 @@
     ) -> None:
         """Records a member's response to a request that was sent at a time."""
         self._end_request(member)
+        self._late_after.record(now - asked_at)
         by_account = {grant.account: grant for grant in grants}
         for item in items:
             tokens = self._accounts.get(item.account)
@@ -244,7 +250,7 @@
         for member, known in self._members.items():
             if known.asked_at is None or known.is_late:
                 continue
-            if now - known.asked_at >= LATE_SECONDS:
+            if now - known.asked_at >= self._late_after.seconds:
                 known.is_late = True
                 for tokens in self._accounts.values():
                     tokens.asked.pop(member, None)
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/ledger_client.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/ledger_client.py
@@ -16,6 +16,10 @@
     ChainRenewal,
     RenewalTimes,
 )
+from goldcrestvane_daemon.frontend.entry_forwarding import (
+    EntryForwarding,
+    ForwardedWrite,
+)
 from goldcrestvane_daemon.frontend.ledger_answers import (
     OpenedTurn,
     describe_write,
@@ -34,9 +38,6 @@
 from goldcrestvane_daemon.ledger.frames import PeerConnection, PeerUnreachable
 from goldcrestvane_daemon.ledger.messages import (
     Entry,
-    Failed,
-    ForwardResult,
-    ForwardWrite,
     Frontend,
     ReadChain,
     Response,
@@ -59,16 +60,12 @@
 sync, 20 ms in total. A lost packet is retransmitted within a second; a disk that hangs
 takes longer."""
 
-MIN_FORWARDED_BYTES = 1024
-"""Minimum size of a turn that is written through one member, which forwards it.
-Smaller turns fit into a packet."""
-
-FORWARD_TIMEOUT_SECONDS = 0.25
-"""Timeout of a forwarded write, which takes two round trips between domains and a
-sync, 30 ms in total."""
+LARGE_ENTRY_BYTES = 1024
+"""Size from which sending an entry again costs a slow link more than waiting."""
 
-FORWARD_BACKOFF_SECONDS = 2.0
-"""Time for which a member that failed to forward an entry gets no entries to forward."""
+LARGE_FORWARD_SECONDS = 0.25
+"""Minimum time for which a member that forwards a large entry is awaited, before the entry
+is sent to all members."""
 
 NEAREST_TIMEOUT_SECONDS = 0.15
 """Time for which the nearest member alone is asked for a chain, before the whole group
@@ -109,7 +106,12 @@
         self._frontends = frontends
         self._nursery = nursery
         self._peers: dict[str, PeerConnection] = {}
-        self._forward_backoff_until: dict[str, float] = {}
+        self._forwarding = EntryForwarding(
+            call_member=self.call,
+            choose_nearest=self._choose_nearest,
+            nursery=nursery,
+            max_seconds=REQUEST_TIMEOUT_SECONDS,
+        )
         self.chains = ChainReader(self._read_page, TurnCache(TURN_CACHE_BYTES))
         self._rewrites = trio.CapacityLimiter(MAX_REWRITTEN_TURNS)
         self._renewal_times = RenewalTimes()
@@ -339,20 +341,21 @@
                 wanted = return_chain_of if member is near else None
                 return Write(get_stamp(view), entry, wanted)
 
-            answers: list[Any] = []
-            is_cut_off = not any(self.is_connected(each.address) for each in group)
-            if is_cut_off or get_turn_size(entry) >= MIN_FORWARDED_BYTES:
-                # A relay passes on one request instead of one for each member.
-                timeout = (
-                    REQUEST_TIMEOUT_SECONDS if is_cut_off else FORWARD_TIMEOUT_SECONDS
+            forward_seconds = self._get_forward_seconds(group, entry, return_chain_of)
+            forwarded = ForwardedWrite()
+            if forward_seconds is not None:
+                forwarded = await self._forwarding.write(
+                    view, group, entry, min_seconds=forward_seconds
                 )
-                answers = await self._write_forwarded(view, group, entry, timeout)
+            answers = forwarded.answers
             stale = any(isinstance(answer, StaleView) for answer in answers)
             if not stale and not has_write_quorum(answers, view):
                 # All members are asked again, so that no member counts twice.
                 answers = await self._call_group(
                     group, build, is_write_vote, quorum=view.write_quorum
                 )
+                if has_write_quorum(forwarded.answers, view):
+                    answers = forwarded.answers
             if self._adopt_newest(answers):
                 continue
             if has_write_quorum(answers, view):
@@ -398,40 +401,20 @@
             calls, is_vote, quorum=quorum, nursery=self._nursery
         )
 
-    async def _write_forwarded(
-        self, view: View, group: tuple[Member, ...], entry: Entry, timeout: float
-    ) -> list[Any]:
-        """Writes an entry through the nearest member, which forwards it to the others.
-
-        The turn leaves this process once instead of once for each member. A frontend on
-        a slow link could not send all copies in time.
+    def _get_forward_seconds(
+        self, group: Sequence[Member], entry: Entry, return_chain_of: CallId | None
+    ) -> float | None:
+        """Returns how long to wait at least for a member that forwards an entry.
 
-        Returns:
-            The members' answers. Empty if the nearest member fails; the caller then
-            writes the entry directly.
+        None means that the entry is sent to all members at once.
         """
-        now = trio.current_time()
-        sound = [
-            each
-            for each in group
-            if self._forward_backoff_until.get(each.address, 0.0) <= now
-        ]
-        if not sound:
-            return []
-        nearest = self._choose_nearest(sound)
-        others = [each.address for each in group if each is not nearest]
-        request = ForwardWrite(Write(get_stamp(view), entry), others, view.write_quorum)
-        try:
-            answer = await self.call(nearest.address, request, timeout)
-        except PeerUnreachable as error:
-            answer = Failed(str(error))
-        if isinstance(answer, ForwardResult):
-            return list(answer.answers)
-        self._forward_backoff_until[nearest.address] = now + FORWARD_BACKOFF_SECONDS
-        logger.info(
-            "a member failed to forward an entry", extra={"answer": str(answer)}
-        )
-        return []
+        if not any(self.is_connected(member.address) for member in group):
+            # A relay passes on one request instead of one for each member.
+            return REQUEST_TIMEOUT_SECONDS
+        if get_turn_size(entry) >= LARGE_ENTRY_BYTES:
+            return LARGE_FORWARD_SECONDS
+        # A chain comes with the answer of a member that is written to directly.
+        return 0.0 if return_chain_of is None else None
 
     async def _call_nearest(self, group: tuple[Member, ...], request: Any) -> list[Any]:
         """Asks only the nearest member, so that the chain is transferred only once."""
--- a/packages/daemon/tests/ledger/test_forwarding.py
+++ b/packages/daemon/tests/ledger/test_forwarding.py
@@ -6,7 +6,12 @@
 
 from goldcrestvane_daemon.frontend.ledger_client import LedgerUnavailable
 from goldcrestvane_daemon.ledger.frames import PeerConnection
-from goldcrestvane_daemon.ledger.messages import ForwardWrite, TokenCharge, Turn
+from goldcrestvane_daemon.ledger.messages import (
+    ForwardWrite,
+    TokenAccount,
+    TokenCharge,
+    Turn,
+)
 from ledger.support import run_ledger
 
 
@@ -74,6 +79,43 @@
 
         run_ledger(script)
 
+    def test_charge_is_sent_once_and_forwarded(self):
+        """Guards against small frontends that are busy with five requests a write."""
+
+        async def script(ledger):
+            peers = set(ledger.client._peers.values())
+            sent = []
+            with mock.patch.object(
+                PeerConnection, "call", count_bytes(PeerConnection.call, sent)
+            ):
+                for number in range(100):
+                    sent.clear()
+                    charge = TokenCharge(f"t{number}", 10, True)
+                    await ledger.client.settle("p", charge, None, 60.0)
+                    count = sum(sender in peers for sender, _ in sent)
+                    if count == 1:
+                        return
+                    # Members connect to each other only after they start to vote.
+                    await trio.sleep(0.05)
+            self.fail(f"got {count} requests, expected 1")
+
+        run_ledger(script)
+
+    def test_charge_is_written_to_all_members_while_none_forwards(self):
+        """Guards against writes that depend on the member that forwards them."""
+
+        async def script(ledger):
+            for member in ledger.members.values():
+                member.service.enable_forwarding(hang, ledger.nursery)
+            for number in range(len(ledger.members) + 1):
+                charge = TokenCharge(f"t{number}", 10, True)
+                await ledger.client.settle("p", charge, None, 60.0)
+            account = TokenAccount("p", [TokenCharge("last", 10, False)], 60.0)
+            opened = await ledger.client.open_turn(account=account, previous=None)
+            self.assertEqual(len(opened.charges), len(ledger.members) + 2)
+
+        run_ledger(script)
+
     def build_cut_off_client(self, ledger):
         """Returns a client without connections, and the list of its relayed requests."""
         cut_off = ledger.build_client()
