Use responses that came in time also in a process that runs late

A process that gets no processor time until after a request's timeout finds the timeout and the response at once. It dropped the response, took the peer for silent and closed the connection, with which all other requests on it failed. A response that was followed by the loss of its connection was dropped as well.

The request now looks for its response once more after the timeout.

--- a/packages/daemon/src/goldcrestvane_daemon/ledger/frames.py
+++ b/packages/daemon/src/goldcrestvane_daemon/ledger/frames.py
@@ -220,9 +220,14 @@
         request_id = next(self._request_ids)
         pending = self._pending[request_id] = _Pending()
         try:
-            with trio.move_on_after(timeout):
+            with trio.move_on_after(timeout) as scope:
                 await self._send(stream, encode_frame(request_id, request))
                 await pending.done.wait()
+            if scope.cancelled_caught:
+                # A process that runs late finds the timeout and the response at once. One
+                # pass of the loop polls the socket, and the next one runs the reader.
+                for _ in range(2):
+                    await trio.lowlevel.checkpoint()
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
             raise PeerUnreachable(f"{self.address} closed the connection.") from error
         finally:
@@ -277,6 +282,9 @@
         self.response: Any = None
 
     def resolve(self, response: Any) -> None:
+        if self.done.is_set():
+            # The connection was lost after the response had come.
+            return
         self.response = response
         self.done.set()
 
--- a/packages/daemon/tests/ledger/test_frames.py
+++ b/packages/daemon/tests/ledger/test_frames.py
@@ -26,6 +26,7 @@
 """Timeout that ends a test that hangs. No test result depends on its length."""
 
 SHORT_SECONDS = 0.05
+REPETITIONS = 20
 
 
 class SilentPeer:
@@ -109,6 +110,35 @@
 
         trio.run(main)
 
+    def test_response_that_came_in_time_is_used_by_a_process_that_runs_late(self):
+        """Guards against a busy process that takes its peers for silent."""
+
+        async def serve(stream):
+            reader = FrameReader(stream)
+            for number in range(REPETITIONS):
+                await reader.read()
+                # The process gets no processor time until long after the timeout.
+                trio.lowlevel.current_clock().jump(10.0)
+                await stream.send_all(encode_frame(number, Failed("answered")))
+            await trio.sleep_forever()
+
+        async def main():
+            async with trio.open_nursery() as nursery:
+                listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+                port = listeners[0].socket.getsockname()[1]
+                nursery.start_soon(trio.serve_listeners, serve, listeners)
+                peer = PeerConnection(f"127.0.0.1:{port}", Response)
+                nursery.start_soon(peer.run)
+                await peer.connected.wait()
+                # Trio runs the tasks that are due at once in random order.
+                for _ in range(REPETITIONS):
+                    answer = await peer.call(GetMemberState(), timeout=1.0)
+                    self.assertEqual(answer, Failed("answered"))
+                self.assertTrue(peer.is_connected)
+                nursery.cancel_scope.cancel()
+
+        trio.run(main, clock=trio.testing.MockClock())
+
 
 class UnreadStream:
     """A connection whose peer sends requests and takes no bytes."""
