Ask issuers of permits again although their responses were late

If no issuer is left, the one whose backoff ends first is asked, so that a call waits for one timeout at most.

--- a/packages/daemon/src/goldcrestvane_daemon/frontend/permit_issuers.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/permit_issuers.py
@@ -15,12 +15,14 @@
     RateLimit,
     ReportLimit,
 )
+from goldcrestvane_daemon.ledger.view import Member
 
 PERMIT_TIMEOUT_SECONDS = 0.15
 """Time for which a member is asked for a permit. A call waits for it."""
 
 PERMIT_BACKOFF_SECONDS = 1.0
-"""Time for which a member that issued no permit is not asked for any."""
+"""Time for which a member that issued no permit is asked only if the others issued none
+either."""
 
 PERMIT_ISSUERS = 2
 """Number of members that may be asked for the permits of one target."""
@@ -52,12 +54,8 @@
         await self._call_issuer(ReportLimit(limit))
 
     async def _call_issuer(self, request: AcquirePermit | ReportLimit) -> Permit:
-        view = self._ledger.view
-        ranked = view.rank_permit_issuers(request.limit.target) if view else []
-        for member in ranked[:PERMIT_ISSUERS]:
+        for member in self._list_issuers(request):
             now = trio.current_time()
-            if self._backoff_until.get(member.address, 0.0) > now:
-                continue
             answer: Any = Failed("no answer in time")
             try:
                 # A late answer is no reason to close the connection.
@@ -73,3 +71,18 @@
                 extra={"member": member.instance, "answer": str(answer)},
             )
         raise LedgerUnavailable(f"No member issues permits for {request.limit.target}.")
+
+    def _list_issuers(self, request: AcquirePermit | ReportLimit) -> list[Member]:
+        """Returns the members to ask, of those without permits only the next one due."""
+        view = self._ledger.view
+        if view is None:
+            return []
+        ranked = view.rank_permit_issuers(request.limit.target)[:PERMIT_ISSUERS]
+
+        def get_backoff(member: Member) -> float:
+            return self._backoff_until.get(member.address, 0.0)
+
+        now = trio.current_time()
+        sound = [each for each in ranked if get_backoff(each) <= now]
+        # A response that was late, such as after a lost packet, is no sign of a failure.
+        return sound or sorted(ranked, key=get_backoff)[:1]
