--- a/review/15/case.py
+++ b/review/15/case.py
@@ -1,4 +1,4 @@
-"""Streams of no program are taken up again after the machine that served them is gone."""
+"""Kept streams are taken up again after two machines that served them are gone."""
 
 from __future__ import annotations
 
@@ -26,35 +26,46 @@
 
 STREAMS = 20
 MIN_TAKEN_UP = 12
-MAX_TRIES = 3
+MAX_TRIES = 4
 """Tries of a client after the first."""
 
-TIME_LIMIT_SECONDS = 3.0
+TIME_LIMIT_SECONDS = 6.0
+READING_SECONDS = 0.5
+FIRST_KILL_SECONDS = 0.95
+SECOND_KILL_SECONDS = 0.3
 
 
 async def play(world: World) -> None:
-    """Kills one of four frontends while it serves streams."""
+    """Kills a frontend that serves streams, and the next one when these have moved there."""
     for number in range(6):
-        version = "1" if number < 3 else "2"
-        server = world.add_server(f"i-{number}", "llm", version=version)
+        server = world.add_server(f"i-{number}", "llm")
+        server.reading = READING_SECONDS
         await server.start()
-    world.write_config(
-        [build_route("advice", "llm", "streaming", resumable=True, sticky=True)],
-        [build_service("llm", tokens_per_event=10)],
+    route = build_route(
+        "companion",
+        "llm",
+        "streaming",
+        resumable=True,
+        sticky=True,
+        retention_enabled=True,
+        retention_s=60,
     )
+    world.write_config([route], [build_service("llm", tokens_per_event=10)])
     await world.deployment.start()
     await asyncio.sleep(SETTLE_SECONDS)
-    killed, *others = world.frontends
+    first, second, *others = world.frontends
     callers = [
-        asyncio.create_task(run_stream(world, killed, others, number))
-        for number in range(STREAMS)
+        asyncio.create_task(run_stream(world, number)) for number in range(STREAMS)
     ]
-    await asyncio.sleep(0.55)
+    await asyncio.sleep(FIRST_KILL_SECONDS)
     if world.has_trouble:
-        await killed.kill()
-        world.note(f"{killed.name} is killed")
+        await first.kill()
+        world.note(f"{first.name} is killed")
+        await asyncio.sleep(SECOND_KILL_SECONDS)
+        await second.kill()
+        world.note(f"{second.name} is killed")
     new = [
-        asyncio.create_task(send(world, others[number % len(others)]))
+        asyncio.create_task(send(world, others[number % len(others)], create_program()))
         for number in range(STREAMS)
     ]
     results = await asyncio.gather(*callers)
@@ -62,44 +73,71 @@
     check(world, [each for each in results if each is not None], len(begun))
 
 
-async def send(world: World, frontend: Machine, **options: Any) -> Attempt:
+def create_program() -> dict[str, str]:
+    """Returns the headers of the first turn of a program."""
+    program = clients.create_id()
+    return {
+        "Goldcrestvane-Program-Id": program,
+        "Goldcrestvane-Session-Id": program,
+        "Goldcrestvane-Program-Deadline-Ms": "9000",
+        "Goldcrestvane-Token-Budget": "5000",
+        "Goldcrestvane-Token-Usage": "100,150",
+    }
+
+
+async def send(
+    world: World, frontend: Machine, headers: dict[str, str] | None, **options: Any
+) -> Attempt:
     """Sends one request for a stream and records its answer."""
     return world.keep(
         await clients.send(
-            frontend, "POST", HOST, "/advice/stream/1", body=b"prompt", **options
+            frontend,
+            "POST",
+            HOST,
+            "/companion/stream/1",
+            body=b"prompt",
+            headers=headers,
+            **options,
         )
     )
 
 
-async def run_stream(
-    world: World, frontend: Machine, others: list[Machine], number: int
-) -> bool | None:
-    """Runs one client's stream.
+async def run_stream(world: World, number: int) -> bool | None:
+    """Runs one client's stream; each try goes to the next frontend.
 
     Returns:
-        Whether the stream goes on after it was broken off; None if it was not.
+        Whether the stream goes on at a machine in touch after it was broken off; None if
+        it was not, or not taken up there.
     """
-    began = asyncio.get_running_loop().time()
-    first = attempt = await send(world, frontend, limit=TIME_LIMIT_SECONDS)
+    loop = asyncio.get_running_loop()
+    end = loop.time() + TIME_LIMIT_SECONDS
+    program = create_program()
+    frontends = iter((world.frontends + world.frontends[2:])[: MAX_TRIES + 1])
+    first = await send(world, next(frontends), program, limit=TIME_LIMIT_SECONDS)
     if first.is_whole or not first.pieces:
         return None
     last = first.pieces[-1][0]
-    for try_number in range(MAX_TRIES):
-        left = began + TIME_LIMIT_SECONDS - asyncio.get_running_loop().time()
+    taken_up = None
+    for frontend in frontends:
+        left = end - loop.time()
         if left <= 0:
             break
         attempt = await send(
             world,
-            others[(number + try_number) % len(others)],
-            headers={"Last-Event-Id": str(last)},
+            frontend,
+            {**program, "Last-Event-Id": str(last)},
             resumes=first.request,
             limit=left,
         )
+        if frontend in world.frontends[2:]:
+            taken_up = bool(attempt.pieces)
+        if attempt.is_whole and attempt.pieces:
+            return taken_up
         if attempt.pieces:
-            return True
-        pause = float(attempt.headers.get("retry-after", "0.1"))
+            last = attempt.pieces[-1][0]
+        pause = float(attempt.headers.get("retry-after", "0.02"))
         await asyncio.sleep(min(pause, left / 3))
-    return False
+    return taken_up
 
 
 def check(world: World, taken_up: list[bool], begun: int) -> None:
