--- a/review/harness_3/case.py
+++ b/review/harness_3/case.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import os
+import signal
 import sys
 import tempfile
 import time
@@ -147,6 +148,9 @@
     with tempfile.TemporaryDirectory() as temporary:
         world = World(Path(temporary), record, frontends=frontends)
         world.note(f"trouble: {world.has_trouble}")
+        task = asyncio.current_task()
+        assert task is not None
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         try:
             async with asyncio.timeout(MAX_SECONDS):
                 await world.store.start("127.0.0.1", world.deployment.ports.store)
@@ -154,18 +158,18 @@
                 await play(world)
                 lag.cancel()
                 world.note(f"the script itself was late by {world.longest_lag:.3f} s")
-        except Exception as error:
+        except (Exception, asyncio.CancelledError) as error:
             world.note(f"could not run: {error!r}")
             if not isinstance(error, CannotRun):
                 world.note(traceback.format_exc())
             print(f"could not run: {error!r}", file=sys.stderr)
             return NOT_RUN
         finally:
+            await world.deployment.end()
             if os.environ.get("KEEP_LOGS"):
                 for machine in world.deployment.machines:
                     target = Path(os.environ["KEEP_LOGS"]) / f"{machine.name}.log"
                     target.write_bytes(machine.log.read_bytes())
-            await world.deployment.end()
         for problem in world.problems:
             world.note(f"BROKEN: {problem}")
             print(problem)
