--- a/review/11/case.py
+++ b/review/11/case.py
@@ -17,6 +17,7 @@
     build_service,
     run_case,
 )
+from harness_3.store import BEAT_SECONDS  # noqa: E402
 
 SETTLE_SECONDS = 3.0
 DOWN_SECONDS = 0.6
@@ -41,9 +42,8 @@
     )
     await world.deployment.start()
     await asyncio.sleep(SETTLE_SECONDS)
-    if world.has_trouble:
-        world.store.put("servers", "i-other-writer", UNREADABLE)
-        world.note("another writer has written an entry that cannot be read")
+    writer = asyncio.create_task(write_entry(world))
+    await asyncio.sleep(1.0)
     before = await count_served(world)
     world.note(f"before the fault: {before} of {REQUESTS} served")
     world.require(before >= REQUESTS / 4, "the system served too little before")
@@ -54,6 +54,7 @@
     world.note("all machines are back")
     await asyncio.sleep(RECOVERY_SECONDS)
     after = await count_served(world)
+    writer.cancel()
     world.note(f"later than recovery_s: {after} of {REQUESTS} served")
     if after < REQUESTS / 4:
         world.problems.append(
@@ -62,6 +63,14 @@
         )
 
 
+async def write_entry(world: World) -> None:
+    """Writes the entry as often as a server does, so that it does not lapse."""
+    while world.has_trouble:
+        world.store.beat("i-other-writer", UNREADABLE)
+        world.note("another writer writes an entry that cannot be read")
+        await asyncio.sleep(BEAT_SECONDS)
+
+
 async def count_served(world: World) -> int:
     """Sends requests to all frontends in turn; returns how many are served."""
     served = 0
--- a/review/harness_3/machines.py
+++ b/review/harness_3/machines.py
@@ -39,6 +39,14 @@
 """
 """Those of passolungo-hq."""
 
+HOSTS = (
+    "127.0.0.1",
+    *tuple(
+        f"127.0.{network}.{number}" for network in (1, 2, 3) for number in range(1, 13)
+    ),
+)
+"""Addresses of the store, and of the first machines and servers of each class."""
+
 
 class Ports:
     """Ports of a day, which are the same on all machines."""
@@ -52,15 +60,16 @@
     def _find_free(self) -> int:
         while True:
             base = random.randrange(20_000, 32_000, 50)
-            if all(_is_free(port) for port in range(base, base + 30)):
+            ports = range(base, base + 30)
+            if all(_is_free(host, port) for host in HOSTS for port in ports):
                 return base
 
 
-def _is_free(port: int) -> bool:
+def _is_free(host: str, port: int) -> bool:
     with socket.socket() as probe:
         probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         try:
-            probe.bind(("0.0.0.0", port))
+            probe.bind((host, port))
         except OSError:
             return False
     return True
--- a/review/harness_3/servers.py
+++ b/review/harness_3/servers.py
@@ -8,10 +8,7 @@
 import time
 
 from harness_3.http import Head, encode_chunk, encode_message, read_body, read_head
-from harness_3.store import Store
-
-BEAT_SECONDS = 1.2
-"""heartbeat_interval_ms of the deployment."""
+from harness_3.store import BEAT_SECONDS, Store
 
 
 class Run:
@@ -113,7 +110,7 @@
             "sequence": self._sequence,
             "born": self._born,
         }
-        self.store.put("servers", self.name, entry)
+        self.store.beat(self.name, entry)
 
     def stop_beats(self) -> None:
         """Ends the writing of entries."""
--- a/review/harness_3/store.py
+++ b/review/harness_3/store.py
@@ -10,6 +10,16 @@
 
 from harness_3.http import encode_message, read_body, read_head
 
+BEAT_SECONDS = 1.2
+"""heartbeat_interval_ms of the deployment."""
+
+SILENT_BEATS = 3
+"""Intervals of silence after which the entry of a server is removed."""
+
+
+def _strip(entry: dict[str, Any]) -> dict[str, Any]:
+    return {name: value for name, value in entry.items() if name != "sequence"}
+
 
 class StoreState(Enum):
     """How the store treats calls."""
@@ -32,16 +42,36 @@
         self.events = []
         self._changed = asyncio.Event()
         self._server = None
+        self._expiry = None
+        self._beaten = {}
 
     async def start(self, host: str, port: int) -> None:
         """Serves on an address."""
         self._server = await asyncio.start_server(self._serve, host, port)
+        self._expiry = asyncio.create_task(self._remove_silent())
 
     def put(self, kind: str, name: str, specification: Any) -> None:
         """Writes an object as the operator or a server."""
         known = self.objects.get((kind, name))
         self._write(kind, name, specification, known and known["status"])
 
+    def beat(self, name: str, entry: dict[str, Any]) -> None:
+        """Writes the entry of a server; it changes when more than `sequence` changes."""
+        self._beaten[name] = asyncio.get_running_loop().time()
+        known = self.objects.get(("servers", name))
+        if known is None or _strip(known["specification"]) != _strip(entry):
+            self.put("servers", name, entry)
+
+    async def _remove_silent(self) -> None:
+        """Removes the entries of servers that have been silent for three intervals."""
+        while True:
+            await asyncio.sleep(0.1)
+            oldest = asyncio.get_running_loop().time() - SILENT_BEATS * BEAT_SECONDS
+            for name, beaten_at in list(self._beaten.items()):
+                if beaten_at < oldest:
+                    del self._beaten[name]
+                    self.delete("servers", name)
+
     def delete(self, kind: str, name: str) -> None:
         """Removes an object."""
         item = self.objects.pop((kind, name), None)
