Decode each object of the store by itself

Cause: the objects of a list or watch shared one decoding, which an object with half of a surrogate pair fails, also in a value that is skipped. So do null, unknown escapes, and names and revisions of another type. The store then counted as unavailable.

A response that cannot be decoded as a whole is split by its brackets and quotes alone, and each object decoded by itself. An unreadable one keeps its name if that can be read, and has the value null, which no decoder accepts; the revision and the paging hold. A list that cannot be continued fails instead of ending early.

The same cause elsewhere: members forgot candidates and retirements whose entries a new list had in an unreadable form, an unreadable retirement emptied its machine, and one odd control object kept the product's own form from all of them.

--- a/packages/common/src/goldcrestvane_common/objects.py
+++ b/packages/common/src/goldcrestvane_common/objects.py
@@ -6,6 +6,13 @@
 import msgspec
 
 from goldcrestvane_common.ids import Version
+from goldcrestvane_common.json_parts import (
+    JsonStructureError,
+    decode_or,
+    split_array,
+    split_object,
+)
+from goldcrestvane_common.logs import get_logger
 from goldcrestvane_common.transport import (
     ClientResponse,
     ConnectFailed,
@@ -19,9 +26,18 @@
 UNKNOWN_OUTCOME_STATUSES = (500, 502, 504)
 """Statuses after which the service, or one behind it, may have run the write."""
 
+logger = get_logger("objects")
+
 
 class StoredObject(msgspec.Struct, frozen=True, omit_defaults=True):
-    """One object; `value` is undecoded JSON, and null if `deleted`."""
+    """One object.
+
+    Attributes:
+        key: Key of the object.
+        version: Version of the last change; 0 if it cannot be read.
+        value: Undecoded JSON; null if `deleted`, or if the object cannot be decoded.
+        deleted: Whether the object was deleted.
+    """
 
     key: str
     version: Version
@@ -103,7 +119,13 @@
         response = await self._read_response(f"/v1/objects/{quote(key)}")
         if response.status == 404:
             return None
-        return msgspec.json.decode(response.body, type=StoredObject)
+        stored = _decode_object(response.body)
+        if stored is None:
+            raise ObjectStoreUnavailable(
+                f"The object API's response about {key} cannot be decoded; compare it "
+                "with the reference of the object API."
+            )
+        return stored
 
     async def list(self, prefix: str) -> ObjectList:
         """Returns the objects whose keys start with a prefix.
@@ -112,7 +134,7 @@
             ObjectStoreUnavailable: The service does not respond.
         """
         response = await self._read_response(f"/v1/objects?prefix={quote(prefix)}")
-        return msgspec.json.decode(response.body, type=ObjectList)
+        return _decode_list(response.body)
 
     async def watch(self, prefix: str, *, since: Version, timeout: float) -> ObjectList:
         """Waits up to `timeout` seconds for changes after a revision; returns them.
@@ -127,7 +149,7 @@
         )
         if response.status == 410:
             raise RevisionTooOld(f"Revision {since} of {prefix} is no longer kept.")
-        return msgspec.json.decode(response.body, type=ObjectList)
+        return _decode_list(response.body)
 
     async def write(
         self, key: str, value: Any, *, expected_version: Version
@@ -188,6 +210,51 @@
         return response
 
 
+def _decode_list(body: bytes) -> ObjectList:
+    """Decodes a list, whose objects are decoded one by one if one of them is unreadable.
+
+    Raises:
+        ObjectStoreUnavailable: The list is malformed beside its objects.
+    """
+    try:
+        return msgspec.json.decode(body, type=ObjectList)
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
+        pass
+    try:
+        parts = split_object(body)
+        revision = msgspec.json.decode(parts.get("revision", b""), type=Version)
+        objects = [_decode_object(part) for part in split_array(parts["objects"])]
+    except (JsonStructureError, KeyError, msgspec.DecodeError) as error:
+        raise ObjectStoreUnavailable(
+            f"The object API's list is malformed: {error}."
+        ) from error
+    return ObjectList(revision, [each for each in objects if each is not None])
+
+
+def _decode_object(text: bytes) -> StoredObject | None:
+    """Decodes one object, with the value null if it is unreadable.
+
+    Returns:
+        The object, or None if its key cannot be read.
+    """
+    stored = decode_or(text, StoredObject, None)
+    if stored is not None:
+        return stored
+    try:
+        parts = split_object(text)
+    except JsonStructureError:
+        parts = {}
+    key = decode_or(parts.get("key"), str, None)
+    logger.warning("object %s of the object API cannot be decoded", key)
+    if key is None:
+        return None
+    return StoredObject(
+        key=key,
+        version=decode_or(parts.get("version"), Version, Version(0)),
+        deleted=decode_or(parts.get("deleted"), bool, False),
+    )
+
+
 def _check_available(response: ClientResponse) -> None:
     if response.status != 429 and response.status < 500:
         return
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/snapshot.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/snapshot.py
@@ -10,6 +10,7 @@
 
 from goldcrestvane_common.ids import Version
 from goldcrestvane_daemon.platform.store import StoreChanges, StoreObject
+from goldcrestvane_daemon.platform.store_responses import UNKNOWN_VERSION
 
 
 class ChangeSource(Enum):
@@ -100,7 +101,12 @@
 
     def _is_new(self, item: StoreObject) -> bool:
         known = self.objects.get(item.name)
-        return item.deleted or known is None or known.version < item.version
+        return (
+            item.deleted
+            or known is None
+            or known.version < item.version
+            or item.version == UNKNOWN_VERSION
+        )
 
     def compute_digest(self) -> str:
         """Returns a hash that is equal for copies with the same objects."""
--- a/packages/daemon/src/goldcrestvane_daemon/ledger/membership.py
+++ b/packages/daemon/src/goldcrestvane_daemon/ledger/membership.py
@@ -11,6 +11,7 @@
 import trio
 
 from goldcrestvane_common.ids import InstanceId
+from goldcrestvane_common.json_parts import decode_or
 from goldcrestvane_common.logs import get_logger
 from goldcrestvane_common.objects import (
     ObjectStoreError,
@@ -208,7 +209,7 @@
     async def _report_unused_machines(self, view: View) -> None:
         """Reports machines as drained that never ran a process of the ledger."""
         for instance in sorted(self._watcher.draining):
-            if instance in self._watcher.candidates or view.find(instance):
+            if self._watcher.has_registered(instance) or view.find(instance):
                 continue
             await self._report_completed(instance)
             logger.info("a machine has no entries", extra={"machine": instance})
@@ -306,7 +307,9 @@
         stored = [each for each in await self._list_ledger() if each.name == VIEW_NAME]
         if not stored:
             raise ObjectStoreUnavailable("The view is missing from the object store.")
-        current = msgspec.json.decode(stored[0].value, type=View)
+        current = decode_or(stored[0].value, View, None)
+        if current is None:
+            raise ObjectStoreUnavailable("The view in the store cannot be decoded.")
         if current.epoch != view.epoch:
             await self._service.adopt_durably(current)
             return
--- a/packages/daemon/src/goldcrestvane_daemon/ledger/membership_watcher.py
+++ b/packages/daemon/src/goldcrestvane_daemon/ledger/membership_watcher.py
@@ -1,11 +1,12 @@
 """Watches the members and candidates of the ledger in the platform's object store."""
 
-from typing import final
+from typing import Any, final
 
 import msgspec
 import trio
 
 from goldcrestvane_common.ids import InstanceId, Version
+from goldcrestvane_common.json_parts import decode_or
 from goldcrestvane_common.logs import get_logger
 from goldcrestvane_common.objects import ObjectStoreError, RevisionTooOld
 from goldcrestvane_daemon.clock import get_elapsed_time
@@ -47,6 +48,7 @@
         self._service = service
         self._stored_view: View | None = None
         self._ledger_revision: Version | None = None
+        self._unreadable_candidates: set[InstanceId] = set()
         self.candidates: dict[InstanceId, Member] = {}
         self.draining: set[InstanceId] = set()
         self.drained: set[InstanceId] = set()
@@ -77,7 +79,7 @@
             try:
                 asked_at = get_elapsed_time()
                 changes = await self._store.list(kind)
-                self._clear_kind(kind)
+                self._clear_kind(kind, changes.objects)
                 while True:
                     for item in changes.objects:
                         self._apply_object(kind, item)
@@ -131,29 +133,44 @@
         if self._service.quotas is not None:
             self._service.quotas.lease.confirm(view.epoch, asked_at)
 
-    def _clear_kind(self, kind: ObjectKind) -> None:
-        if kind is ObjectKind.RETIREMENTS:
-            self.draining.clear()
-            self.drained.clear()
-        else:
-            self.candidates.clear()
+    def has_registered(self, instance: InstanceId) -> bool:
+        """Returns whether a machine has registered, also if its entry is unreadable."""
+        return instance in self.candidates or instance in self._unreadable_candidates
 
-    def _apply_object(self, kind: ObjectKind, item: StoreObject) -> None:
+    def _clear_kind(self, kind: ObjectKind, listed: list[StoreObject]) -> None:
+        """Forgets all that a new list replaces.
+
+        What is known of an object stays if the list has it and it cannot be decoded.
+        """
+        kept = {item.name for item in listed if _decode_value(kind, item) is None}
         if kind is ObjectKind.RETIREMENTS:
-            self._apply_retirement(item)
+            self.draining &= kept
+            self.drained &= kept
             return
-        try:
-            if item.name == VIEW_NAME:
-                view = msgspec.json.decode(item.value, type=View)
-                self._stored_view = view
-            elif item.name.startswith(CANDIDATE_PREFIX):
-                member = msgspec.json.decode(item.value, type=Member)
-                self.candidates[member.instance] = member
-        except msgspec.DecodeError as error:
+        self._unreadable_candidates.clear()
+        self.candidates = {
+            instance: member
+            for instance, member in self.candidates.items()
+            if CANDIDATE_PREFIX + instance in kept
+        }
+
+    def _apply_object(self, kind: ObjectKind, item: StoreObject) -> None:
+        value = _decode_value(kind, item)
+        if value is None and not item.deleted:
             logger.warning(
                 "ignoring an object that cannot be decoded",
-                extra={"object": item.name, "reason": str(error)},
+                extra={"kind": kind.value, "object": item.name},
             )
+            if item.name.startswith(CANDIDATE_PREFIX):
+                instance = InstanceId(item.name.removeprefix(CANDIDATE_PREFIX))
+                self._unreadable_candidates.add(instance)
+        elif kind is ObjectKind.RETIREMENTS:
+            self._apply_retirement(item)
+        elif isinstance(value, View):
+            self._stored_view = value
+        elif isinstance(value, Member):
+            self.candidates[value.instance] = value
+            self._unreadable_candidates.discard(value.instance)
 
     def _apply_retirement(self, item: StoreObject) -> None:
         instance = InstanceId(item.name)
@@ -166,3 +183,14 @@
         elif instance not in self.draining:
             self.draining.add(instance)
             logger.info("a machine starts draining", extra={"machine": instance})
+
+
+def _decode_value(kind: ObjectKind, item: StoreObject) -> Any:
+    """Decodes an object's value to the type that its name stands for.
+
+    Returns:
+        A `View`, a `Member` or the fields of a retirement; None if the value is none.
+    """
+    if kind is ObjectKind.RETIREMENTS:
+        return decode_or(item.value, dict[str, msgspec.Raw], None)
+    return decode_or(item.value, View if item.name == VIEW_NAME else Member, None)
--- a/packages/daemon/src/goldcrestvane_daemon/platform/store.py
+++ b/packages/daemon/src/goldcrestvane_daemon/platform/store.py
@@ -19,7 +19,11 @@
     ExchangeBroken,
     Transport,
 )
-from goldcrestvane_daemon.platform.deep_values import drop_deep_values
+from goldcrestvane_daemon.platform.store_responses import (
+    StoreObject,
+    decode_events,
+    decode_page,
+)
 
 CALL_TIMEOUT_SECONDS = 2.0
 """A healthy store responds within milliseconds."""
@@ -43,54 +47,6 @@
     LEDGER = "goldcrestvane-ledger"
 
 
-class _Metadata(msgspec.Struct, frozen=True):
-    name: str
-    revision: int = 0
-    deletion_pending: bool = False
-
-
-class _WireObject(msgspec.Struct, frozen=True):
-    """An object whose `specification` and `status` may be any JSON values."""
-
-    metadata: _Metadata
-    specification: msgspec.Raw = msgspec.Raw(b"null")
-    status: msgspec.Raw = msgspec.Raw(b"null")
-
-
-class _WireList(msgspec.Struct, frozen=True):
-    items: list[_WireObject]
-    at: int
-    has_more: bool = False
-
-
-class _WireEvent(msgspec.Struct, frozen=True):
-    object: _WireObject
-    deleted: bool = False
-
-
-class _WireEvents(msgspec.Struct, frozen=True):
-    events: list[_WireEvent]
-    at: int
-
-
-class StoreObject(msgspec.Struct, frozen=True):
-    """One object of the store.
-
-    Attributes:
-        name: Name, unique within the kind.
-        version: Revision of the last change.
-        value: Specification as encoded JSON.
-        status: Reported status as encoded JSON.
-        deleted: Whether the object is deleted or its deletion is pending.
-    """
-
-    name: str
-    version: Version
-    value: bytes = b"null"
-    status: bytes = b"null"
-    deleted: bool = False
-
-
 class StoreChanges(msgspec.Struct, frozen=True):
     """Changed objects, complete up to a revision of the store."""
 
@@ -123,18 +79,29 @@
         Raises:
             ObjectStoreUnavailable: The store cannot be read.
         """
-        objects: list[StoreObject] = []
-        revision: Version | None = None
         path = _build_path(kind)
-        while True:
-            suffix = f"?after={quote(objects[-1].name, safe='')}" if objects else ""
-            page = _decode(await self._read(path + suffix, timeout), _WireList)
-            # Later pages may be newer. A watch from the first page's revision repeats
-            # the changes made between the pages and misses none.
-            revision = Version(page.at) if revision is None else revision
-            objects += [_convert(item) for item in page.items]
-            if not page.has_more or not page.items:
-                return StoreChanges(objects, revision)
+        response = await self._read(path, timeout)
+        page = decode_page(kind.value, response.body)
+        # Later pages may be newer. A watch from the first page's revision repeats the
+        # changes made between the pages and misses none.
+        revision = page.revision
+        objects = page.objects
+        last_names: set[str] = set()
+        while page.has_more and not page.is_empty:
+            last_name = page.objects[-1].name if page.objects else None
+            if last_name is None or last_name in last_names:
+                raise ObjectStoreUnavailable(
+                    f"The list of {kind.value} cannot be continued after "
+                    f"{len(objects)} objects: a page has no further name that can be "
+                    "read. Remove the objects without a valid name."
+                )
+            last_names.add(last_name)
+            response = await self._read(
+                f"{path}?after={quote(last_name, safe='')}", timeout
+            )
+            page = decode_page(kind.value, response.body)
+            objects += page.objects
+        return StoreChanges(objects, revision)
 
     async def watch(
         self, kind: ObjectKind, since: Version, seconds: float
@@ -167,9 +134,8 @@
         response = await self._read(path, timeout)
         if response.status == 410:
             raise RevisionTooOld(f"Revision {since} of {kind.value} is too old.")
-        changes = _decode(response, _WireEvents)
-        objects = [_convert(each.object, each.deleted) for each in changes.events]
-        return StoreChanges(objects, Version(changes.at))
+        objects, revision = decode_events(kind.value, response.body)
+        return StoreChanges(objects, revision)
 
     async def create(self, kind: ObjectKind, name: str, value: Any) -> None:
         """Creates an object; raises the same errors as `replace`."""
@@ -248,27 +214,3 @@
 def _build_path(kind: ObjectKind, name: str | None = None) -> str:
     path = f"/v1/objects/{kind.value}"
     return path if name is None else f"{path}/{quote(name, safe='')}"
-
-
-def _convert(item: _WireObject, deleted: bool = False) -> StoreObject:
-    return StoreObject(
-        name=item.metadata.name,
-        version=Version(item.metadata.revision),
-        value=bytes(item.specification),
-        status=bytes(item.status),
-        deleted=deleted or item.metadata.deletion_pending,
-    )
-
-
-def _decode(response: ClientResponse, body_type: type[Any]) -> Any:
-    try:
-        try:
-            return msgspec.json.decode(response.body, type=body_type)
-        except RecursionError:
-            # One object of another writer must not hide the others.
-            body = drop_deep_values(response.body)
-            return msgspec.json.decode(body, type=body_type)
-    except (msgspec.DecodeError, RecursionError) as error:
-        raise ObjectStoreUnavailable(
-            f"The object store's response is malformed: {error}."
-        ) from error
--- a/packages/daemon/src/goldcrestvane_daemon/quarantine.py
+++ b/packages/daemon/src/goldcrestvane_daemon/quarantine.py
@@ -17,6 +17,7 @@
 from goldcrestvane_common.errors import RequestQuarantined, Unavailable
 from goldcrestvane_common.feed import ControlFeed
 from goldcrestvane_common.ids import Fingerprint, ServiceId, Version
+from goldcrestvane_common.json_parts import decode_or
 from goldcrestvane_common.logs import get_logger
 from goldcrestvane_common.messages import (
     Accepted,
@@ -156,7 +157,16 @@
         stored = self._feed.get_object(QUARANTINE_PREFIX + service)
         if stored is None or stored.version <= local_version:
             return local_view
-        view: QuarantineList = stored.decode(QuarantineList)
+        view: QuarantineList | None = decode_or(stored.value, QuarantineList, None)
+        if view is None:
+            logger.error(
+                "cannot decode the suspects of %s at version %s; keeping those of "
+                "version %s",
+                service,
+                stored.version,
+                local_version,
+            )
+            view = local_view
         self._local_views[service] = (stored.version, view)
         return view
 
--- a/packages/daemon/tests/frontend/test_object_cache.py
+++ b/packages/daemon/tests/frontend/test_object_cache.py
@@ -20,6 +20,7 @@
     StoreChanges,
     StoreObject,
 )
+from goldcrestvane_daemon.platform.store_responses import UNKNOWN_VERSION
 from goldcrestvane_daemon.targets import TargetTable
 
 ENTRY = {
@@ -76,6 +77,15 @@
         self.configuration = StoreObject("main", self.revision, value)
         self._add(ObjectKind.CONFIGURATION, self.configuration)
 
+    def put_unreadable(self, name):
+        self.revision += 1
+        self._add(ObjectKind.TARGETS, StoreObject(name, UNKNOWN_VERSION))
+
+    def put_unreadable_configuration(self):
+        self.revision += 1
+        self.configuration = StoreObject("main", self.revision)
+        self._add(ObjectKind.CONFIGURATION, self.configuration)
+
     def _add(self, kind, item):
         self._events.append((self.revision, kind, item))
         self._wake()
@@ -417,6 +427,35 @@
 
         self.run_script(script)
 
+    def test_target_whose_entry_becomes_unreadable_is_not_used_until_it_is_restored(
+        self,
+    ):
+        """Guards against an older entry that stays in force without a known revision."""
+
+        async def script(store, is_target_used):
+            store.put_unreadable("i-1")
+            await trio.sleep(0.5)
+            self.assertFalse(is_target_used())
+            store.put("i-1")
+            await trio.sleep(0.5)
+            self.assertTrue(is_target_used())
+
+        self.run_script(script)
+
+    def test_unreadable_configuration_keeps_the_last_valid_one_in_force(self):
+        async def script(store, is_target_used):
+            store.put_configuration(5)
+            await trio.sleep(0.5)
+            store.put_unreadable_configuration()
+            await trio.sleep(0.5)
+            self.assertEqual(self.object_cache.routes.configuration.version, 5)
+            self.assertTrue(is_target_used())
+            store.put_configuration(6)
+            await trio.sleep(0.5)
+            self.assertEqual(self.object_cache.routes.configuration.version, 6)
+
+        self.run_script(script)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/packages/daemon/tests/platform_/test_store.py
+++ b/packages/daemon/tests/platform_/test_store.py
@@ -5,13 +5,14 @@
 import trio
 
 from goldcrestvane_common.objects import ObjectStoreUnavailable
-from goldcrestvane_common.transport import Transport
+from goldcrestvane_common.transport import ClientResponse, Transport
 from goldcrestvane_daemon.platform import store as store_module
 from goldcrestvane_daemon.platform.object_decoding import decode_target
 from goldcrestvane_daemon.platform.store import ObjectKind, StoreClient
 
 BODY = msgspec.json.encode({"items": [], "at": 3})
 RESPONSE = b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n%s" % (len(BODY), BODY)
+ODD_VALUE = rb'{"a":"\ud800"}'
 OTHER_VALUE = b'{"a":"]"}'
 TEST_TIMEOUT_SECONDS = 60
 
@@ -91,6 +92,56 @@
 
         trio.run(main)
 
+    def test_list_goes_on_after_a_page_without_a_readable_object(self):
+        """Guards against targets that are lost behind a page of odd objects."""
+        found = list_pages(
+            {
+                "": build_page(["a", "b"], ODD_VALUE, has_more=True),
+                "b": build_page(["c"], OTHER_VALUE, extra=b",null", has_more=True),
+                "c": build_page(["d"], OTHER_VALUE),
+            }
+        )
+        self.assertEqual([each.name for each in found.objects], ["a", "b", "c", "d"])
+        self.assertEqual(found.objects[0].value, b"null")
+        self.assertEqual(found.objects[3].value, OTHER_VALUE)
+        self.assertEqual(found.revision, 3)
+
+    def test_list_that_cannot_be_continued_is_not_taken_for_a_whole_one(self):
+        """Guards against targets that are removed as if the list did not have them."""
+        nameless = build_page([], b"", extra=b"null,5", has_more=True)
+        same = build_page(["a"], ODD_VALUE, has_more=True)
+        other = build_page(["b"], ODD_VALUE, has_more=True)
+        for pages in (
+            {"": nameless},
+            {"": same, "a": same},
+            {"": same, "a": other, "b": same},
+        ):
+            with self.subTest(pages):
+                with self.assertRaisesRegex(ObjectStoreUnavailable, "continued after"):
+                    list_pages(pages)
+
+
+def build_page(names, value, *, extra=b"", has_more=False):
+    """Returns a page of objects with one value, and with further elements behind them."""
+    items = [
+        b'{"metadata":{"name":"%b"},"specification":%b}' % (name.encode(), value)
+        for name in names
+    ]
+    flag = b"true" if has_more else b"false"
+    return b'{"items":[%b%b],"at":3,"has_more":%b}' % (b",".join(items), extra, flag)
+
+
+def list_pages(pages):
+    """Lists the targets of a store that has these pages, by the name they follow."""
+
+    async def send(method, address, path, **options):
+        await trio.lowlevel.checkpoint()
+        after = path.partition("?after=")[2]
+        return ClientResponse(status=200, headers={}, body=pages[after])
+
+    store = StoreClient(mock.Mock(send=send), "store")
+    return trio.run(store.list, ObjectKind.TARGETS)
+
 
 if __name__ == "__main__":
     unittest.main()
