Count only events with an id as output of a stream

events.py now decides in one place what a block is. An event has one numeric id; comments may pass but are no output; everything else fails the attempt, after the events before it, as an id out of order does.

--- a/packages/daemon/src/goldcrestvane_daemon/frontend/attempts.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/attempts.py
@@ -362,14 +362,15 @@
         first_at = 0.0
         if call.output.data:
             await request.hold(len(call.output.data))
-        while (events := await reader.read()) is not None:
-            if call.events == events_before:
+        while (blocks := await reader.read()) is not None:
+            events = [each for each in blocks if each.is_output]
+            if events and call.events == events_before:
                 first_at = trio.current_time()
                 await handle_first_event()
                 if events_before == 0 and call.copies_output:
                     assert call.headers.call is not None
                     self._copies.start(call.headers.call, call.output)
-            if not call.response_started:
+            if events and not call.response_started:
                 # The response starts with the first event. If the target fails before
                 # that, the call can still be attempted at another target.
                 call.response_started = True
@@ -380,7 +381,8 @@
                 if call.route.stores_turns:
                     await request.hold(len(event.data))
                     call.output.add(event)
-            await connection.send_body(b"".join(event.raw for event in events))
+            if call.response_started:
+                await connection.send_body(b"".join(each.raw for each in blocks))
         intervals = call.events - events_before - 1
         event_seconds = None
         if intervals > 0 and not reader.left_unread:
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/calls.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/calls.py
@@ -353,7 +353,6 @@
     elif (
         in_time
         and call.route.repeatable
-        and call.sequence.ends_with_id
         and len(call.attempted_targets) < call.route.max_attempts + MAX_EXTRA_ATTEMPTS
     ):
         return None
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/event_reader.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/event_reader.py
@@ -7,11 +7,12 @@
 
 from goldcrestvane_daemon.frontend.event_sequence import EventSequence
 from goldcrestvane_daemon.frontend.events import (
+    BlockKind,
     EventSplitter,
     EventTooLong,
     StreamEvent,
 )
-from goldcrestvane_daemon.frontend.metrics import DISORDERED_EVENTS
+from goldcrestvane_daemon.frontend.metrics import DISORDERED_EVENTS, INVALID_BLOCKS
 from goldcrestvane_daemon.frontend.refusals import StreamStalled
 from goldcrestvane_daemon.frontend.upstream import TargetFailed, TargetRequest
 from goldcrestvane_daemon.routes import Route
@@ -30,6 +31,9 @@
 """Time for which a response may stay unread, because its client reads slowly, before the
 target is right to cut it off. Targets do so after some seconds."""
 
+MAX_SHOWN_BYTES = 60
+"""Part of an invalid block that the log shows."""
+
 
 def compute_patience(route: Route) -> float:
     """Returns the seconds between two events after which clients abandon a stream."""
@@ -48,6 +52,8 @@
     Only time that is spent waiting for the target counts as a stall. Before the first
     event of a call only the call's deadline applies.
 
+    What a target sends before its first event is no output, and neither are comments.
+
     Attributes:
         left_unread: Whether the response was left unread for `UNREAD_SECONDS`.
     """
@@ -82,11 +88,12 @@
         self.left_unread = False
 
     async def read(self) -> list[StreamEvent] | None:
-        """Returns the next events; None at the end of the stream.
+        """Returns the next events and comments; None at the end of the stream.
 
         Raises:
             TargetFailed: The response is invalid, an event is out of order, or the
-                response ended in the middle of an event or without any.
+                response ended in the middle of an event or without any. All events
+                before that were returned.
             StreamStalled: No event arrived for longer than the client waits.
         """
         began = trio.current_time()
@@ -103,7 +110,7 @@
         left = self._max_wait - self._waited if self._has_events else math.inf
         with trio.move_on_after(max(0.0, left)):
             events = await self._read_events()
-            if any(map(_is_progress, events or ())):
+            if any(each.is_output for each in events or ()):
                 self._has_events = True
                 self._waited = 0.0
             else:
@@ -120,8 +127,7 @@
             except EventTooLong as error:
                 raise TargetFailed(str(error)) from error
             if events:
-                self._has_read = True
-                return self._take_in_order(events)
+                return self._take_valid(events)
         if self._splitter.remainder:
             raise TargetFailed(
                 "The stream ended in the middle of an event.",
@@ -134,28 +140,37 @@
             )
         return None
 
-    def _take_in_order(self, events: list[StreamEvent]) -> list[StreamEvent]:
-        """Returns the events before the first one that is out of order.
+    def _take_valid(self, events: list[StreamEvent]) -> list[StreamEvent]:
+        """Returns what comes before the first block that is invalid or out of order.
 
         Raises:
-            TargetFailed: The first event is out of order. For a later one, the next call
-                to `read` raises it.
+            TargetFailed: That is the first block. For a later one, the next call to `read`
+                raises it.
         """
         for index, event in enumerate(events):
-            last = self._sequence.last
-            if not _is_progress(event) or self._sequence.advance(event.number):
+            self._failure = self._check(event)
+            if self._failure is None:
+                self._has_read = self._has_read or event.is_output
                 continue
-            DISORDERED_EVENTS.inc()
-            self._failure = TargetFailed(
-                f"Got event {event.number} after event {last}, expected a greater id.",
-                after_stated_event=self._sequence.is_stated,
-            )
             if index == 0:
                 raise self._failure
             return events[:index]
         return events
 
-
-def _is_progress(event: StreamEvent) -> bool:
-    """Returns whether an event is more than a comment."""
-    return event.number is not None or bool(event.data)
+    def _check(self, event: StreamEvent) -> TargetFailed | None:
+        """Returns why the stream cannot go on with a block; None if it does."""
+        if event.kind is BlockKind.COMMENT:
+            return None
+        if event.kind is BlockKind.INVALID or event.number is None:
+            INVALID_BLOCKS.inc()
+            return TargetFailed(
+                f"Got {event.raw[:MAX_SHOWN_BYTES]!r}, expected an event with an id."
+            )
+        last = self._sequence.last
+        if self._sequence.advance(event.number):
+            return None
+        DISORDERED_EVENTS.inc()
+        return TargetFailed(
+            f"Got event {event.number} after event {last}, expected a greater id.",
+            after_stated_event=self._sequence.is_stated,
+        )
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/event_sequence.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/event_sequence.py
@@ -13,7 +13,6 @@
         last: Id of the last event in order; None before the first one.
         is_stated: Whether no target has sent an event yet, so that `last` is what the client
             states.
-        ends_with_id: Whether the last event has an id, so that the stream can go on after it.
         gaps: Number of events in order whose id is not the next integer.
     """
 
@@ -25,23 +24,18 @@
         """
         self.last = last
         self.is_stated = True
-        self.ends_with_id = True
         self.gaps = 0
 
-    def advance(self, number: int | None) -> bool:
+    def advance(self, number: int) -> bool:
         """Moves on to an event; returns False, and stays, if it is out of order.
 
         Args:
-            number: Id of the event; None if it has no numeric id.
+            number: Id of the event.
         """
-        if number is None:
-            self.ends_with_id = False
-            return True
         if self.last is not None:
             if number <= self.last:
                 return False
             self.gaps += number > self.last + 1
         self.last = number
         self.is_stated = False
-        self.ends_with_id = True
         return True
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/events.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/events.py
@@ -1,6 +1,7 @@
 """Parser for streams of server-sent events."""
 
 import re
+from enum import Enum
 from typing import final
 
 import msgspec
@@ -10,8 +11,9 @@
 MAX_END_BYTES = 3
 """An empty line, behind a line that ends with a line feed; lines may end with CRLF."""
 
-DATA_FIELD = b"data:"
-ID_FIELD = b"id:"
+_FIELD_NAME = re.compile(rb"[A-Za-z0-9_-]+")
+_COMMENT_FIELDS = frozenset((b"event", b"retry"))
+"""Fields that a block without an event may have."""
 
 MAX_ID_DIGITS = 18
 """Digits of a numeric id, which fits into 64 bits."""
@@ -21,18 +23,42 @@
     """An event has more than `MAX_EVENT_BYTES` bytes."""
 
 
+class BlockKind(Enum):
+    """What the bytes up to an empty line are.
+
+    Only events are output: they start a response, are charged, stored and copied, and end a
+    pause.
+    """
+
+    EVENT = "event"
+    """It has one numeric id. Streams are series of events with increasing ids."""
+
+    COMMENT = "comment"
+    """It has neither an id nor data, such as a comment that keeps a connection open."""
+
+    INVALID = "invalid"
+    """It belongs to no stream. The target is faulty."""
+
+
 class StreamEvent(msgspec.Struct, frozen=True):
-    """One event of a stream.
+    """One block of a stream, mostly an event.
 
     Attributes:
-        raw: Bytes of the event, including the blank line at its end.
+        raw: Bytes of the block, including the blank line at its end.
         number: Id of the event; None if it has no numeric id.
         data: Data of the event.
+        kind: What the block is.
     """
 
     raw: bytes
     number: int | None
     data: bytes
+    kind: BlockKind = BlockKind.EVENT
+
+    @property
+    def is_output(self) -> bool:
+        """Whether the block is an event."""
+        return self.kind is BlockKind.EVENT
 
 
 @final
@@ -77,14 +103,37 @@
 
 
 def parse_event(raw: bytes) -> StreamEvent:
-    """Parses the bytes of one event."""
-    number = None
-    data = []
+    """Parses the bytes of one block."""
+    ids: list[bytes] = []
+    data: list[bytes] = []
+    has_unknown_text = has_other_fields = False
     for line in raw.replace(b"\r\n", b"\n").split(b"\n"):
-        if line.startswith(DATA_FIELD):
-            data.append(line[len(DATA_FIELD) :].removeprefix(b" "))
-        elif line.startswith(ID_FIELD):
-            text = line[len(ID_FIELD) :].strip()
-            is_number = text.isdigit() and len(text) <= MAX_ID_DIGITS
-            number = int(text) if is_number else None
-    return StreamEvent(raw, number, b"\n".join(data))
+        if not line or line.startswith(b":"):
+            continue
+        name, colon, value = line.partition(b":")
+        if name == b"data":
+            data.append(value.removeprefix(b" "))
+        elif name == b"id":
+            ids.append(value.strip())
+        elif name not in _COMMENT_FIELDS:
+            # Events may have fields that this version does not know.
+            has_other_fields = True
+            is_field = colon and _FIELD_NAME.fullmatch(name)
+            has_unknown_text = has_unknown_text or not is_field
+    number = _parse_id(ids)
+    if has_unknown_text:
+        kind = BlockKind.INVALID
+    elif number is not None:
+        kind = BlockKind.EVENT
+    elif ids or data or has_other_fields:
+        kind = BlockKind.INVALID
+    else:
+        kind = BlockKind.COMMENT
+    return StreamEvent(raw, number, b"\n".join(data), kind)
+
+
+def _parse_id(ids: list[bytes]) -> int | None:
+    """Returns the number that is the only id of a block; None if it has no such id."""
+    if len(ids) != 1 or not ids[0].isdigit() or len(ids[0]) > MAX_ID_DIGITS:
+        return None
+    return int(ids[0])
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/metrics.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/metrics.py
@@ -49,6 +49,10 @@
 ATTEMPTS = Counter(
     "goldcrestvane_attempts", "Attempts at targets, by what became of them", ["result"]
 )
+INVALID_BLOCKS = Counter(
+    "goldcrestvane_invalid_stream_blocks",
+    "Parts of streams, up to an empty line, that are neither events nor comments",
+)
 DISORDERED_EVENTS = Counter(
     "goldcrestvane_disordered_events",
     "Events of targets whose id is not greater than that of the event before them",
--- a/packages/daemon/tests/frontend/test_events.py
+++ b/packages/daemon/tests/frontend/test_events.py
@@ -2,8 +2,10 @@
 
 from goldcrestvane_daemon.frontend.events import (
     MAX_EVENT_BYTES,
+    BlockKind,
     EventSplitter,
     EventTooLong,
+    parse_event,
 )
 
 STREAM = b"id: 1\ndata: a\n\ngoldcrestvane-weight-versions: 2\nid: 2\ndata: b\n\n"
@@ -42,6 +44,32 @@
         event = b"id: %s\ndata: a\n\n" % (b"9" * 5000)
         self.assertIsNone(EventSplitter().feed(event)[0].number)
 
+    def test_block_is_an_event_only_with_one_numeric_id(self):
+        kinds = {
+            BlockKind.EVENT: (
+                b"id: 1\ndata: a\n\n",
+                b"id:1\n\n",
+                b": comment\nid: 1\ndata: a\n\n",
+                b"later-field: 5\nid: 1\ndata: a\n\n",
+                b"\nid: 1\ndata\n\n",
+            ),
+            BlockKind.COMMENT: (b":\n\n", b"\n\n", b"retry: 5\n: x\n\n", b"event\n\n"),
+            BlockKind.INVALID: (
+                b"data: a\n\n",
+                b"id:\ndata: a\n\n",
+                b"id: -1\n\n",
+                b"id: 1\nid: 1\n\n",
+                b"later-field: 5\n\n",
+                b"later-field\nid: 1\n\n",
+                b"no field: 5\nid: 1\ndata: a\n\n",
+                b"\xff\n\n",
+            ),
+        }
+        for kind, blocks in kinds.items():
+            for block in blocks:
+                with self.subTest(block):
+                    self.assertIs(parse_event(block).kind, kind)
+
     def test_event_without_end_is_rejected(self):
         splitter = EventSplitter()
         block = b"x" * 65_536
