Record the event after which an attempt continues a stream

Cause: the charge that is durable before an attempt is sent to a target said only that it continues the stream. The newest attempt counted, and no member had its output. Going back whenever no member has it would be wrong, since its client may have events of it, and two attempts make different events under one id.

The charge now also has the event after which the attempt continues, which the client named. Up to that event the output of the attempt before counts too; behind it only the newest one. Attempts at once count up to the first event after which one of them went on. The copies of all attempts that agree are read at once.

The tests with one to three such frontends, and the one that names an event whose copies are lost, fail without the change.

--- a/packages/daemon/src/goldcrestvane_daemon/frontend/call_context.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/call_context.py
@@ -27,7 +27,7 @@
 )
 from goldcrestvane_daemon.frontend.turn_output import TurnOutput
 from goldcrestvane_daemon.http1 import RequestHead
-from goldcrestvane_daemon.ledger.messages import build_program_key
+from goldcrestvane_daemon.ledger.messages import NO_EVENT, build_program_key
 from goldcrestvane_daemon.placement.prompt_reading import PromptRequest
 from goldcrestvane_daemon.platform.headers import CallHeaders, decode_call_headers
 from goldcrestvane_daemon.routes import CallKind, Route, RouteTable, choose_service
@@ -68,6 +68,8 @@
         resumed_stream: Attempt that brought the first event of the stored stream that the
             call continues; empty if it continues none.
         takeover: Number of the call among those that continued that stream.
+        continues_after: Id of the event after which the call continues that stream;
+            `NO_EVENT` if it continues none.
         account: Account that sends the call; None without accounts and for a call that
             needs no key.
         key_digest: Digest of the call's API key; None without accounts.
@@ -109,6 +111,7 @@
     origin_changes: int = 0
     resumed_stream: CallId = CallId("")
     takeover: int = 0
+    continues_after: int = NO_EVENT
     account: ClientAccount | None = None
     key_digest: KeyDigest | None = None
     accounts_version: Version | None = None
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/stream_takeover.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/stream_takeover.py
@@ -5,9 +5,13 @@
 members of the ledger have the outputs of these attempts in memory.
 
 A client that takes up a stream after an event discards what it got after that event, if
-anything. So only the last attempt that continued a stream tells which events came before.
+anything. Each attempt that continued a stream therefore has, durably, the event after which
+it did: up to there, the output of the attempt before is what the client has, also if the
+newer one ended before any member had a copy of its output. Behind that event only the
+attempt itself tells, since two attempts may make different events under one id.
 """
 
+from collections import defaultdict
 from typing import final
 
 from goldcrestvane_common.ids import CallId
@@ -26,27 +30,35 @@
 logger = get_logger("turn")
 
 
-def find_last_attempt(
-    stream: CallId, charges: dict[CallId, TokenCharge]
-) -> CallId | None:
-    """Returns the attempt that brought the newest events of a stream to its client.
+def list_sources(
+    stream: CallId, event: int, charges: dict[CallId, TokenCharge]
+) -> list[CallId]:
+    """Returns the attempts whose output up to an event is what the client has.
+
+    They need not have made that event, but those that did made the same one.
 
     Args:
         stream: Attempt that brought the stream's first event.
+        event: Id of the last event that the client has.
         charges: Token charges of the program.
 
     Returns:
-        The attempt; None if the charges do not tell.
+        The attempts, the newest first; none if the charges do not tell.
     """
     if stream not in charges:
-        return None
-    takers = _list_takers(stream, charges)
-    if not takers:
-        return stream
-    newest = max(charge.takeover for charge in takers)
-    last = [charge.call for charge in takers if charge.takeover == newest]
-    # Two attempts that began at once do not know of each other.
-    return last[0] if len(last) == 1 else None
+        return []
+    by_number = defaultdict(list)
+    for charge in _list_takers(stream, charges):
+        by_number[charge.takeover].append(charge)
+    sources = []
+    for _, charges_at_once in sorted(by_number.items(), reverse=True):
+        # Attempts that began at once do not know of each other, and it is not known which
+        # of them the client followed.
+        if len(charges_at_once) == 1:
+            sources.append(charges_at_once[0].call)
+        if any(event > each.continues_after for each in charges_at_once):
+            return sources
+    return [*sources, stream]
 
 
 def _list_takers(
@@ -94,16 +106,17 @@
             return
         stream, event = call.headers.resumes, call.last_event
         output = None
-        last = find_last_attempt(stream, charges) if stream is not None else None
-        if last is not None and event is not None:
-            output = await self._copies.read(last, event)
+        sources: list[CallId] = []
+        if stream is not None and event is not None:
+            sources = list_sources(stream, event, charges)
+            output = await self._copies.read(sources, event)
         TAKEOVERS.labels("unknown" if output is None else "continued").inc()
         logger.info(
             "a client takes up a stored stream",
             extra={
                 "call": call.headers.call,
                 "resumes": stream,
-                "after": last,
+                "after": sources,
                 "last_event": event,
                 "bytes": None if output is None else len(output),
             },
@@ -116,6 +129,7 @@
             )
         call.resumed_stream = stream
         call.takeover = count_takeovers(stream, charges) + 1
+        call.continues_after = event
         call.output.take_over(output, event)
         try:
             await self._turns.record_origin(call)
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/turn_output.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/turn_output.py
@@ -7,6 +7,7 @@
 """
 
 import functools
+from collections.abc import Sequence
 from typing import Protocol, final
 
 import trio
@@ -135,15 +136,24 @@
                 return
             await trio.sleep(COPY_RETRY_SECONDS)
 
-    async def read(self, call: CallId, last_event: int) -> bytes | None:
-        """Returns the output of an attempt up to an event.
+    async def read(self, attempts: Sequence[CallId], last_event: int) -> bytes | None:
+        """Returns the output of a stream up to an event.
 
-        None if no member has it, which does not tell whether the client has it.
+        Args:
+            attempts: Attempts whose outputs are the same up to the event, as far as they
+                have it.
+            last_event: Id of the event.
+
+        Returns:
+            The output; None if no member has it, which does not tell whether the client
+            has it.
         """
-        request = ReadOutput(call, last_event)
         calls = [
-            functools.partial(self._ledger.call, member.address, request)
-            for member in self._ledger.list_group(call)
+            functools.partial(
+                self._ledger.call, member.address, ReadOutput(attempt, last_event)
+            )
+            for attempt in attempts
+            for member in self._ledger.list_group(attempt)
         ]
         answers = await call_until_quorum(
             calls, _is_found, quorum=1, nursery=self._nursery
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/turn_recorder.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/turn_recorder.py
@@ -236,6 +236,7 @@
             origin_changes=call.origin_changes,
             resumes=call.resumed_stream,
             takeover=call.takeover,
+            continues_after=call.continues_after,
         )
         retention = call.route.retention_seconds
         chain = call.chain.calls if call.chain else []
@@ -252,6 +253,7 @@
         origin_changes=call.origin_changes,
         resumes=call.resumed_stream,
         takeover=call.takeover,
+        continues_after=call.continues_after,
     )
 
 
--- a/packages/daemon/src/goldcrestvane_daemon/ledger/messages.py
+++ b/packages/daemon/src/goldcrestvane_daemon/ledger/messages.py
@@ -24,6 +24,9 @@
 CHARGE_BYTES = 60
 """Typical sizes of an encoded entry without its turn, and of a charge."""
 
+NO_EVENT = -1
+"""Stands for the id of an event where there is none; ids are not negative."""
+
 Retention = Annotated[float, msgspec.Meta(ge=0, le=1e12)]
 """Seconds for which an entry is kept. A message with another value cannot be decoded: NaN or
 infinity on the disk would end its member, also at each start."""
@@ -43,6 +46,8 @@
             empty if it continues none, or does not need to be known.
         takeover: Number of this attempt among those that continued the stream, from 1; 0
             until it is known.
+        continues_after: Id of the event after which this attempt continued the stream;
+            `NO_EVENT` until it is known, and in charges of earlier versions.
     """
 
     call: CallId
@@ -52,6 +57,7 @@
     origin_changes: int = 0
     resumes: CallId = CallId("")
     takeover: int = 0
+    continues_after: int = NO_EVENT
 
     def supersedes(self, known: "TokenCharge | None") -> bool:
         """Returns whether this charge replaces a known one, in any order of arrival."""
--- a/packages/daemon/tests/frontend/test_stored_streams.py
+++ b/packages/daemon/tests/frontend/test_stored_streams.py
@@ -1,5 +1,6 @@
 import unittest
 
+import msgspec
 import trio
 import trio.testing
 
@@ -9,11 +10,11 @@
 from goldcrestvane_daemon.frontend.events import StreamEvent
 from goldcrestvane_daemon.frontend.stream_takeover import (
     count_takeovers,
-    find_last_attempt,
+    list_sources,
 )
 from goldcrestvane_daemon.frontend.turn_output import OutputCopies, TurnOutput
 from goldcrestvane_daemon.ledger.frames import PeerUnreachable
-from goldcrestvane_daemon.ledger.messages import OutputExtended, TokenCharge
+from goldcrestvane_daemon.ledger.messages import NO_EVENT, OutputExtended, TokenCharge
 from goldcrestvane_daemon.ledger.stream_outputs import (
     OUTPUT_SECONDS,
     Mark,
@@ -110,6 +111,71 @@
         again.append(ScriptedTarget.WAIT)
         self.run_frontends(script, [begin([1, 2, 3, 4]), again, rest([5], b"c3")])
 
+    def take_up_without_an_event(self, first, frontend, call, last):
+        """Lets a frontend take up a stream at a target that sends no event."""
+        first.nursery.start_soon(self.take_up, frontend, call, last)
+        return first.wait(
+            lambda: (
+                call in first.ledger.charges["p1"]
+                and first.ledger.charges["p1"][call].takeover > 0
+                and any(call.encode() in each for each in first.requests)
+            )
+        )
+
+    def test_stream_goes_on_after_frontends_that_ended_before_its_next_event(self):
+        """Guards against streams that end with the second frontend that is killed.
+
+        The frontends that took the stream up have not recorded how they ended. See
+        review/15.
+        """
+        for count in (1, 2, 3):
+
+            async def script(first, second, count=count):
+                headers = self.headers("c1")
+                await self.read_events(first, "/story/x", b"data: d2", **headers)
+                for number in range(count):
+                    frontend = await self.start_another(first)
+                    call = f"k{number}"
+                    await self.take_up_without_an_event(first, frontend, call, 2)
+                response = await self.take_up(second, "c2", 2)
+                self.assertEqual((response.status, response.whole), (200, True))
+                self.assertEqual(response.body, build_events([3, 4]))
+                turn = first.ledger.turns["c2"]
+                self.assertEqual(turn.output, b"d1\nd2\nd3\nd4\n")
+
+            with self.subTest(count=count):
+                silent = [[ScriptedTarget.WAIT]] * count
+                answers = [begin([1, 2, 3]), *silent, rest([3, 4])]
+                self.run_frontends(script, answers)
+
+    def test_stream_does_not_go_back_behind_the_event_at_which_it_was_taken_up(self):
+        """Guards against a turn with events that its client got from nobody.
+
+        The second attempt brought another event 3 than the first one, and its copies are
+        lost. The client that names event 2 has discarded both.
+        """
+
+        async def script(first, second):
+            await self.read_events(first, "/story/x", b"data: d4", **self.headers("c1"))
+            headers = self.headers("c2", Last_Event_Id=2, Resumes="c1")
+            await self.read_events(second, "/story/x", b"data: other-3", **headers)
+            await first.wait(lambda: first.ledger.charges["p1"]["c2"].is_final)
+            for outputs in first.ledger.outputs.values():
+                outputs.drop("c2")
+            third = await self.start_another(first)
+            response = await self.take_up(third, "c3", 3)
+            self.assertEqual((response.status, len(first.requests)), (503, 2))
+            response = await self.take_up(third, "c4", 2)
+            self.assertEqual(response.body, build_events([3, 4]))
+            turn = first.ledger.turns["c4"]
+            self.assertEqual(turn.output, b"d1\nd2\nd3\nd4\n")
+
+        head = build_stream([], call=b"c2", end=False)[0]
+        event = b"id: 3\ndata: other-3\n\n"
+        other = [head, b"%x\r\n%s\r\n" % (len(event), event), ScriptedTarget.WAIT]
+        answers = [begin([1, 2, 3, 4]), other, rest([3, 4], b"c4")]
+        self.run_frontends(script, answers)
+
     def test_all_streams_of_a_frontend_go_on_at_another_one(self):
         """Guards against a fix that refuses the streams that clients take up (LOST)."""
         count = 16
@@ -142,34 +208,75 @@
         )
 
 
-class LastAttemptTests(unittest.TestCase):
-    """The attempt whose output a client continues, by the charges of its program."""
+class SourceTests(unittest.TestCase):
+    """The attempts whose output a client continues, by the charges of its program."""
 
-    def find(self, *charges):
+    def find(self, *charges, event=9):
         known = {charge.call: charge for charge in [TokenCharge("c1", 40), *charges]}
-        return find_last_attempt("c1", known)
+        return list_sources("c1", event, known)
 
-    def build(self, call, takeover, tokens=40, *, is_final=False, resumes="c1"):
+    def build(self, call, takeover, tokens=40, *, after=NO_EVENT, **fields):
         return TokenCharge(
-            call, tokens, is_final=is_final, resumes=resumes, takeover=takeover
+            call,
+            tokens,
+            resumes=fields.pop("resumes", "c1"),
+            takeover=takeover,
+            continues_after=after,
+            **fields,
         )
 
     def test_last_attempt_that_may_have_brought_events(self):
         second, third = self.build("c2", 1), self.build("c3", 2)
-        self.assertEqual(self.find(), "c1")
-        self.assertEqual(self.find(second), "c2")
-        self.assertEqual(self.find(third, second), "c3")
-        self.assertEqual(self.find(self.build("c2", 0)), "c1")
-        self.assertEqual(self.find(self.build("c9", 1, resumes="c8")), "c1")
+        self.assertEqual(self.find(), ["c1"])
+        self.assertEqual(self.find(second), ["c2"])
+        self.assertEqual(self.find(third, second), ["c3"])
+        self.assertEqual(self.find(self.build("c2", 0)), ["c1"])
+        self.assertEqual(self.find(self.build("c9", 1, resumes="c8")), ["c1"])
 
     def test_attempt_that_brought_no_event_does_not_count(self):
         refused = self.build("c3", 2, tokens=0, is_final=True)
-        self.assertEqual(self.find(self.build("c2", 1), refused), "c2")
+        self.assertEqual(self.find(self.build("c2", 1), refused), ["c2"])
         self.assertEqual(count_takeovers("c1", {"c3": refused}), 2)
 
     def test_attempts_with_the_same_number_tell_nothing(self):
-        self.assertIsNone(self.find(self.build("c2", 1), self.build("c3", 1)))
-        self.assertIsNone(find_last_attempt("c1", {}))
+        self.assertEqual(self.find(self.build("c2", 1), self.build("c3", 1)), [])
+        self.assertEqual(list_sources("c1", 9, {}), [])
+
+    def test_attempts_before_count_up_to_the_event_at_which_the_next_went_on(self):
+        second, third = self.build("c2", 1, after=5), self.build("c3", 2, after=7)
+        for event, expected in (
+            (4, ["c3", "c2", "c1"]),
+            (5, ["c3", "c2", "c1"]),
+            (6, ["c3", "c2"]),
+            (7, ["c3", "c2"]),
+            (8, ["c3"]),
+        ):
+            with self.subTest(event=event):
+                self.assertEqual(self.find(second, third, event=event), expected)
+
+    def test_event_that_is_named_again_hides_what_came_after_it(self):
+        """Guards against events that the client has discarded."""
+        second, third = self.build("c2", 1, after=7), self.build("c3", 2, after=5)
+        self.assertEqual(self.find(second, third, event=6), ["c3"])
+        self.assertEqual(self.find(second, third, event=5), ["c3", "c2", "c1"])
+
+    def test_attempts_at_once_count_up_to_the_first_event_after_which_they_went_on(
+        self,
+    ):
+        at_once = self.build("c2", 1, after=5), self.build("c3", 1, after=7)
+        self.assertEqual(self.find(*at_once, event=5), ["c1"])
+        self.assertEqual(self.find(*at_once, event=6), [])
+        self.assertEqual(self.find(*at_once, event=7), [])
+        fourth = self.build("c4", 2, after=5)
+        self.assertEqual(self.find(*at_once, fourth, event=5), ["c4", "c1"])
+        self.assertEqual(self.find(*at_once, fourth, event=6), ["c4"])
+
+    def test_charge_of_an_earlier_version_names_no_event(self):
+        encoded = msgspec.json.encode(self.build("c2", 1, after=5))
+        earlier = msgspec.json.encode(msgspec.json.decode(encoded)[:-1])
+        charge = msgspec.json.decode(earlier, type=TokenCharge)
+        self.assertEqual(charge.continues_after, NO_EVENT)
+        self.assertEqual(self.find(charge, event=5), ["c2"])
 
     def test_numbered_charge_is_not_replaced_by_its_reservation(self):
         """Guards against a write that arrives late and hides a takeover."""
