Bound what tiny chunks cost, and let other calls run meanwhile

Cause: thousands of chunks from one read were parsed without giving other tasks a turn, and limits counted the bytes of bodies and events, which such a response reaches after millions of chunks. The calls ended at their deadline, so the server was not ejected.

After 64 parts of a message other tasks get a turn, in both directions. A stream may have 1,024 chunks and comments between two events, a body 4,096 small chunks; then the attempt fails and counts against the target. Bodies of requests are collected in one buffer.

--- a/packages/daemon/src/goldcrestvane_daemon/frontend/event_reader.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/event_reader.py
@@ -31,6 +31,9 @@
 """Time for which a response may stay unread, because its client reads slowly, before the
 target is right to cut it off. Targets do so after some seconds."""
 
+MAX_PARTS_WITHOUT_EVENT = 1024
+"""Chunks and comments between two events. Sound targets send an event in a few chunks."""
+
 MAX_SHOWN_BYTES = 60
 """Part of an invalid block that the log shows."""
 
@@ -76,13 +79,14 @@
                 are added.
         """
         self._request = request
-        self._chunks = request.read_chunks()
+        self._chunks = request.read_chunks(may_be_small=True)
         self._splitter = EventSplitter()
         self._max_wait = patience_seconds + STALL_MARGIN_SECONDS
         self._has_events = has_events
         self._sequence = sequence
         self._failure: TargetFailed | None = None
         self._has_read = False
+        self._parts_without_event = 0
         self._waited = 0.0
         self._read_at = trio.current_time()
         self.left_unread = False
@@ -126,6 +130,7 @@
                 events = self._splitter.feed(chunk)
             except EventTooLong as error:
                 raise TargetFailed(str(error)) from error
+            self._count_parts(events)
             if events:
                 return self._take_valid(events)
         if self._splitter.remainder:
@@ -140,6 +145,22 @@
             )
         return None
 
+    def _count_parts(self, events: list[StreamEvent]) -> None:
+        """Counts the parts of a response since its last event.
+
+        Raises:
+            TargetFailed: There are too many.
+        """
+        if any(each.is_output for each in events):
+            self._parts_without_event = 0
+            return
+        self._parts_without_event += 1 + len(events)
+        if self._parts_without_event > MAX_PARTS_WITHOUT_EVENT:
+            raise TargetFailed(
+                f"Got {self._parts_without_event} chunks and comments without an event, "
+                f"expected at most {MAX_PARTS_WITHOUT_EVENT}."
+            )
+
     def _take_valid(self, events: list[StreamEvent]) -> list[StreamEvent]:
         """Returns what comes before the first block that is invalid or out of order.
 
--- a/packages/daemon/src/goldcrestvane_daemon/frontend/upstream.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/upstream.py
@@ -38,6 +38,11 @@
 MAX_RESPONSE_BYTES = 8 * 1024 * 1024
 """Maximum size of the body of a response."""
 
+MAX_SMALL_CHUNKS = 4096
+MIN_MEAN_CHUNK_BYTES = 64
+"""A body may have `MAX_SMALL_CHUNKS` chunks of any size; with more, their mean size counts. Each
+chunk costs more than its bytes."""
+
 LARGE_REQUEST_BYTES = 65_536
 """Size from which a request may exceed the buffers of a target that reads slowly."""
 
@@ -369,14 +374,18 @@
             raise TargetFailed("Got a response without a call id on a used connection.")
         return head.call is None or self._call is None or head.call == self._call
 
-    async def read_chunks(self) -> AsyncIterator[bytes]:
+    async def read_chunks(self, *, may_be_small: bool = False) -> AsyncIterator[bytes]:
         """Yields the parts of the response's body. Raises the same errors as `send`.
 
         A faulty target may send a body without end.
+
+        Args:
+            may_be_small: Whether the body may have any number of small chunks. The caller
+                then limits what they cost.
         """
         assert self._exchange is not None
         chunks = self._exchange.iterate_body()
-        size = 0
+        size = count = 0
         while True:
             with _translate_errors():
                 chunk = await anext(chunks, None)
@@ -387,6 +396,13 @@
                 raise TargetFailed(
                     f"The response has more than {MAX_RESPONSE_BYTES} bytes."
                 )
+            count += 1
+            is_small = size < count * MIN_MEAN_CHUNK_BYTES
+            if is_small and count > MAX_SMALL_CHUNKS and not may_be_small:
+                raise TargetFailed(
+                    f"Got {size} bytes in {count} chunks, expected at least "
+                    f"{MIN_MEAN_CHUNK_BYTES} bytes a chunk."
+                )
             yield chunk
 
     async def read_body(self) -> bytes:
--- a/packages/daemon/src/goldcrestvane_daemon/http1.py
+++ b/packages/daemon/src/goldcrestvane_daemon/http1.py
@@ -18,6 +18,10 @@
 Headers = Sequence[tuple[bytes, bytes]]
 
 READ_BYTES = 65_536
+EVENTS_PER_TURN = 64
+"""Parts of messages that are parsed in a row before other tasks get a turn. One read may bring
+thousands of tiny ones."""
+
 MAX_HEAD_BYTES = 32_768
 """Maximum size of the head of a message. The platform's clients send half of it."""
 
@@ -96,6 +100,20 @@
     return [b"".join(present)]
 
 
+@final
+class _ParsingPace:
+    """Gives other tasks a turn while many parts of a message are parsed in a row."""
+
+    def __init__(self) -> None:
+        self._count = 0
+
+    async def count(self) -> None:
+        """Counts one part."""
+        self._count += 1
+        if self._count % EVENTS_PER_TURN == 0:
+            await trio.lowlevel.checkpoint()
+
+
 @final
 class ServerConnection:
     """Connection of one client."""
@@ -105,6 +123,7 @@
         self._parser = h11.Connection(
             h11.SERVER, max_incomplete_event_size=head_bytes + READ_BYTES
         )
+        self._pace = _ParsingPace()
         self._eof_received = False
         self._declared_length = 0
         self._is_head = False
@@ -171,22 +190,20 @@
         if self._parser.they_are_waiting_for_100_continue:
             interim = h11.InformationalResponse(status_code=100, headers=[])
             await self._send(interim)
-        chunks: list[bytes] = []
-        size = 0
+        body = bytearray()
         while True:
             event = await self._next_event()
             if isinstance(event, h11.EndOfMessage):
-                return b"".join(chunks)
+                return bytes(body)
             if not isinstance(event, h11.Data):
                 raise ConnectionLost(
                     "The client closed the connection before the end of its request."
                 )
-            size += len(event.data)
-            if size > limit:
+            if len(body) + len(event.data) > limit:
                 raise ProtocolViolation(
                     f"The body has more than {limit} bytes; send less.", status=413
                 )
-            chunks.append(bytes(event.data))
+            body += event.data
             if reserve is not None:
                 await reserve(len(event.data))
 
@@ -253,6 +270,7 @@
             while (event := self._parser.next_event()) is h11.NEED_DATA:
                 data = b"" if self._eof_received else await self._receive()
                 self._parser.receive_data(data)
+            await self._pace.count()
         except h11.RemoteProtocolError as error:
             reason = _remove_quotation(str(error))
             if self._eof_received:
@@ -302,6 +320,7 @@
         self._parser = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES + READ_BYTES
         )
+        self._pace = _ParsingPace()
         self._eof_received = False
         self._was_reset = False
         self._leftover = leftover
@@ -399,6 +418,7 @@
         try:
             while (event := self._parser.next_event()) is h11.NEED_DATA:
                 self._parser.receive_data(await self._receive())
+            await self._pace.count()
         except h11.RemoteProtocolError as error:
             if self._eof_received:
                 raise ConnectionLost(str(error)) from error
--- a/packages/daemon/tests/frontend/test_endless_responses.py
+++ b/packages/daemon/tests/frontend/test_endless_responses.py
@@ -89,6 +89,28 @@
         head = CHUNKED % b"c1"
         self.run_endless(head, b"10000\r\n" + BLOCK + b"\r\n", path="/turn/x")
 
+    def test_tiny_chunks_without_end(self):
+        """Guards against targets that keep a frontend from all other work.
+
+        See review/14.
+        """
+        head, block = CHUNKED % b"c1", b"1\r\nx\r\n" * 11_000
+        self.run_endless(head, block, path="/turn/x")
+        self.run_endless(head, block, path="/once/x")
+        self.run_endless(CHUNKED % b"c0", block)
+
+    def test_tiny_chunks_without_end_inside_a_stream(self):
+        event = b"id: 1\ndata: d1\n\n"
+        head = CHUNKED % b"c1" + b"%x\r\n%s\r\n" % (len(event), event)
+        with self.assertLogs("goldcrestvane.call", "WARNING") as logs:
+            self.run_endless(head, b"1\r\nx\r\n" * 11_000, path="/kept/x", cut=True)
+        self.assertIn("a target failed", logs.output[0])
+
+    def test_comments_without_end(self):
+        block = b":\n\n" * 5000
+        chunk = b"%x\r\n%s\r\n" % (len(block), block)
+        self.run_endless(CHUNKED % b"c1", chunk, path="/turn/x")
+
     def test_events_without_end(self):
         event = b"id: 1\ndata: " + b"x" * 16_369 + b"\n\n"
         block = b"%x\r\n%s\r\n" % (len(event), event)
