Give other tasks a turn before a part of a message is parsed

No caller reads on after a cancellation today, so nothing was seen; the turn now comes before the parsing, where nothing can be lost.

--- a/packages/daemon/src/goldcrestvane_daemon/frontend/event_reader.py
+++ b/packages/daemon/src/goldcrestvane_daemon/frontend/event_reader.py
@@ -55,7 +55,7 @@
     Only time that is spent waiting for the target counts as a stall. Before the first
     event of a call only the call's deadline applies.
 
-    What a target sends before its first event is no output, and neither are comments.
+    Comments are returned as well, and count neither as events nor as the end of a stall.
 
     Attributes:
         left_unread: Whether the response was left unread for `UNREAD_SECONDS`.
--- a/packages/daemon/src/goldcrestvane_daemon/http1.py
+++ b/packages/daemon/src/goldcrestvane_daemon/http1.py
@@ -266,11 +266,12 @@
         return bytes(data)
 
     async def _next_event(self) -> h11.Event:
+        # Before parsing, so that no event is lost if the caller is cancelled here.
+        await self._pace.count()
         try:
             while (event := self._parser.next_event()) is h11.NEED_DATA:
                 data = b"" if self._eof_received else await self._receive()
                 self._parser.receive_data(data)
-            await self._pace.count()
         except h11.RemoteProtocolError as error:
             reason = _remove_quotation(str(error))
             if self._eof_received:
@@ -415,10 +416,11 @@
         return idle and not self._parser.trailing_data[0] and not self._eof_received
 
     async def _next_event(self) -> h11.Event:
+        # Before parsing, so that no event is lost if the caller is cancelled here.
+        await self._pace.count()
         try:
             while (event := self._parser.next_event()) is h11.NEED_DATA:
                 self._parser.receive_data(await self._receive())
-            await self._pace.count()
         except h11.RemoteProtocolError as error:
             if self._eof_received:
                 raise ConnectionLost(str(error)) from error
